Add the build, the base package and the design page

Cause: the repository was empty. The workspace builds each folder under packages/ into one library and one test program. The base package holds names, times, result codes and checks. Conclusion: the frame for the other packages stands.

--- /dev/null
+++ b/packages/base/base_test.cc
@@ -0,0 +1,73 @@
+#include <algorithm>
+#include <array>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "base/hash.h"
+#include "base/result.h"
+#include "base/result_code.h"
+
+namespace toucanhollow {
+namespace {
+
+// Guards against two codes that share a number or a name, which would make a
+// refusal ambiguous to a caller.
+TEST_CASE("result codes are unique and ascending") {
+  const auto table = ResultCodeTable();
+  REQUIRE(std::ranges::is_sorted(table, std::ranges::less_equal{},
+                                 &ResultCodeDescription::code));
+  std::vector<std::string> names;
+  for (const ResultCodeDescription& row : table) {
+    names.emplace_back(row.name);
+  }
+  std::ranges::sort(names);
+  CHECK(std::ranges::adjacent_find(names) == names.end());
+}
+
+// Guards against a "not run" code with the HTTP status of an answer, and
+// against an unknown outcome that reads like a refusal.
+TEST_CASE("HTTP status agrees with the outcome class") {
+  for (const ResultCodeDescription& row : ResultCodeTable()) {
+    const int number = static_cast<int>(row.code);
+    if (IsCertainlyNotRun(row.code)) {
+      CHECK(row.http_status >= 400);
+    }
+    if (number >= 2000) {
+      CHECK(row.http_status == 0);
+    }
+  }
+}
+
+// Guards against a rendezvous hash that depends on the candidates' order or
+// moves keys between surviving candidates.
+TEST_CASE("rendezvous moves only the keys of the removed candidate") {
+  const std::array<std::string, 4> candidates = {"a", "b", "c", "d"};
+  const auto owner = [&](const std::string& key, std::size_t count) {
+    return *std::ranges::max_element(
+        candidates.begin(), candidates.begin() + count, {},
+        [&](const std::string& name) { return RendezvousScore(key, name); });
+  };
+  int moved = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const std::string key = "key-" + std::to_string(i);
+    const std::string before = owner(key, 4);
+    const std::string after = owner(key, 3);
+    if (before != "d") {
+      REQUIRE(before == after);
+    } else {
+      ++moved;
+    }
+  }
+  CHECK(moved > 200);
+  CHECK(moved < 300);
+}
+
+TEST_CASE("failures are printed with number, name and detail") {
+  const Failure failure{ResultCode::kKeyExpired, "issued 30 h ago"};
+  CHECK(FormatFailure(failure) == "1108 key_expired: issued 30 h ago");
+}
+
+}  // namespace
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/base/check.h
@@ -0,0 +1,15 @@
+// InternalCheck: stops the process when a condition of the program itself
+// does not hold. Never used for input from outside.
+#ifndef BASE_CHECK_H_
+#define BASE_CHECK_H_
+
+#include <string_view>
+
+namespace toucanhollow {
+
+// Aborts with the condition's description if `holds` is false.
+void InternalCheck(bool holds, std::string_view condition);
+
+}  // namespace toucanhollow
+
+#endif  // BASE_CHECK_H_
--- /dev/null
+++ b/packages/base/incarnation.h
@@ -0,0 +1,21 @@
+// Incarnation: tells one run of a process from the runs before it.
+#ifndef BASE_INCARNATION_H_
+#define BASE_INCARNATION_H_
+
+#include <compare>
+#include <cstdint>
+
+namespace toucanhollow {
+
+// Start time of the process in microseconds since the Unix epoch, so that a
+// later run of the same process compares greater without stored state.
+struct Incarnation {
+  std::uint64_t value = 0;
+
+  bool operator==(const Incarnation&) const = default;
+  auto operator<=>(const Incarnation&) const = default;
+};
+
+}  // namespace toucanhollow
+
+#endif  // BASE_INCARNATION_H_
