--- /dev/null
+++ b/packages/event_loop/event_loop.cc
@@ -0,0 +1,167 @@
+#include "event_loop/event_loop.h"
+
+#include <ev.h>
+
+#include <utility>
+
+#include "base/check.h"
+
+namespace toucanhollow {
+
+EventLoop::EventLoop() : loop(ev_loop_new(EVBACKEND_EPOLL)) {
+  InternalCheck(this->loop != nullptr, "libev loop is created");
+}
+
+EventLoop::~EventLoop() {
+  ev_loop_destroy(this->loop);
+}
+
+void EventLoop::Run() {
+  ev_run(this->loop, 0);
+}
+
+void EventLoop::Stop() {
+  ev_break(this->loop, EVBREAK_ALL);
+}
+
+TimePoint EventLoop::Now() {
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+WallTime EventLoop::WallNow() {
+  return WallTime(std::chrono::duration_cast<Duration>(
+      std::chrono::system_clock::now().time_since_epoch()));
+}
+
+namespace {
+
+double ToSeconds(Duration duration) {
+  return static_cast<double>(duration.count()) / 1e6;
+}
+
+int ToEvents(IoWatcher::Interest interest) {
+  return ((interest & IoWatcher::kRead) != 0 ? EV_READ : 0) |
+         ((interest & IoWatcher::kWrite) != 0 ? EV_WRITE : 0);
+}
+
+}  // namespace
+
+struct IoWatcher::State {
+  struct ev_loop* loop;
+  ev_io watcher;
+  std::function<void(Interest)> ready;
+};
+
+IoWatcher::IoWatcher(EventLoop& loop,
+                     int file_descriptor,
+                     Interest interest,
+                     std::function<void(Interest ready)> ready)
+    : state(std::make_unique<State>()) {
+  this->state->loop = loop.raw();
+  this->state->ready = std::move(ready);
+  ev_io_init(
+      &this->state->watcher,
+      [](struct ev_loop*, ev_io* watcher, int events) {
+        auto* self = static_cast<State*>(watcher->data);
+        const int ready = ((events & EV_READ) != 0 ? kRead : kNone) |
+                          ((events & EV_WRITE) != 0 ? kWrite : kNone);
+        // The callback may destroy this watcher.
+        const auto callback = self->ready;
+        callback(static_cast<Interest>(ready));
+      },
+      file_descriptor, ToEvents(interest));
+  this->state->watcher.data = this->state.get();
+  if (interest != kNone) {
+    ev_io_start(this->state->loop, &this->state->watcher);
+  }
+}
+
+IoWatcher::~IoWatcher() {
+  ev_io_stop(this->state->loop, &this->state->watcher);
+}
+
+void IoWatcher::SetInterest(Interest interest) {
+  ev_io* watcher = &this->state->watcher;
+  ev_io_stop(this->state->loop, watcher);
+  ev_io_set(watcher, watcher->fd, ToEvents(interest));
+  if (interest != kNone) {
+    ev_io_start(this->state->loop, watcher);
+  }
+}
+
+struct Timer::State {
+  struct ev_loop* loop;
+  ev_timer watcher;
+  std::function<void()> expired;
+};
+
+Timer::Timer(EventLoop& loop,
+             Duration delay,
+             Duration repeat,
+             std::function<void()> expired)
+    : state(std::make_unique<State>()) {
+  this->state->loop = loop.raw();
+  this->state->expired = std::move(expired);
+  ev_timer_init(
+      &this->state->watcher,
+      [](struct ev_loop*, ev_timer* watcher, int) {
+        const auto callback = static_cast<State*>(watcher->data)->expired;
+        callback();
+      },
+      ToSeconds(delay), ToSeconds(repeat));
+  this->state->watcher.data = this->state.get();
+  // libev counts from its cached time, which lags after long callbacks.
+  ev_now_update(this->state->loop);
+  ev_timer_start(this->state->loop, &this->state->watcher);
+}
+
+Timer::~Timer() {
+  ev_timer_stop(this->state->loop, &this->state->watcher);
+}
+
+struct SignalWatcher::State {
+  struct ev_loop* loop;
+  ev_signal watcher;
+  std::function<void()> received;
+};
+
+SignalWatcher::SignalWatcher(EventLoop& loop,
+                             int signal,
+                             std::function<void()> received)
+    : state(std::make_unique<State>()) {
+  this->state->loop = loop.raw();
+  this->state->received = std::move(received);
+  ev_signal_init(
+      &this->state->watcher,
+      [](struct ev_loop*, ev_signal* watcher, int) {
+        const auto callback = static_cast<State*>(watcher->data)->received;
+        callback();
+      },
+      signal);
+  this->state->watcher.data = this->state.get();
+  ev_signal_start(this->state->loop, &this->state->watcher);
+}
+
+SignalWatcher::~SignalWatcher() {
+  ev_signal_stop(this->state->loop, &this->state->watcher);
+}
+
+void Post(EventLoop& loop, std::function<void()> function) {
+  struct Once {
+    ev_timer watcher;
+    std::function<void()> function;
+  };
+  auto* once = new Once{{}, std::move(function)};
+  ev_timer_init(
+      &once->watcher,
+      [](struct ev_loop*, ev_timer* watcher, int) {
+        const std::unique_ptr<Once> owned(static_cast<Once*>(watcher->data));
+        owned->function();
+      },
+      0.0, 0.0);
+  once->watcher.data = once;
+  ev_timer_start(loop.raw(), &once->watcher);
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/event_loop/event_loop.h
@@ -0,0 +1,87 @@
+// One libev loop for one thread. Tasks register watchers with it; only this
+// package and the edge packages that own sockets include ev.h.
+#ifndef EVENT_LOOP_EVENT_LOOP_H_
+#define EVENT_LOOP_EVENT_LOOP_H_
+
+#include <functional>
+#include <memory>
+
+#include "base/time.h"
+
+struct ev_loop;
+
+namespace toucanhollow {
+
+class EventLoop {
+ public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  // Runs until Stop.
+  void Run();
+  void Stop();
+
+  // Present monotonic and wall time, read from the clocks at each call.
+  static TimePoint Now();
+  static WallTime WallNow();
+
+  // The libev loop, for packages that adapt a library to it.
+  struct ev_loop* raw() const {
+    return this->loop;
+  }
+
+ private:
+  struct ev_loop* loop;
+};
+
+// Watches a file descriptor until destroyed.
+class IoWatcher {
+ public:
+  enum Interest { kNone = 0, kRead = 1, kWrite = 2, kReadWrite = 3 };
+  // `ready` is called with the conditions that hold.
+  IoWatcher(EventLoop& loop,
+            int file_descriptor,
+            Interest interest,
+            std::function<void(Interest ready)> ready);
+  ~IoWatcher();
+  void SetInterest(Interest interest);
+
+ private:
+  struct State;
+  std::unique_ptr<State> state;
+};
+
+// Calls back once after a delay, or repeatedly, until destroyed.
+class Timer {
+ public:
+  // A zero `repeat` means once. The delay counts from construction.
+  Timer(EventLoop& loop,
+        Duration delay,
+        Duration repeat,
+        std::function<void()> expired);
+  ~Timer();
+
+ private:
+  struct State;
+  std::unique_ptr<State> state;
+};
+
+// Calls back when the process receives the signal, until destroyed.
+class SignalWatcher {
+ public:
+  SignalWatcher(EventLoop& loop, int signal, std::function<void()> received);
+  ~SignalWatcher();
+
+ private:
+  struct State;
+  std::unique_ptr<State> state;
+};
+
+// Calls the function from the loop soon, after the current callback returned.
+void Post(EventLoop& loop, std::function<void()> function);
+
+}  // namespace toucanhollow
+
+#endif  // EVENT_LOOP_EVENT_LOOP_H_
--- /dev/null
+++ b/packages/event_loop/event_loop_test.cc
@@ -0,0 +1,51 @@
+#include "event_loop/event_loop.h"
+
+#include <unistd.h>
+
+#include <array>
+#include <memory>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+namespace toucanhollow {
+namespace {
+
+// Guards against a watcher that is freed while its own callback runs.
+TEST_CASE("a watcher may destroy itself in its callback") {
+  EventLoop loop;
+  std::array<int, 2> pipe_ends{};
+  REQUIRE(pipe(pipe_ends.data()) == 0);
+  int calls = 0;
+  std::unique_ptr<IoWatcher> watcher;
+  watcher = std::make_unique<IoWatcher>(loop, pipe_ends[0], IoWatcher::kRead,
+                                        [&](IoWatcher::Interest ready) {
+                                          CHECK(ready == IoWatcher::kRead);
+                                          watcher.reset();
+                                          ++calls;
+                                          loop.Stop();
+                                        });
+  REQUIRE(write(pipe_ends[1], "x", 1) == 1);
+  loop.Run();
+  CHECK(calls == 1);
+  close(pipe_ends[0]);
+  close(pipe_ends[1]);
+}
+
+// Guards against posted functions that run inside the posting callback.
+TEST_CASE("posted functions run after the current callback") {
+  EventLoop loop;
+  std::vector<int> order;
+  const Timer timer(loop, Duration(0), Duration(0), [&] {
+    Post(loop, [&] {
+      order.push_back(2);
+      loop.Stop();
+    });
+    order.push_back(1);
+  });
+  loop.Run();
+  CHECK(order == std::vector<int>{1, 2});
+}
+
+}  // namespace
+}  // namespace toucanhollow
