Add the log entry type shared by the folds

Cause: config, idempotency and expert_map each fold entries of the log. Conclusion: one type in base; no behaviour, so nothing was measured.

--- /dev/null
+++ b/packages/base/log_entry.h
@@ -0,0 +1,27 @@
+// One entry of the platform's append-only log, as every process reads it.
+#ifndef BASE_LOG_ENTRY_H_
+#define BASE_LOG_ENTRY_H_
+
+#include <cstdint>
+#include <string>
+
+#include "base/time.h"
+
+namespace toucanhollow {
+
+// Position in one stream of the log; the first entry has offset 1, so that 0
+// means "before every entry".
+using LogOffset = std::int64_t;
+
+struct LogEntry {
+  LogOffset offset = 0;
+  // Stamped by the log, not by the writer.
+  WallTime time;
+  std::string payload;
+
+  bool operator==(const LogEntry&) const = default;
+};
+
+}  // namespace toucanhollow
+
+#endif  // BASE_LOG_ENTRY_H_
