Add the HTTP client

Cause: agents call engines, services, the log, the host list and the weight store over HTTP. Ruled out: kept connections for calls that may not be repeated; libcurl sends a request again without notice when a kept connection turns out closed. Conclusion: a call reports whether a byte of it may have been sent.

--- /dev/null
+++ b/packages/http_client/http_client.cc
@@ -0,0 +1,374 @@
+#include "http_client/http_client.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "base/check.h"
+
+namespace toucanhollow {
+namespace {
+
+// Kept connections beyond it are closed, the oldest first.
+constexpr std::int64_t kMaxKeptConnections = 256;
+constexpr std::size_t kMaxHeaderBytes = std::size_t{64} * 1024;
+
+struct Call {
+  HttpCallId id = 0;
+  HttpCall call;
+  HttpCallbacks callbacks;
+  CURL* easy = nullptr;
+  curl_slist* header_list = nullptr;
+  bool added = false;
+  bool cancelled = false;
+  bool header_done = false;
+  bool too_large = false;
+  std::size_t header_bytes = 0;
+  std::size_t body_bytes = 0;
+  HttpOutcome outcome;
+
+  ~Call() {
+    curl_easy_cleanup(this->easy);
+    curl_slist_free_all(this->header_list);
+  }
+};
+
+std::string_view Trim(std::string_view text) {
+  constexpr std::string_view kSpace = " \t\r\n";
+  const std::size_t first = text.find_first_not_of(kSpace);
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(kSpace) - first + 1);
+}
+
+std::size_t OnHeaderLine(char* data,
+                         std::size_t size,
+                         std::size_t count,
+                         void* context) {
+  auto* call = static_cast<Call*>(context);
+  const std::string_view line(data, size * count);
+  call->header_bytes += line.size();
+  if (call->cancelled || call->header_bytes > kMaxHeaderBytes) {
+    call->too_large = !call->cancelled;
+    return 0;
+  }
+  if (line.starts_with("HTTP/")) {
+    call->outcome.headers.clear();
+  } else if (Trim(line).empty()) {
+    std::int64_t status = 0;
+    curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+    // 1xx announces the header of the response proper.
+    if (status >= 200 && !call->header_done) {
+      call->header_done = true;
+      call->outcome.status = static_cast<int>(status);
+      if (call->callbacks.on_header) {
+        call->callbacks.on_header(call->outcome.status, call->outcome.headers);
+      }
+    }
+  } else {
+    const std::size_t colon = std::min(line.find(':'), line.size());
+    call->outcome.headers.push_back(
+        {std::string(Trim(line.substr(0, colon))),
+         std::string(Trim(line.substr(std::min(colon + 1, line.size()))))});
+  }
+  return line.size();
+}
+
+std::size_t OnBody(char* data,
+                   std::size_t size,
+                   std::size_t count,
+                   void* context) {
+  auto* call = static_cast<Call*>(context);
+  const std::string_view bytes(data, size * count);
+  call->body_bytes += bytes.size();
+  if (call->cancelled || call->body_bytes > call->call.max_response_bytes) {
+    call->too_large = !call->cancelled;
+    return 0;
+  }
+  if (call->callbacks.on_data) {
+    call->callbacks.on_data(bytes);
+  } else {
+    call->outcome.body.append(bytes);
+  }
+  return bytes.size();
+}
+
+// libcurl reads 0 as its own default, so a bound below 1 ms becomes 1 ms.
+std::int64_t ToTimeoutMs(Duration duration) {
+  return std::max<std::int64_t>(
+      1, std::chrono::ceil<std::chrono::milliseconds>(duration).count());
+}
+
+void ConfigureEasy(Call& call) {
+  CURL* easy = call.easy;
+  const HttpCall& request = call.call;
+  curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  // Proxy variables of the environment must not reroute internal traffic.
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                   ToTimeoutMs(request.connect_timeout));
+  if (request.total_timeout > Duration(0)) {
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                     ToTimeoutMs(request.total_timeout));
+  }
+  if (!request.repeatable) {
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+  }
+  if (request.method == "HEAD") {
+    curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+  } else if (!request.body.empty() || request.method == "POST" ||
+             request.method == "PUT") {
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(request.body.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
+  }
+  // Empty values remove the headers that libcurl adds by itself; waiting for
+  // "100 Continue" would delay each large body.
+  call.header_list = curl_slist_append(call.header_list, "Expect:");
+  if (FindHeader(request.headers, "Content-Type").empty()) {
+    call.header_list = curl_slist_append(call.header_list, "Content-Type:");
+  }
+  for (const HttpHeader& header : request.headers) {
+    call.header_list = curl_slist_append(
+        call.header_list, (header.name + ": " + header.value).c_str());
+  }
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call.header_list);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeaderLine);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &call);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &call);
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, &call);
+}
+
+HttpEnd ToEnd(const Call& call, CURLcode code) {
+  if (call.too_large) {
+    return HttpEnd::kResponseTooLarge;
+  }
+  switch (code) {
+    case CURLE_OK:
+      return HttpEnd::kComplete;
+    case CURLE_OPERATION_TIMEDOUT:
+      return HttpEnd::kTimedOut;
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_COULDNT_RESOLVE_HOST:
+    case CURLE_URL_MALFORMAT:
+    case CURLE_UNSUPPORTED_PROTOCOL:
+      return HttpEnd::kNotConnected;
+    default:
+      return HttpEnd::kBroken;
+  }
+}
+
+}  // namespace
+
+struct HttpClient::Core {
+  explicit Core(EventLoop& loop);
+  ~Core();
+
+  EventLoop& loop;
+  CURLM* multi;
+  HttpCallId next_id = 1;
+  // libcurl refuses to add or remove a call inside its callbacks.
+  bool in_library = false;
+  std::unordered_map<HttpCallId, std::unique_ptr<Call>> calls;
+  std::unordered_map<curl_socket_t, std::unique_ptr<IoWatcher>> watchers;
+  std::unique_ptr<Timer> timer;
+  std::shared_ptr<int> alive = std::make_shared<int>(0);
+
+  void Add(Call& call);
+  void Remove(HttpCallId id);
+  void Act(curl_socket_t socket, int conditions);
+  void Finish();
+  void SetTimer(std::int64_t timeout_ms);
+  void WatchSocket(curl_socket_t socket, int wanted);
+  void PostCall(HttpCallId id, void (Core::*action)(HttpCallId));
+  void AddLater(HttpCallId id);
+};
+
+HttpClient::Core::Core(EventLoop& loop) : loop(loop), multi(curl_multi_init()) {
+  InternalCheck(this->multi != nullptr, "libcurl multi handle is created");
+  curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, kMaxKeptConnections);
+  curl_multi_setopt(
+      this->multi, CURLMOPT_SOCKETFUNCTION,
+      +[](CURL*, curl_socket_t socket, int wanted, void* context, void*) {
+        static_cast<Core*>(context)->WatchSocket(socket, wanted);
+        return 0;
+      });
+  curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(
+      this->multi, CURLMOPT_TIMERFUNCTION,
+      // NOLINTNEXTLINE(google-runtime-int): the type that libcurl declares.
+      +[](CURLM*, long timeout_ms, void* context) {
+        static_cast<Core*>(context)->SetTimer(timeout_ms);
+        return 0;
+      });
+  curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
+}
+
+HttpClient::Core::~Core() {
+  this->alive.reset();
+  for (const auto& [id, call] : this->calls) {
+    if (call->added) {
+      curl_multi_remove_handle(this->multi, call->easy);
+    }
+  }
+  this->calls.clear();
+  curl_multi_cleanup(this->multi);
+}
+
+void HttpClient::Core::WatchSocket(curl_socket_t socket, int wanted) {
+  if (wanted == CURL_POLL_REMOVE) {
+    this->watchers.erase(socket);
+    return;
+  }
+  const auto interest = static_cast<IoWatcher::Interest>(
+      ((wanted & CURL_POLL_IN) != 0 ? IoWatcher::kRead : 0) |
+      ((wanted & CURL_POLL_OUT) != 0 ? IoWatcher::kWrite : 0));
+  auto& watcher = this->watchers[socket];
+  if (watcher != nullptr) {
+    watcher->SetInterest(interest);
+    return;
+  }
+  watcher = std::make_unique<IoWatcher>(
+      this->loop, socket, interest, [this, socket](IoWatcher::Interest ready) {
+        this->Act(
+            socket,
+            ((ready & IoWatcher::kRead) != 0 ? CURL_CSELECT_IN : 0) |
+                ((ready & IoWatcher::kWrite) != 0 ? CURL_CSELECT_OUT : 0));
+      });
+}
+
+void HttpClient::Core::SetTimer(std::int64_t timeout_ms) {
+  this->timer.reset();
+  if (timeout_ms >= 0) {
+    this->timer = std::make_unique<Timer>(
+        this->loop, Milliseconds(timeout_ms), Duration(0),
+        [this] { this->Act(CURL_SOCKET_TIMEOUT, 0); });
+  }
+}
+
+void HttpClient::Core::Act(curl_socket_t socket, int conditions) {
+  int running = 0;
+  this->in_library = true;
+  curl_multi_socket_action(this->multi, socket, conditions, &running);
+  this->in_library = false;
+  this->Finish();
+}
+
+void HttpClient::Core::Finish() {
+  std::vector<std::pair<HttpCallId, CURLcode>> ended;
+  int left = 0;
+  while (const CURLMsg* message = curl_multi_info_read(this->multi, &left)) {
+    if (message->msg == CURLMSG_DONE) {
+      Call* call = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &call);
+      ended.emplace_back(call->id, message->data.result);
+    }
+  }
+  for (const auto& [id, code] : ended) {
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end()) {
+      continue;
+    }
+    const std::unique_ptr<Call> call = std::move(found->second);
+    this->calls.erase(found);
+    // Set when the connection stands and the request is about to be sent.
+    curl_off_t pretransfer_us = 0;
+    curl_easy_getinfo(call->easy, CURLINFO_PRETRANSFER_TIME_T, &pretransfer_us);
+    curl_multi_remove_handle(this->multi, call->easy);
+    call->outcome.end = ToEnd(*call, code);
+    call->outcome.maybe_sent =
+        call->outcome.end != HttpEnd::kNotConnected && pretransfer_us > 0;
+    if (call->outcome.end != HttpEnd::kComplete) {
+      call->outcome.error = curl_easy_strerror(code);
+    }
+    if (!call->cancelled && call->callbacks.on_done) {
+      call->callbacks.on_done(std::move(call->outcome));
+    }
+  }
+}
+
+void HttpClient::Core::Add(Call& call) {
+  call.added = true;
+  const CURLMcode added = curl_multi_add_handle(this->multi, call.easy);
+  InternalCheck(added == CURLM_OK, "libcurl accepts a call");
+}
+
+void HttpClient::Core::AddLater(HttpCallId id) {
+  const auto found = this->calls.find(id);
+  if (found != this->calls.end()) {
+    this->Add(*found->second);
+  }
+}
+
+void HttpClient::Core::Remove(HttpCallId id) {
+  const auto found = this->calls.find(id);
+  if (found == this->calls.end()) {
+    return;
+  }
+  if (found->second->added) {
+    curl_multi_remove_handle(this->multi, found->second->easy);
+  }
+  this->calls.erase(found);
+}
+
+void HttpClient::Core::PostCall(HttpCallId id,
+                                void (Core::*action)(HttpCallId)) {
+  Post(this->loop, [this, id, action, token = std::weak_ptr<int>(this->alive)] {
+    if (!token.expired()) {
+      (this->*action)(id);
+    }
+  });
+}
+
+HttpClient::HttpClient(EventLoop& loop) : core(std::make_unique<Core>(loop)) {}
+
+HttpClient::~HttpClient() = default;
+
+HttpCallId HttpClient::Start(HttpCall call, HttpCallbacks callbacks) {
+  auto owned = std::make_unique<Call>();
+  Call& added = *owned;
+  added.id = this->core->next_id++;
+  added.call = std::move(call);
+  added.callbacks = std::move(callbacks);
+  added.easy = curl_easy_init();
+  InternalCheck(added.easy != nullptr, "libcurl easy handle is created");
+  ConfigureEasy(added);
+  this->core->calls.emplace(added.id, std::move(owned));
+  if (this->core->in_library) {
+    this->core->PostCall(added.id, &Core::AddLater);
+  } else {
+    this->core->Add(added);
+  }
+  return added.id;
+}
+
+void HttpClient::Cancel(HttpCallId id) {
+  const auto found = this->core->calls.find(id);
+  if (found == this->core->calls.end()) {
+    return;
+  }
+  if (this->core->in_library) {
+    found->second->cancelled = true;
+    this->core->PostCall(id, &Core::Remove);
+  } else {
+    this->core->Remove(id);
+  }
+}
+
+std::size_t HttpClient::OpenCalls() const {
+  return this->core->calls.size();
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/http_client/http_client.h
@@ -0,0 +1,36 @@
+// HTTP/1.1 client: libcurl multi on the event loop.
+#ifndef HTTP_CLIENT_HTTP_CLIENT_H_
+#define HTTP_CLIENT_HTTP_CLIENT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+
+#include "event_loop/event_loop.h"
+#include "http_client/http_call.h"
+
+namespace toucanhollow {
+
+using HttpCallId = std::uint64_t;
+
+// Must not be destroyed inside one of its callbacks.
+class HttpClient {
+ public:
+  explicit HttpClient(EventLoop& loop);
+  ~HttpClient();
+
+  // Callbacks come later, never inside Start.
+  HttpCallId Start(HttpCall call, HttpCallbacks callbacks);
+  // Closes the call's connection; no callback comes afterwards. Unknown and
+  // ended calls are ignored.
+  void Cancel(HttpCallId id);
+  std::size_t OpenCalls() const;
+
+ private:
+  struct Core;
+  std::unique_ptr<Core> core;
+};
+
+}  // namespace toucanhollow
+
+#endif  // HTTP_CLIENT_HTTP_CLIENT_H_
