Add the HTTP server

Cause: entry hosts and stand-ins need HTTP/1.1 with streamed answers on the event loop. Ruled out: libmicrohttpd's own connection timeout for slow callers, because each byte restarts it; and its notice of closed connections, because it does not read a suspended connection. Conclusion: open streams finish after the server stops accepting.

--- /dev/null
+++ b/packages/http_server/http_server.h
@@ -0,0 +1,64 @@
+// HTTP/1.1 server: libmicrohttpd on the event loop, without a thread.
+#ifndef HTTP_SERVER_HTTP_SERVER_H_
+#define HTTP_SERVER_HTTP_SERVER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/result.h"
+#include "base/time.h"
+#include "event_loop/event_loop.h"
+#include "http_server/http_request.h"
+#include "http_server/http_response_writer.h"
+
+namespace toucanhollow {
+
+struct HttpServerOptions {
+  // IPv4 address in dotted form.
+  std::string address = "127.0.0.1";
+  // 0 lets the system choose; see HttpServer::Port.
+  std::uint16_t port = 0;
+  // More gives status 431.
+  std::size_t max_header_bytes = std::size_t{16} * 1024;
+  // More gives status 413.
+  std::size_t max_body_bytes = std::size_t{1024} * 1024;
+  // From the request line to the last byte of the body; more gives status 408.
+  Duration request_timeout = Seconds(10);
+  // Connections without a request, and callers that do not read, are closed.
+  Duration idle_timeout = Seconds(60);
+  // Connections beyond it wait in the listening socket's backlog.
+  unsigned int max_connections = 4096;
+};
+
+// Called with a whole request. The writer may outlive the call.
+using HttpHandler = std::function<void(HttpRequest request,
+                                       std::shared_ptr<HttpResponseWriter>)>;
+
+class HttpServer {
+ public:
+  // Fails with kSettingsInvalid if the address or port cannot be bound.
+  static Result<std::unique_ptr<HttpServer>> Listen(EventLoop& loop,
+                                                    HttpServerOptions options,
+                                                    HttpHandler handler);
+  ~HttpServer();
+
+  std::uint16_t Port() const;
+  // Closes the listening socket and idle connections. Open requests finish;
+  // their connections are closed afterwards.
+  void StopAccepting();
+  // Requests received in part or whole whose answer has not ended.
+  std::size_t OpenRequests() const;
+  std::size_t OpenConnections() const;
+
+ private:
+  struct Core;
+  explicit HttpServer(std::unique_ptr<Core> core);
+  std::unique_ptr<Core> core;
+};
+
+}  // namespace toucanhollow
+
+#endif  // HTTP_SERVER_HTTP_SERVER_H_
