--- /dev/null
+++ b/packages/platform_log/log_status.h
@@ -0,0 +1,33 @@
+// What the platform's log reports about one stream.
+#ifndef PLATFORM_LOG_LOG_STATUS_H_
+#define PLATFORM_LOG_LOG_STATUS_H_
+
+#include <vector>
+
+#include "base/log_entry.h"
+#include "base/time.h"
+
+namespace toucanhollow {
+
+struct LogStatus {
+  // Oldest offset that can be read; equals next_offset if there is none.
+  LogOffset first_offset = 1;
+  // Offset that the next appended entry gets.
+  LogOffset next_offset = 1;
+  // Age up to which entries are kept; zero means without bound.
+  Duration retention{};
+
+  bool operator==(const LogStatus&) const = default;
+};
+
+struct LogBatch {
+  LogStatus status;
+  // In ascending order of offset, without gaps.
+  std::vector<LogEntry> entries;
+
+  bool operator==(const LogBatch&) const = default;
+};
+
+}  // namespace toucanhollow
+
+#endif  // PLATFORM_LOG_LOG_STATUS_H_
