--- /dev/null
+++ b/packages/engine_api/cache_event.h
@@ -0,0 +1,41 @@
+// An engine's report of a prefix that entered or left its cache.
+#ifndef ENGINE_API_CACHE_EVENT_H_
+#define ENGINE_API_CACHE_EVENT_H_
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace toucanhollow {
+
+struct CacheEvent {
+  // Ascending; a gap means that events were lost.
+  std::int64_t sequence = 0;
+  bool stored = false;
+  // Hash of the prefix that ends with this block, as PromptBlocks gives it.
+  std::uint64_t block = 0;
+
+  bool operator==(const CacheEvent&) const = default;
+};
+
+struct CacheEvents {
+  std::uint64_t incarnation = 0;
+  // Sequence to ask for next.
+  std::int64_t next = 0;
+  std::vector<CacheEvent> events;
+
+  bool operator==(const CacheEvents&) const = default;
+};
+
+// Words stand for prompt tokens; the cache keeps whole blocks of them.
+inline constexpr std::int64_t kTokensPerBlock = 16;
+
+// Hashes of the prompt's prefixes that end with a whole block, shortest first.
+std::vector<std::uint64_t> PromptBlocks(std::string_view prompt);
+
+// Words of the prompt.
+std::int64_t CountPromptTokens(std::string_view prompt);
+
+}  // namespace toucanhollow
+
+#endif  // ENGINE_API_CACHE_EVENT_H_
