--- /dev/null
+++ b/packages/admission/admission_state.h
@@ -0,0 +1,107 @@
+// AdmissionState: what one endpoint agent knows about the load that its
+// endpoint bears. Kept in memory only; a new agent starts cold.
+#ifndef ADMISSION_ADMISSION_STATE_H_
+#define ADMISSION_ADMISSION_STATE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <unordered_set>
+#include <vector>
+
+#include "admission/admission_parameters.h"
+#include "admission/health_baseline.h"
+#include "base/incarnation.h"
+#include "base/name.h"
+#include "base/time.h"
+
+namespace toucanhollow {
+
+// Slots promised to one entry host.
+struct OutstandingGrant {
+  int count = 0;
+  TimePoint expiry;
+
+  bool operator==(const OutstandingGrant&) const = default;
+};
+
+struct WaitingDispatch {
+  DispatchId dispatch;
+  TimePoint deadline;
+
+  bool operator==(const WaitingDispatch&) const = default;
+};
+
+struct LimitChange {
+  TimePoint time;
+  // The limit before the change.
+  int previous = 0;
+
+  bool operator==(const LimitChange&) const = default;
+};
+
+// Smallest number of requests in flight over two consecutive windows.
+struct InFlightMinimum {
+  TimePoint window_start;
+  int current = 0;
+  int previous = 0;
+
+  bool operator==(const InFlightMinimum&) const = default;
+};
+
+// Hashes of the dispatch identifiers seen, in two generations so that old ones
+// are forgotten in constant time. A collision costs one refusal "not run".
+struct SeenDispatches {
+  TimePoint generation_start;
+  std::unordered_set<std::uint64_t> current;
+  std::unordered_set<std::uint64_t> previous;
+
+  bool operator==(const SeenDispatches&) const = default;
+};
+
+struct AdmissionState {
+  AdmissionParameters parameters;
+  // Incarnation of this agent. Dispatches bound to another are refused.
+  Incarnation incarnation;
+  std::optional<Incarnation> engine_incarnation;
+
+  int limit = 0;
+  // Changes of the limit within the last ramp interval.
+  std::vector<LimitChange> recent_growth;
+  // Nothing is admitted before: one report lag after the agent's start.
+  TimePoint admit_after;
+  std::optional<TimePoint> last_health_sample;
+  HealthBaseline first_token;
+  HealthBaseline step;
+  double last_step_ms = 0;
+  // Exponentially weighted mean time from start to completion.
+  double mean_service_ms = 0;
+
+  // Start times of the dispatches that hold a slot.
+  std::map<DispatchId, TimePoint> in_flight;
+  InFlightMinimum in_flight_minimum;
+  // Requests in the engine that this agent did not start: they were started
+  // by the agent's earlier incarnation.
+  int foreign_running = 0;
+  bool foreign_known = false;
+  std::deque<WaitingDispatch> waiting;
+  std::map<ProcessName, OutstandingGrant> grants;
+  SeenDispatches seen;
+
+  // When the data centre was taken out, while it is out.
+  std::optional<TimePoint> data_centre_out_since;
+  bool endpoint_out = false;
+  bool leaving = false;
+
+  bool operator==(const AdmissionState&) const = default;
+};
+
+// The state of a newly started agent: cold, and waiting one report lag.
+AdmissionState MakeAdmissionState(const AdmissionParameters& parameters,
+                                  Incarnation incarnation,
+                                  TimePoint now);
+
+}  // namespace toucanhollow
+
+#endif  // ADMISSION_ADMISSION_STATE_H_
--- a/packages/base/name.h
+++ b/packages/base/name.h
@@ -13,6 +13,7 @@
   std::string value;
 
   bool operator==(const Name&) const = default;
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads <=>.
   auto operator<=>(const Name&) const = default;
 };
 
