--- a/packages/base/base_test.cc
+++ b/packages/base/base_test.cc
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <array>
+#include <fstream>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -8,6 +10,7 @@
 #include "base/hash.h"
 #include "base/result.h"
 #include "base/result_code.h"
+#include "base/result_code_page.h"
 
 namespace toucanhollow {
 namespace {
@@ -64,6 +67,15 @@
   CHECK(moved < 300);
 }
 
+// Guards against a page of codes that no longer matches the code. Regenerate
+// it with `toucanhollowctl codes`.
+TEST_CASE("docs/result-codes.md holds the table of the code") {
+  std::ifstream file(TOUCAN_RESULT_CODES_PAGE);
+  std::stringstream page;
+  page << file.rdbuf();
+  CHECK(page.str().find(ResultCodeTableMarkdown()) != std::string::npos);
+}
+
 TEST_CASE("failures are printed with number, name and detail") {
   const Failure failure{ResultCode::kKeyExpired, "issued 30 h ago"};
   CHECK(FormatFailure(failure) == "1108 key_expired: issued 30 h ago");
