Add the messages between own processes

Each message lists its fields once for both directions. Default values are left out, so defaults are part of the protocol. A code of a newer peer keeps its class: an unknown 11xx stays 'not run', anything else becomes 'outcome unknown'.

nlohmann's CBOR reader recurses once for each nesting level; frames above 1 KiB are checked for depth first by its SAX reader, which stops early.

--- /dev/null
+++ b/packages/wire/codec.cc
@@ -0,0 +1,365 @@
+#include "wire/codec.h"
+
+#include <cstddef>
+#include <string>
+#include <tuple>
+#include <type_traits>
+#include <utility>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace toucanhollow {
+namespace {
+
+using Json = nlohmann::json;
+
+// Each message lists its fields once, for both directions, with the key that
+// a field has in the frame.
+template <typename M, typename T>
+struct Field {
+  const char* key;
+  T M::*member;
+};
+template <typename M, typename T>
+Field(const char*, T M::*) -> Field<M, T>;
+
+template <typename M>
+constexpr auto kFields = std::tuple<>();
+template <>
+constexpr auto kFields<Hello> = std::tuple(Field{"min", &Hello::version_min},
+                                           Field{"max", &Hello::version_max},
+                                           Field{"process", &Hello::process},
+                                           Field{"dc", &Hello::data_centre},
+                                           Field{"role", &Hello::role},
+                                           Field{"inc", &Hello::incarnation},
+                                           Field{"config",
+                                                 &Hello::config_offset},
+                                           Field{"endpoint", &Hello::endpoint},
+                                           Field{"service", &Hello::service},
+                                           Field{"key", &Hello::shared_key});
+template <>
+constexpr auto kFields<Heartbeat> =
+    std::tuple(Field{"time", &Heartbeat::time},
+               Field{"config", &Heartbeat::config_offset},
+               Field{"leaving", &Heartbeat::leaving},
+               Field{"limit", &Heartbeat::limit},
+               Field{"inflight", &Heartbeat::in_flight},
+               Field{"queued", &Heartbeat::queued},
+               Field{"warm", &Heartbeat::warm},
+               Field{"step", &Heartbeat::step_time});
+template <>
+constexpr auto kFields<Grant> = std::tuple(Field{"count", &Grant::count},
+                                           Field{"valid", &Grant::valid_for});
+template <>
+constexpr auto kFields<Dispatch> =
+    std::tuple(Field{"id", &Dispatch::dispatch_id},
+               Field{"request", &Dispatch::request_id},
+               Field{"attempt", &Dispatch::attempt},
+               Field{"inc", &Dispatch::receiver},
+               Field{"account", &Dispatch::account},
+               Field{"service", &Dispatch::service},
+               Field{"method", &Dispatch::method},
+               Field{"path", &Dispatch::path},
+               Field{"type", &Dispatch::content_type},
+               Field{"body", &Dispatch::body},
+               Field{"priority", &Dispatch::priority},
+               Field{"remaining", &Dispatch::remaining},
+               Field{"key", &Dispatch::idempotency_key},
+               Field{"repeatable", &Dispatch::repeatable},
+               Field{"stream", &Dispatch::stream},
+               Field{"resume", &Dispatch::resume_index},
+               Field{"resume_text", &Dispatch::resume_text},
+               Field{"config", &Dispatch::config_offset});
+template <>
+constexpr auto kFields<Accepted> = std::tuple(Field{"id",
+                                                    &Accepted::dispatch_id});
+template <>
+constexpr auto kFields<Cancel> = std::tuple(Field{"id", &Cancel::dispatch_id});
+template <>
+constexpr auto kFields<Token> = std::tuple(Field{"id", &Token::dispatch_id},
+                                           Field{"i", &Token::index},
+                                           Field{"text", &Token::text});
+template <>
+constexpr auto kFields<Done> = std::tuple(Field{"id", &Done::dispatch_id},
+                                          Field{"count", &Done::count},
+                                          Field{"status", &Done::status},
+                                          Field{"type", &Done::content_type},
+                                          Field{"reason",
+                                                &Done::finish_reason});
+template <>
+constexpr auto kFields<Refused> = std::tuple(Field{"id", &Refused::dispatch_id},
+                                             Field{"code", &Refused::code},
+                                             Field{"not_run",
+                                                   &Refused::not_run},
+                                             Field{"detail", &Refused::detail});
+template <>
+constexpr auto kFields<OutcomeUnknown> =
+    std::tuple(Field{"id", &OutcomeUnknown::dispatch_id},
+               Field{"code", &OutcomeUnknown::code},
+               Field{"detail", &OutcomeUnknown::detail});
+template <>
+constexpr auto kFields<SnapshotRequest> = std::tuple(Field{
+    "config", &SnapshotRequest::config_offset});
+template <>
+constexpr auto kFields<Snapshot> = std::tuple(Field{"as_of", &Snapshot::as_of},
+                                              Field{"entries",
+                                                    &Snapshot::entries});
+template <>
+constexpr auto kFields<CacheEvents> =
+    std::tuple(Field{"endpoint", &CacheEvents::endpoint},
+               Field{"events", &CacheEvents::events});
+
+template <typename M, typename Visit>
+void VisitFields(const Visit& visit) {
+  std::apply([&](const auto&... field) { (visit(field), ...); }, kFields<M>);
+}
+
+constexpr std::string_view kTypeKey = "t";
+constexpr std::string_view kClockKey = "hlc";
+
+// In the order of the variant's alternatives; the numbers are the protocol's
+// and stay with their type.
+template <std::size_t Index>
+constexpr int kTypeNumber = static_cast<int>(Index) + 1;
+
+template <typename Tag>
+Json ToJson(const Name<Tag>& name) {
+  return name.value;
+}
+Json ToJson(const Incarnation& incarnation) {
+  return incarnation.value;
+}
+Json ToJson(Duration duration) {
+  return duration.count();
+}
+Json ToJson(WallTime time) {
+  return time.time_since_epoch().count();
+}
+Json ToJson(ResultCode code) {
+  return static_cast<int>(code);
+}
+Json ToJson(const std::vector<LogEntry>& entries) {
+  Json array = Json::array();
+  for (const LogEntry& entry : entries) {
+    array.push_back(
+        Json::array({entry.offset, ToJson(entry.time), entry.payload}));
+  }
+  return array;
+}
+template <typename T>
+requires std::is_arithmetic_v<T> || std::is_same_v<T, std::string> Json
+ToJson(const T& value) {
+  return value;
+}
+
+// Each FromJson returns false if the value has another type or range.
+bool FromJson(const Json& json, std::string* value) {
+  if (!json.is_string()) {
+    return false;
+  }
+  *value = json.get_ref<const std::string&>();
+  return true;
+}
+bool FromJson(const Json& json, bool* value) {
+  if (!json.is_boolean()) {
+    return false;
+  }
+  *value = json.get<bool>();
+  return true;
+}
+template <typename T>
+requires std::is_integral_v<T>
+bool FromJson(const Json& json, T* value) {
+  if (json.is_number_unsigned()) {
+    const auto number = json.get<std::uint64_t>();
+    *value = static_cast<T>(number);
+    return std::in_range<T>(number);
+  }
+  if (json.is_number_integer()) {
+    const auto number = json.get<std::int64_t>();
+    *value = static_cast<T>(number);
+    return std::in_range<T>(number);
+  }
+  return false;
+}
+template <typename Tag>
+bool FromJson(const Json& json, Name<Tag>* name) {
+  return FromJson(json, &name->value);
+}
+bool FromJson(const Json& json, Incarnation* incarnation) {
+  return FromJson(json, &incarnation->value);
+}
+bool FromJson(const Json& json, Duration* duration) {
+  Duration::rep count = 0;
+  const bool valid = FromJson(json, &count);
+  *duration = Duration(count);
+  return valid;
+}
+bool FromJson(const Json& json, WallTime* time) {
+  Duration since_epoch{0};
+  const bool valid = FromJson(json, &since_epoch);
+  *time = WallTime(since_epoch);
+  return valid;
+}
+bool FromJson(const Json& json, ResultCode* code) {
+  int number = 0;
+  if (!FromJson(json, &number)) {
+    return false;
+  }
+  for (const ResultCodeDescription& row : ResultCodeTable()) {
+    if (static_cast<int>(row.code) == number) {
+      *code = row.code;
+      return true;
+    }
+  }
+  // A newer peer's code: its class is kept, so that the outcome stays true.
+  const bool not_run = number >= 1100 && number < 1200;
+  *code =
+      not_run ? ResultCode::kNoEndpointAvailable : ResultCode::kOutcomeUnknown;
+  return true;
+}
+bool FromJson(const Json& json, std::vector<LogEntry>* entries) {
+  if (!json.is_array()) {
+    return false;
+  }
+  for (const Json& row : json) {
+    LogEntry entry;
+    if (!row.is_array() || row.size() != 3 ||
+        !FromJson(row[0], &entry.offset) || !FromJson(row[1], &entry.time) ||
+        !FromJson(row[2], &entry.payload)) {
+      return false;
+    }
+    entries->push_back(std::move(entry));
+  }
+  return true;
+}
+
+// Fields with their default value are left out, which keeps heartbeats near
+// 100 bytes. The defaults are therefore part of the protocol.
+template <typename M>
+Json EncodeFields(const M& message) {
+  [[maybe_unused]] static const M defaults{};
+  Json object = Json::object();
+  VisitFields<M>([&](const auto& field) {
+    if (message.*field.member != defaults.*field.member) {
+      object[field.key] = ToJson(message.*field.member);
+    }
+  });
+  return object;
+}
+
+template <typename M>
+Result<DecodedFrame> DecodeFields(const Json& object, DecodedFrame frame) {
+  M message;
+  std::size_t known = 1 + object.count(kClockKey);
+  std::string invalid;
+  VisitFields<M>([&](const auto& field) {
+    const auto found = object.find(field.key);
+    if (found == object.end()) {
+      return;
+    }
+    ++known;
+    if (!FromJson(*found, &(message.*field.member))) {
+      invalid = field.key;
+    }
+  });
+  if (!invalid.empty()) {
+    return MakeFailure(ResultCode::kFrameMalformed,
+                       "field '" + invalid + "' has another type or range");
+  }
+  frame.counts.unknown_fields = object.size() - known;
+  frame.message = std::move(message);
+  return frame;
+}
+
+template <std::size_t Index = 0>
+Result<DecodedFrame> DecodeType(int type,
+                                const Json& object,
+                                DecodedFrame frame) {
+  if constexpr (Index < std::variant_size_v<Message>) {
+    if (type == kTypeNumber<Index>) {
+      return DecodeFields<std::variant_alternative_t<Index, Message>>(
+          object, std::move(frame));
+    }
+    return DecodeType<Index + 1>(type, object, std::move(frame));
+  } else {
+    frame.counts.unknown_types = 1;
+    return frame;
+  }
+}
+
+// The parser recurses once for each level, so that deep nesting in a long
+// frame would overflow the stack. Messages need four levels. Short frames
+// cannot nest deep enough and are not checked.
+constexpr int kMaxNesting = 16;
+constexpr std::size_t kCheckedFrameBytes = 1024;
+
+class NestingCheck : public nlohmann::json_sax<Json> {
+ public:
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t&) override { return true; }
+  bool string(string_t&) override { return true; }
+  bool binary(binary_t&) override { return true; }
+  bool key(string_t&) override { return true; }
+  bool start_object(std::size_t) override {
+    return ++this->depth < kMaxNesting;
+  }
+  bool start_array(std::size_t) override { return ++this->depth < kMaxNesting; }
+  bool end_object() override { return --this->depth >= 0; }
+  bool end_array() override { return --this->depth >= 0; }
+  bool parse_error(std::size_t,
+                   const std::string&,
+                   const nlohmann::detail::exception&) override {
+    return false;
+  }
+
+ private:
+  int depth = 0;
+};
+
+}  // namespace
+
+std::string EncodeMessage(const Message& message, std::uint64_t clock) {
+  Json object = std::visit(
+      [](const auto& typed) { return EncodeFields(typed); }, message);
+  object[std::string(kTypeKey)] = message.index() + 1;
+  if (clock != 0) {
+    object[std::string(kClockKey)] = clock;
+  }
+  std::string frame;
+  Json::to_cbor(object, frame);
+  return frame;
+}
+
+Result<DecodedFrame> DecodeMessage(std::string_view frame) {
+  NestingCheck check;
+  if (frame.size() > kCheckedFrameBytes &&
+      !Json::sax_parse(frame, &check, Json::input_format_t::cbor)) {
+    return MakeFailure(ResultCode::kFrameMalformed,
+                       "the frame is not CBOR or nests too deep");
+  }
+  const Json object = Json::from_cbor(frame, true, false);
+  if (!object.is_object()) {
+    return MakeFailure(ResultCode::kFrameMalformed,
+                       "the frame is not one CBOR map");
+  }
+  const auto type = object.find(kTypeKey);
+  int type_number = 0;
+  if (type == object.end() || !FromJson(*type, &type_number)) {
+    return MakeFailure(ResultCode::kFrameMalformed,
+                       "the frame has no message type");
+  }
+  DecodedFrame decoded;
+  const auto clock = object.find(kClockKey);
+  if (clock != object.end() && !FromJson(*clock, &decoded.clock)) {
+    return MakeFailure(ResultCode::kFrameMalformed,
+                       "the frame's clock is not a number");
+  }
+  return DecodeType(type_number, object, std::move(decoded));
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/wire/codec_test.cc
@@ -0,0 +1,126 @@
+#include "wire/codec.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+namespace toucanhollow {
+namespace {
+
+using Json = nlohmann::json;
+
+std::string ToCbor(const Json& json) {
+  std::string frame;
+  Json::to_cbor(json, frame);
+  return frame;
+}
+
+std::vector<Message> SampleMessages() {
+  Dispatch dispatch;
+  dispatch.dispatch_id = {"e1-7-1"};
+  dispatch.request_id = {"e1-7"};
+  dispatch.attempt = 2;
+  dispatch.receiver = {1'700'000'000'000'000};
+  dispatch.account = {"coastal"};
+  dispatch.service = {"draft"};
+  dispatch.method = "POST";
+  dispatch.path = "/v1/completions";
+  dispatch.content_type = "application/json";
+  dispatch.body = std::string("\0\xff{}", 4);
+  dispatch.priority = 1;
+  dispatch.remaining = Milliseconds(420);
+  dispatch.idempotency_key = "1700000000000-a";
+  dispatch.repeatable = false;
+  dispatch.stream = true;
+  dispatch.resume_index = 12;
+  dispatch.resume_text = "tokens so far";
+  dispatch.config_offset = 99;
+  Heartbeat heartbeat;
+  heartbeat.time = WallTime(Seconds(1'700'000'000));
+  heartbeat.config_offset = 41;
+  heartbeat.leaving = true;
+  heartbeat.limit = 32;
+  heartbeat.in_flight = 3;
+  heartbeat.queued = 1;
+  heartbeat.warm = true;
+  heartbeat.step_time = Milliseconds(21);
+  return {
+      Hello{1, 3, {"p"}, {"suva-east"}, "endpoint", {5}, 8, {"e"}, {"s"}, "k"},
+      heartbeat,
+      Grant{4, Seconds(3)},
+      dispatch,
+      Accepted{{"d"}},
+      Token{{"d"}, 3, "text"},
+      Done{{"d"}, 4, 201, "text/plain", "stop"},
+      Refused{{"d"}, ResultCode::kEndpointFull, false, "full"},
+      OutcomeUnknown{{"d"}, ResultCode::kAnswerTruncated, "cut"},
+      Cancel{{"d"}},
+      SnapshotRequest{12},
+      Snapshot{12, {{3, WallTime(Seconds(1)), "payload"}}},
+      CacheEvents{{"e"}, "[]"}};
+}
+
+// Guards against a field that one direction of the codec forgets.
+TEST_CASE("every message survives the wire") {
+  const std::vector<Message> messages = SampleMessages();
+  REQUIRE(messages.size() == std::variant_size_v<Message>);
+  for (std::size_t i = 0; i < messages.size(); ++i) {
+    REQUIRE(messages[i].index() == i);
+    const Result<DecodedFrame> decoded =
+        DecodeMessage(EncodeMessage(messages[i], 77));
+    REQUIRE(decoded.has_value());
+    CHECK(decoded.value() == DecodedFrame{messages[i], 77, {}});
+  }
+}
+
+// Guards against a newer peer's additions that break an older process.
+TEST_CASE("unknown fields and types are ignored and counted") {
+  const auto token =
+      DecodeMessage(ToCbor({{"t", 6}, {"id", "d"}, {"i", 3}, {"new", {1, 2}}}));
+  REQUIRE(token.has_value());
+  CHECK(token.value().counts == DecodeCounts{1, 0});
+  CHECK(token.value().message == Message(Token{{"d"}, 3, ""}));
+  const auto unknown = DecodeMessage(ToCbor({{"t", 900}, {"id", "d"}}));
+  REQUIRE(unknown.has_value());
+  CHECK(unknown.value().counts == DecodeCounts{0, 1});
+  CHECK_FALSE(unknown.value().message.has_value());
+}
+
+// Guards against a refusal code of a newer peer that changes its class: "not
+// run" must stay true, and an unknown outcome must not read as "not run".
+TEST_CASE("unknown result codes keep their class") {
+  const auto code_of = [](int number) {
+    const auto decoded =
+        DecodeMessage(ToCbor({{"t", 8}, {"id", "d"}, {"code", number}}));
+    return std::get<Refused>(*decoded.value().message).code;
+  };
+  CHECK(IsCertainlyNotRun(code_of(1199)));
+  CHECK_FALSE(IsCertainlyNotRun(code_of(1299)));
+}
+
+// Guards against frames that crash the process: cut, mistyped and hostile.
+TEST_CASE("malformed frames give a failure") {
+  const auto code_of = [](const std::string& frame) {
+    const auto decoded = DecodeMessage(frame);
+    REQUIRE(decoded.has_error());
+    return decoded.error().code;
+  };
+  for (const Message& message : SampleMessages()) {
+    const std::string frame = EncodeMessage(message);
+    for (std::size_t size = 0; size < frame.size(); ++size) {
+      CHECK(code_of(frame.substr(0, size)) == ResultCode::kFrameMalformed);
+    }
+  }
+  CHECK(code_of(ToCbor({{"t", 6}, {"i", "three"}})) ==
+        ResultCode::kFrameMalformed);
+  CHECK(code_of(ToCbor({{"t", 6}, {"i", -1}})) == ResultCode::kFrameMalformed);
+  CHECK(code_of(ToCbor({{"t", "token"}})) == ResultCode::kFrameMalformed);
+  CHECK(code_of(ToCbor(Json::array({1}))) == ResultCode::kFrameMalformed);
+  CHECK(code_of(std::string(1'000'000, '\x81')) == ResultCode::kFrameMalformed);
+}
+
+}  // namespace
+}  // namespace toucanhollow
