Add the lifecycle of a request

The first attempt that answers leads and the others are cancelled, so that pieces of two samplings are never mixed. A refusal after an attempt that may have run is reported as unknown.

--- /dev/null
+++ b/packages/request/request_event.h
@@ -0,0 +1,74 @@
+// What can happen to a request. Events of an attempt that has ended, of
+// another incarnation or of another request change nothing.
+#ifndef REQUEST_REQUEST_EVENT_H_
+#define REQUEST_REQUEST_EVENT_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "base/incarnation.h"
+#include "base/name.h"
+#include "base/result.h"
+#include "request/request_life.h"
+
+namespace toucanhollow {
+
+// A dispatch is about to be sent, as StartAttempt or a hedge asked.
+struct AttemptStarted {
+  DispatchId dispatch_id;
+  EndpointName endpoint;
+  Incarnation incarnation;
+  bool hedge = false;
+};
+
+struct PieceArrived {
+  DispatchId dispatch_id;
+  Incarnation incarnation;
+  std::uint64_t index = 0;
+  std::string text;
+};
+
+struct EndArrived {
+  DispatchId dispatch_id;
+  Incarnation incarnation;
+  AnswerEnd end;
+};
+
+// The attempt ended without an answer. `not_run` if it certainly did not run.
+struct AttemptFailed {
+  DispatchId dispatch_id;
+  Incarnation incarnation;
+  bool not_run = false;
+  Failure failure;
+};
+
+// What the log says about a dispatch that was to be voided.
+struct VoidSettled {
+  DispatchId dispatch_id;
+  // The void stands before any claim, so the dispatch can never run.
+  bool never_runs = false;
+  Failure failure;
+};
+
+// No attempt can be started now: no endpoint, or the retry budget is spent.
+struct NoAttemptPossible {
+  Failure failure;
+};
+
+struct DeadlinePassed {};
+
+struct CallerLeft {};
+
+using RequestEvent = std::variant<AttemptStarted,
+                                  PieceArrived,
+                                  EndArrived,
+                                  AttemptFailed,
+                                  VoidSettled,
+                                  NoAttemptPossible,
+                                  DeadlinePassed,
+                                  CallerLeft>;
+
+}  // namespace toucanhollow
+
+#endif  // REQUEST_REQUEST_EVENT_H_
