--- a/packages/idempotency/idempotency_key.h
+++ b/packages/idempotency/idempotency_key.h
@@ -15,7 +15,7 @@
 namespace toucanhollow {
 
 // How long a key is remembered. The log's retention must exceed it by 1 h.
-constexpr Duration kKeyMemory = Seconds(24 * 3600);
+constexpr Duration kKeyMemory = std::chrono::hours(24);
 // Callers' clocks may be this far ahead.
 constexpr Duration kMaxKeyLead = Seconds(60);
 constexpr std::size_t kMaxKeyTokenBytes = 128;
@@ -29,6 +29,8 @@
   std::string token;
 
   bool operator==(const ScopedKey&) const = default;
+  // clang-tidy 14 mistakes a defaulted <=> for a use of 0 as a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const ScopedKey&) const = default;
 };
 
--- a/packages/idempotency/idempotency_test.cc
+++ b/packages/idempotency/idempotency_test.cc
@@ -15,9 +15,9 @@
 namespace toucanhollow {
 namespace {
 
-const WallTime kStart{Seconds(1'000'000)};
-const TimePoint kNow{Seconds(50)};
-const Incarnation kFirst{1};
+constexpr WallTime kStart{Seconds(1'000'000)};
+constexpr TimePoint kNow{Seconds(50)};
+constexpr Incarnation kFirst{1};
 
 ScopedKey Key(const std::string& token = "k", WallTime issued = kStart) {
   return {issued, {"acme"}, {"fees"}, token};
