Add routing: endpoint scores in milliseconds and the prefix index

Cause: an entry host has to choose an endpoint from stale reports (design 6.10). The score sums expected wait, prefill of unmatched tokens, distance, slow start, straggler and suspicion. The wait widens with the number of requests that probably started since the report, and the draw is by free slots among scores within that width. Ruled out: a fixed width of the draw, because it either herds on old reports or ignores distance on fresh ones. Three baselines stay in the code for comparison.

--- a/packages/admission/service_state.cc
+++ b/packages/admission/service_state.cc
@@ -70,6 +70,9 @@
   summary.full_limit = parameters.full_limit;
   summary.in_flight = SlotsInUse(state);
   summary.waiting = static_cast<int>(state.waiting.size());
+  for (const auto& [holder, grant] : state.grants) {
+    summary.granted += grant.expiry > now ? grant.count : 0;
+  }
   summary.warm = known && summary.limit > parameters.cold_limit;
   summary.takes_work = !state.leaving && !state.endpoint_out &&
                        !state.data_centre_out_since && IsReady(state, now);
--- a/packages/admission/service_state.h
+++ b/packages/admission/service_state.h
@@ -31,6 +31,8 @@
   int full_limit = 0;
   int in_flight = 0;
   int waiting = 0;
+  // Slots granted to senders and not yet used.
+  int granted = 0;
   bool warm = false;
   bool takes_work = false;
   Duration step{0};
--- a/packages/base/incarnation.h
+++ b/packages/base/incarnation.h
@@ -13,6 +13,7 @@
   std::uint64_t value = 0;
 
   bool operator==(const Incarnation&) const = default;
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads <=>.
   auto operator<=>(const Incarnation&) const = default;
 };
 
--- /dev/null
+++ b/packages/routing/choose_endpoint.cc
@@ -0,0 +1,175 @@
+#include "routing/choose_endpoint.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace toucanhollow {
+namespace {
+
+// A candidate this many spreads behind the best is never drawn.
+constexpr double kMaxSpreads = 8;
+
+struct Candidate {
+  int index = 0;
+  int free = 0;
+  double wait_ms = 0;
+  double score_ms = 0;
+  // Uncertainty of the wait because of the age of the report.
+  double uncertainty_ms = 0;
+};
+
+// Expected excess of an uncertain load over the limit, in slots: close to
+// zero well below the limit, linear above it.
+double SmoothExcess(double excess, double width) {
+  const double scaled = excess / width;
+  return scaled > 30 ? excess : width * std::log1p(std::exp(scaled));
+}
+
+double MedianStepMs(const RoutingView& view) {
+  std::vector<double> steps;
+  for (const EndpointView& endpoint : view.endpoints) {
+    if (endpoint.report.step > Duration(0) && IsEligible(view, endpoint)) {
+      steps.push_back(ToMilliseconds(endpoint.report.step));
+    }
+  }
+  if (steps.empty()) {
+    return 0;
+  }
+  const auto middle = steps.begin() + std::ssize(steps) / 2;
+  std::ranges::nth_element(steps, middle);
+  return *middle;
+}
+
+double MatchedTokens(const RoutingParameters& parameters,
+                     const RoutingRequest& request,
+                     const EndpointName& name) {
+  const auto match =
+      std::ranges::find(request.matches, name, &PrefixMatch::endpoint);
+  return match == request.matches.end()
+             ? 0
+             : std::min<double>(match->blocks * parameters.tokens_per_block,
+                                request.prompt_tokens);
+}
+
+double DistanceMs(const RoutingView& view, const EndpointView& endpoint) {
+  const auto found = view.data_centres.find(endpoint.data_centre);
+  return found == view.data_centres.end()
+             ? 0
+             : 2 * ToMilliseconds(found->second.one_way_delay);
+}
+
+Candidate ScoreEndpoint(const RoutingView& view,
+                        const RoutingParameters& parameters,
+                        const RoutingRequest& request,
+                        int index,
+                        double median_step_ms,
+                        TimePoint now) {
+  const EndpointView& endpoint = view.endpoints[index];
+  const LoadReport& report = endpoint.report;
+  Candidate candidate;
+  candidate.index = index;
+  candidate.free = FreeSlots(endpoint, now);
+
+  const double service_ms = report.mean_service > Duration(0)
+                                ? ToMilliseconds(report.mean_service)
+                                : ToMilliseconds(parameters.default_service);
+  const double limit = std::max(1, report.limit);
+  const double load = limit - candidate.free;
+  // By Little's law, as many requests started since the report.
+  const double age_ms =
+      std::max(0.0, ToMilliseconds(now - endpoint.reported_at));
+  const double unknown = std::min(limit, report.load * age_ms / service_ms);
+  const double width = 0.5 + std::sqrt(unknown);
+  const double per_slot_ms = service_ms / limit;
+  const double excess = load + 1 - limit;
+  candidate.wait_ms = per_slot_ms * SmoothExcess(excess, width);
+  candidate.uncertainty_ms =
+      per_slot_ms * SmoothExcess(excess + width, width) - candidate.wait_ms;
+
+  const double uncached =
+      std::max(0.0, request.prompt_tokens -
+                        MatchedTokens(parameters, request, endpoint.name));
+  const double full_limit = std::max(report.full_limit, report.limit);
+  const double excess_step_ms =
+      std::max(0.0, ToMilliseconds(report.step) -
+                        parameters.straggler_factor * median_step_ms);
+  candidate.score_ms =
+      candidate.wait_ms + parameters.occupancy_ms * load / limit +
+      uncached * parameters.prefill_ms_per_token + DistanceMs(view, endpoint) +
+      parameters.slow_start_ms * (1 - limit / std::max(1.0, full_limit)) +
+      excess_step_ms * request.expected_output_tokens +
+      (endpoint.suspected ? parameters.suspicion_ms : 0);
+  return candidate;
+}
+
+// Draws by free slots, and by how near the score is to the best.
+const Candidate& Draw(const std::vector<Candidate>& candidates,
+                      const RoutingParameters& parameters,
+                      double draw) {
+  const Candidate& best =
+      *std::ranges::min_element(candidates, {}, &Candidate::score_ms);
+  std::vector<double> weights;
+  weights.reserve(candidates.size());
+  double sum = 0;
+  for (const Candidate& candidate : candidates) {
+    const double spread =
+        parameters.spread_ms +
+        std::max(candidate.uncertainty_ms, best.uncertainty_ms);
+    const double distance = (candidate.score_ms - best.score_ms) / spread;
+    if (distance < kMaxSpreads) {
+      sum += std::max(1, candidate.free) * std::exp(-distance);
+    }
+    weights.push_back(sum);
+  }
+  const auto drawn = std::ranges::upper_bound(weights, draw * sum);
+  const auto index = std::min<std::ptrdiff_t>(drawn - weights.begin(),
+                                              std::ssize(weights) - 1);
+  return candidates[index];
+}
+
+}  // namespace
+
+RoutingDecision ChooseEndpoint(const RoutingView& view,
+                               const RoutingParameters& parameters,
+                               const RoutingRequest& request,
+                               double draw,
+                               TimePoint now) {
+  const double median_step_ms = MedianStepMs(view);
+  std::vector<Candidate> candidates;
+  bool any_free = false;
+  bool any_out = false;
+  for (int index = 0; index < std::ssize(view.endpoints); ++index) {
+    const EndpointView& endpoint = view.endpoints[index];
+    if (!IsEligible(view, endpoint)) {
+      any_out = any_out || (endpoint.reported && endpoint.report.takes_work);
+      continue;
+    }
+    if (std::ranges::find(request.excluded, endpoint.name) !=
+        request.excluded.end()) {
+      continue;
+    }
+    const Candidate candidate =
+        ScoreEndpoint(view, parameters, request, index, median_step_ms, now);
+    const bool free = candidate.free > 0;
+    if (any_free && !free) {
+      continue;
+    }
+    if (free && !any_free) {
+      candidates.clear();
+      any_free = true;
+    }
+    candidates.push_back(candidate);
+  }
+  if (candidates.empty()) {
+    RoutingDecision none;
+    none.code =
+        any_out ? ResultCode::kDataCentreOut : ResultCode::kNoEndpointAvailable;
+    return none;
+  }
+  const Candidate& chosen = Draw(candidates, parameters, draw);
+  return {chosen.index, ResultCode::kAnswered, any_free, chosen.score_ms,
+          chosen.wait_ms};
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/routing/routing_test.cc
@@ -0,0 +1,239 @@
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "routing/baselines.h"
+#include "routing/choose_endpoint.h"
+#include "routing/prefix_index.h"
+#include "routing/routing_view.h"
+
+namespace toucanhollow {
+namespace {
+
+DataCentreName Here() {
+  return DataCentreName{"here"};
+}
+
+DataCentreName There() {
+  return DataCentreName{"there"};
+}
+
+TimePoint At(std::int64_t ms) {
+  return TimePoint(Milliseconds(ms));
+}
+
+EndpointName Endpoint(int number) {
+  return EndpointName{"e" + std::to_string(100 + number)};
+}
+
+LoadReport Report(int load, int limit = 32) {
+  LoadReport report;
+  report.incarnation = Incarnation{1};
+  report.limit = limit;
+  report.full_limit = 32;
+  report.load = load;
+  report.takes_work = true;
+  report.step = Milliseconds(20);
+  report.mean_service = Seconds(3);
+  return report;
+}
+
+RoutingView ViewOf(const std::vector<LoadReport>& reports,
+                   const DataCentreName& data_centre = Here()) {
+  RoutingView view;
+  for (int i = 0; i < std::ssize(reports); ++i) {
+    view = AddEndpoint(std::move(view), Endpoint(i), data_centre);
+    view = ApplyLoadReport(std::move(view), Endpoint(i), reports[i], At(0));
+  }
+  return view;
+}
+
+// Number of choices of each endpoint over evenly spaced draws.
+std::vector<int> Spread(const RoutingView& view,
+                        const RoutingRequest& request,
+                        TimePoint now = At(0)) {
+  std::vector<int> counts(view.endpoints.size());
+  for (int i = 0; i < 1000; ++i) {
+    const RoutingDecision decision =
+        ChooseEndpoint(view, {}, request, i / 1000.0, now);
+    REQUIRE(decision.endpoint >= 0);
+    ++counts[decision.endpoint];
+  }
+  return counts;
+}
+
+// Guards against many entry hosts that all choose the one endpoint that a
+// stale report shows as least loaded.
+TEST_CASE("one stale report does not draw everything to one endpoint") {
+  const RoutingView view =
+      ViewOf({Report(14), Report(18), Report(18), Report(18)});
+  const std::vector<int> counts = Spread(view, {}, At(1000));
+  CHECK(counts[0] > counts[1]);
+  CHECK(counts[0] < 500);
+}
+
+// Guards against a host that ignores what it sent since the last report.
+TEST_CASE("own dispatches since the report raise the load") {
+  RoutingView view = ViewOf({Report(10), Report(10)});
+  const double before = ChooseEndpoint(view, {}, {}, 0, At(0)).score_ms;
+  for (int i = 0; i < 22; ++i) {
+    view = NoteSent(std::move(view), Endpoint(0), At(1));
+  }
+  CHECK(FreeSlots(view.endpoints[0], At(1)) == 0);
+  CHECK(Spread(view, {})[0] == 0);
+  view = NoteEnded(std::move(view), Endpoint(0));
+  CHECK(FreeSlots(view.endpoints[0], At(1)) == 1);
+  view = ApplyLoadReport(std::move(view), Endpoint(0), Report(31), At(2));
+  CHECK(CorrectedLoad(view.endpoints[0]) == 31);
+  CHECK(ChooseEndpoint(view, {}, {}, 0, At(2)).score_ms > before);
+  view = NoteFull(std::move(view), Endpoint(0));
+  CHECK(FreeSlots(view.endpoints[0], At(2)) == 0);
+}
+
+// Guards against new work for a data centre that is out (I3) and for an
+// endpoint that leaves (I7).
+TEST_CASE("out and leaving endpoints are never chosen") {
+  RoutingView view = ViewOf({Report(0), Report(20)});
+  view = AddEndpoint(std::move(view), Endpoint(0), There());
+  view = SetDataCentreView(std::move(view), There(), {Milliseconds(1), true});
+  CHECK(Spread(view, {})[0] == 0);
+  LoadReport leaving = Report(0);
+  leaving.takes_work = false;
+  view = ApplyLoadReport(std::move(view), Endpoint(1), leaving, At(0));
+  const RoutingDecision none = ChooseEndpoint(view, {}, {}, 0, At(0));
+  CHECK(none.endpoint == -1);
+  CHECK(none.code == ResultCode::kDataCentreOut);
+  CHECK(ChooseRoundRobin(view, 3) == -1);
+  CHECK(ChooseLeastOutstanding(view, 0.5) == -1);
+  CHECK(ChooseOfTwo(view, 0.5, 0.5) == -1);
+  view = SetDataCentreView(std::move(view), There(), {Milliseconds(1), false});
+  CHECK(Spread(view, {})[0] == 1000);
+}
+
+// Guards against a prefix match that is weighed without regard to the time
+// that it saves.
+TEST_CASE("a prefix match wins only if it saves more than it costs") {
+  const std::vector<PrefixMatch> matches = {{Endpoint(0), 64}};
+  RoutingRequest request;
+  request.prompt_tokens = 1024;
+  request.matches = matches;
+  CHECK(Spread(ViewOf({Report(26), Report(20)}), request)[0] > 950);
+  // A queue of two at 3 s / 32 a slot costs more than the 102 ms saved.
+  RoutingView view = ViewOf({Report(33), Report(31)});
+  CHECK(Spread(view, request)[0] == 0);
+}
+
+// Guards against a straggler, a cold or a suspected endpoint that takes as
+// much as the others, and against one that gets nothing after it recovers.
+TEST_CASE("stragglers, cold and suspected endpoints get less work") {
+  RoutingRequest request;
+  request.expected_output_tokens = 100;
+  LoadReport slow = Report(16);
+  slow.step = Milliseconds(60);
+  const std::vector<LoadReport> healthy(4, Report(16));
+  RoutingView view = ViewOf(healthy);
+  CHECK(Spread(view, request)[0] > 200);
+  view = ApplyLoadReport(std::move(view), Endpoint(0), slow, At(0));
+  CHECK(Spread(view, request)[0] == 0);
+  view = ApplyLoadReport(std::move(view), Endpoint(0), Report(1, 2), At(0));
+  CHECK(Spread(view, request)[0] < 50);
+  view = ApplyLoadReport(std::move(view), Endpoint(0), Report(16), At(0));
+  view = SetSuspected(std::move(view), Endpoint(0), true);
+  CHECK(Spread(view, request)[0] == 0);
+  view = SetSuspected(std::move(view), Endpoint(0), false);
+  CHECK(Spread(view, request)[0] > 200);
+  // All suspected: work goes on.
+  for (int i = 0; i < 4; ++i) {
+    view = SetSuspected(std::move(view), Endpoint(i), true);
+  }
+  CHECK(ChooseEndpoint(view, {}, request, 0.5, At(0)).has_free_slot);
+}
+
+// Guards against a grant that is used after its expiry, and against slots
+// granted to others that are taken for free.
+TEST_CASE("own grants count as free and others' do not") {
+  LoadReport report = Report(30);
+  report.granted = 2;
+  RoutingView view = ViewOf({report});
+  CHECK(FreeSlots(view.endpoints[0], At(0)) == 0);
+  view = ApplyGrant(std::move(view), Endpoint(0), 2, Seconds(3), At(0));
+  CHECK(FreeSlots(view.endpoints[0], At(2999)) == 2);
+  view = NoteSent(std::move(view), Endpoint(0), At(1));
+  CHECK(FreeSlots(view.endpoints[0], At(2)) == 1);
+  CHECK(FreeSlots(view.endpoints[0], At(3000)) == 0);
+}
+
+// Guards against an attempt that goes to the endpoint that just refused it,
+// and against work for an agent that restarted being counted for ever.
+TEST_CASE("exclusions and new incarnations") {
+  RoutingView view = ViewOf({Report(0), Report(31)});
+  const std::vector<EndpointName> excluded = {Endpoint(0)};
+  RoutingRequest request;
+  request.excluded = excluded;
+  CHECK(Spread(view, request)[0] == 0);
+  view = NoteSent(std::move(view), Endpoint(0), At(0));
+  LoadReport restarted = Report(0);
+  restarted.incarnation = Incarnation{2};
+  view = ApplyLoadReport(std::move(view), Endpoint(0), restarted, At(1));
+  CHECK(CorrectedLoad(view.endpoints[0]) == 0);
+  view = ApplyLoadReport(std::move(view), Endpoint(0), Report(9), At(2));
+  CHECK(CorrectedLoad(view.endpoints[0]) == 0);
+}
+
+CacheEvent Stored(std::uint64_t sequence, std::vector<BlockHash> blocks) {
+  return {Endpoint(0), Incarnation{1}, sequence, CacheEvent::Kind::kStored,
+          std::move(blocks)};
+}
+
+double MatchOf(const PrefixIndex& index,
+               const std::vector<BlockHash>& blocks,
+               TimePoint now = At(0)) {
+  const std::vector<PrefixMatch> matches = MatchPrefix(index, blocks, now);
+  return matches.empty() ? 0 : matches.front().blocks;
+}
+
+// Guards against a match that skips a missing block, and against events that
+// are late, repeated or missing doing more than weaken a match.
+TEST_CASE("the prefix index bears late, repeated and missing events") {
+  const std::vector<BlockHash> prompt =
+      ChainBlockHashes(std::string(4 * 8 + 3, 'x'), 8);
+  REQUIRE(prompt.size() == 4);
+  CHECK(prompt[0] != prompt[1]);
+  PrefixIndex index =
+      ApplyCacheEvent({}, Stored(1, {prompt[0], prompt[1], prompt[3]}), At(0));
+  CHECK(MatchOf(index, prompt) == 2);
+  CacheEvent removed = Stored(2, {prompt[1]});
+  removed.kind = CacheEvent::Kind::kRemoved;
+  index = ApplyCacheEvent(std::move(index), removed, At(0));
+  index = ApplyCacheEvent(std::move(index), Stored(1, prompt), At(0));
+  CHECK(MatchOf(index, prompt) == 1);
+  index = ApplyCacheEvent(std::move(index), Stored(5, {prompt[1]}), At(0));
+  CHECK(MatchOf(index, prompt) == 1);
+  index = RecordPrompt(std::move(index), Endpoint(0), prompt, At(2000));
+  CHECK(MatchOf(index, prompt) == 4);
+  CHECK(MatchOf(index, prompt, At(603000)) == 0);
+  CacheEvent restarted = Stored(1, {});
+  restarted.engine = Incarnation{2};
+  index = ApplyCacheEvent(std::move(index), restarted, At(3000));
+  CHECK(MatchOf(index, prompt, At(3000)) == 0);
+}
+
+// Guards against an index that grows without bound.
+TEST_CASE("the prefix index keeps recent blocks within its bound") {
+  PrefixIndex index;
+  index.max_bytes = 100000;
+  for (BlockHash block = 1; block <= 20000; ++block) {
+    index = RecordPrompt(std::move(index), Endpoint(0),
+                         std::vector<BlockHash>{1, block}, At(0));
+    REQUIRE(index.younger_bytes + index.older_bytes <= index.max_bytes + 200);
+  }
+  CHECK(index.younger.size() + index.older.size() < 1100);
+  CHECK(MatchOf(index, {1}) == 1);
+  CHECK(MatchOf(index, {20000}) == 1);
+  CHECK(MatchOf(index, {2}) == 0);
+}
+
+}  // namespace
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/routing/routing_view.h
@@ -0,0 +1,120 @@
+// RoutingView: what one entry host knows about the endpoints of one model or
+// service. Advisory; the agents decide what runs.
+#ifndef ROUTING_ROUTING_VIEW_H_
+#define ROUTING_ROUTING_VIEW_H_
+
+#include <map>
+#include <vector>
+
+#include "base/incarnation.h"
+#include "base/name.h"
+#include "base/time.h"
+
+namespace toucanhollow {
+
+// What an agent's heartbeat says about its endpoint.
+struct LoadReport {
+  Incarnation incarnation;
+  int limit = 0;
+  int full_limit = 0;
+  // Running and waiting requests of all senders.
+  int load = 0;
+  // Slots granted to any sender and not yet used.
+  int granted = 0;
+  // False while leaving, out of service or not yet ready.
+  bool takes_work = false;
+  // Mean step time; zero for plain services.
+  Duration step{0};
+  // Mean time from start to completion; zero if unknown.
+  Duration mean_service{0};
+
+  bool operator==(const LoadReport&) const = default;
+};
+
+struct EndpointView {
+  EndpointName name;
+  DataCentreName data_centre;
+  LoadReport report;
+  TimePoint reported_at;
+  bool reported = false;
+  // Own dispatches sent and ended since the report.
+  int sent_since = 0;
+  int ended_since = 0;
+  // All own dispatches that are not ended.
+  int own_in_flight = 0;
+  // Own grant, valid until its expiry by this host's clock.
+  int granted = 0;
+  TimePoint grant_expiry;
+  // The link is lost or its heartbeats are late.
+  bool suspected = false;
+
+  bool operator==(const EndpointView&) const = default;
+};
+
+struct DataCentreView {
+  Duration one_way_delay{0};
+  bool out = false;
+
+  bool operator==(const DataCentreView&) const = default;
+};
+
+struct RoutingView {
+  // Sorted by name.
+  std::vector<EndpointView> endpoints;
+  std::map<DataCentreName, DataCentreView> data_centres;
+
+  bool operator==(const RoutingView&) const = default;
+};
+
+// Index of an endpoint in the view, or -1.
+int FindEndpoint(const RoutingView& view, const EndpointName& name);
+
+// The updates take the view by move, because it is large and each changes one
+// endpoint. An update for an endpoint that is not in the view is ignored.
+RoutingView AddEndpoint(RoutingView&& view,
+                        const EndpointName& name,
+                        const DataCentreName& data_centre);
+RoutingView RemoveEndpoint(RoutingView&& view, const EndpointName& name);
+
+// Applies a heartbeat. One of an earlier incarnation is ignored; one of a new
+// incarnation ends all own dispatches and grants of the old one.
+RoutingView ApplyLoadReport(RoutingView&& view,
+                            const EndpointName& name,
+                            const LoadReport& report,
+                            TimePoint now);
+RoutingView ApplyGrant(RoutingView&& view,
+                       const EndpointName& name,
+                       int count,
+                       Duration lifetime,
+                       TimePoint now);
+// To be called when a dispatch is sent, and when it is answered, refused or
+// given up.
+RoutingView NoteSent(RoutingView&& view,
+                     const EndpointName& name,
+                     TimePoint now);
+RoutingView NoteEnded(RoutingView&& view, const EndpointName& name);
+
+// After the refusal kEndpointFull: the endpoint counts as full until its next
+// report.
+RoutingView NoteFull(RoutingView&& view, const EndpointName& name);
+
+RoutingView SetSuspected(RoutingView&& view,
+                         const EndpointName& name,
+                         bool suspected);
+RoutingView SetDataCentreView(RoutingView&& view,
+                              const DataCentreName& name,
+                              const DataCentreView& data_centre);
+
+// Requests at the endpoint: the report corrected by own dispatches since.
+int CorrectedLoad(const EndpointView& endpoint);
+
+// Slots that this host may expect to be free for it.
+int FreeSlots(const EndpointView& endpoint, TimePoint now);
+
+// True if new work may be sent: reported, takes work, and its data centre is
+// in service.
+bool IsEligible(const RoutingView& view, const EndpointView& endpoint);
+
+}  // namespace toucanhollow
+
+#endif  // ROUTING_ROUTING_VIEW_H_
