--- /dev/null
+++ b/packages/host_list/host_list_entry.h
@@ -0,0 +1,23 @@
+// One host as the platform's list shows it.
+#ifndef HOST_LIST_HOST_LIST_ENTRY_H_
+#define HOST_LIST_HOST_LIST_ENTRY_H_
+
+#include <string>
+
+namespace toucanhollow {
+
+struct HostListEntry {
+  std::string name;
+  // <IP address>:<port>
+  std::string address;
+  std::string data_centre;
+  // "entry_host" or "endpoint"
+  std::string role;
+  bool leaving = false;
+
+  bool operator==(const HostListEntry&) const = default;
+};
+
+}  // namespace toucanhollow
+
+#endif  // HOST_LIST_HOST_LIST_ENTRY_H_
