Add the callers' format and put the hybrid clock on the wire

Frames carry the sender's hybrid time as a pair, which the timeline needs to order events of different hosts.

--- /dev/null
+++ b/packages/caller_api/read_request.h
@@ -0,0 +1,17 @@
+// Reads a caller's HTTP request.
+#ifndef CALLER_API_READ_REQUEST_H_
+#define CALLER_API_READ_REQUEST_H_
+
+#include "base/result.h"
+#include "caller_api/caller_request.h"
+#include "http_server/http_request.h"
+
+namespace toucanhollow {
+
+// Fails with kMalformedRequest (the detail names field, value and remedy),
+// kUnknownAccount (header missing) or kUnknownPath.
+Result<CallerRequest> ReadRequest(const HttpRequest& http);
+
+}  // namespace toucanhollow
+
+#endif  // CALLER_API_READ_REQUEST_H_
--- a/packages/wire/codec.cc
+++ b/packages/wire/codec.cc
@@ -323,12 +323,13 @@
 
 }  // namespace
 
-std::string EncodeMessage(const Message& message, std::uint64_t clock) {
+std::string EncodeMessage(const Message& message, HybridTime clock) {
   Json object = std::visit(
       [](const auto& typed) { return EncodeFields(typed); }, message);
   object[std::string(kTypeKey)] = message.index() + 1;
-  if (clock != 0) {
-    object[std::string(kClockKey)] = clock;
+  if (clock != HybridTime{}) {
+    object[std::string(kClockKey)] =
+        Json::array({clock.wall_us, clock.counter});
   }
   std::string frame;
   Json::to_cbor(object, frame);
@@ -355,9 +356,12 @@
   }
   DecodedFrame decoded;
   const auto clock = object.find(kClockKey);
-  if (clock != object.end() && !FromJson(*clock, &decoded.clock)) {
+  if (clock != object.end() &&
+      (!clock->is_array() || clock->size() != 2 ||
+       !FromJson((*clock)[0], &decoded.clock.wall_us) ||
+       !FromJson((*clock)[1], &decoded.clock.counter))) {
     return MakeFailure(ResultCode::kFrameMalformed,
-                       "the frame's clock is not a number");
+                       "the frame's clock is not a pair of numbers");
   }
   return DecodeType(type_number, object, std::move(decoded));
 }
--- a/packages/wire/codec.h
+++ b/packages/wire/codec.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "base/result.h"
+#include "timeline/hybrid_time.h"
 #include "wire/message.h"
 
 namespace toucanhollow {
@@ -21,17 +22,17 @@
 };
 
 // A message of a type that this version knows, or nothing, and the time of
-// the sender's hybrid logical clock (0 if the frame carries none).
+// the sender's hybrid logical clock (zero if the frame carries none).
 struct DecodedFrame {
   std::optional<Message> message;
-  std::uint64_t clock = 0;
+  HybridTime clock;
   DecodeCounts counts;
 
   bool operator==(const DecodedFrame&) const = default;
 };
 
-// `clock` is left out if it is 0.
-std::string EncodeMessage(const Message& message, std::uint64_t clock = 0);
+// `clock` is left out if it is zero.
+std::string EncodeMessage(const Message& message, HybridTime clock = {});
 
 // Fails with kFrameMalformed. Unknown fields and types are counted, missing
 // fields keep their defaults.
--- a/packages/wire/codec_test.cc
+++ b/packages/wire/codec_test.cc
@@ -70,9 +70,9 @@
   for (std::size_t i = 0; i < messages.size(); ++i) {
     REQUIRE(messages[i].index() == i);
     const Result<DecodedFrame> decoded =
-        DecodeMessage(EncodeMessage(messages[i], 77));
+        DecodeMessage(EncodeMessage(messages[i], {77, 2}));
     REQUIRE(decoded.has_value());
-    CHECK(decoded.value() == DecodedFrame{messages[i], 77, {}});
+    CHECK(decoded.value() == DecodedFrame{messages[i], {77, 2}, {}});
   }
 }
 
