Give types unique names over all packages

Cause: the packages share one namespace, and platform_log and idempotency both defined AppendOutcome, engine_api and wire both CacheEvents, so that no file could include both.

--- a/packages/ctl/fetch.cc
+++ b/packages/ctl/fetch.cc
@@ -5,6 +5,7 @@
 
 #include "event_loop/event_loop.h"
 #include "http_client/http_client.h"
+#include "settings/parse_address.h"
 
 namespace toucanhollow {
 namespace {
--- a/packages/ctl/fetch.h
+++ b/packages/ctl/fetch.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
+#include "base/address.h"
 #include "base/result.h"
 #include "http_client/http_call.h"
-#include "settings/address.h"
 
 namespace toucanhollow {
 
--- a/packages/ctl/read_timeline.cc
+++ b/packages/ctl/read_timeline.cc
@@ -4,6 +4,7 @@
 
 #include "ctl/fetch.h"
 #include "event_codec/event_codec.h"
+#include "settings/parse_address.h"
 
 namespace toucanhollow {
 namespace {
--- a/packages/ctl/read_timeline.h
+++ b/packages/ctl/read_timeline.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "settings/address.h"
+#include "base/address.h"
 #include "timeline/merge_events.h"
 
 namespace toucanhollow {
--- a/packages/engine_api/cache_event.h
+++ b/packages/engine_api/cache_event.h
@@ -8,23 +8,23 @@
 
 namespace toucanhollow {
 
-struct CacheEvent {
+struct EngineCacheEvent {
   // Ascending; a gap means that events were lost.
   std::int64_t sequence = 0;
   bool stored = false;
   // Hash of the prefix that ends with this block, as PromptBlocks gives it.
   std::uint64_t block = 0;
 
-  bool operator==(const CacheEvent&) const = default;
+  bool operator==(const EngineCacheEvent&) const = default;
 };
 
-struct CacheEvents {
+struct EngineCacheEvents {
   std::uint64_t incarnation = 0;
   // Sequence to ask for next.
   std::int64_t next = 0;
-  std::vector<CacheEvent> events;
+  std::vector<EngineCacheEvent> events;
 
-  bool operator==(const CacheEvents&) const = default;
+  bool operator==(const EngineCacheEvents&) const = default;
 };
 
 // Words stand for prompt tokens; the cache keeps whole blocks of them.
--- a/packages/engine_api/engine_api_test.cc
+++ b/packages/engine_api/engine_api_test.cc
@@ -20,7 +20,7 @@
         static_cast<EngineOrder::Kind>(kind), 5, "m", "c", 2, 60, 1 << 20};
     CHECK(DecodeEngineOrder(EncodeEngineOrder(order)) == order);
   }
-  const CacheEvents events{3, 12, {{10, true, ~0ULL}, {11, false, 1}}};
+  const EngineCacheEvents events{3, 12, {{10, true, ~0ULL}, {11, false, 1}}};
   CHECK(DecodeCacheEvents(EncodeCacheEvents(events)) == events);
 }
 
--- a/packages/engine_api/engine_client.cc
+++ b/packages/engine_api/engine_client.cc
@@ -193,7 +193,7 @@
 
 HttpCallId EngineClient::ReadCacheEvents(
     std::int64_t from,
-    std::function<void(Result<CacheEvents>)> done) {
+    std::function<void(Result<EngineCacheEvents>)> done) {
   HttpCall call =
       this->MakeCall("GET", "/v1/cache_events?from=" + std::to_string(from));
   call.repeatable = true;
--- a/packages/engine_api/engine_client.h
+++ b/packages/engine_api/engine_client.h
@@ -59,8 +59,9 @@
 
   // These fail with kEngineUnreachable or kEngineAnswerMalformed.
   HttpCallId ReadStatus(std::function<void(Result<EngineStatus>)> done);
-  HttpCallId ReadCacheEvents(std::int64_t from,
-                             std::function<void(Result<CacheEvents>)> done);
+  HttpCallId ReadCacheEvents(
+      std::int64_t from,
+      std::function<void(Result<EngineCacheEvents>)> done);
 
   // Fails with kEngineRefused if the engine says no, and with
   // kEngineUnreachable if it may have taken the order.
--- a/packages/engine_api/engine_codec.cc
+++ b/packages/engine_api/engine_codec.cc
@@ -206,9 +206,9 @@
   return std::nullopt;
 }
 
-std::string EncodeCacheEvents(const CacheEvents& events) {
+std::string EncodeCacheEvents(const EngineCacheEvents& events) {
   Json list = Json::array();
-  for (const CacheEvent& event : events.events) {
+  for (const EngineCacheEvent& event : events.events) {
     list.push_back({event.sequence, event.stored, event.block});
   }
   return Dump({{"incarnation", events.incarnation},
@@ -216,9 +216,9 @@
                {"events", std::move(list)}});
 }
 
-std::optional<CacheEvents> DecodeCacheEvents(std::string_view text) {
+std::optional<EngineCacheEvents> DecodeCacheEvents(std::string_view text) {
   FieldReader reader(text);
-  CacheEvents events;
+  EngineCacheEvents events;
   reader.Read("incarnation", events.incarnation);
   reader.Read("next", events.next);
   const Json* list = reader.Array("events");
--- a/packages/engine_api/engine_codec.h
+++ b/packages/engine_api/engine_codec.h
@@ -5,7 +5,7 @@
 //   GET    /v1/streams/<id>?from=<n>  -> event stream from index n on
 //   DELETE /v1/streams/<id>           cancels
 //   GET    /v1/status                 -> EngineStatus
-//   GET    /v1/cache_events?from=<n>  -> CacheEvents
+//   GET    /v1/cache_events?from=<n>  -> EngineCacheEvents
 //   POST   /v1/orders                 EngineOrder -> status 200 or 409
 //
 // An error has the body {"error": <text>, "not_run": <bool>}.
@@ -39,8 +39,8 @@
 std::string EncodeEngineOrder(const EngineOrder& order);
 std::optional<EngineOrder> DecodeEngineOrder(std::string_view text);
 
-std::string EncodeCacheEvents(const CacheEvents& events);
-std::optional<CacheEvents> DecodeCacheEvents(std::string_view text);
+std::string EncodeCacheEvents(const EngineCacheEvents& events);
+std::optional<EngineCacheEvents> DecodeCacheEvents(std::string_view text);
 
 std::string EncodeEngineError(const EngineError& error);
 std::optional<EngineError> DecodeEngineError(std::string_view text);
--- a/packages/platform_log/platform_log.cc
+++ b/packages/platform_log/platform_log.cc
@@ -10,8 +10,8 @@
 // The log bounds a read to less than this, so a larger answer is a fault.
 constexpr std::size_t kMaxReadBytes = std::size_t{8} * 1024 * 1024;
 
-AppendOutcome ToAppendOutcome(const HttpOutcome& outcome) {
-  AppendOutcome result;
+LogAppendOutcome ToAppendOutcome(const HttpOutcome& outcome) {
+  LogAppendOutcome result;
   if (outcome.end == HttpEnd::kComplete && outcome.status == 200) {
     const auto batch = DecodeBatch(outcome.body);
     if (batch.has_value()) {
@@ -72,7 +72,7 @@
 HttpCallId PlatformLog::Append(const std::string& stream,
                                const std::vector<std::string>& payloads,
                                const std::string& append_id,
-                               std::function<void(AppendOutcome)> done) {
+                               std::function<void(LogAppendOutcome)> done) {
   HttpCall call = MakeCall(
       this->options, stream,
       append_id.empty() ? "/entries"
--- a/packages/platform_log/platform_log.h
+++ b/packages/platform_log/platform_log.h
@@ -27,7 +27,7 @@
   kMaybeAppended,  // the answer was lost; only reading the log tells
 };
 
-struct AppendOutcome {
+struct LogAppendOutcome {
   AppendEnd end = AppendEnd::kMaybeAppended;
   // Offset of the batch's first payload; the others follow it without gap.
   LogOffset first_offset = 0;
@@ -46,7 +46,7 @@
   HttpCallId Append(const std::string& stream,
                     const std::vector<std::string>& payloads,
                     const std::string& append_id,
-                    std::function<void(AppendOutcome)> done);
+                    std::function<void(LogAppendOutcome)> done);
 
   // Entries from offset `from` on, at most `max_entries`. If there are none,
   // the log answers when one is appended or after `wait`. Fails with
--- a/packages/settings/address.cc
+++ b/packages/settings/parse_address.cc
@@ -1,4 +1,4 @@
-#include "settings/address.h"
+#include "settings/parse_address.h"
 
 #include <arpa/inet.h>
 
--- a/packages/settings/parse_settings.cc
+++ b/packages/settings/parse_settings.cc
@@ -11,6 +11,8 @@
 #include <boost/property_tree/ini_parser.hpp>
 #include <boost/property_tree/ptree.hpp>
 
+#include "settings/parse_address.h"
+
 namespace toucanhollow {
 namespace {
 
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
+#include "base/address.h"
 #include "base/name.h"
 #include "base/time.h"
-#include "settings/address.h"
 
 namespace toucanhollow {
 
--- a/standins/log/log_stand_in_test.cc
+++ b/standins/log/log_stand_in_test.cc
@@ -32,10 +32,10 @@
     return "127.0.0.1:" + std::to_string(this->server->Port());
   }
 
-  AppendOutcome Append(const std::vector<std::string>& payloads,
+  LogAppendOutcome Append(const std::vector<std::string>& payloads,
                        const std::string& id = "") {
-    AppendOutcome result;
-    this->log->Append("claims", payloads, id, [&](AppendOutcome outcome) {
+    LogAppendOutcome result;
+    this->log->Append("claims", payloads, id, [&](LogAppendOutcome outcome) {
       result = std::move(outcome);
       this->loop.Stop();
     });
@@ -72,7 +72,7 @@
 TEST_CASE("appended batches are read back at their offsets") {
   Fixture fixture;
   CHECK(fixture.Append({"a", "b"}).first_offset == 1);
-  const AppendOutcome second = fixture.Append({"c"});
+  const LogAppendOutcome second = fixture.Append({"c"});
   CHECK(second.end == AppendEnd::kAppended);
   CHECK(second.first_offset == 3);
   const LogBatch batch = fixture.Read(2).value();
@@ -86,7 +86,7 @@
 TEST_CASE("a long poll ends when an entry is appended") {
   Fixture fixture;
   const Timer later(fixture.loop, Milliseconds(20), Duration(0), [&] {
-    fixture.log->Append("claims", {"x"}, "", [](const AppendOutcome&) {});
+    fixture.log->Append("claims", {"x"}, "", [](const LogAppendOutcome&) {});
   });
   CHECK(fixture.Read(1, Seconds(20)).value().entries.size() == 1);
 }
@@ -95,7 +95,7 @@
 TEST_CASE("a lost acknowledgement leaves the append unconfirmed") {
   Fixture fixture;
   fixture.Control("lose_acks?count=1");
-  const AppendOutcome lost = fixture.Append({"a"});
+  const LogAppendOutcome lost = fixture.Append({"a"});
   CHECK(lost.end == AppendEnd::kMaybeAppended);
   CHECK(lost.code == ResultCode::kLogAppendUnconfirmed);
   CHECK(fixture.Read(1).value().entries.size() == 1);
