Report the unknown outcome of a key instead of voiding its repeat

A repeated key whose first claim has no result was answered dispatch_voided, which states "certainly not run". The agent says key_outcome_unknown; the lifecycle took that for a lost dispatch, voided it, and after four true but useless voids refused the request. The void says that the repeat cannot run; the key's first dispatch may have run.

A change in the agent was ruled out: its code is right, and the entry host alone decides on voids.

--- a/packages/request/on_event.cc
+++ b/packages/request/on_event.cc
@@ -44,6 +44,13 @@
       FinishFailed{TruthfulFailure(step.life, std::move(failure))});
 }
 
+// The agent has read in the log that an earlier dispatch of the key may have
+// run. A void of this dispatch cannot make "not run" true for the key.
+bool TellsOutcomeOfKey(const Failure& failure) {
+  return failure.code == ResultCode::kKeyOutcomeUnknown ||
+         failure.code == ResultCode::kAnswerTruncated;
+}
+
 // An attempt has ended without a whole answer and is no longer listed.
 void ContinueOrFail(RequestStep& step) {
   RequestLife& life = step.life;
@@ -136,7 +143,8 @@
   }
   life.last_failure = event.failure;
   if (!event.not_run) {
-    if (life.keyed && life.delivered == 0) {
+    if (life.keyed && life.delivered == 0 &&
+        !TellsOutcomeOfKey(event.failure)) {
       life.voiding = event.dispatch_id;
       step.actions.emplace_back(VoidDispatch{event.dispatch_id});
       return;
--- a/packages/request/on_event_test.cc
+++ b/packages/request/on_event_test.cc
@@ -167,6 +167,19 @@
   }
 }
 
+// Guards against "not run" for a key that an earlier dispatch may have run:
+// the void of the repeated dispatch is true, but says nothing about the key.
+TEST_CASE("an outcome that the log leaves unknown is not voided") {
+  Caller caller(false, true);
+  caller.Start("a");
+  caller.On(AttemptFailed{{"a"},
+                          kRun,
+                          false,
+                          {ResultCode::kKeyOutcomeUnknown, "claimed before"}});
+  REQUIRE(caller.failed);
+  CHECK(caller.failed->code == ResultCode::kKeyOutcomeUnknown);
+}
+
 // Guards against two samplings mixed in one answer, and against hedges that
 // run on after the other attempt answered.
 TEST_CASE("the first attempt that answers cancels the others") {
