Keep a link's events while one of them runs, and extend the heartbeat

An owner may drop a link from inside its message callback; the callbacks are now freed by the posted end of the link instead of by its destructor. The heartbeat carries what routing scores by (full limit, grants, mean service time, whether work is taken), and a dispatch carries the bound on tokens.

--- a/packages/link/link.cc
+++ b/packages/link/link.cc
@@ -111,7 +111,8 @@
   bool open = false;
   bool closing = false;
   bool finished = false;
-  bool eof_expected = false;
+  // The owner is gone; nothing is called any more.
+  bool detached = false;
   // Bytes from `sent` on wait for the socket; `ends` holds the positions in
   // `out` at which waiting messages end.
   std::string out;
@@ -239,7 +240,7 @@
     self->protocol = Protocol{};
     self->connected = nullptr;
     const LinkEvents events = std::exchange(self->events, LinkEvents{});
-    if (events.closed) {
+    if (events.closed && !self->detached) {
       events.closed(reason);
     }
   });
@@ -406,7 +407,8 @@
 Link::Link(std::shared_ptr<State> link_state) : state(std::move(link_state)) {}
 
 Link::~Link() {
-  this->state->events = LinkEvents{};
+  // The events may be on the call stack; Finish drops them later.
+  this->state->detached = true;
   this->state->Finish("destroyed");
 }
 
--- a/packages/wire/codec.cc
+++ b/packages/wire/codec.cc
@@ -45,7 +45,11 @@
                Field{"leaving", &Heartbeat::leaving},
                Field{"limit", &Heartbeat::limit},
                Field{"inflight", &Heartbeat::in_flight},
+               Field{"full", &Heartbeat::full_limit},
                Field{"queued", &Heartbeat::queued},
+               Field{"granted", &Heartbeat::granted},
+               Field{"takes", &Heartbeat::takes_work},
+               Field{"service", &Heartbeat::mean_service},
                Field{"warm", &Heartbeat::warm},
                Field{"step", &Heartbeat::step_time});
 template <>
@@ -63,6 +67,7 @@
                Field{"path", &Dispatch::path},
                Field{"type", &Dispatch::content_type},
                Field{"body", &Dispatch::body},
+               Field{"max", &Dispatch::max_tokens},
                Field{"priority", &Dispatch::priority},
                Field{"remaining", &Dispatch::remaining},
                Field{"key", &Dispatch::idempotency_key},
@@ -106,9 +111,9 @@
                                               Field{"entries",
                                                     &Snapshot::entries});
 template <>
-constexpr auto kFields<CacheEvents> =
-    std::tuple(Field{"endpoint", &CacheEvents::endpoint},
-               Field{"events", &CacheEvents::events});
+constexpr auto kFields<CacheNotice> =
+    std::tuple(Field{"endpoint", &CacheNotice::endpoint},
+               Field{"events", &CacheNotice::events});
 
 template <typename M, typename Visit>
 void VisitFields(const Visit& visit) {
--- a/packages/wire/codec_test.cc
+++ b/packages/wire/codec_test.cc
@@ -30,6 +30,7 @@
   dispatch.path = "/v1/completions";
   dispatch.content_type = "application/json";
   dispatch.body = std::string("\0\xff{}", 4);
+  dispatch.max_tokens = 64;
   dispatch.priority = 1;
   dispatch.remaining = Milliseconds(420);
   dispatch.idempotency_key = "1700000000000-a";
@@ -45,7 +46,11 @@
   heartbeat.limit = 32;
   heartbeat.in_flight = 3;
   heartbeat.queued = 1;
+  heartbeat.full_limit = 40;
+  heartbeat.granted = 2;
   heartbeat.warm = true;
+  heartbeat.takes_work = true;
+  heartbeat.mean_service = Milliseconds(900);
   heartbeat.step_time = Milliseconds(21);
   return {
       Hello{1, 3, {"p"}, {"suva-east"}, "endpoint", {5}, 8, {"e"}, {"s"}, "k"},
@@ -60,7 +65,7 @@
       Cancel{{"d"}},
       SnapshotRequest{12},
       Snapshot{12, {{3, WallTime(Seconds(1)), "payload"}}},
-      CacheEvents{{"e"}, "[]"}};
+      CacheNotice{{"e"}, "[]"}};
 }
 
 // Guards against a field that one direction of the codec forgets.
--- a/packages/wire/message.h
+++ b/packages/wire/message.h
@@ -47,10 +47,15 @@
   bool leaving = false;
   // Admission summary; only an endpoint agent's heartbeat has it.
   int limit = 0;
+  int full_limit = 0;
   int in_flight = 0;
   int queued = 0;
+  int granted = 0;
   bool warm = false;
+  bool takes_work = false;
+  // Zero if unknown.
   Duration step_time{0};
+  Duration mean_service{0};
 
   bool operator==(const Heartbeat&) const = default;
 };
@@ -75,7 +80,10 @@
   std::string method;
   std::string path;
   std::string content_type;
+  // The body of a plain call, or the prompt for generation.
   std::string body;
+  // For generation; zero leaves it to the engine.
+  int max_tokens = 0;
   int priority = 0;
   // Remaining time until the caller's deadline; zero means none.
   Duration remaining{0};
@@ -164,11 +172,11 @@
 };
 
 // Cache events of an engine, as the engine published them.
-struct CacheEvents {
+struct CacheNotice {
   EndpointName endpoint;
   std::string events;
 
-  bool operator==(const CacheEvents&) const = default;
+  bool operator==(const CacheNotice&) const = default;
 };
 
 using Message = std::variant<Hello,
@@ -183,7 +191,7 @@
                              Cancel,
                              SnapshotRequest,
                              Snapshot,
-                             CacheEvents>;
+                             CacheNotice>;
 
 }  // namespace toucanhollow
 
