Add sessions: greeting, heartbeats and reconnection on links

Both sides greet with their protocol versions, incarnation and the optional shared key, then send a heartbeat every second. A peer silent for 8 s is taken for lost, later than routing suspects it, so that a pause of a few seconds cuts no stream. Reconnection backs off from 100 ms to 5 s with jitter. Every message but tokens carries the hybrid time.

--- /dev/null
+++ b/packages/session/dialer.cc
@@ -0,0 +1,107 @@
+#include "session/dialer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "log_text/log.h"
+#include "settings/parse_address.h"
+
+namespace toucanhollow {
+
+struct Dialer::State : public std::enable_shared_from_this<Dialer::State> {
+  State(ProcessContext& process_context, Address target)
+      : context(process_context), address(std::move(target)) {}
+
+  void Dial();
+  void OnClosed(const Failure& reason);
+
+  ProcessContext& context;
+  Address address;
+  SessionSelf self;
+  DialerEvents events;
+  std::shared_ptr<Session> session;
+  std::unique_ptr<Timer> wait;
+  Duration backoff = kFirstReconnect;
+  bool up = false;
+};
+
+void Dialer::State::Dial() {
+  const std::weak_ptr<State> weak = this->weak_from_this();
+  this->session = Session::Connect(
+      this->context, this->address, this->self,
+      SessionEvents{[weak](const Hello& peer) {
+                      if (const auto state = weak.lock()) {
+                        state->up = true;
+                        state->backoff = kFirstReconnect;
+                        const auto callback = state->events.up;
+                        callback(peer);
+                      }
+                    },
+                    [weak](Message message) {
+                      if (const auto state = weak.lock()) {
+                        state->events.message(std::move(message));
+                      }
+                    },
+                    [weak](const Failure& reason) {
+                      if (const auto state = weak.lock()) {
+                        state->OnClosed(reason);
+                      }
+                    }});
+}
+
+void Dialer::State::OnClosed(const Failure& reason) {
+  if (reason.code != ResultCode::kLinkClosed) {
+    Log(Severity::kWarning, "link",
+        FormatAddress(this->address) + ": " + FormatFailure(reason));
+  }
+  // Jitter keeps many entry hosts from meeting a returning process at once.
+  std::uniform_real_distribution<double> jitter(0.5, 1.0);
+  const auto delay = std::chrono::duration_cast<Duration>(
+      this->backoff * jitter(this->context.random));
+  this->backoff = std::min(this->backoff * 2, kLastReconnect);
+  this->wait = std::make_unique<Timer>(this->context.loop, delay, Duration(0),
+                                       [weak = this->weak_from_this()] {
+                                         if (const auto state = weak.lock()) {
+                                           state->Dial();
+                                         }
+                                       });
+  if (std::exchange(this->up, false)) {
+    const auto down = this->events.down;
+    down(reason);
+  }
+}
+
+Dialer::Dialer(ProcessContext& context,
+               Address address,
+               SessionSelf self,
+               DialerEvents events)
+    : state(std::make_shared<State>(context, std::move(address))) {
+  this->state->self = std::move(self);
+  this->state->events = std::move(events);
+  this->state->Dial();
+}
+
+Dialer::~Dialer() {
+  this->state->wait.reset();
+  this->state->session.reset();
+}
+
+bool Dialer::Send(const Message& message) {
+  return this->state->up && this->state->session->Send(message);
+}
+
+void Dialer::SendHeartbeat() {
+  if (this->state->up) {
+    this->state->session->SendHeartbeat();
+  }
+}
+
+bool Dialer::IsUp() const {
+  return this->state->up;
+}
+
+const Address& Dialer::Target() const {
+  return this->state->address;
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/session/dialer.h
@@ -0,0 +1,48 @@
+// Keeps a session to one address: connects, and connects again after a loss.
+#ifndef SESSION_DIALER_H_
+#define SESSION_DIALER_H_
+
+#include <functional>
+#include <memory>
+
+#include "session/session.h"
+
+namespace toucanhollow {
+
+// Waits between attempts; each is drawn from half to the whole of a value
+// that doubles from the first to the last.
+constexpr Duration kFirstReconnect = Milliseconds(100);
+constexpr Duration kLastReconnect = Seconds(5);
+
+// The events may come many times, once for each session.
+struct DialerEvents {
+  std::function<void(const Hello& peer)> up;
+  std::function<void(Message message)> message;
+  // Only after `up`.
+  std::function<void(const Failure& reason)> down;
+};
+
+// Destruction closes the session at once and calls nothing.
+class Dialer {
+ public:
+  Dialer(ProcessContext& context,
+         Address address,
+         SessionSelf self,
+         DialerEvents events);
+  ~Dialer();
+  Dialer(const Dialer&) = delete;
+  Dialer& operator=(const Dialer&) = delete;
+
+  bool Send(const Message& message);
+  void SendHeartbeat();
+  bool IsUp() const;
+  const Address& Target() const;
+
+ private:
+  struct State;
+  std::shared_ptr<State> state;
+};
+
+}  // namespace toucanhollow
+
+#endif  // SESSION_DIALER_H_
--- /dev/null
+++ b/packages/session/process_context.h
@@ -0,0 +1,34 @@
+// What every task of one process shares.
+#ifndef SESSION_PROCESS_CONTEXT_H_
+#define SESSION_PROCESS_CONTEXT_H_
+
+#include <random>
+#include <string_view>
+
+#include "base/incarnation.h"
+#include "base/name.h"
+#include "event_loop/event_loop.h"
+#include "metrics/metrics.h"
+#include "settings/settings.h"
+#include "timeline/event_ring.h"
+
+namespace toucanhollow {
+
+struct ProcessContext {
+  ProcessContext(EventLoop& event_loop, Settings process_settings);
+
+  // Keeps an event in the timeline.
+  void Record(Event event);
+
+  EventLoop& loop;
+  Settings settings;
+  Incarnation incarnation;
+  Metrics metrics;
+  EventRing timeline;
+  // For jitter and for draws among endpoints.
+  std::mt19937_64 random;
+};
+
+}  // namespace toucanhollow
+
+#endif  // SESSION_PROCESS_CONTEXT_H_
--- /dev/null
+++ b/packages/session/session.cc
@@ -0,0 +1,253 @@
+#include "session/session.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "log_text/log.h"
+#include "wire/codec.h"
+
+namespace toucanhollow {
+
+struct Session::State : public std::enable_shared_from_this<Session::State> {
+  State(ProcessContext& process_context, SessionSelf session_self)
+      : context(process_context), self(std::move(session_self)) {}
+
+  LinkEvents MakeLinkEvents();
+  void OnOpened();
+  void OnFrame(std::string_view frame);
+  void OnHello(const Hello& hello);
+  void OnTick();
+  void OnLinkClosed(const std::string& reason);
+  void Reject(Failure reason);
+  bool SendFrame(const Message& message);
+
+  ProcessContext& context;
+  SessionSelf self;
+  SessionEvents events;
+  std::shared_ptr<Link> link;
+  std::unique_ptr<Timer> tick;
+  std::optional<Hello> peer;
+  std::optional<Failure> rejection;
+  TimePoint last_received;
+};
+
+bool Session::State::SendFrame(const Message& message) {
+  // Tokens carry no clock: their order is that of their dispatch.
+  const bool stamped = !std::holds_alternative<Token>(message);
+  return this->link->Send(EncodeMessage(
+      message, stamped ? this->context.timeline.Send(EventLoop::WallNow())
+                       : HybridTime{}));
+}
+
+void Session::State::OnOpened() {
+  Hello hello = this->self.hello();
+  hello.version_min = kProtocolVersionMin;
+  hello.version_max = kProtocolVersionMax;
+  hello.process = this->context.settings.process;
+  hello.data_centre = this->context.settings.data_centre;
+  hello.incarnation = this->context.incarnation;
+  hello.shared_key = this->context.settings.shared_key;
+  this->last_received = EventLoop::Now();
+  this->SendFrame(hello);
+  this->tick = std::make_unique<Timer>(this->context.loop, kHeartbeatInterval,
+                                       kHeartbeatInterval,
+                                       [weak = this->weak_from_this()] {
+                                         if (const auto state = weak.lock()) {
+                                           state->OnTick();
+                                         }
+                                       });
+}
+
+void Session::State::OnTick() {
+  if (EventLoop::Now() - this->last_received > kSilenceLimit) {
+    this->Reject(MakeFailure(ResultCode::kLinkClosed,
+                             "the peer has sent nothing for 8 s"));
+    return;
+  }
+  if (this->peer) {
+    this->SendFrame(this->self.heartbeat());
+  }
+}
+
+// Closes the link for a reason that the owner shall learn.
+void Session::State::Reject(Failure reason) {
+  if (!this->rejection) {
+    this->rejection = std::move(reason);
+  }
+  this->link->Close();
+}
+
+namespace {
+
+// Compares without an early end, so that the time taken tells nothing.
+bool EqualKeys(std::string_view left, std::string_view right) {
+  unsigned difference = left.size() == right.size() ? 0 : 1;
+  for (std::size_t i = 0; i < std::min(left.size(), right.size()); ++i) {
+    difference |= static_cast<unsigned>(static_cast<unsigned char>(left[i]) ^
+                                        static_cast<unsigned char>(right[i]));
+  }
+  return difference == 0;
+}
+
+}  // namespace
+
+void Session::State::OnHello(const Hello& hello) {
+  if (hello.version_min > kProtocolVersionMax ||
+      hello.version_max < kProtocolVersionMin) {
+    this->Reject(MakeFailure(ResultCode::kProtocolVersionMismatch,
+                             "the peer speaks versions " +
+                                 std::to_string(hello.version_min) + " to " +
+                                 std::to_string(hello.version_max)));
+    return;
+  }
+  if (!EqualKeys(hello.shared_key, this->context.settings.shared_key)) {
+    this->Reject(MakeFailure(ResultCode::kLinkUnauthorized,
+                             "the peer's shared key differs"));
+    return;
+  }
+  this->peer = hello;
+  this->peer->shared_key.clear();
+  this->SendFrame(this->self.heartbeat());
+  if (this->events.greeted) {
+    const auto greeted = this->events.greeted;
+    greeted(*this->peer);
+  }
+}
+
+void Session::State::OnFrame(std::string_view frame) {
+  // Messages that cross a close still count: they are answers.
+  if (this->rejection) {
+    return;
+  }
+  this->last_received = EventLoop::Now();
+  Result<DecodedFrame> decoded = DecodeMessage(frame);
+  if (!decoded) {
+    this->context.metrics.Count("link_frames_malformed");
+    this->Reject(decoded.error());
+    return;
+  }
+  DecodedFrame& value = decoded.value();
+  if (value.counts != DecodeCounts{}) {
+    this->context.metrics.Count("link_unknown_fields", "",
+                                value.counts.unknown_fields);
+    this->context.metrics.Count("link_unknown_types", "",
+                                value.counts.unknown_types);
+  }
+  if (value.clock != HybridTime{}) {
+    this->context.timeline.Receive(value.clock, EventLoop::WallNow());
+  }
+  if (!value.message) {
+    return;
+  }
+  if (const auto* hello = std::get_if<Hello>(&*value.message)) {
+    if (!this->peer) {
+      this->OnHello(*hello);
+    }
+    return;
+  }
+  if (!this->peer) {
+    this->Reject(MakeFailure(ResultCode::kFrameMalformed,
+                             "a message came before the greeting"));
+    return;
+  }
+  if (this->events.message) {
+    this->events.message(std::move(*value.message));
+  }
+}
+
+void Session::State::OnLinkClosed(const std::string& reason) {
+  this->tick.reset();
+  const SessionEvents last = std::exchange(this->events, SessionEvents{});
+  if (last.closed) {
+    last.closed(
+        this->rejection.value_or(MakeFailure(ResultCode::kLinkClosed, reason)));
+  }
+}
+
+LinkEvents Session::State::MakeLinkEvents() {
+  const std::weak_ptr<State> weak = this->weak_from_this();
+  return LinkEvents{[weak] {
+                      if (const auto state = weak.lock()) {
+                        state->OnOpened();
+                      }
+                    },
+                    [weak](std::string_view frame) {
+                      if (const auto state = weak.lock()) {
+                        state->OnFrame(frame);
+                      }
+                    },
+                    [weak](const std::string& reason) {
+                      if (const auto state = weak.lock()) {
+                        state->OnLinkClosed(reason);
+                      }
+                    }};
+}
+
+Session::Session(std::shared_ptr<State> session_state)
+    : state(std::move(session_state)) {}
+
+Session::~Session() {
+  // The events may be on the call stack; they go with the state.
+  this->state->tick.reset();
+  this->state->link.reset();
+}
+
+std::shared_ptr<Session> Session::Connect(ProcessContext& context,
+                                          const Address& address,
+                                          const SessionSelf& self,
+                                          SessionEvents events) {
+  const auto state = std::make_shared<State>(context, self);
+  state->events = std::move(events);
+  auto session = std::make_shared<Session>(state);
+  state->link = Link::Connect(context.loop, address.ip, address.port,
+                              LinkLimits{}, state->MakeLinkEvents());
+  return session;
+}
+
+bool Session::Send(const Message& message) {
+  return this->state->peer && this->state->SendFrame(message);
+}
+
+void Session::SendHeartbeat() {
+  this->Send(this->state->self.heartbeat());
+}
+
+void Session::Close() {
+  this->state->link->Close();
+}
+
+const std::optional<Hello>& Session::Peer() const {
+  return this->state->peer;
+}
+
+std::size_t Session::QueuedBytes() const {
+  return this->state->link->QueuedBytes();
+}
+
+SessionListener::SessionListener(
+    ProcessContext& context,
+    const Address& address,
+    SessionSelf self,
+    std::function<SessionEvents(std::shared_ptr<Session>)> accepted) {
+  this->listener = std::make_unique<LinkListener>(
+      context.loop, address.ip, address.port, LinkLimits{},
+      [&context, self = std::move(self),
+       accepted = std::move(accepted)](std::shared_ptr<Link> link) {
+        const auto state = std::make_shared<Session::State>(context, self);
+        state->link = std::move(link);
+        state->events = accepted(std::make_shared<Session>(state));
+        return state->MakeLinkEvents();
+      });
+}
+
+SessionListener::~SessionListener() = default;
+
+const std::string& SessionListener::Error() const {
+  return this->listener->Error();
+}
+
+int SessionListener::Port() const {
+  return this->listener->Port();
+}
+
+}  // namespace toucanhollow
