Add the request path: entry host, endpoint agent and their binary

A caller's HTTP request reaches an entry host, goes over a session to the agent of an endpoint chosen by routing, through the agent's admission to the engine, and comes back as server-sent events or one JSON answer.

Not connected yet: records of the log, the queue of the entry host, claims, plain services. Endpoints are the peers listed in the settings for now.

--- /dev/null
+++ b/apps/toucanhollow.cc
@@ -0,0 +1,103 @@
+// One process of the system: an entry host or an endpoint agent.
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include <gflags/gflags.h>
+
+#include "agent/endpoint_agent.h"
+#include "entry/entry_host.h"
+#include "event_loop/event_loop.h"
+#include "log_text/log.h"
+#include "session/process_context.h"
+#include "settings/parse_settings.h"
+
+DEFINE_string(role, "", "entry_host or endpoint; must match the settings");
+DEFINE_string(settings, "", "the INI settings file");
+DEFINE_bool(check, false, "check the settings file and exit");
+
+namespace toucanhollow {
+namespace {
+
+constexpr int kExitFailure = 1;
+constexpr int kExitUsage = 2;
+
+Severity ToSeverity(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return Severity::kDebug;
+    case LogLevel::kInfo:
+      return Severity::kInfo;
+    case LogLevel::kWarning:
+      return Severity::kWarning;
+    case LogLevel::kError:
+      break;
+  }
+  return Severity::kError;
+}
+
+std::optional<Settings> ReadSettings() {
+  SettingsReport report = LoadSettings(FLAGS_settings);
+  for (const Failure& mistake : report.mistakes) {
+    std::cerr << FormatFailure(mistake) << "\n";
+  }
+  if (report.settings) {
+    const std::string role =
+        report.settings->role == Role::kEntryHost ? "entry_host" : "endpoint";
+    if (!FLAGS_role.empty() && FLAGS_role != role) {
+      std::cerr << "--role is " << FLAGS_role << " but the settings are of the "
+                << "role " << role << "; start it with --role=" << role << "\n";
+      return std::nullopt;
+    }
+  }
+  return std::move(report.settings);
+}
+
+template <typename Part>
+int RunUntilDrained(EventLoop& loop, ProcessContext& context) {
+  Part part(context);
+  const Result<bool> started = part.Start();
+  if (!started) {
+    Log(Severity::kError, "main", FormatFailure(started.error()));
+    return kExitFailure;
+  }
+  Event joined;
+  joined.kind = EventKind::kJoined;
+  context.Record(std::move(joined));
+  const auto shut_down = [&] { part.Shutdown([&] { loop.Stop(); }); };
+  const SignalWatcher terminate(loop, SIGTERM, shut_down);
+  const SignalWatcher interrupt(loop, SIGINT, shut_down);
+  loop.Run();
+  Log(Severity::kInfo, "main", "left with nothing in flight");
+  return 0;
+}
+
+int Main() {
+  const std::optional<Settings> settings = ReadSettings();
+  if (!settings) {
+    return kExitUsage;
+  }
+  if (FLAGS_check) {
+    std::cout << "the settings are valid\n";
+    return 0;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  StartLog(settings->process.value, ToSeverity(settings->log_level));
+  EventLoop loop;
+  ProcessContext context(loop, *settings);
+  return settings->role == Role::kEntryHost
+             ? RunUntilDrained<EntryHost>(loop, context)
+             : RunUntilDrained<EndpointAgent>(loop, context);
+}
+
+}  // namespace
+}  // namespace toucanhollow
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(
+      "toucanhollow --role=entry_host|endpoint --settings=FILE [--check]");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return toucanhollow::Main();
+}
--- /dev/null
+++ b/packages/agent/endpoint_agent.cc
@@ -0,0 +1,456 @@
+#include "agent/endpoint_agent.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "admission/admit.h"
+#include "admission/grants.h"
+#include "admission/health.h"
+#include "admission/limit.h"
+#include "admission/service_state.h"
+#include "agent/engine_back_end.h"
+#include "log_text/log.h"
+#include "operator_api/operator_api.h"
+#include "settings/parse_address.h"
+
+namespace toucanhollow {
+namespace {
+
+constexpr Duration kLoadInterval = Milliseconds(250);
+constexpr Duration kTickInterval = Milliseconds(50);
+constexpr Duration kGrantInterval = Seconds(1);
+
+}  // namespace
+
+struct EndpointAgent::Peer {
+  std::shared_ptr<Session> session;
+  ProcessName name;
+  // Slots used since grants were issued last.
+  int demand = 0;
+  // Dispatches whose end could not be sent, because the queue was full.
+  std::vector<DispatchId> unannounced;
+};
+
+struct EndpointAgent::Run {
+  Dispatch dispatch;
+  std::weak_ptr<Peer> peer;
+  bool begun = false;
+  TimePoint started;
+  TimePoint first_piece;
+  TimePoint last_piece;
+  std::uint64_t pieces = 0;
+};
+
+EndpointAgent::EndpointAgent(ProcessContext& process_context)
+    : context(process_context), client(process_context.loop) {}
+
+EndpointAgent::~EndpointAgent() = default;
+
+Event EndpointAgent::MakeEvent(const Run& run, EventKind kind) const {
+  Event event;
+  event.kind = kind;
+  event.request = run.dispatch.request_id;
+  event.dispatch = run.dispatch.dispatch_id;
+  event.endpoint = this->context.settings.back_end->endpoint;
+  return event;
+}
+
+Heartbeat EndpointAgent::MakeHeartbeat() const {
+  const AdmissionSummary summary =
+      SummarizeAdmission(this->admission, EventLoop::Now());
+  Heartbeat heartbeat;
+  heartbeat.time = EventLoop::WallNow();
+  heartbeat.leaving = this->leaving;
+  heartbeat.limit = summary.limit;
+  heartbeat.full_limit = summary.full_limit;
+  heartbeat.in_flight = summary.in_flight;
+  heartbeat.queued = summary.waiting;
+  heartbeat.granted = OutstandingGrants(this->admission);
+  heartbeat.warm = summary.warm;
+  heartbeat.takes_work = summary.takes_work;
+  heartbeat.step_time = summary.step;
+  heartbeat.mean_service = summary.mean_service;
+  return heartbeat;
+}
+
+Result<bool> EndpointAgent::Start() {
+  const Settings& settings = this->context.settings;
+  const BackEndSettings& back_end_settings = *settings.back_end;
+  EngineClientOptions engine_options;
+  engine_options.address = FormatAddress(back_end_settings.address);
+  this->engine =
+      std::make_unique<EngineClient>(this->client, std::move(engine_options));
+  this->back_end = MakeEngineBackEnd(*this->engine);
+  this->admission = MakeAdmissionState(
+      AdmissionParameters{}, this->context.incarnation, EventLoop::Now());
+
+  SessionSelf self;
+  self.hello = [this] {
+    Hello hello;
+    hello.role = "endpoint";
+    hello.endpoint = this->context.settings.back_end->endpoint;
+    hello.service = this->context.settings.back_end->service;
+    return hello;
+  };
+  self.heartbeat = [this] { return this->MakeHeartbeat(); };
+  this->listener = std::make_unique<SessionListener>(
+      this->context, settings.link, self,
+      [this](std::shared_ptr<Session> session) {
+        return this->OnAccepted(std::move(session));
+      });
+  if (!this->listener->Error().empty()) {
+    return MakeFailure(ResultCode::kSettingsInvalid,
+                       "[links] listen on " + FormatAddress(settings.link) +
+                           ": " + this->listener->Error());
+  }
+  HttpServerOptions options;
+  options.address = settings.http.ip;
+  options.port = settings.http.port;
+  Result<std::unique_ptr<HttpServer>> server = HttpServer::Listen(
+      this->context.loop, options,
+      [this](const HttpRequest& request,
+             const std::shared_ptr<HttpResponseWriter>& writer) {
+        const bool ready =
+            !this->leaving && IsReady(this->admission, EventLoop::Now());
+        if (!AnswerOperator(this->context, ready, request, *writer)) {
+          writer->Respond(404, {}, "");
+        }
+      });
+  if (!server) {
+    return server.error();
+  }
+  this->http = std::move(server).value();
+  this->load_timer =
+      std::make_unique<Timer>(this->context.loop, Duration(0), kLoadInterval,
+                              [this] { this->ReadLoad(); });
+  this->tick =
+      std::make_unique<Timer>(this->context.loop, kTickInterval, kTickInterval,
+                              [this] { this->OnTick(); });
+  this->grant_timer =
+      std::make_unique<Timer>(this->context.loop, kGrantInterval,
+                              kGrantInterval, [this] { this->SendGrants(); });
+  Log(Severity::kInfo, "agent",
+      "serving links on " + settings.link.ip + ":" +
+          std::to_string(this->listener->Port()) + ", HTTP on port " +
+          std::to_string(this->http->Port()));
+  return true;
+}
+
+SessionEvents EndpointAgent::OnAccepted(std::shared_ptr<Session> session) {
+  const auto peer = std::make_shared<Peer>();
+  peer->session = std::move(session);
+  this->peers.insert(peer);
+  const std::weak_ptr<Peer> weak = peer;
+  return SessionEvents{[weak](const Hello& hello) {
+                         if (const auto strong = weak.lock()) {
+                           strong->name = hello.process;
+                         }
+                       },
+                       [this, weak](Message message) {
+                         if (const auto strong = weak.lock()) {
+                           this->OnMessage(strong, std::move(message));
+                         }
+                       },
+                       [this, weak](const Failure&) {
+                         if (const auto strong = weak.lock()) {
+                           this->OnPeerClosed(strong);
+                         }
+                       }};
+}
+
+void EndpointAgent::OnMessage(const std::shared_ptr<Peer>& peer,
+                              Message message) {
+  if (auto* dispatch = std::get_if<Dispatch>(&message)) {
+    this->OnDispatch(peer, std::move(*dispatch));
+  } else if (const auto* cancel = std::get_if<Cancel>(&message)) {
+    this->OnCancel(cancel->dispatch_id);
+  }
+}
+
+void EndpointAgent::OnPeerClosed(const std::shared_ptr<Peer>& peer) {
+  this->peers.erase(peer);
+  std::vector<DispatchId> orphans;
+  for (const auto& [id, run] : this->runs) {
+    // What may not be repeated runs to its end, because its result is kept.
+    if (run->peer.lock() == peer && run->dispatch.repeatable) {
+      orphans.push_back(id);
+    }
+  }
+  for (const DispatchId& id : orphans) {
+    this->CancelRun(id);
+  }
+}
+
+void EndpointAgent::OnDispatch(const std::shared_ptr<Peer>& peer,
+                               Dispatch dispatch) {
+  AdmissionRequest request;
+  request.dispatch = dispatch.dispatch_id;
+  request.receiver = dispatch.receiver;
+  request.sender = peer->name;
+  if (dispatch.remaining > Duration(0)) {
+    request.remaining_deadline = dispatch.remaining;
+  }
+  AdmissionDecision decision =
+      Admit(std::move(this->admission), request, EventLoop::Now());
+  this->admission = std::move(decision.state);
+  auto run = std::make_unique<Run>();
+  run->dispatch = std::move(dispatch);
+  run->peer = peer;
+  this->context.Record(this->MakeEvent(*run, EventKind::kDispatchReceived));
+  if (decision.verdict == AdmissionVerdict::kRefused) {
+    // The first copy of a duplicate may be running, so that a refusal could
+    // be read as its outcome.
+    if (decision.code != ResultCode::kDuplicateDispatch) {
+      this->Refuse(*run, decision.code, "");
+    }
+    return;
+  }
+  ++peer->demand;
+  Run& kept = *this->runs.emplace(run->dispatch.dispatch_id, std::move(run))
+                   .first->second;
+  if (decision.verdict == AdmissionVerdict::kRun) {
+    this->Begin(kept);
+  }
+}
+
+void EndpointAgent::Begin(Run& run) {
+  run.begun = true;
+  run.started = EventLoop::Now();
+  this->context.Record(this->MakeEvent(run, EventKind::kRunStarted));
+  const DispatchId id = run.dispatch.dispatch_id;
+  this->back_end.start(
+      run.dispatch,
+      BackEndEvents{
+          [this, id](std::uint64_t index, std::string_view text) {
+            this->OnPiece(id, index, text);
+          },
+          [this, id](const BackEndEnd& end) { this->OnEnded(id, end); }});
+  this->Answer(run, Accepted{id});
+}
+
+void EndpointAgent::Answer(const Run& run, const Message& message) {
+  const auto peer = run.peer.lock();
+  if (peer && !peer->session->Send(message)) {
+    peer->unannounced.push_back(run.dispatch.dispatch_id);
+  }
+}
+
+void EndpointAgent::Refuse(const Run& run,
+                           ResultCode code,
+                           const std::string& detail) {
+  Event event = this->MakeEvent(run, EventKind::kRefused);
+  event.code = static_cast<int>(code);
+  this->context.Record(std::move(event));
+  this->context.metrics.Count(
+      "dispatches_refused",
+      "code=\"" + std::to_string(static_cast<int>(code)) + "\"");
+  this->Answer(run, Refused{run.dispatch.dispatch_id, code,
+                            IsCertainlyNotRun(code), detail});
+}
+
+void EndpointAgent::OnPiece(const DispatchId& id,
+                            std::uint64_t index,
+                            std::string_view text) {
+  const auto found = this->runs.find(id);
+  if (found == this->runs.end()) {
+    return;
+  }
+  Run& run = *found->second;
+  run.last_piece = EventLoop::Now();
+  if (run.pieces++ == 0) {
+    run.first_piece = run.last_piece;
+    this->context.Record(this->MakeEvent(run, EventKind::kFirstToken));
+  }
+  const auto peer = run.peer.lock();
+  if (peer && !peer->session->Send(Token{id, index, std::string(text)})) {
+    // A stream with a missing token is of no use; the attempt ends.
+    this->context.metrics.Count("streams_closed_by_full_queue");
+    peer->unannounced.push_back(id);
+    Post(this->context.loop, [this, id] { this->CancelRun(id); });
+  }
+}
+
+void EndpointAgent::OnEnded(const DispatchId& id, const BackEndEnd& end) {
+  const auto found = this->runs.find(id);
+  if (found == this->runs.end()) {
+    return;
+  }
+  const std::unique_ptr<Run> run = std::move(found->second);
+  this->runs.erase(found);
+  const TimePoint now = EventLoop::Now();
+  CompletionSample sample;
+  sample.dispatch = id;
+  sample.first_token =
+      (run->pieces > 0 ? run->first_piece : now) - run->started;
+  if (run->pieces > 1) {
+    sample.step = (run->last_piece - run->first_piece) /
+                  static_cast<std::int64_t>(run->pieces - 1);
+  }
+  Event event = this->MakeEvent(*run, EventKind::kRunEnded);
+  event.code = static_cast<int>(end.failure.code);
+  event.detail = end.failure.detail;
+  this->context.Record(std::move(event));
+  switch (end.kind) {
+    case BackEndEnd::Kind::kWhole:
+      sample.outcome = CompletionOutcome::kAnswered;
+      this->Answer(*run, Done{id, end.count, end.status, end.content_type,
+                              end.finish_reason});
+      break;
+    case BackEndEnd::Kind::kNotRun:
+      sample.outcome = end.failure.code == ResultCode::kEngineRefused
+                           ? CompletionOutcome::kEngineRefused
+                           : CompletionOutcome::kError;
+      this->Answer(*run, Refused{id, ResultCode::kNoEndpointAvailable, true,
+                                 FormatFailure(end.failure)});
+      break;
+    case BackEndEnd::Kind::kUnknown:
+      sample.outcome = CompletionOutcome::kError;
+      this->Answer(*run, OutcomeUnknown{id, ResultCode::kOutcomeUnknown,
+                                        FormatFailure(end.failure)});
+      break;
+  }
+  this->admission = RecordCompletion(std::move(this->admission), sample, now);
+  this->StartWaiting();
+}
+
+void EndpointAgent::OnCancel(const DispatchId& dispatch_id) {
+  const auto found = this->runs.find(dispatch_id);
+  if (found != this->runs.end() &&
+      (found->second->dispatch.repeatable || !found->second->begun)) {
+    this->CancelRun(dispatch_id);
+  }
+}
+
+void EndpointAgent::CancelRun(const DispatchId& id) {
+  const auto found = this->runs.find(id);
+  if (found == this->runs.end()) {
+    return;
+  }
+  this->context.Record(this->MakeEvent(*found->second, EventKind::kCancelled));
+  if (found->second->begun) {
+    this->back_end.cancel(id);
+    CompletionSample sample;
+    sample.dispatch = id;
+    sample.outcome = CompletionOutcome::kCancelled;
+    this->admission =
+        RecordCompletion(std::move(this->admission), sample, EventLoop::Now());
+  } else {
+    this->admission = WithdrawWaiting(std::move(this->admission), id).state;
+  }
+  this->runs.erase(found);
+  this->StartWaiting();
+}
+
+void EndpointAgent::StartWaiting() {
+  if (this->admission.waiting.empty()) {
+    return;
+  }
+  WaitingDecision decision =
+      TakeWaiting(std::move(this->admission), EventLoop::Now());
+  this->admission = std::move(decision.state);
+  for (const DispatchId& id : decision.started) {
+    const auto found = this->runs.find(id);
+    if (found != this->runs.end()) {
+      this->Begin(*found->second);
+    }
+  }
+  for (const RefusedDispatch& refused : decision.refused) {
+    const auto found = this->runs.find(refused.dispatch);
+    if (found != this->runs.end()) {
+      this->Refuse(*found->second, refused.code, "");
+      this->runs.erase(found);
+    }
+  }
+}
+
+void EndpointAgent::ReadLoad() {
+  if (this->reading_load) {
+    return;
+  }
+  this->reading_load = true;
+  this->engine->ReadStatus([this](const Result<EngineStatus>& status) {
+    this->reading_load = false;
+    if (!status) {
+      this->context.metrics.Count("load_reports_failed");
+      return;
+    }
+    EngineReport report;
+    report.engine = Incarnation{status.value().incarnation};
+    report.running =
+        static_cast<int>(status.value().running + status.value().queued);
+    report.step = status.value().step_time;
+    const bool known = this->admission.foreign_known;
+    this->admission =
+        RecordReport(std::move(this->admission), report, EventLoop::Now());
+    if (!known) {
+      this->SendHeartbeats();
+    }
+  });
+}
+
+void EndpointAgent::SendGrants() {
+  std::vector<GrantDemand> demand;
+  for (const auto& peer : this->peers) {
+    if (peer->session->Peer()) {
+      demand.push_back({peer->name, std::exchange(peer->demand, 0)});
+    }
+  }
+  GrantDecision decision = IssueGrants(std::move(this->admission),
+                                       std::move(demand), EventLoop::Now());
+  this->admission = std::move(decision.state);
+  for (const IssuedGrant& grant : decision.issued) {
+    for (const auto& peer : this->peers) {
+      if (peer->name == grant.holder && grant.count > 0) {
+        peer->session->Send(Grant{grant.count, grant.lifetime});
+      }
+    }
+  }
+}
+
+void EndpointAgent::SendHeartbeats() {
+  for (const auto& peer : this->peers) {
+    peer->session->SendHeartbeat();
+  }
+}
+
+void EndpointAgent::OnTick() {
+  this->admission = AdvanceTime(std::move(this->admission), EventLoop::Now());
+  this->StartWaiting();
+  for (const auto& peer : this->peers) {
+    std::erase_if(peer->unannounced, [&](const DispatchId& id) {
+      return peer->session->Send(OutcomeUnknown{id, ResultCode::kOutcomeUnknown,
+                                                "the link's queue was full"});
+    });
+  }
+  if (this->leaving && this->drained) {
+    const bool idle =
+        this->runs.empty() &&
+        std::ranges::all_of(this->peers, [](const auto& peer) {
+          return peer->session->QueuedBytes() == 0 && peer->unannounced.empty();
+        });
+    if (idle || EventLoop::Now() - this->shutdown_at >
+                    this->context.settings.drain_timeout) {
+      const auto callback = std::exchange(this->drained, nullptr);
+      callback();
+    }
+  }
+}
+
+void EndpointAgent::Shutdown(std::function<void()> on_drained) {
+  if (this->leaving) {
+    return;
+  }
+  this->leaving = true;
+  this->drained = std::move(on_drained);
+  this->shutdown_at = EventLoop::Now();
+  this->admission = SetLeaving(std::move(this->admission), true);
+  Event event;
+  event.kind = EventKind::kLeaving;
+  event.endpoint = this->context.settings.back_end->endpoint;
+  this->context.Record(std::move(event));
+  this->SendHeartbeats();
+  this->StartWaiting();
+}
+
+}  // namespace toucanhollow
