Claim keyed calls in the log before they run

The agent of a plain service calls it through service_api. A keyed call that may not be repeated is claimed in stream 'claims' by the idempotency package's state machine, which ClaimTask connects to the log: entries come by long poll from the first offset, appends go out in its batches, and results are appended after the run. A dispatch holds its slot while it waits for its claim, so that a claim that wins can always run. A cut link does not stop a keyed call that runs, because its result is kept for the repeated key.

--- /dev/null
+++ b/packages/agent/claim_task.cc
@@ -0,0 +1,152 @@
+#include "agent/claim_task.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "idempotency/claim_rate.h"
+#include "log_codec/claims_codec.h"
+#include "log_text/log.h"
+
+namespace toucanhollow {
+namespace {
+
+constexpr char kClaimsStream[] = "claims";
+// Used until the configuration tells the number of endpoints.
+constexpr int kDefaultWriters = 3;
+constexpr Duration kDefaultStartBy = Seconds(60);
+
+AppendOutcome ToAppendOutcome(AppendEnd end) {
+  switch (end) {
+    case AppendEnd::kAppended:
+      return AppendOutcome::kAcknowledged;
+    case AppendEnd::kNotAppended:
+      return AppendOutcome::kFailed;
+    case AppendEnd::kMaybeAppended:
+      break;
+  }
+  return AppendOutcome::kLost;
+}
+
+}  // namespace
+
+ClaimTask::ClaimTask(ProcessContext& process_context,
+                     PlatformLog& platform_log,
+                     ClaimTaskEvents task_events)
+    : context(process_context),
+      log(platform_log),
+      events(std::move(task_events)),
+      agent(MakeClaimAgent(process_context.settings.process,
+                           process_context.incarnation,
+                           kDefaultWriters,
+                           process_context.settings.key_memory)) {
+  this->follower = std::make_unique<LogFollower>(
+      this->context, this->log, kClaimsStream, 1,
+      LogFollowerEvents{
+          [this](const LogEntry& entry) {
+            const DecodedClaims decoded = DecodeClaims(entry);
+            this->context.metrics.Count("claims_unreadable", "",
+                                        decoded.unreadable);
+            this->Take(ReadClaims(std::move(this->agent), decoded.entry,
+                                  EventLoop::Now()));
+          },
+          [this](const LogStatus& status) {
+            const bool replayed = this->agent.replayed;
+            this->agent =
+                NoteLogEnd(std::move(this->agent), status.next_offset - 1);
+            if (!replayed && this->agent.replayed) {
+              Log(Severity::kInfo, "claims",
+                  "replayed the log up to offset " +
+                      std::to_string(status.next_offset - 1));
+            }
+          },
+          nullptr});
+}
+
+ClaimTask::~ClaimTask() {
+  *this->alive = false;
+}
+
+void ClaimTask::SetWriters(int writers) {
+  this->agent.batch_interval = ClaimBatchInterval(std::max(1, writers));
+}
+
+std::size_t ClaimTask::Unsettled() const {
+  return this->agent.pending.size() + this->agent.queue.size() +
+         this->agent.outstanding.size();
+}
+
+Result<bool> ClaimTask::Receive(const Dispatch& dispatch) {
+  Result<ScopedKey> key =
+      ParseKey(dispatch.account, dispatch.service, dispatch.idempotency_key);
+  if (!key) {
+    return key.error();
+  }
+  KeyedDispatch keyed;
+  keyed.id = dispatch.dispatch_id;
+  keyed.key = std::move(key).value();
+  keyed.digest = RequestDigest(dispatch.method, dispatch.path, dispatch.body);
+  keyed.receiver = dispatch.receiver;
+  keyed.start_by =
+      EventLoop::Now() +
+      (dispatch.remaining > Duration(0) ? dispatch.remaining : kDefaultStartBy);
+  this->Take(ReceiveDispatch(std::move(this->agent), keyed,
+                             EventLoop::WallNow(), EventLoop::Now()));
+  return true;
+}
+
+void ClaimTask::Cancel(const DispatchId& dispatch) {
+  this->agent = CancelDispatch(std::move(this->agent), dispatch);
+}
+
+void ClaimTask::RunEnded(const DispatchId& dispatch,
+                         RunEnd end,
+                         int http_status,
+                         std::string body) {
+  this->Take(RecordRunEnd(std::move(this->agent), dispatch, end, http_status,
+                          std::move(body)));
+}
+
+void ClaimTask::Take(ClaimStep step) {
+  this->agent = std::move(step.agent);
+  for (const ClaimAction& action : step.actions) {
+    if (const auto* run = std::get_if<RunDispatch>(&action)) {
+      this->events.run(run->dispatch);
+    } else if (const auto* answer = std::get_if<AnswerDispatch>(&action)) {
+      this->events.answer(answer->dispatch, answer->result);
+    } else if (const auto* refuse = std::get_if<RefuseDispatch>(&action)) {
+      this->events.refuse(refuse->dispatch, refuse->code);
+    } else if (const auto* append = std::get_if<AppendClaims>(&action)) {
+      this->context.metrics.Count("claim_appends");
+      this->log.Append(
+          kClaimsStream, {EncodeClaims(append->records)}, "",
+          [this, guard = this->alive](const LogAppendOutcome& outcome) {
+            if (*guard) {
+              this->OnAppended(outcome);
+            }
+          });
+    }
+  }
+  const auto next = NextClaimWork(this->agent);
+  if (!next) {
+    this->timer.reset();
+    return;
+  }
+  const Duration delay = std::max(Duration(0), *next - EventLoop::Now());
+  this->timer = std::make_unique<Timer>(this->context.loop, delay, Duration(0),
+                                        [this] { this->Advance(); });
+}
+
+void ClaimTask::Advance() {
+  this->Take(AdvanceClaims(std::move(this->agent), EventLoop::Now()));
+}
+
+void ClaimTask::OnAppended(const LogAppendOutcome& outcome) {
+  if (outcome.end != AppendEnd::kAppended) {
+    this->context.metrics.Count("claim_appends_failed");
+    Log(Severity::kWarning, "claims", "an append failed: " + outcome.detail);
+  }
+  this->Take(RecordAppend(std::move(this->agent), ToAppendOutcome(outcome.end),
+                          EventLoop::Now()));
+}
+
+}  // namespace toucanhollow
--- a/packages/agent/endpoint_agent.cc
+++ b/packages/agent/endpoint_agent.cc
@@ -10,6 +10,7 @@
 #include "admission/limit.h"
 #include "admission/service_state.h"
 #include "agent/engine_back_end.h"
+#include "agent/service_back_end.h"
 #include "log_text/log.h"
 #include "operator_api/operator_api.h"
 #include "settings/parse_address.h"
@@ -40,10 +41,18 @@
   TimePoint first_piece;
   TimePoint last_piece;
   std::uint64_t pieces = 0;
+  // A keyed call is claimed in the log before it runs; its body is kept to be
+  // appended as the result.
+  bool keyed = false;
+  std::string body;
 };
 
 EndpointAgent::EndpointAgent(ProcessContext& process_context)
-    : context(process_context), client(process_context.loop) {}
+    : context(process_context),
+      client(process_context.loop),
+      log(this->client,
+          PlatformLogOptions{
+              FormatAddress(process_context.settings.platform_log)}) {}
 
 EndpointAgent::~EndpointAgent() = default;
 
@@ -74,16 +83,49 @@
   return heartbeat;
 }
 
+void EndpointAgent::MakeBackEnd() {
+  const BackEndSettings& settings = *this->context.settings.back_end;
+  AdmissionParameters parameters;
+  if (settings.kind == BackEndKind::kEngine) {
+    EngineClientOptions options;
+    options.address = FormatAddress(settings.address);
+    this->engine =
+        std::make_unique<EngineClient>(this->client, std::move(options));
+    this->back_end = MakeEngineBackEnd(*this->engine);
+  } else {
+    parameters.reports_load = false;
+    parameters.first_token_target = Duration(0);
+    parameters.step_target = Duration(0);
+    ServiceClientOptions options;
+    options.address = FormatAddress(settings.address);
+    this->service =
+        std::make_unique<ServiceClient>(this->client, std::move(options));
+    this->back_end = MakeServiceBackEnd(*this->service);
+    this->claims = std::make_unique<ClaimTask>(
+        this->context, this->log,
+        ClaimTaskEvents{
+            [this](const DispatchId& id) {
+              const auto found = this->runs.find(id);
+              if (found != this->runs.end()) {
+                this->context.Record(
+                    this->MakeEvent(*found->second, EventKind::kClaimed));
+                this->StartBackEnd(*found->second);
+              }
+            },
+            [this](const DispatchId& id, const ResultRecord& result) {
+              this->OnKeptAnswer(id, result);
+            },
+            [this](const DispatchId& id, ResultCode code) {
+              this->OnClaimRefused(id, code);
+            }});
+  }
+  this->admission = MakeAdmissionState(parameters, this->context.incarnation,
+                                       EventLoop::Now());
+}
+
 Result<bool> EndpointAgent::Start() {
   const Settings& settings = this->context.settings;
-  const BackEndSettings& back_end_settings = *settings.back_end;
-  EngineClientOptions engine_options;
-  engine_options.address = FormatAddress(back_end_settings.address);
-  this->engine =
-      std::make_unique<EngineClient>(this->client, std::move(engine_options));
-  this->back_end = MakeEngineBackEnd(*this->engine);
-  this->admission = MakeAdmissionState(
-      AdmissionParameters{}, this->context.incarnation, EventLoop::Now());
+  this->MakeBackEnd();
 
   SessionSelf self;
   self.hello = [this] {
@@ -214,7 +256,23 @@
   }
 }
 
+// The dispatch holds a slot.
 void EndpointAgent::Begin(Run& run) {
+  const DispatchId id = run.dispatch.dispatch_id;
+  run.keyed = this->claims && !run.dispatch.repeatable &&
+              !run.dispatch.idempotency_key.empty();
+  if (!run.keyed) {
+    this->StartBackEnd(run);
+    return;
+  }
+  const Result<bool> received = this->claims->Receive(run.dispatch);
+  if (!received) {
+    this->Refuse(run, received.error().code, received.error().detail);
+    this->FreeUnrunSlot(id);
+  }
+}
+
+void EndpointAgent::StartBackEnd(Run& run) {
   run.begun = true;
   run.started = EventLoop::Now();
   this->context.Record(this->MakeEvent(run, EventKind::kRunStarted));
@@ -229,6 +287,48 @@
   this->Answer(run, Accepted{id});
 }
 
+// Ends a dispatch that held a slot and was not run.
+void EndpointAgent::FreeUnrunSlot(const DispatchId& id) {
+  CompletionSample sample;
+  sample.dispatch = id;
+  sample.outcome = CompletionOutcome::kNotRun;
+  this->admission =
+      RecordCompletion(std::move(this->admission), sample, EventLoop::Now());
+  // The run may be on the call stack of its caller.
+  Post(this->context.loop, [this, id] {
+    this->runs.erase(id);
+    this->StartWaiting();
+  });
+}
+
+void EndpointAgent::OnKeptAnswer(const DispatchId& id,
+                                 const ResultRecord& result) {
+  const auto found = this->runs.find(id);
+  if (found == this->runs.end()) {
+    return;
+  }
+  Event event = this->MakeEvent(*found->second, EventKind::kRunEnded);
+  event.code = static_cast<int>(ResultCode::kAnswered);
+  event.detail = "the log holds the answer of an earlier run";
+  this->context.Record(std::move(event));
+  this->Answer(*found->second, Token{id, 0, result.body});
+  this->Answer(*found->second, Done{id, 1, result.http_status, "", ""});
+  this->FreeUnrunSlot(id);
+}
+
+void EndpointAgent::OnClaimRefused(const DispatchId& id, ResultCode code) {
+  const auto found = this->runs.find(id);
+  if (found == this->runs.end()) {
+    return;
+  }
+  if (IsCertainlyNotRun(code)) {
+    this->Refuse(*found->second, code, "");
+  } else {
+    this->Answer(*found->second, OutcomeUnknown{id, code, ""});
+  }
+  this->FreeUnrunSlot(id);
+}
+
 void EndpointAgent::Answer(const Run& run, const Message& message) {
   const auto peer = run.peer.lock();
   if (peer && !peer->session->Send(message)) {
@@ -262,12 +362,17 @@
     run.first_piece = run.last_piece;
     this->context.Record(this->MakeEvent(run, EventKind::kFirstToken));
   }
+  if (run.keyed) {
+    run.body += text;
+  }
   const auto peer = run.peer.lock();
   if (peer && !peer->session->Send(Token{id, index, std::string(text)})) {
     // A stream with a missing token is of no use; the attempt ends.
     this->context.metrics.Count("streams_closed_by_full_queue");
     peer->unannounced.push_back(id);
-    Post(this->context.loop, [this, id] { this->CancelRun(id); });
+    if (!run.keyed) {
+      Post(this->context.loop, [this, id] { this->CancelRun(id); });
+    }
   }
 }
 
@@ -291,6 +396,14 @@
   event.code = static_cast<int>(end.failure.code);
   event.detail = end.failure.detail;
   this->context.Record(std::move(event));
+  if (run->keyed) {
+    const RunEnd run_end =
+        end.kind == BackEndEnd::Kind::kWhole
+            ? RunEnd::kAnswered
+            : (end.kind == BackEndEnd::Kind::kNotRun ? RunEnd::kNotRun
+                                                     : RunEnd::kUnknown);
+    this->claims->RunEnded(id, run_end, end.status, std::move(run->body));
+  }
   switch (end.kind) {
     case BackEndEnd::Kind::kWhole:
       sample.outcome = CompletionOutcome::kAnswered;
@@ -328,6 +441,11 @@
     return;
   }
   this->context.Record(this->MakeEvent(*found->second, EventKind::kCancelled));
+  if (!found->second->begun && found->second->keyed) {
+    this->claims->Cancel(id);
+    this->FreeUnrunSlot(id);
+    return;
+  }
   if (found->second->begun) {
     this->back_end.cancel(id);
     CompletionSample sample;
@@ -365,7 +483,7 @@
 }
 
 void EndpointAgent::ReadLoad() {
-  if (this->reading_load) {
+  if (this->reading_load || !this->engine) {
     return;
   }
   this->reading_load = true;
@@ -426,6 +544,7 @@
   if (this->leaving && this->drained) {
     const bool idle =
         this->runs.empty() &&
+        (!this->claims || this->claims->Unsettled() == 0) &&
         std::ranges::all_of(this->peers, [](const auto& peer) {
           return peer->session->QueuedBytes() == 0 && peer->unannounced.empty();
         });
--- a/packages/agent/endpoint_agent.h
+++ b/packages/agent/endpoint_agent.h
@@ -11,10 +11,13 @@
 
 #include "admission/admission_state.h"
 #include "agent/back_end.h"
+#include "agent/claim_task.h"
 #include "base/result.h"
 #include "engine_api/engine_client.h"
 #include "http_client/http_client.h"
 #include "http_server/http_server.h"
+#include "platform_log/platform_log.h"
+#include "service_api/service_client.h"
 #include "session/process_context.h"
 #include "session/session.h"
 
@@ -41,6 +44,11 @@
   void OnDispatch(const std::shared_ptr<Peer>& peer, Dispatch dispatch);
   void OnCancel(const DispatchId& dispatch_id);
   void Begin(Run& run);
+  void StartBackEnd(Run& run);
+  void OnKeptAnswer(const DispatchId& id, const ResultRecord& result);
+  void OnClaimRefused(const DispatchId& id, ResultCode code);
+  void FreeUnrunSlot(const DispatchId& id);
+  void MakeBackEnd();
   void OnPiece(const DispatchId& id,
                std::uint64_t index,
                std::string_view text);
@@ -58,9 +66,14 @@
 
   ProcessContext& context;
   HttpClient client;
+  PlatformLog log;
+  // One of the two, by the kind of back end.
   std::unique_ptr<EngineClient> engine;
+  std::unique_ptr<ServiceClient> service;
   BackEnd back_end;
   AdmissionState admission;
+  // Only for plain services.
+  std::unique_ptr<ClaimTask> claims;
   bool leaving = false;
   std::unique_ptr<SessionListener> listener;
   std::unique_ptr<HttpServer> http;
