--- /dev/null
+++ b/packages/membership/drain.cc
@@ -0,0 +1,26 @@
+#include "membership/drain.h"
+
+namespace toucanhollow {
+
+EntryDrain BeginEntryDrain(const EntryDrain& drain,
+                           Duration balancer_lag,
+                           TimePoint now) {
+  return drain.phase == EntryDrainPhase::kServing
+             ? EntryDrain{EntryDrainPhase::kNotReady, now + balancer_lag}
+             : drain;
+}
+
+EntryDrain StepEntryDrain(const EntryDrain& drain,
+                          int in_flight,
+                          TimePoint now) {
+  EntryDrain next = drain;
+  if (next.phase == EntryDrainPhase::kNotReady && now >= next.close_at) {
+    next.phase = EntryDrainPhase::kClosed;
+  }
+  if (next.phase == EntryDrainPhase::kClosed && in_flight == 0) {
+    next.phase = EntryDrainPhase::kExit;
+  }
+  return next;
+}
+
+}  // namespace toucanhollow
