Rename the heartbeat of membership

Cause: wire defines a message Heartbeat, and all packages share a namespace. Conclusion: MemberHeartbeat is what membership needs of it; scripts/check_names passes.

--- a/packages/membership/membership_state.cc
+++ b/packages/membership/membership_state.cc
@@ -24,7 +24,7 @@
 }
 
 HeartbeatDecision OnHeartbeat(MembershipState&& state,
-                              const Heartbeat& heartbeat,
+                              const MemberHeartbeat& heartbeat,
                               TimePoint now) {
   HeartbeatDecision decision{std::move(state), false, false, false, false};
   Member& member = decision.state.members[heartbeat.sender];
--- a/packages/membership/membership_state.h
+++ b/packages/membership/membership_state.h
@@ -53,7 +53,7 @@
   bool operator==(const MembershipState&) const = default;
 };
 
-struct Heartbeat {
+struct MemberHeartbeat {
   ProcessName sender;
   Role role = Role::kEndpoint;
   DataCentreName data_centre;
@@ -61,7 +61,7 @@
   bool leaving = false;
   std::int64_t config_offset = 0;
 
-  bool operator==(const Heartbeat&) const = default;
+  bool operator==(const MemberHeartbeat&) const = default;
 };
 
 // What a heartbeat changed. The state is taken by move because it holds all
@@ -80,7 +80,7 @@
 };
 
 HeartbeatDecision OnHeartbeat(MembershipState&& state,
-                              const Heartbeat& heartbeat,
+                              const MemberHeartbeat& heartbeat,
                               TimePoint now);
 
 // A closed link makes its member suspected at once.
--- a/packages/membership/membership_test.cc
+++ b/packages/membership/membership_test.cc
@@ -18,8 +18,8 @@
   return TimePoint(Milliseconds(ms));
 }
 
-Heartbeat Beat(std::uint64_t incarnation = 1, bool leaving = false) {
-  Heartbeat heartbeat;
+MemberHeartbeat Beat(std::uint64_t incarnation = 1, bool leaving = false) {
+  MemberHeartbeat heartbeat;
   heartbeat.sender = ProcessName{"agent"};
   heartbeat.incarnation = Incarnation{incarnation};
   heartbeat.leaving = leaving;
@@ -27,7 +27,7 @@
 }
 
 HeartbeatDecision Hear(MembershipState& state,
-                       const Heartbeat& heartbeat,
+                       const MemberHeartbeat& heartbeat,
                        TimePoint now) {
   HeartbeatDecision decision = OnHeartbeat(std::move(state), heartbeat, now);
   state = decision.state;
