--- a/standins/engine/engine_stand_in.cc
+++ b/standins/engine/engine_stand_in.cc
@@ -451,7 +451,7 @@
   } else if (request.path == "/v1/status") {
     writer->Respond(200, json, EncodeEngineStatus(this->reported));
   } else if (request.path == "/v1/cache_events") {
-    CacheEvents events =
+    EngineCacheEvents events =
         this->cache.EventsFrom(NumberOf(request, "from", 1), EventLoop::Now());
     events.incarnation = this->incarnation;
     writer->Respond(200, json, EncodeCacheEvents(events));
--- a/standins/engine/engine_stand_in_test.cc
+++ b/standins/engine/engine_stand_in_test.cc
@@ -243,12 +243,12 @@
   CHECK(cache.Use({1, 2, 3, 4, 5}, now) == 0);
   CHECK(cache.Use({2, 3, 9}, now) == 2);
   CHECK(cache.EventsFrom(1, now).events.empty());
-  const CacheEvents seen = cache.EventsFrom(2, now + options.event_delay);
-  CHECK(seen.events == std::vector<CacheEvent>{{2, true, 2},
-                                               {4, true, 4},
-                                               {5, true, 5},
-                                               {7, true, 9},
-                                               {8, false, 4}});
+  const EngineCacheEvents seen = cache.EventsFrom(2, now + options.event_delay);
+  CHECK(seen.events == std::vector<EngineCacheEvent>{{2, true, 2},
+                                                     {4, true, 4},
+                                                     {5, true, 5},
+                                                     {7, true, 9},
+                                                     {8, false, 4}});
 }
 
 }  // namespace
--- a/standins/engine/prefix_cache.cc
+++ b/standins/engine/prefix_cache.cc
@@ -44,8 +44,9 @@
   this->events.clear();
 }
 
-CacheEvents PrefixCache::EventsFrom(std::int64_t from, TimePoint now) const {
-  CacheEvents result;
+EngineCacheEvents PrefixCache::EventsFrom(std::int64_t from,
+                                          TimePoint now) const {
+  EngineCacheEvents result;
   result.next = from;
   for (const TimedEvent& timed : this->events) {
     if (timed.event.sequence >= from && timed.visible_at <= now) {
--- a/standins/engine/prefix_cache.h
+++ b/standins/engine/prefix_cache.h
@@ -33,11 +33,11 @@
   std::size_t Use(const std::vector<std::uint64_t>& blocks, TimePoint now);
   void Clear();
   // Events from `from` on that are old enough to be seen.
-  CacheEvents EventsFrom(std::int64_t from, TimePoint now) const;
+  EngineCacheEvents EventsFrom(std::int64_t from, TimePoint now) const;
 
  private:
   struct TimedEvent {
-    CacheEvent event;
+    EngineCacheEvent event;
     TimePoint visible_at;
   };
   void Report(bool stored, std::uint64_t block, TimePoint now);
