--- /dev/null
+++ b/packages/config/config_view.h
@@ -0,0 +1,88 @@
+// The configuration in force, as routing, fairness and the tasks read it.
+#ifndef CONFIG_CONFIG_VIEW_H_
+#define CONFIG_CONFIG_VIEW_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/log_entry.h"
+#include "base/name.h"
+#include "config/config_content.h"
+#include "config/config_fold.h"
+
+namespace toucanhollow {
+
+struct DataCentreView {
+  DataCentreContent content;
+  LogOffset revision = 0;
+
+  bool operator==(const DataCentreView&) const = default;
+};
+
+struct EndpointView {
+  EndpointName name;
+  EndpointContent content;
+  LogOffset revision = 0;
+  // The endpoint's and its data centre's records both say so. A data centre
+  // without a record in force counts as out, since nothing says that operators
+  // want work there.
+  bool in_service = false;
+  // Its own limit, or that of its service.
+  int full_limit = kDefaultFullLimit;
+
+  bool operator==(const EndpointView&) const = default;
+};
+
+struct ServiceView {
+  ServiceName name;
+  LogOffset revision = 0;
+  // Exactly one of the two is present.
+  std::optional<ModelGroupContent> group;
+  std::optional<PlainServiceContent> plain;
+  // All endpoints of the service by name, in service or not.
+  std::vector<EndpointName> endpoints;
+
+  bool operator==(const ServiceView&) const = default;
+};
+
+struct ConfigView {
+  // The highest offset that the view reflects.
+  LogOffset as_of = 0;
+  // False while neither the log nor a peer has told the configuration.
+  bool ready = false;
+  std::map<ServiceName, ServiceView> services;
+  std::map<EndpointName, EndpointView> endpoints;
+  std::map<DataCentreName, DataCentreView> data_centres;
+  std::map<AccountName, AccountContent> accounts;
+
+  bool operator==(const ConfigView&) const = default;
+};
+
+ConfigView MakeConfigView(const ConfigState& state);
+
+// The endpoints of the service that may receive work.
+std::vector<EndpointView> EndpointsInService(const ConfigView& view,
+                                             const ServiceName& service);
+
+// The groups that serve the model to the account.
+std::vector<ServiceName> GroupsOfModel(const ConfigView& view,
+                                       std::string_view model,
+                                       const AccountName& account);
+
+// The account's share of the service, 0 if no record lets it use the service.
+double ShareOf(const ConfigView& view,
+               const ServiceName& service,
+               const AccountName& account);
+
+// Whether the call may be repeated. The longest matching prefix decides; a
+// query string is no part of the path. Calls of model groups are repeatable.
+bool IsRepeatable(const ServiceView& service,
+                  std::string_view method,
+                  std::string_view path);
+
+}  // namespace toucanhollow
+
+#endif  // CONFIG_CONFIG_VIEW_H_
