--- a/packages/base/incarnation.h
+++ b/packages/base/incarnation.h
@@ -13,8 +13,7 @@
   std::uint64_t value = 0;
 
   bool operator==(const Incarnation&) const = default;
-  // clang-tidy 14 mistakes a defaulted <=> for a use of 0 as a pointer.
-  // NOLINTNEXTLINE(modernize-use-nullptr)
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads <=>.
   auto operator<=>(const Incarnation&) const = default;
 };
 
--- a/packages/idempotency/idempotency_key.h
+++ b/packages/idempotency/idempotency_key.h
@@ -29,8 +29,6 @@
   std::string token;
 
   bool operator==(const ScopedKey&) const = default;
-  // clang-tidy 14 mistakes a defaulted <=> for a use of 0 as a pointer.
-  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const ScopedKey&) const = default;
 };
 
