--- a/packages/config/config_content.h
+++ b/packages/config/config_content.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "base/address.h"
 #include "base/name.h"
 
 namespace toucanhollow {
@@ -69,13 +70,6 @@
   bool operator==(const DataCentreContent&) const = default;
 };
 
-struct Address {
-  std::string ip;
-  std::uint16_t port = 0;
-
-  bool operator==(const Address&) const = default;
-};
-
 // An endpoint. Subject: its name.
 struct EndpointContent {
   ServiceName service;
--- a/packages/config/config_view.cc
+++ b/packages/config/config_view.cc
@@ -31,7 +31,7 @@
     this->view.data_centres[{this->name}] = {data_centre, this->revision};
   }
   void operator()(const EndpointContent& endpoint) const {
-    EndpointView& entry = this->view.endpoints[{this->name}];
+    ConfiguredEndpoint& entry = this->view.endpoints[{this->name}];
     entry.name = {this->name};
     entry.content = endpoint;
     entry.revision = this->revision;
@@ -53,7 +53,7 @@
   return service.group ? service.group->full_limit : service.plain->full_limit;
 }
 
-void LinkEndpoint(ConfigView& view, EndpointView& endpoint) {
+void LinkEndpoint(ConfigView& view, ConfiguredEndpoint& endpoint) {
   const auto data_centre = view.data_centres.find(endpoint.content.data_centre);
   endpoint.in_service = endpoint.content.in_service &&
                         data_centre != view.data_centres.end() &&
@@ -86,15 +86,15 @@
   return view;
 }
 
-std::vector<EndpointView> EndpointsInService(const ConfigView& view,
-                                             const ServiceName& service) {
-  std::vector<EndpointView> endpoints;
+std::vector<ConfiguredEndpoint> EndpointsInService(const ConfigView& view,
+                                                   const ServiceName& service) {
+  std::vector<ConfiguredEndpoint> endpoints;
   const auto found = view.services.find(service);
   if (found == view.services.end()) {
     return endpoints;
   }
   for (const EndpointName& name : found->second.endpoints) {
-    const EndpointView& endpoint = view.endpoints.at(name);
+    const ConfiguredEndpoint& endpoint = view.endpoints.at(name);
     if (endpoint.in_service) {
       endpoints.push_back(endpoint);
     }
--- a/packages/config/config_view.h
+++ b/packages/config/config_view.h
@@ -15,14 +15,14 @@
 
 namespace toucanhollow {
 
-struct DataCentreView {
+struct ConfiguredDataCentre {
   DataCentreContent content;
   LogOffset revision = 0;
 
-  bool operator==(const DataCentreView&) const = default;
+  bool operator==(const ConfiguredDataCentre&) const = default;
 };
 
-struct EndpointView {
+struct ConfiguredEndpoint {
   EndpointName name;
   EndpointContent content;
   LogOffset revision = 0;
@@ -33,7 +33,7 @@
   // Its own limit, or that of its service.
   int full_limit = kDefaultFullLimit;
 
-  bool operator==(const EndpointView&) const = default;
+  bool operator==(const ConfiguredEndpoint&) const = default;
 };
 
 struct ServiceView {
@@ -54,8 +54,8 @@
   // False while neither the log nor a peer has told the configuration.
   bool ready = false;
   std::map<ServiceName, ServiceView> services;
-  std::map<EndpointName, EndpointView> endpoints;
-  std::map<DataCentreName, DataCentreView> data_centres;
+  std::map<EndpointName, ConfiguredEndpoint> endpoints;
+  std::map<DataCentreName, ConfiguredDataCentre> data_centres;
   std::map<AccountName, AccountContent> accounts;
 
   bool operator==(const ConfigView&) const = default;
@@ -64,8 +64,8 @@
 ConfigView MakeConfigView(const ConfigState& state);
 
 // The endpoints of the service that may receive work.
-std::vector<EndpointView> EndpointsInService(const ConfigView& view,
-                                             const ServiceName& service);
+std::vector<ConfiguredEndpoint> EndpointsInService(const ConfigView& view,
+                                                   const ServiceName& service);
 
 // The groups that serve the model to the account.
 std::vector<ServiceName> GroupsOfModel(const ConfigView& view,
--- a/packages/request/on_event_test.cc
+++ b/packages/request/on_event_test.cc
@@ -172,10 +172,8 @@
 TEST_CASE("an outcome that the log leaves unknown is not voided") {
   Caller caller(false, true);
   caller.Start("a");
-  caller.On(AttemptFailed{{"a"},
-                          kRun,
-                          false,
-                          {ResultCode::kKeyOutcomeUnknown, "claimed before"}});
+  caller.On(AttemptFailed{
+      {"a"}, kRun, false, {ResultCode::kKeyOutcomeUnknown, "claimed before"}});
   REQUIRE(caller.failed);
   CHECK(caller.failed->code == ResultCode::kKeyOutcomeUnknown);
 }
--- a/standins/log/log_stand_in_test.cc
+++ b/standins/log/log_stand_in_test.cc
@@ -33,7 +33,7 @@
   }
 
   LogAppendOutcome Append(const std::vector<std::string>& payloads,
-                       const std::string& id = "") {
+                          const std::string& id = "") {
     LogAppendOutcome result;
     this->log->Append("claims", payloads, id, [&](LogAppendOutcome outcome) {
       result = std::move(outcome);
