--- a/packages/membership/membership_state.h
+++ b/packages/membership/membership_state.h
@@ -14,7 +14,7 @@
 
 namespace toucanhollow {
 
-enum class Role { kEntryHost, kEndpoint };
+enum class MemberRole { kEntryHost, kEndpoint };
 
 struct MembershipParameters {
   Duration heartbeat_interval = Seconds(1);
@@ -29,7 +29,7 @@
 
 struct Member {
   ProcessName name;
-  Role role = Role::kEndpoint;
+  MemberRole role = MemberRole::kEndpoint;
   DataCentreName data_centre;
   Incarnation incarnation;
   // Nothing until the first heartbeat.
@@ -55,7 +55,7 @@
 
 struct MemberHeartbeat {
   ProcessName sender;
-  Role role = Role::kEndpoint;
+  MemberRole role = MemberRole::kEndpoint;
   DataCentreName data_centre;
   Incarnation incarnation;
   bool leaving = false;
@@ -92,7 +92,7 @@
 
 struct HostListEntry {
   ProcessName name;
-  Role role = Role::kEndpoint;
+  MemberRole role = MemberRole::kEndpoint;
   DataCentreName data_centre;
   bool leaving = false;
 
