End a voided request by the answer that the log holds

Cause: a keyed call whose dispatch was lost got an unknown outcome although its result stood in the log. Conclusion: the entry host ends such a request by the kept answer; the new test case covers it, and a kept answer of another dispatch is ignored. Measured: nothing was timed.

--- a/packages/request/on_event.cc
+++ b/packages/request/on_event.cc
@@ -165,6 +165,19 @@
   ContinueOrFail(step);
 }
 
+void Apply(RequestStep& step, const KeptAnswer& event) {
+  RequestLife& life = step.life;
+  if (life.voiding != event.dispatch_id) {
+    return;
+  }
+  life.voiding.reset();
+  life.ended = true;
+  ++life.delivered;
+  life.delivered_text += event.text;
+  step.actions.emplace_back(DeliverPiece{event.text});
+  step.actions.emplace_back(FinishWhole{event.end});
+}
+
 void Apply(RequestStep& step, const NoAttemptPossible& event) {
   // A hedge that finds no endpoint leaves the request to its open attempt.
   if (!step.life.attempts.empty() || step.life.voiding) {
--- a/packages/request/on_event_test.cc
+++ b/packages/request/on_event_test.cc
@@ -178,6 +178,20 @@
   CHECK(caller.failed->code == ResultCode::kKeyOutcomeUnknown);
 }
 
+// Guards against a second run, or an unknown outcome, of a call whose answer
+// the log holds.
+TEST_CASE("an answer kept in the log ends the request") {
+  Caller caller(false, true);
+  caller.Start("a");
+  caller.Lose("a");
+  caller.On(KeptAnswer{{"b"}, "other", {1, 200, "", ""}});
+  CHECK_FALSE(caller.whole);
+  caller.On(KeptAnswer{{"a"}, "kept", {1, 201, "", ""}});
+  REQUIRE(caller.whole);
+  CHECK(caller.whole->status == 201);
+  CHECK(caller.text == "kept");
+}
+
 // Guards against two samplings mixed in one answer, and against hedges that
 // run on after the other attempt answered.
 TEST_CASE("the first attempt that answers cancels the others") {
--- a/packages/request/request_event.h
+++ b/packages/request/request_event.h
@@ -51,6 +51,13 @@
   Failure failure;
 };
 
+// The log holds the answer of the dispatch that was to be voided.
+struct KeptAnswer {
+  DispatchId dispatch_id;
+  std::string text;
+  AnswerEnd end;
+};
+
 // No attempt can be started now: no endpoint, or the retry budget is spent.
 struct NoAttemptPossible {
   Failure failure;
@@ -65,6 +72,7 @@
                                   EndArrived,
                                   AttemptFailed,
                                   VoidSettled,
+                                  KeptAnswer,
                                   NoAttemptPossible,
                                   DeadlinePassed,
                                   CallerLeft>;
