--- /dev/null
+++ b/packages/config_follow/config_task.cc
@@ -0,0 +1,176 @@
+#include "config_follow/config_task.h"
+
+#include <set>
+#include <utility>
+
+#include "config/plan_refresh.h"
+#include "log_codec/config_codec.h"
+#include "log_text/log.h"
+
+namespace toucanhollow {
+namespace {
+
+constexpr char kConfigStream[] = "config";
+// A record usually comes by the log within this time; a snapshot of 1,100
+// endpoints is some 300 KB and is asked for only after it.
+constexpr Duration kLogHeadStart = Seconds(2);
+constexpr Duration kRequestInterval = Seconds(1);
+constexpr Duration kRefreshCheck = Seconds(1);
+
+}  // namespace
+
+ConfigTask::ConfigTask(ProcessContext& process_context,
+                       PlatformLog& platform_log,
+                       std::function<void(const ConfigView&)> on_changed)
+    : context(process_context),
+      log(platform_log),
+      changed(std::move(on_changed)) {
+  this->follower = std::make_unique<LogFollower>(
+      this->context, this->log, kConfigStream, 1,
+      LogFollowerEvents{
+          [this](const LogEntry& entry) {
+            this->Take(FoldEntry(std::move(this->state), DecodeConfig(entry)));
+          },
+          [this](const LogStatus& status) {
+            this->log_status = status;
+            this->state =
+                NoteConfigEnd(std::move(this->state), status.next_offset - 1);
+            this->Publish();
+          },
+          nullptr});
+}
+
+ConfigTask::~ConfigTask() {
+  *this->alive = false;
+}
+
+const ConfigView& ConfigTask::View() const {
+  return this->view;
+}
+
+LogOffset ConfigTask::Offset() const {
+  return ConfigOffset(this->state);
+}
+
+void ConfigTask::Take(ConfigStep step) {
+  this->state = std::move(step.state);
+  for (const ConfigReport& report : step.reports) {
+    Event event;
+    event.kind = report.failure.code == ResultCode::kRecordRevisionConflict
+                     ? EventKind::kRecordVoid
+                     : EventKind::kRecordSeen;
+    event.subject = report.subject.kind + "/" + report.subject.name;
+    event.code = static_cast<int>(report.failure.code);
+    event.detail = "offset " + std::to_string(report.offset) + ": " +
+                   report.failure.detail;
+    this->context.Record(std::move(event));
+    this->context.metrics.Count(
+        "config_reports",
+        "code=\"" + std::to_string(static_cast<int>(report.failure.code)) +
+            "\"");
+  }
+}
+
+// Tells the owner if what is in force has changed.
+void ConfigTask::Publish() {
+  ConfigView now = MakeConfigView(this->state);
+  const LogOffset before = this->view.as_of;
+  const bool same = now.ready == this->view.ready &&
+                    now.services == this->view.services &&
+                    now.endpoints == this->view.endpoints &&
+                    now.data_centres == this->view.data_centres &&
+                    now.accounts == this->view.accounts;
+  this->view = std::move(now);
+  if (same) {
+    return;
+  }
+  for (const auto& [subject, known] : this->state.subjects) {
+    const LogOffset revision = RevisionOf(this->state, subject);
+    if (revision > before) {
+      Event event;
+      event.kind = EventKind::kRecordInForce;
+      event.subject = subject.kind + "/" + subject.name;
+      event.detail = "revision " + std::to_string(revision);
+      this->context.Record(std::move(event));
+    }
+  }
+  this->changed(this->view);
+}
+
+void ConfigTask::OnPeerMessage(
+    const Message& message,
+    const std::function<void(const Message& reply)>& reply) {
+  const TimePoint now = EventLoop::Now();
+  if (const auto* heartbeat = std::get_if<Heartbeat>(&message)) {
+    if (heartbeat->config_offset <= this->Offset()) {
+      this->behind_since.reset();
+      return;
+    }
+    if (!this->behind_since) {
+      this->behind_since = now;
+    }
+    const bool due =
+        !this->view.ready || now - *this->behind_since >= kLogHeadStart;
+    if (due && now - this->last_request >= kRequestInterval) {
+      this->last_request = now;
+      reply(SnapshotRequest{this->Offset()});
+    }
+  } else if (std::holds_alternative<SnapshotRequest>(message)) {
+    if (this->view.ready) {
+      reply(
+          Snapshot{this->Offset(), EncodeSnapshot(TakeSnapshot(this->state))});
+    }
+  } else if (const auto* sent = std::get_if<Snapshot>(&message)) {
+    const Result<ConfigSnapshot> snapshot = DecodeSnapshot(sent->text);
+    if (!snapshot) {
+      Log(Severity::kWarning, "config",
+          "a peer's snapshot: " + FormatFailure(snapshot.error()));
+      return;
+    }
+    this->Take(MergeSnapshot(std::move(this->state), snapshot.value()));
+    Event event;
+    event.kind = EventKind::kSnapshotMerged;
+    event.detail = "as of offset " + std::to_string(sent->as_of);
+    this->context.Record(std::move(event));
+    this->Publish();
+  }
+}
+
+void ConfigTask::StartRefresh(std::function<std::vector<ProcessName>()> list) {
+  this->hosts = std::move(list);
+  this->refresh_timer =
+      std::make_unique<Timer>(this->context.loop, kRefreshCheck, kRefreshCheck,
+                              [this] { this->Refresh(); });
+}
+
+void ConfigTask::Refresh() {
+  if (this->refreshing || !this->follower->IsReachable()) {
+    return;
+  }
+  RefreshLogStatus status;
+  status.healthy = true;
+  status.end = this->log_status.next_offset - 1;
+  status.retention = this->log_status.retention;
+  const RefreshPlan plan =
+      PlanRefresh(this->state, status, this->context.settings.process,
+                  this->hosts(), EventLoop::WallNow());
+  if (plan.refresh.subjects.empty()) {
+    return;
+  }
+  this->refreshing = true;
+  this->context.metrics.Count("config_refreshes");
+  Event event;
+  event.kind = EventKind::kRecordRefreshed;
+  event.detail = std::to_string(plan.refresh.subjects.size()) + " subjects";
+  this->context.Record(std::move(event));
+  this->log.Append(kConfigStream, {EncodeRefresh(plan.refresh)}, "",
+                   [this, guard = this->alive](const LogAppendOutcome&) {
+                     // A lost answer needs nothing: an entry that stands in
+                     // the log is read, and otherwise the refresh is due again.
+                     if (*guard) {
+                       this->refreshing = false;
+                     }
+                   });
+}
+
+}  // namespace toucanhollow
--- a/packages/wire/codec.cc
+++ b/packages/wire/codec.cc
@@ -5,7 +5,6 @@
 #include <tuple>
 #include <type_traits>
 #include <utility>
-#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -63,6 +62,7 @@
                Field{"inc", &Dispatch::receiver},
                Field{"account", &Dispatch::account},
                Field{"service", &Dispatch::service},
+               Field{"model", &Dispatch::model},
                Field{"method", &Dispatch::method},
                Field{"path", &Dispatch::path},
                Field{"type", &Dispatch::content_type},
@@ -108,8 +108,8 @@
     "config", &SnapshotRequest::config_offset});
 template <>
 constexpr auto kFields<Snapshot> = std::tuple(Field{"as_of", &Snapshot::as_of},
-                                              Field{"entries",
-                                                    &Snapshot::entries});
+                                              Field{"text",
+                                                    &Snapshot::text});
 template <>
 constexpr auto kFields<CacheNotice> =
     std::tuple(Field{"endpoint", &CacheNotice::endpoint},
@@ -144,14 +144,6 @@
 Json ToJson(ResultCode code) {
   return static_cast<int>(code);
 }
-Json ToJson(const std::vector<LogEntry>& entries) {
-  Json array = Json::array();
-  for (const LogEntry& entry : entries) {
-    array.push_back(
-        Json::array({entry.offset, ToJson(entry.time), entry.payload}));
-  }
-  return array;
-}
 template <typename T>
 requires std::is_arithmetic_v<T> || std::is_same_v<T, std::string> Json
 ToJson(const T& value) {
@@ -224,21 +216,6 @@
       not_run ? ResultCode::kNoEndpointAvailable : ResultCode::kOutcomeUnknown;
   return true;
 }
-bool FromJson(const Json& json, std::vector<LogEntry>* entries) {
-  if (!json.is_array()) {
-    return false;
-  }
-  for (const Json& row : json) {
-    LogEntry entry;
-    if (!row.is_array() || row.size() != 3 ||
-        !FromJson(row[0], &entry.offset) || !FromJson(row[1], &entry.time) ||
-        !FromJson(row[2], &entry.payload)) {
-      return false;
-    }
-    entries->push_back(std::move(entry));
-  }
-  return true;
-}
 
 // Fields with their default value are left out, which keeps heartbeats near
 // 100 bytes. The defaults are therefore part of the protocol.
@@ -295,7 +272,7 @@
 }
 
 // The parser recurses once for each level, so that deep nesting in a long
-// frame would overflow the stack. Messages need four levels. Short frames
+// frame would overflow the stack. Messages need two levels. Short frames
 // cannot nest deep enough and are not checked.
 constexpr int kMaxNesting = 16;
 constexpr std::size_t kCheckedFrameBytes = 1024;
--- a/packages/wire/codec_test.cc
+++ b/packages/wire/codec_test.cc
@@ -26,6 +26,7 @@
   dispatch.receiver = {1'700'000'000'000'000};
   dispatch.account = {"coastal"};
   dispatch.service = {"draft"};
+  dispatch.model = "model-a";
   dispatch.method = "POST";
   dispatch.path = "/v1/completions";
   dispatch.content_type = "application/json";
@@ -64,7 +65,7 @@
       OutcomeUnknown{{"d"}, ResultCode::kAnswerTruncated, "cut"},
       Cancel{{"d"}},
       SnapshotRequest{12},
-      Snapshot{12, {{3, WallTime(Seconds(1)), "payload"}}},
+      Snapshot{12, "payload"},
       CacheNotice{{"e"}, "[]"}};
 }
 
--- a/packages/wire/message.h
+++ b/packages/wire/message.h
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <string>
 #include <variant>
-#include <vector>
 
 #include "base/incarnation.h"
 #include "base/log_entry.h"
@@ -77,6 +76,8 @@
   Incarnation receiver;
   AccountName account;
   ServiceName service;
+  // For generation: the model that the group serves.
+  std::string model;
   std::string method;
   std::string path;
   std::string content_type;
@@ -166,7 +167,7 @@
 // The configuration up to `as_of`, encoded by the config package.
 struct Snapshot {
   LogOffset as_of = 0;
-  std::vector<LogEntry> entries;
+  std::string text;
 
   bool operator==(const Snapshot&) const = default;
 };
