--- a/packages/agent/endpoint_agent.cc
+++ b/packages/agent/endpoint_agent.cc
@@ -70,7 +70,8 @@
       SummarizeAdmission(this->admission, EventLoop::Now());
   Heartbeat heartbeat;
   heartbeat.time = EventLoop::WallNow();
-  heartbeat.leaving = this->leaving;
+  heartbeat.config_offset = this->config->Offset();
+  heartbeat.leaving = IsLeaving(this->drain);
   heartbeat.limit = summary.limit;
   heartbeat.full_limit = summary.full_limit;
   heartbeat.in_flight = summary.in_flight;
@@ -121,16 +122,54 @@
   }
   this->admission = MakeAdmissionState(parameters, this->context.incarnation,
                                        EventLoop::Now());
+  // Nothing says that operators want work here until the configuration does.
+  this->admission = SetEndpointOut(std::move(this->admission), true);
+}
+
+void EndpointAgent::OnConfigChanged(const ConfigView& view) {
+  const TimePoint now = EventLoop::Now();
+  const BackEndSettings& settings = *this->context.settings.back_end;
+  const auto endpoint = view.endpoints.find(settings.endpoint);
+  const auto data_centre =
+      view.data_centres.find(this->context.settings.data_centre);
+  const bool known = view.ready && endpoint != view.endpoints.end();
+  this->admission =
+      SetDataCentreOut(std::move(this->admission),
+                       data_centre == view.data_centres.end() ||
+                           !data_centre->second.content.in_service,
+                       now);
+  this->admission =
+      SetEndpointOut(std::move(this->admission),
+                     !known || !endpoint->second.content.in_service);
+  if (known) {
+    AdmissionParameters parameters = this->admission.parameters;
+    parameters.full_limit = endpoint->second.full_limit;
+    this->admission = SetParameters(std::move(this->admission), parameters);
+  }
+  if (this->claims) {
+    this->claims->SetWriters(static_cast<int>(
+        std::ranges::count_if(view.endpoints, [&](const auto& entry) {
+          const auto service = view.services.find(entry.second.content.service);
+          return service != view.services.end() &&
+                 service->second.plain.has_value();
+        })));
+  }
+  this->StartWaiting();
+  this->SendHeartbeats();
 }
 
 Result<bool> EndpointAgent::Start() {
   const Settings& settings = this->context.settings;
   this->MakeBackEnd();
+  this->config = std::make_unique<ConfigTask>(
+      this->context, this->log,
+      [this](const ConfigView& view) { this->OnConfigChanged(view); });
 
   SessionSelf self;
   self.hello = [this] {
     Hello hello;
     hello.role = "endpoint";
+    hello.config_offset = this->config->Offset();
     hello.endpoint = this->context.settings.back_end->endpoint;
     hello.service = this->context.settings.back_end->service;
     return hello;
@@ -143,9 +182,32 @@
       });
   if (!this->listener->Error().empty()) {
     return MakeFailure(ResultCode::kSettingsInvalid,
-                       "[links] listen on " + FormatAddress(settings.link) +
-                           ": " + this->listener->Error());
+                       "[listen] link is " + FormatAddress(settings.link) +
+                           ": " + this->listener->Error() +
+                           "; use a free address of this host");
   }
+  const Result<bool> http_started = this->ListenHttp();
+  if (!http_started) {
+    return http_started;
+  }
+  this->load_timer =
+      std::make_unique<Timer>(this->context.loop, Duration(0), kLoadInterval,
+                              [this] { this->ReadLoad(); });
+  this->tick =
+      std::make_unique<Timer>(this->context.loop, kTickInterval, kTickInterval,
+                              [this] { this->OnTick(); });
+  this->grant_timer =
+      std::make_unique<Timer>(this->context.loop, kGrantInterval,
+                              kGrantInterval, [this] { this->SendGrants(); });
+  Log(Severity::kInfo, "agent",
+      "serving links on " + settings.link.ip + ":" +
+          std::to_string(this->listener->Port()) + ", HTTP on port " +
+          std::to_string(this->http->Port()));
+  return true;
+}
+
+Result<bool> EndpointAgent::ListenHttp() {
+  const Settings& settings = this->context.settings;
   HttpServerOptions options;
   options.address = settings.http.ip;
   options.port = settings.http.port;
@@ -153,8 +215,9 @@
       this->context.loop, options,
       [this](const HttpRequest& request,
              const std::shared_ptr<HttpResponseWriter>& writer) {
-        const bool ready =
-            !this->leaving && IsReady(this->admission, EventLoop::Now());
+        const bool ready = !IsLeaving(this->drain) &&
+                           this->config->View().ready &&
+                           IsReady(this->admission, EventLoop::Now());
         if (!AnswerOperator(this->context, ready, request, *writer)) {
           writer->Respond(404, {}, "");
         }
@@ -163,19 +226,6 @@
     return server.error();
   }
   this->http = std::move(server).value();
-  this->load_timer =
-      std::make_unique<Timer>(this->context.loop, Duration(0), kLoadInterval,
-                              [this] { this->ReadLoad(); });
-  this->tick =
-      std::make_unique<Timer>(this->context.loop, kTickInterval, kTickInterval,
-                              [this] { this->OnTick(); });
-  this->grant_timer =
-      std::make_unique<Timer>(this->context.loop, kGrantInterval,
-                              kGrantInterval, [this] { this->SendGrants(); });
-  Log(Severity::kInfo, "agent",
-      "serving links on " + settings.link.ip + ":" +
-          std::to_string(this->listener->Port()) + ", HTTP on port " +
-          std::to_string(this->http->Port()));
   return true;
 }
 
@@ -207,6 +257,9 @@
     this->OnDispatch(peer, std::move(*dispatch));
   } else if (const auto* cancel = std::get_if<Cancel>(&message)) {
     this->OnCancel(cancel->dispatch_id);
+  } else {
+    this->config->OnPeerMessage(
+        message, [&peer](const Message& reply) { peer->session->Send(reply); });
   }
 }
 
@@ -541,26 +594,31 @@
                                                 "the link's queue was full"});
     });
   }
-  if (this->leaving && this->drained) {
-    const bool idle =
-        this->runs.empty() &&
-        (!this->claims || this->claims->Unsettled() == 0) &&
-        std::ranges::all_of(this->peers, [](const auto& peer) {
-          return peer->session->QueuedBytes() == 0 && peer->unannounced.empty();
-        });
-    if (idle || EventLoop::Now() - this->shutdown_at >
-                    this->context.settings.drain_timeout) {
-      const auto callback = std::exchange(this->drained, nullptr);
-      callback();
-    }
+  this->StepDrain();
+}
+
+void EndpointAgent::StepDrain() {
+  if (!this->drained) {
+    return;
+  }
+  std::size_t pending = this->runs.size();
+  pending += this->claims ? this->claims->Unsettled() : 0;
+  for (const auto& peer : this->peers) {
+    pending += peer->unannounced.size();
+    pending += peer->session->QueuedBytes() > 0 ? 1 : 0;
+  }
+  const bool timed_out = EventLoop::Now() - this->shutdown_at >
+                         this->context.settings.drain_timeout;
+  if (MayExit(this->drain, static_cast<int>(pending)) || timed_out) {
+    std::exchange(this->drained, nullptr)();
   }
 }
 
 void EndpointAgent::Shutdown(std::function<void()> on_drained) {
-  if (this->leaving) {
+  if (this->drain.terminating) {
     return;
   }
-  this->leaving = true;
+  this->drain.terminating = true;
   this->drained = std::move(on_drained);
   this->shutdown_at = EventLoop::Now();
   this->admission = SetLeaving(std::move(this->admission), true);
--- a/packages/agent/endpoint_agent.h
+++ b/packages/agent/endpoint_agent.h
@@ -13,9 +13,11 @@
 #include "agent/back_end.h"
 #include "agent/claim_task.h"
 #include "base/result.h"
+#include "config_follow/config_task.h"
 #include "engine_api/engine_client.h"
 #include "http_client/http_client.h"
 #include "http_server/http_server.h"
+#include "membership/drain.h"
 #include "platform_log/platform_log.h"
 #include "service_api/service_client.h"
 #include "session/process_context.h"
@@ -49,6 +51,9 @@
   void OnClaimRefused(const DispatchId& id, ResultCode code);
   void FreeUnrunSlot(const DispatchId& id);
   void MakeBackEnd();
+  Result<bool> ListenHttp();
+  void OnConfigChanged(const ConfigView& view);
+  void StepDrain();
   void OnPiece(const DispatchId& id,
                std::uint64_t index,
                std::string_view text);
@@ -72,9 +77,10 @@
   std::unique_ptr<ServiceClient> service;
   BackEnd back_end;
   AdmissionState admission;
+  std::unique_ptr<ConfigTask> config;
   // Only for plain services.
   std::unique_ptr<ClaimTask> claims;
-  bool leaving = false;
+  AgentDrain drain;
   std::unique_ptr<SessionListener> listener;
   std::unique_ptr<HttpServer> http;
   std::set<std::shared_ptr<Peer>> peers;
--- a/packages/agent/engine_back_end.cc
+++ b/packages/agent/engine_back_end.cc
@@ -83,7 +83,7 @@
   back_end.start = [runs](const Dispatch& dispatch, BackEndEvents events) {
     EngineRun run;
     run.request.id = dispatch.dispatch_id.value;
-    run.request.model = dispatch.service.value;
+    run.request.model = dispatch.model;
     run.request.prompt = dispatch.body;
     run.request.max_tokens =
         dispatch.max_tokens > 0 ? dispatch.max_tokens : kDefaultMaxTokens;
--- a/packages/entry/endpoint_links.cc
+++ b/packages/entry/endpoint_links.cc
@@ -3,26 +3,36 @@
 #include <algorithm>
 #include <utility>
 
-#include "log_text/log.h"
+#include "membership/plan_links.h"
 
 namespace toucanhollow {
 namespace {
 
-// An agent that sends a heartbeat every second and misses two is suspected;
-// work then goes elsewhere within the 3 s of section 1.1.
-constexpr Duration kSuspectAfter = Milliseconds(2200);
-constexpr Duration kSuspicionCheck = Milliseconds(200);
+// Of two data centres of a region; the users' are just under 1 ms and about
+// 1.5 ms apart.
+constexpr Duration kRemoteDelay = Milliseconds(1);
+constexpr Duration kMembershipTick = Milliseconds(500);
+
+ProcessName MemberName(const EndpointName& endpoint) {
+  return ProcessName{endpoint.value};
+}
 
 }  // namespace
 
 struct EndpointLinks::Peer {
-  std::unique_ptr<Dialer> dialer;
   EndpointName endpoint;
   ServiceName service;
+  DataCentreName data_centre;
+  std::vector<Address> addresses;
+  std::unique_ptr<Dialer> dialer;
   Incarnation incarnation;
-  TimePoint last_heartbeat;
   bool up = false;
   bool suspected = false;
+  // In force, so that routing may choose it.
+  bool in_service = false;
+  // No longer wanted; closed once nothing is in flight.
+  bool retiring = false;
+  int in_flight = 0;
 };
 
 EndpointLinks::EndpointLinks(ProcessContext& process_context,
@@ -32,57 +42,129 @@
       self(std::move(session_self)),
       events(std::move(links_events)) {
   this->tick =
-      std::make_unique<Timer>(this->context.loop, kSuspicionCheck,
-                              kSuspicionCheck, [this] { this->OnTick(); });
+      std::make_unique<Timer>(this->context.loop, kMembershipTick,
+                              kMembershipTick, [this] { this->OnTick(); });
 }
 
 EndpointLinks::~EndpointLinks() = default;
 
-void EndpointLinks::SetAddresses(const std::vector<Address>& addresses) {
-  for (auto peer = this->peers.begin(); peer != this->peers.end();) {
-    if (std::ranges::find(addresses, peer->first) != addresses.end()) {
-      ++peer;
-      continue;
+RoutingView& EndpointLinks::ViewOf(const Peer& peer) {
+  return this->views[peer.service];
+}
+
+namespace {
+
+LinkView MakeLinkView(const ConfigView& config,
+                      const std::vector<Hello>& entry_hosts) {
+  LinkView view;
+  for (const auto& [name, endpoint] : config.endpoints) {
+    view.endpoints.push_back({MemberName(name), endpoint.content.data_centre,
+                              endpoint.content.service});
+  }
+  for (const Hello& host : entry_hosts) {
+    view.entry_hosts.push_back({host.process, host.data_centre});
+  }
+  for (const auto& [name, data_centre] : config.data_centres) {
+    view.regions[name] = data_centre.content.region;
+    if (!data_centre.content.in_service) {
+      view.data_centres_out.insert(name);
     }
-    if (peer->second->up) {
-      this->OnDown(*peer->second, MakeFailure(ResultCode::kLinkClosed,
-                                              "no longer among the endpoints"));
+  }
+  return view;
+}
+
+}  // namespace
+
+void EndpointLinks::Apply(const ConfigView& config,
+                          const std::vector<Hello>& entry_hosts) {
+  const LinkPlan plan = PlanLinks(
+      MakeLinkView(config, entry_hosts),
+      {this->context.settings.process, this->context.settings.data_centre});
+  this->RetirePeers(plan.endpoints);
+  for (const ProcessName& name : plan.endpoints) {
+    const EndpointName endpoint{name.value};
+    this->AddPeer(endpoint, config.endpoints.at(endpoint));
+  }
+  for (auto& [service, view] : this->views) {
+    for (const auto& [name, data_centre] : config.data_centres) {
+      const bool own = name == this->context.settings.data_centre;
+      view = SetDataCentreView(
+          std::move(view), name,
+          {own ? Duration(0) : kRemoteDelay, !data_centre.content.in_service});
     }
-    peer = this->peers.erase(peer);
   }
-  for (const Address& address : addresses) {
-    if (this->peers.contains(address)) {
+  for (auto& [endpoint, peer] : this->peers) {
+    const auto configured = config.endpoints.find(endpoint);
+    const bool in_service = configured != config.endpoints.end() &&
+                            configured->second.content.in_service &&
+                            !peer->retiring;
+    if (std::exchange(peer->in_service, in_service) == in_service) {
       continue;
     }
-    Peer* peer = this->peers.emplace(address, std::make_unique<Peer>())
-                     .first->second.get();
-    peer->dialer = std::make_unique<Dialer>(
-        this->context, address, this->self,
-        DialerEvents{
-            [this, peer](const Hello& hello) { this->OnUp(*peer, hello); },
-            [this, peer](Message message) {
-              this->OnMessage(*peer, std::move(message));
-            },
-            [this, peer](const Failure& reason) {
-              this->OnDown(*peer, reason);
-            }});
+    RoutingView& view = this->ViewOf(*peer);
+    view = in_service && peer->up
+               ? AddEndpoint(std::move(view), endpoint, peer->data_centre)
+               : RemoveEndpoint(std::move(view), endpoint);
+  }
+  this->events.capacity();
+}
+
+void EndpointLinks::RetirePeers(const std::vector<ProcessName>& kept) {
+  for (auto& [endpoint, peer] : this->peers) {
+    peer->retiring =
+        std::ranges::find(kept, MemberName(endpoint)) == kept.end();
   }
 }
 
+void EndpointLinks::AddPeer(const EndpointName& endpoint,
+                            const ConfiguredEndpoint& configured) {
+  const EndpointContent& content = configured.content;
+  const auto found = this->peers.find(endpoint);
+  if (found != this->peers.end()) {
+    if (found->second->addresses == content.addresses &&
+        found->second->service == content.service) {
+      return;
+    }
+    // The endpoint has moved; its link to the old place ends.
+    this->OnDown(*found->second, MakeFailure(ResultCode::kLinkClosed,
+                                             "the endpoint's record changed"));
+    this->peers.erase(found);
+  }
+  if (content.addresses.empty()) {
+    return;
+  }
+  Peer* peer = this->peers.emplace(endpoint, std::make_unique<Peer>())
+                   .first->second.get();
+  peer->endpoint = endpoint;
+  peer->service = content.service;
+  peer->data_centre = content.data_centre;
+  peer->addresses = content.addresses;
+  peer->dialer = std::make_unique<Dialer>(
+      this->context, content.addresses, this->self,
+      DialerEvents{
+          [this, peer](const Hello& hello) { this->OnUp(*peer, hello); },
+          [this, peer](Message message) {
+            this->OnMessage(*peer, std::move(message));
+          },
+          [this, peer](const Failure& reason) {
+            this->OnDown(*peer, reason);
+          }});
+  // Makes the view exist, so that data centres can be set in it.
+  this->ViewOf(*peer);
+}
+
 void EndpointLinks::OnUp(Peer& peer, const Hello& hello) {
-  if (hello.role != "endpoint") {
+  if (hello.role != "endpoint" || hello.endpoint != peer.endpoint) {
+    this->context.metrics.Count("links_to_another_endpoint");
     return;
   }
-  peer.endpoint = hello.endpoint;
-  peer.service = hello.service;
   peer.incarnation = hello.incarnation;
-  peer.last_heartbeat = EventLoop::Now();
   peer.up = true;
   peer.suspected = false;
-  this->by_endpoint[peer.endpoint] = &peer;
-  RoutingView& view = this->views[peer.service];
-  view = AddEndpoint(std::move(view), peer.endpoint, hello.data_centre);
-  view = SetSuspected(std::move(view), peer.endpoint, false);
+  if (peer.in_service) {
+    RoutingView& view = this->ViewOf(peer);
+    view = AddEndpoint(std::move(view), peer.endpoint, peer.data_centre);
+  }
   Event event;
   event.kind = EventKind::kLinkUp;
   event.endpoint = peer.endpoint;
@@ -92,15 +174,18 @@
 
 void EndpointLinks::OnHeartbeat(Peer& peer, const Heartbeat& heartbeat) {
   const TimePoint now = EventLoop::Now();
-  peer.last_heartbeat = now;
-  RoutingView& view = this->views[peer.service];
-  if (peer.suspected) {
-    peer.suspected = false;
-    view = SetSuspected(std::move(view), peer.endpoint, false);
-    Event event;
-    event.kind = EventKind::kCleared;
-    event.endpoint = peer.endpoint;
-    this->context.Record(std::move(event));
+  MemberHeartbeat member;
+  member.sender = MemberName(peer.endpoint);
+  member.role = MemberRole::kEndpoint;
+  member.data_centre = peer.data_centre;
+  member.incarnation = peer.incarnation;
+  member.leaving = heartbeat.leaving;
+  member.config_offset = heartbeat.config_offset;
+  HeartbeatDecision decision =
+      toucanhollow::OnHeartbeat(std::move(this->membership), member, now);
+  this->membership = std::move(decision.state);
+  if (decision.recovered || peer.suspected) {
+    this->UpdateSuspicions();
   }
   LoadReport report;
   report.incarnation = peer.incarnation;
@@ -111,6 +196,7 @@
   report.takes_work = heartbeat.takes_work && !heartbeat.leaving;
   report.step = heartbeat.step_time;
   report.mean_service = heartbeat.mean_service;
+  RoutingView& view = this->ViewOf(peer);
   view = ApplyLoadReport(std::move(view), peer.endpoint, report, now);
   this->events.capacity();
 }
@@ -121,8 +207,14 @@
   }
   if (const auto* heartbeat = std::get_if<Heartbeat>(&message)) {
     this->OnHeartbeat(peer, *heartbeat);
+  }
+  if (std::holds_alternative<Heartbeat>(message) ||
+      std::holds_alternative<SnapshotRequest>(message) ||
+      std::holds_alternative<Snapshot>(message)) {
+    this->events.config(
+        message, [&peer](const Message& reply) { peer.dialer->Send(reply); });
   } else if (const auto* grant = std::get_if<Grant>(&message)) {
-    RoutingView& view = this->views[peer.service];
+    RoutingView& view = this->ViewOf(peer);
     view = ApplyGrant(std::move(view), peer.endpoint, grant->count,
                       grant->valid_for, EventLoop::Now());
     this->events.capacity();
@@ -143,89 +235,171 @@
   event.code = static_cast<int>(reason.code);
   event.detail = reason.detail;
   this->context.Record(std::move(event));
-  // A replacement of the agent may have a link under the same name already.
-  const auto named = this->by_endpoint.find(peer.endpoint);
-  if (named != this->by_endpoint.end() && named->second == &peer) {
-    this->by_endpoint.erase(named);
-    RoutingView& view = this->views[peer.service];
-    view = RemoveEndpoint(std::move(view), peer.endpoint);
-  }
+  this->membership =
+      OnLinkLost(std::move(this->membership), MemberName(peer.endpoint));
+  RoutingView& view = this->ViewOf(peer);
+  view = RemoveEndpoint(std::move(view), peer.endpoint);
   this->events.lost(agent);
 }
 
+void EndpointLinks::UpdateSuspicions() {
+  const std::vector<ProcessName> suspects =
+      Suspects(this->membership, EventLoop::Now());
+  for (auto& [endpoint, peer] : this->peers) {
+    const bool suspected =
+        peer->up &&
+        std::ranges::find(suspects, MemberName(endpoint)) != suspects.end();
+    if (std::exchange(peer->suspected, suspected) == suspected) {
+      continue;
+    }
+    RoutingView& view = this->ViewOf(*peer);
+    view = SetSuspected(std::move(view), endpoint, suspected);
+    Event event;
+    event.kind = suspected ? EventKind::kSuspected : EventKind::kCleared;
+    event.endpoint = endpoint;
+    this->context.Record(std::move(event));
+  }
+}
+
 void EndpointLinks::OnTick() {
+  this->membership =
+      toucanhollow::OnTick(std::move(this->membership), EventLoop::Now());
+  this->UpdateSuspicions();
+  std::erase_if(this->peers, [](const auto& entry) {
+    return entry.second->retiring && entry.second->in_flight == 0;
+  });
+}
+
+Result<ChosenAgent> EndpointLinks::Choose(
+    const std::vector<ServiceName>& services,
+    const RoutingRequest& request) {
   const TimePoint now = EventLoop::Now();
-  for (auto& [address, peer] : this->peers) {
-    if (peer->up && !peer->suspected &&
-        now - peer->last_heartbeat > kSuspectAfter) {
-      peer->suspected = true;
-      RoutingView& view = this->views[peer->service];
-      view = SetSuspected(std::move(view), peer->endpoint, true);
-      Event event;
-      event.kind = EventKind::kSuspected;
-      event.endpoint = peer->endpoint;
-      this->context.Record(std::move(event));
+  std::uniform_real_distribution<double> uniform(0.0, 1.0);
+  std::optional<ChosenAgent> best;
+  ResultCode code = ResultCode::kNoEndpointAvailable;
+  for (const ServiceName& service : services) {
+    const auto found = this->views.find(service);
+    if (found == this->views.end()) {
+      continue;
     }
+    const RoutingView& view = found->second;
+    const RoutingDecision decision = ChooseEndpoint(
+        view, this->parameters, request, uniform(this->context.random), now);
+    if (decision.endpoint < 0) {
+      code = code == ResultCode::kEndpointFull ? code : decision.code;
+    } else if (!decision.has_free_slot) {
+      code = ResultCode::kEndpointFull;
+    } else if (!best || decision.score_ms < best->score_ms) {
+      const EndpointName& name =
+          view.endpoints[static_cast<std::size_t>(decision.endpoint)].name;
+      best = ChosenAgent{{name, this->peers.at(name)->incarnation},
+                         service,
+                         decision.score_ms};
+    }
+  }
+  if (best) {
+    return *std::move(best);
   }
+  return MakeFailure(code, code == ResultCode::kEndpointFull
+                               ? "every endpoint is full"
+                               : "no endpoint in service takes work now");
 }
 
-bool EndpointLinks::Serves(const ServiceName& service) const {
-  return this->views.contains(service);
+Result<ChosenAgent> EndpointLinks::ChooseNamed(const ServiceName& service,
+                                               const EndpointName& endpoint) {
+  const auto view = this->views.find(service);
+  const int index =
+      view == this->views.end() ? -1 : FindEndpoint(view->second, endpoint);
+  if (index < 0) {
+    return MakeFailure(ResultCode::kNoEndpointAvailable,
+                       "no link to " + endpoint.value);
+  }
+  if (FreeSlots(view->second.endpoints[static_cast<std::size_t>(index)],
+                EventLoop::Now()) <= 0) {
+    return MakeFailure(ResultCode::kEndpointFull, endpoint.value + " is full");
+  }
+  return ChosenAgent{
+      {endpoint, this->peers.at(endpoint)->incarnation}, service, 0};
 }
 
-Result<AgentRun> EndpointLinks::Choose(const ServiceName& service,
-                                       const RoutingRequest& request) {
-  RoutingView& view = this->views[service];
-  const TimePoint now = EventLoop::Now();
-  const double draw =
-      std::uniform_real_distribution<double>(0.0, 1.0)(this->context.random);
-  const RoutingDecision decision =
-      ChooseEndpoint(view, this->parameters, request, draw, now);
-  if (decision.endpoint < 0) {
-    return MakeFailure(decision.code,
-                       "no endpoint of '" + service.value +
-                           "' in service can take the request now");
+std::vector<EndpointName> EndpointLinks::Eligible(
+    const ServiceName& service) const {
+  std::vector<EndpointName> eligible;
+  const auto found = this->views.find(service);
+  if (found != this->views.end()) {
+    for (const EndpointView& endpoint : found->second.endpoints) {
+      if (IsEligible(found->second, endpoint)) {
+        eligible.push_back(endpoint.name);
+      }
+    }
   }
-  const EndpointName endpoint =
-      view.endpoints[static_cast<std::size_t>(decision.endpoint)].name;
-  if (!decision.has_free_slot) {
-    return MakeFailure(ResultCode::kEndpointFull,
-                       "every endpoint of '" + service.value + "' is full");
+  return eligible;
+}
+
+Duration EndpointLinks::MeanService(
+    const std::vector<ServiceName>& services) const {
+  Duration sum{0};
+  std::int64_t count = 0;
+  for (const ServiceName& service : services) {
+    const auto found = this->views.find(service);
+    if (found == this->views.end()) {
+      continue;
+    }
+    for (const EndpointView& endpoint : found->second.endpoints) {
+      if (endpoint.report.mean_service > Duration(0)) {
+        sum += endpoint.report.mean_service;
+        ++count;
+      }
+    }
   }
-  const Peer* peer = this->by_endpoint.at(endpoint);
-  return AgentRun{endpoint, peer->incarnation};
+  return count == 0 ? Duration(0) : sum / count;
 }
 
 bool EndpointLinks::Send(const AgentRun& agent, const Message& message) {
-  const auto found = this->by_endpoint.find(agent.endpoint);
-  if (found == this->by_endpoint.end() ||
+  const auto found = this->peers.find(agent.endpoint);
+  if (found == this->peers.end() || !found->second->up ||
       found->second->incarnation != agent.incarnation ||
       !found->second->dialer->Send(message)) {
     return false;
   }
   if (std::holds_alternative<Dispatch>(message)) {
-    RoutingView& view = this->views[found->second->service];
+    ++found->second->in_flight;
+    RoutingView& view = this->ViewOf(*found->second);
     view = NoteSent(std::move(view), agent.endpoint, EventLoop::Now());
   }
   return true;
 }
 
-void EndpointLinks::NoteEnded(const ServiceName& service,
-                              const EndpointName& endpoint) {
-  RoutingView& view = this->views[service];
-  view = toucanhollow::NoteEnded(std::move(view), endpoint);
+void EndpointLinks::NoteEnded(const AgentRun& agent) {
+  const auto found = this->peers.find(agent.endpoint);
+  if (found == this->peers.end()) {
+    return;
+  }
+  --found->second->in_flight;
+  if (found->second->incarnation == agent.incarnation) {
+    RoutingView& view = this->ViewOf(*found->second);
+    view = toucanhollow::NoteEnded(std::move(view), agent.endpoint);
+    this->events.capacity();
+  }
 }
 
-void EndpointLinks::NoteFull(const ServiceName& service,
-                             const EndpointName& endpoint) {
-  RoutingView& view = this->views[service];
-  view = toucanhollow::NoteFull(std::move(view), endpoint);
+void EndpointLinks::NoteFull(const AgentRun& agent) {
+  const auto found = this->peers.find(agent.endpoint);
+  if (found != this->peers.end()) {
+    RoutingView& view = this->ViewOf(*found->second);
+    view = toucanhollow::NoteFull(std::move(view), agent.endpoint);
+  }
 }
 
 void EndpointLinks::SendHeartbeats() {
-  for (auto& [address, peer] : this->peers) {
+  for (auto& [endpoint, peer] : this->peers) {
     peer->dialer->SendHeartbeat();
   }
 }
 
+std::size_t EndpointLinks::OpenLinks() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      this->peers, [](const auto& entry) { return entry.second->up; }));
+}
+
 }  // namespace toucanhollow
--- a/packages/entry/entry_host.cc
+++ b/packages/entry/entry_host.cc
@@ -1,5 +1,6 @@
 #include "entry/entry_host.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -7,6 +8,7 @@
 #include "caller_api/write_answer.h"
 #include "log_text/log.h"
 #include "operator_api/operator_api.h"
+#include "settings/parse_address.h"
 
 namespace toucanhollow {
 namespace {
@@ -16,23 +18,45 @@
 }  // namespace
 
 EntryHost::EntryHost(ProcessContext& process_context)
-    : context(process_context) {}
+    : context(process_context),
+      client(process_context.loop),
+      log(this->client,
+          PlatformLogOptions{
+              FormatAddress(process_context.settings.platform_log)}) {}
 
 EntryHost::~EntryHost() = default;
 
+bool EntryHost::IsReady() const {
+  return this->drain.phase == EntryDrainPhase::kServing &&
+         this->config->View().ready;
+}
+
 Result<bool> EntryHost::Start() {
   SessionSelf self;
-  self.hello = [] {
+  self.hello = [this] {
     Hello hello;
     hello.role = "entry_host";
+    hello.config_offset = this->config->Offset();
     return hello;
   };
   self.heartbeat = [this] {
     Heartbeat heartbeat;
     heartbeat.time = EventLoop::WallNow();
-    heartbeat.leaving = this->leaving;
+    heartbeat.config_offset = this->config->Offset();
+    heartbeat.leaving = this->drain.phase != EntryDrainPhase::kServing;
     return heartbeat;
   };
+  const auto on_config_message =
+      [this](const Message& message,
+             const std::function<void(const Message&)>& reply) {
+        this->config->OnPeerMessage(message, reply);
+      };
+  this->config = std::make_unique<ConfigTask>(
+      this->context, this->log,
+      [this](const ConfigView&) { this->OnConfigChanged(); });
+  this->voids = std::make_unique<VoidTask>(
+      this->context, this->log,
+      [this](const VoidWatch& watch) { this->requests->OnVoidSettled(watch); });
   this->links = std::make_unique<EndpointLinks>(
       this->context, self,
       EndpointLinksEvents{
@@ -40,10 +64,27 @@
             this->requests->OnMessage(agent, std::move(message));
           },
           [this](const AgentRun& agent) { this->requests->OnLost(agent); },
-          [] {}});
-  this->requests = std::make_unique<RequestTask>(this->context, *this->links);
-  this->links->SetAddresses(this->context.settings.peers);
+          [this] { this->requests->PumpSoon(); }, on_config_message});
+  this->requests = std::make_unique<RequestTask>(
+      this->context, *this->links, *this->voids, this->config->View());
+  this->peers = std::make_unique<PeerLinks>(
+      this->context, self,
+      PeerLinksEvents{on_config_message, [this] { this->OnConfigChanged(); }});
+  const Result<bool> linked = this->peers->Start();
+  if (!linked) {
+    return linked;
+  }
+  this->config->StartRefresh([this] {
+    std::vector<ProcessName> names;
+    for (const Hello& host : this->peers->EntryHosts()) {
+      names.push_back(host.process);
+    }
+    return names;
+  });
+  return this->ListenHttp();
+}
 
+Result<bool> EntryHost::ListenHttp() {
   const LimitSettings& limits = this->context.settings.limits;
   HttpServerOptions options;
   options.address = this->context.settings.http.ip;
@@ -69,9 +110,39 @@
   return true;
 }
 
+// Applied from the loop, because the change may come from inside a message of
+// a link that it closes.
+void EntryHost::OnConfigChanged() {
+  if (std::exchange(this->config_posted, true)) {
+    return;
+  }
+  Post(this->context.loop, [this] {
+    this->config_posted = false;
+    const ConfigView& view = this->config->View();
+    const bool has_plain = std::ranges::any_of(
+        view.services,
+        [](const auto& entry) { return entry.second.plain.has_value(); });
+    if (has_plain) {
+      this->voids->StartFollowingEnd();
+    }
+    this->links->Apply(view, this->peers->EntryHosts());
+  });
+}
+
 void EntryHost::OnHttp(const HttpRequest& request,
                        std::shared_ptr<HttpResponseWriter> writer) {
-  if (AnswerOperator(this->context, !this->leaving, request, *writer)) {
+  if (request.path == "/metrics") {
+    Metrics& metrics = this->context.metrics;
+    metrics.SetGauge("requests_open",
+                     static_cast<double>(this->requests->OpenRequests()));
+    metrics.SetGauge("requests_queued",
+                     static_cast<double>(this->requests->QueuedRequests()));
+    metrics.SetGauge("links_open",
+                     static_cast<double>(this->links->OpenLinks()));
+    metrics.SetGauge("config_offset",
+                     static_cast<double>(this->config->Offset()));
+  }
+  if (AnswerOperator(this->context, this->IsReady(), request, *writer)) {
     return;
   }
   Result<CallerRequest> read = ReadRequest(request);
@@ -86,32 +157,35 @@
 }
 
 void EntryHost::Shutdown(std::function<void()> on_drained) {
-  if (this->leaving) {
+  if (this->drain.phase != EntryDrainPhase::kServing) {
     return;
   }
-  this->leaving = true;
   this->drained = std::move(on_drained);
   this->shutdown_at = EventLoop::Now();
+  this->drain = BeginEntryDrain(
+      this->drain, this->context.settings.balancer_lag, this->shutdown_at);
   Event event;
   event.kind = EventKind::kLeaving;
   this->context.Record(std::move(event));
   this->links->SendHeartbeats();
   this->drain_timer =
       std::make_unique<Timer>(this->context.loop, kDrainCheck, kDrainCheck,
-                              [this] { this->WatchDrain(); });
+                              [this] { this->StepDrain(); });
 }
 
-void EntryHost::WatchDrain() {
-  const Duration since = EventLoop::Now() - this->shutdown_at;
-  if (since < this->context.settings.balancer_lag) {
-    return;
-  }
-  if (std::exchange(this->accepting, false)) {
+void EntryHost::StepDrain() {
+  const TimePoint now = EventLoop::Now();
+  const std::size_t in_flight =
+      std::max(this->requests->OpenRequests(), this->http->OpenRequests());
+  const EntryDrainPhase before = this->drain.phase;
+  this->drain = StepEntryDrain(this->drain, static_cast<int>(in_flight), now);
+  if (before == EntryDrainPhase::kNotReady &&
+      this->drain.phase != EntryDrainPhase::kNotReady) {
     this->http->StopAccepting();
   }
-  const bool idle =
-      this->requests->OpenRequests() == 0 && this->http->OpenRequests() == 0;
-  if (idle || since > this->context.settings.drain_timeout) {
+  const bool timed_out =
+      now - this->shutdown_at > this->context.settings.drain_timeout;
+  if (this->drain.phase == EntryDrainPhase::kExit || timed_out) {
     this->drain_timer.reset();
     this->drained();
   }
--- a/packages/session/dialer.cc
+++ b/packages/session/dialer.cc
@@ -9,14 +9,15 @@
 namespace toucanhollow {
 
 struct Dialer::State : public std::enable_shared_from_this<Dialer::State> {
-  State(ProcessContext& process_context, Address target)
-      : context(process_context), address(std::move(target)) {}
+  State(ProcessContext& process_context, std::vector<Address> targets)
+      : context(process_context), addresses(std::move(targets)) {}
 
   void Dial();
   void OnClosed(const Failure& reason);
 
   ProcessContext& context;
-  Address address;
+  std::vector<Address> addresses;
+  std::size_t next_address = 0;
   SessionSelf self;
   DialerEvents events;
   std::shared_ptr<Session> session;
@@ -28,7 +29,7 @@
 void Dialer::State::Dial() {
   const std::weak_ptr<State> weak = this->weak_from_this();
   this->session = Session::Connect(
-      this->context, this->address, this->self,
+      this->context, this->addresses[this->next_address], this->self,
       SessionEvents{[weak](const Hello& peer) {
                       if (const auto state = weak.lock()) {
                         state->up = true;
@@ -52,7 +53,11 @@
 void Dialer::State::OnClosed(const Failure& reason) {
   if (reason.code != ResultCode::kLinkClosed) {
     Log(Severity::kWarning, "link",
-        FormatAddress(this->address) + ": " + FormatFailure(reason));
+        FormatAddress(this->addresses[this->next_address]) + ": " +
+            FormatFailure(reason));
+  }
+  if (!this->up) {
+    this->next_address = (this->next_address + 1) % this->addresses.size();
   }
   // Jitter keeps many entry hosts from meeting a returning process at once.
   std::uniform_real_distribution<double> jitter(0.5, 1.0);
@@ -72,10 +77,10 @@
 }
 
 Dialer::Dialer(ProcessContext& context,
-               Address address,
+               std::vector<Address> addresses,
                SessionSelf self,
                DialerEvents events)
-    : state(std::make_shared<State>(context, std::move(address))) {
+    : state(std::make_shared<State>(context, std::move(addresses))) {
   this->state->self = std::move(self);
   this->state->events = std::move(events);
   this->state->Dial();
@@ -100,8 +105,4 @@
   return this->state->up;
 }
 
-const Address& Dialer::Target() const {
-  return this->state->address;
-}
-
 }  // namespace toucanhollow
--- a/packages/session/dialer.h
+++ b/packages/session/dialer.h
@@ -1,9 +1,10 @@
-// Keeps a session to one address: connects, and connects again after a loss.
+// Keeps a session to one process: connects, and connects again after a loss.
 #ifndef SESSION_DIALER_H_
 #define SESSION_DIALER_H_
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "session/session.h"
 
@@ -25,8 +26,9 @@
 // Destruction closes the session at once and calls nothing.
 class Dialer {
  public:
+  // The addresses are tried in turn; there is at least one.
   Dialer(ProcessContext& context,
-         Address address,
+         std::vector<Address> addresses,
          SessionSelf self,
          DialerEvents events);
   ~Dialer();
@@ -36,7 +38,6 @@
   bool Send(const Message& message);
   void SendHeartbeat();
   bool IsUp() const;
-  const Address& Target() const;
 
  private:
   struct State;
