--- a/packages/ctl/ctl_test.cc
+++ b/packages/ctl/ctl_test.cc
@@ -1,53 +1,24 @@
 #include <string>
-#include <thread>
 #include <vector>
 
 #include <catch2/catch.hpp>
 
 #include "ctl/fetch.h"
 #include "ctl/read_timeline.h"
+#include "ctl/threaded_server_for_test.h"
 #include "event_codec/event_codec.h"
-#include "http_server/http_server.h"
 
 namespace toucanhollow {
 namespace {
 
-// A process that serves a fixed body on every path, in its own thread.
-class FakeProcess {
- public:
-  explicit FakeProcess(std::string body) {
-    auto listening = HttpServer::Listen(
-        this->loop, HttpServerOptions{},
-        [body = std::move(body)](
-            const HttpRequest& /*request*/,
-            const std::shared_ptr<HttpResponseWriter>& writer) {
-          writer->Respond(200, {}, body);
-        });
-    REQUIRE(listening.has_value());
-    this->server = std::move(listening.value());
-    this->thread = std::thread([this] {
-      this->stop = std::make_unique<Timer>(this->loop, Milliseconds(5),
-                                           Milliseconds(5), [this] {
-                                             if (this->stopping) {
-                                               this->loop.Stop();
-                                             }
-                                           });
-      this->loop.Run();
-    });
-  }
-  ~FakeProcess() {
-    this->stopping = true;
-    this->thread.join();
-  }
-  Address Where() const { return {"127.0.0.1", this->server->Port()}; }
-
- private:
-  EventLoop loop;
-  std::unique_ptr<HttpServer> server;
-  std::unique_ptr<Timer> stop;
-  std::atomic<bool> stopping = false;
-  std::thread thread;
-};
+ThreadedServer ServeText(const std::string& body) {
+  return ThreadedServer([body](EventLoop& /*loop*/) {
+    return [body](const HttpRequest& /*request*/,
+                  const std::shared_ptr<HttpResponseWriter>& writer) {
+      writer->Respond(200, {}, body);
+    };
+  });
+}
 
 std::string EventsText(const std::string& process,
                        std::uint64_t incarnation,
@@ -74,8 +45,8 @@
 
 // Guards against one unreachable process that hides the events of the others.
 TEST_CASE("timelines are merged and unreachable processes are named") {
-  const FakeProcess first(EventsText("entry-1", 1, {1, 3}));
-  const FakeProcess second(EventsText("draft-1", 1, {2}));
+  const ThreadedServer first = ServeText(EventsText("entry-1", 1, {1, 3}));
+  const ThreadedServer second = ServeText(EventsText("draft-1", 1, {2}));
   const TimelineRead read = ReadTimelines(
       {first.Where(), second.Where(), Address{"127.0.0.1", 1}}, {});
   REQUIRE(read.events.size() == 3);
@@ -87,14 +58,14 @@
 // Guards against a follower that prints events twice, or that misses the
 // events of a restarted process whose count begins again.
 TEST_CASE("following continues after the cursor and notices a restart") {
-  const FakeProcess process(EventsText("entry-1", 1, {1, 2}) +
-                            EventsText("entry-1", 2, {1}));
+  const ThreadedServer process = ServeText(EventsText("entry-1", 1, {1, 2}) +
+                                           EventsText("entry-1", 2, {1}));
   const TimelineRead first = ReadTimelines({process.Where()}, {});
   CHECK(first.events.size() == 3);
   TimelineCursor cursor;
   cursor.incarnation[process.Where()] = Incarnation{2};
   cursor.last_sequence[process.Where()] = 1;
-  const FakeProcess restarted(EventsText("entry-1", 2, {1, 2}));
+  const ThreadedServer restarted = ServeText(EventsText("entry-1", 2, {1, 2}));
   cursor.incarnation[restarted.Where()] = Incarnation{2};
   cursor.last_sequence[restarted.Where()] = 1;
   CHECK(ReadTimelines({restarted.Where()}, cursor).events.size() == 1);
