Name the platform's listed host apart from membership's entry

Cause: membership and host_list both define HostListEntry, which scripts/check_names refuses. Conclusion: host_list now has ListedHost; the clashes of config with base and routing are left to their owner.

--- a/packages/host_list/host_list.cc
+++ b/packages/host_list/host_list.cc
@@ -14,7 +14,7 @@
 HttpCallId ReadHostList(
     HttpClient& client,
     const std::string& address,
-    std::function<void(Result<std::vector<HostListEntry>>)> done) {
+    std::function<void(Result<std::vector<ListedHost>>)> done) {
   HttpCall call;
   call.url = "http://" + address + "/hosts";
   call.total_timeout = kReadTimeout;
--- a/packages/host_list/host_list.h
+++ b/packages/host_list/host_list.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "base/result.h"
-#include "host_list/host_list_entry.h"
+#include "host_list/listed_host.h"
 #include "http_client/http_client.h"
 
 namespace toucanhollow {
@@ -17,7 +17,7 @@
 HttpCallId ReadHostList(
     HttpClient& client,
     const std::string& address,
-    std::function<void(Result<std::vector<HostListEntry>>)> done);
+    std::function<void(Result<std::vector<ListedHost>>)> done);
 
 }  // namespace toucanhollow
 
--- a/packages/host_list/host_list_codec.cc
+++ b/packages/host_list/host_list_codec.cc
@@ -4,9 +4,9 @@
 
 namespace toucanhollow {
 
-std::string EncodeHostList(const std::vector<HostListEntry>& hosts) {
+std::string EncodeHostList(const std::vector<ListedHost>& hosts) {
   std::string text;
-  for (const HostListEntry& host : hosts) {
+  for (const ListedHost& host : hosts) {
     for (const std::string* field :
          {&host.name, &host.address, &host.data_centre, &host.role}) {
       text.append(*field).append("\t");
@@ -16,9 +16,8 @@
   return text;
 }
 
-std::optional<std::vector<HostListEntry>> DecodeHostList(
-    std::string_view text) {
-  std::vector<HostListEntry> hosts;
+std::optional<std::vector<ListedHost>> DecodeHostList(std::string_view text) {
+  std::vector<ListedHost> hosts;
   while (!text.empty()) {
     const std::size_t end = text.find('\n');
     if (end == std::string_view::npos) {
--- a/packages/host_list/host_list_codec.h
+++ b/packages/host_list/host_list_codec.h
@@ -9,13 +9,13 @@
 #include <string_view>
 #include <vector>
 
-#include "host_list/host_list_entry.h"
+#include "host_list/listed_host.h"
 
 namespace toucanhollow {
 
-std::string EncodeHostList(const std::vector<HostListEntry>& hosts);
+std::string EncodeHostList(const std::vector<ListedHost>& hosts);
 // Nothing if a line cannot be read or the last line is cut.
-std::optional<std::vector<HostListEntry>> DecodeHostList(std::string_view text);
+std::optional<std::vector<ListedHost>> DecodeHostList(std::string_view text);
 
 }  // namespace toucanhollow
 
--- a/packages/host_list/host_list_test.cc
+++ b/packages/host_list/host_list_test.cc
@@ -10,7 +10,7 @@
 // Guards against a cut or damaged list that is taken for a shorter one, which
 // would take hosts for gone.
 TEST_CASE("a damaged list is refused as a whole") {
-  const std::vector<HostListEntry> hosts = {
+  const std::vector<ListedHost> hosts = {
       {"e1", "127.0.0.1:1", "nadi-south", "endpoint", false},
       {"e2", "127.0.0.1:2", "nadi-south", "endpoint", true}};
   const std::string text = EncodeHostList(hosts);
--- a/packages/host_list/host_list_entry.h
+++ b/packages/host_list/listed_host.h
@@ -1,12 +1,12 @@
 // One host as the platform's list shows it.
-#ifndef HOST_LIST_HOST_LIST_ENTRY_H_
-#define HOST_LIST_HOST_LIST_ENTRY_H_
+#ifndef HOST_LIST_LISTED_HOST_H_
+#define HOST_LIST_LISTED_HOST_H_
 
 #include <string>
 
 namespace toucanhollow {
 
-struct HostListEntry {
+struct ListedHost {
   std::string name;
   // <IP address>:<port>
   std::string address;
@@ -15,9 +15,9 @@
   std::string role;
   bool leaving = false;
 
-  bool operator==(const HostListEntry&) const = default;
+  bool operator==(const ListedHost&) const = default;
 };
 
 }  // namespace toucanhollow
 
-#endif  // HOST_LIST_HOST_LIST_ENTRY_H_
+#endif  // HOST_LIST_LISTED_HOST_H_
--- a/standins/host_list/host_list_stand_in.cc
+++ b/standins/host_list/host_list_stand_in.cc
@@ -51,7 +51,7 @@
     }
     this->changes.pop_front();
   }
-  std::vector<HostListEntry> list;
+  std::vector<ListedHost> list;
   for (const auto& [name, host] : this->hosts) {
     list.push_back(host);
   }
--- a/standins/host_list/host_list_stand_in.h
+++ b/standins/host_list/host_list_stand_in.h
@@ -13,7 +13,7 @@
 #include <memory>
 #include <string>
 
-#include "host_list/host_list_entry.h"
+#include "host_list/listed_host.h"
 #include "http_server/http_server.h"
 
 namespace toucanhollow {
@@ -27,13 +27,13 @@
  private:
   struct Change {
     TimePoint visible_at;
-    HostListEntry host;
+    ListedHost host;
     bool gone = false;
   };
   bool Control(const HttpRequest& request, TimePoint now);
 
   Duration lag;
-  std::map<std::string, HostListEntry> hosts;
+  std::map<std::string, ListedHost> hosts;
   std::deque<Change> changes;
   TimePoint outage_until;
 };
--- a/standins/host_list/host_list_stand_in_test.cc
+++ b/standins/host_list/host_list_stand_in_test.cc
@@ -32,7 +32,7 @@
     loop.Run();
   };
   const auto read = [&] {
-    Result<std::vector<HostListEntry>> result =
+    Result<std::vector<ListedHost>> result =
         MakeFailure(ResultCode::kSettingsUnreadable, "");
     ReadHostList(client, address, [&](auto hosts) {
       result = std::move(hosts);
@@ -42,11 +42,11 @@
     return result;
   };
   control("host?name=e1&address=a:1&data_centre=d&role=endpoint&state=live");
-  const HostListEntry host{"e1", "a:1", "d", "endpoint", false};
-  CHECK(read().value() == std::vector<HostListEntry>{host});
+  const ListedHost host{"e1", "a:1", "d", "endpoint", false};
+  CHECK(read().value() == std::vector<ListedHost>{host});
   control("lag?ms=100000");
   control("host?name=e1&state=gone");
-  CHECK(read().value() == std::vector<HostListEntry>{host});
+  CHECK(read().value() == std::vector<ListedHost>{host});
   control("outage?ms=100000");
   CHECK_FALSE(read().has_value());
 }
