--- a/packages/scenario/fault.h
+++ b/packages/scenario/fault.h
@@ -41,6 +41,9 @@
   bool operator==(const Fault&) const = default;
 };
 
+// The fault in the words of the test language.
+std::string DescribeFault(const Fault& fault);
+
 }  // namespace toucanhollow
 
 #endif  // SCENARIO_FAULT_H_
--- a/packages/scenario/moment.cc
+++ b/packages/scenario/moment.cc
@@ -13,7 +13,7 @@
     {Moment::kDispatchSent, "dispatch-sent"},
     {Moment::kDispatchReceived, "dispatch-received"},
     {Moment::kClaimSent, "claim-sent"},
-    {Moment::kClaimAppended, "claim-appended"},
+    {Moment::kClaimRead, "claim-read"},
     {Moment::kClaimAnswered, "claim-answered"},
     {Moment::kRunStarted, "run-started"},
     {Moment::kRunEnded, "run-ended"},
--- a/packages/scenario/moment.h
+++ b/packages/scenario/moment.h
@@ -12,7 +12,7 @@
   kDispatchSent,
   kDispatchReceived,
   kClaimSent,
-  kClaimAppended,
+  kClaimRead,
   kClaimAnswered,
   kRunStarted,
   kRunEnded,
--- a/packages/scenario/parse_scenario.cc
+++ b/packages/scenario/parse_scenario.cc
@@ -219,7 +219,7 @@
                      NEED("on"),
                      Target>,
           pegtl::seq<WORD("cut"), Target, NEED("from"), CutPeer, Lasting>> {};
-struct FaultAction : Does<ActionKind::kFault, FaultLine> {};
+using FaultAction = Does<ActionKind::kFault, FaultLine>;
 
 // Expectations.
 
@@ -243,7 +243,7 @@
                           NEED("at"),
                           NEED("most"),
                           Count> {};
-struct Exited : Does<ActionKind::kExpectExited, WORD("exited")> {};
+using Exited = Does<ActionKind::kExpectExited, WORD("exited")>;
 struct InForce
     : pegtl::seq<
           Does<ActionKind::kExpectRecord, WORD("is")>,
--- a/packages/scenario/parse_scenario_test.cc
+++ b/packages/scenario/parse_scenario_test.cc
@@ -34,7 +34,8 @@
       "at 3 s expect r1 runs at most 1 times\n"
       "at 3 s expect nadi-south is in service everywhere\n"
       "at 3 s expect draft uses map 2\n"
-      "at 3 s expect no new work in nadi-south",
+      "at 3 s expect no new work in nadi-south\n"
+      "at 3 s expect e1 exited",
       "test.scenario");
   if (result.has_error()) {
     FAIL(result.error().detail);
@@ -58,7 +59,7 @@
                                        .service = "draft",
                                        .rank = 3,
                                        .fencing = false});
-  REQUIRE(scenario.steps.size() == 11);
+  REQUIRE(scenario.steps.size() == 12);
   CHECK(scenario.steps[0].at == Milliseconds(20));
   CHECK(scenario.steps[0].line == 9);
   CHECK(scenario.steps[0].action ==
@@ -73,6 +74,7 @@
   CHECK(scenario.steps[2].when == "claim-sent");
   CHECK(scenario.steps[2].when_at == "fees-1");
   CHECK(scenario.steps[2].at == Milliseconds(2));
+  CHECK(scenario.steps[2].action.kind == ActionKind::kFault);
   CHECK(scenario.steps[2].action.fault ==
         Fault{.kind = FaultKind::kLogAnswersLost, .duration = Seconds(3)});
   CHECK(scenario.steps[3].action.fault ==
@@ -97,6 +99,7 @@
   CHECK(scenario.steps[8].action.kind == ActionKind::kExpectRecord);
   CHECK(scenario.steps[9].action.count == 2);
   CHECK(scenario.steps[10].action.subject == "nadi-south");
+  CHECK(scenario.steps[11].action.kind == ActionKind::kExpectExited);
 }
 
 // Guards against errors that an operator cannot find in the file.
