--- a/packages/wire/codec.cc
+++ b/packages/wire/codec.cc
@@ -108,8 +108,7 @@
     "config", &SnapshotRequest::config_offset});
 template <>
 constexpr auto kFields<Snapshot> = std::tuple(Field{"as_of", &Snapshot::as_of},
-                                              Field{"text",
-                                                    &Snapshot::text});
+                                              Field{"text", &Snapshot::text});
 template <>
 constexpr auto kFields<CacheNotice> =
     std::tuple(Field{"endpoint", &CacheNotice::endpoint},
