Let a request that meets full endpoints wait until its deadline

Cause: four refusals with endpoint_full ended a request with 1115 though its deadline was 55 s away; an entry host's view of free slots lags by up to a heartbeat, so that a burst meets several full endpoints in turn. Such an attempt certainly did not run and the view counts the endpoint as full until its next report, so the request waits in the queue again and only its deadline bounds it. Ruled out: more attempts, which only moves the limit.

--- a/packages/request/on_event.cc
+++ b/packages/request/on_event.cc
@@ -59,7 +59,7 @@
   }
   const Failure failure = life.last_failure.value_or(MakeFailure(
       ResultCode::kNoEndpointAvailable, "no endpoint took the request"));
-  if (life.attempts_started >= kMaxAttempts ||
+  if (life.attempts_started - life.full_refusals >= kMaxAttempts ||
       (life.may_have_run && !life.repeatable)) {
     Fail(step, failure);
     return;
@@ -142,6 +142,9 @@
     life.leader.reset();
   }
   life.last_failure = event.failure;
+  if (event.not_run && event.failure.code == ResultCode::kEndpointFull) {
+    ++life.full_refusals;
+  }
   if (!event.not_run) {
     if (life.keyed && life.delivered == 0 &&
         !TellsOutcomeOfKey(event.failure)) {
--- a/packages/request/request_life.h
+++ b/packages/request/request_life.h
@@ -15,8 +15,9 @@
 
 namespace toucanhollow {
 
-// Attempts of one request, the first included. Bounds the round trips that a
-// request can cost when every endpoint refuses it.
+// Attempts of one request, the first included, without those that met a full
+// endpoint. Bounds the round trips that a request can cost when every endpoint
+// refuses it.
 constexpr int kMaxAttempts = 4;
 
 // What the end of an attempt's answer says.
@@ -49,6 +50,9 @@
   bool keyed = false;
   std::vector<Attempt> attempts;
   int attempts_started = 0;
+  // Attempts refused because the endpoint was full. The request then waits for
+  // a free slot as if it had not been sent, until its deadline.
+  int full_refusals = 0;
   // The attempt whose pieces the caller gets, from its first piece on.
   std::optional<DispatchId> leader;
   // Pieces delivered, and their text, from which a new attempt continues.
