Wait shortly for the result of a key that another dispatch holds

A repeat whose first call still runs, or ran at another agent, was answered at once with key_in_progress or key_outcome_unknown.

--- a/packages/agent/claim_task.h
+++ b/packages/agent/claim_task.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -47,14 +48,27 @@
   std::size_t Unsettled() const;
 
  private:
+  // A dispatch whose key another dispatch holds. Its result may be on the way
+  // to the log, so that it is waited for shortly.
+  struct Held {
+    KeyedDispatch dispatch;
+    ResultCode code;
+    TimePoint until;
+  };
   void Take(ClaimStep step);
+  void Refuse(const RefuseDispatch& refuse);
+  void CheckHeld();
   void Advance();
+  void SetTimer();
   void OnAppended(const LogAppendOutcome& outcome);
 
   ProcessContext& context;
   PlatformLog& log;
   ClaimTaskEvents events;
   ClaimAgent agent;
+  // Received and not yet run, answered or refused.
+  std::map<DispatchId, KeyedDispatch> open;
+  std::map<DispatchId, Held> held;
   std::unique_ptr<Timer> timer;
   std::unique_ptr<LogFollower> follower;
   // Guards callbacks of the log against a destroyed task.
