--- /dev/null
+++ b/packages/expert_map/expert_map.cc
@@ -0,0 +1,77 @@
+#include "expert_map/expert_map.h"
+
+#include <algorithm>
+
+namespace toucanhollow {
+
+ExpertMap InitialMap(int ranks, int experts, int slots_per_rank) {
+  ExpertMap map;
+  map.experts_by_rank.resize(static_cast<std::size_t>(ranks));
+  int next = 0;
+  for (auto& held : map.experts_by_rank) {
+    for (int slot = 0; slot < slots_per_rank; ++slot) {
+      held.push_back(next);
+      next = (next + 1) % experts;
+    }
+    std::ranges::sort(held);
+  }
+  return map;
+}
+
+std::vector<int> ReplicaCounts(const ExpertMap& map, int experts) {
+  std::vector<int> counts(static_cast<std::size_t>(experts), 0);
+  for (const auto& held : map.experts_by_rank) {
+    for (const int expert : held) {
+      ++counts[static_cast<std::size_t>(expert)];
+    }
+  }
+  return counts;
+}
+
+std::vector<double> RankLoads(const ExpertMap& map,
+                              std::span<const double> expert_load) {
+  const std::vector<int> replicas =
+      ReplicaCounts(map, static_cast<int>(expert_load.size()));
+  std::vector<double> loads;
+  loads.reserve(map.experts_by_rank.size());
+  for (const auto& held : map.experts_by_rank) {
+    double load = 0;
+    for (const int expert : held) {
+      const auto index = static_cast<std::size_t>(expert);
+      load += expert_load[index] / replicas[index];
+    }
+    loads.push_back(load);
+  }
+  return loads;
+}
+
+std::size_t CountLoads(const ExpertMap& from, const ExpertMap& to) {
+  std::size_t loads = 0;
+  for (std::size_t rank = 0; rank < to.experts_by_rank.size(); ++rank) {
+    const auto& held = from.experts_by_rank[rank];
+    loads += static_cast<std::size_t>(
+        std::ranges::count_if(to.experts_by_rank[rank], [&](int expert) {
+          return std::ranges::find(held, expert) == held.end();
+        }));
+  }
+  return loads;
+}
+
+bool IsCompleteMap(const ExpertMap& map, int experts) {
+  std::vector<bool> held_somewhere(static_cast<std::size_t>(experts), false);
+  for (std::vector<int> held : map.experts_by_rank) {
+    std::ranges::sort(held);
+    if (std::ranges::adjacent_find(held) != held.end()) {
+      return false;
+    }
+    for (const int expert : held) {
+      if (expert < 0 || expert >= experts) {
+        return false;
+      }
+      held_somewhere[static_cast<std::size_t>(expert)] = true;
+    }
+  }
+  return std::ranges::find(held_somewhere, false) == held_somewhere.end();
+}
+
+}  // namespace toucanhollow
