--- a/packages/wire/codec.cc
+++ b/packages/wire/codec.cc
@@ -5,7 +5,6 @@
 #include <tuple>
 #include <type_traits>
 #include <utility>
-#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -45,7 +44,11 @@
                Field{"leaving", &Heartbeat::leaving},
                Field{"limit", &Heartbeat::limit},
                Field{"inflight", &Heartbeat::in_flight},
+               Field{"full", &Heartbeat::full_limit},
                Field{"queued", &Heartbeat::queued},
+               Field{"granted", &Heartbeat::granted},
+               Field{"takes", &Heartbeat::takes_work},
+               Field{"service", &Heartbeat::mean_service},
                Field{"warm", &Heartbeat::warm},
                Field{"step", &Heartbeat::step_time});
 template <>
@@ -59,10 +62,12 @@
                Field{"inc", &Dispatch::receiver},
                Field{"account", &Dispatch::account},
                Field{"service", &Dispatch::service},
+               Field{"model", &Dispatch::model},
                Field{"method", &Dispatch::method},
                Field{"path", &Dispatch::path},
                Field{"type", &Dispatch::content_type},
                Field{"body", &Dispatch::body},
+               Field{"max", &Dispatch::max_tokens},
                Field{"priority", &Dispatch::priority},
                Field{"remaining", &Dispatch::remaining},
                Field{"key", &Dispatch::idempotency_key},
@@ -103,12 +108,12 @@
     "config", &SnapshotRequest::config_offset});
 template <>
 constexpr auto kFields<Snapshot> = std::tuple(Field{"as_of", &Snapshot::as_of},
-                                              Field{"entries",
-                                                    &Snapshot::entries});
+                                              Field{"text",
+                                                    &Snapshot::text});
 template <>
-constexpr auto kFields<CacheEvents> =
-    std::tuple(Field{"endpoint", &CacheEvents::endpoint},
-               Field{"events", &CacheEvents::events});
+constexpr auto kFields<CacheNotice> =
+    std::tuple(Field{"endpoint", &CacheNotice::endpoint},
+               Field{"events", &CacheNotice::events});
 
 template <typename M, typename Visit>
 void VisitFields(const Visit& visit) {
@@ -139,14 +144,6 @@
 Json ToJson(ResultCode code) {
   return static_cast<int>(code);
 }
-Json ToJson(const std::vector<LogEntry>& entries) {
-  Json array = Json::array();
-  for (const LogEntry& entry : entries) {
-    array.push_back(
-        Json::array({entry.offset, ToJson(entry.time), entry.payload}));
-  }
-  return array;
-}
 template <typename T>
 requires std::is_arithmetic_v<T> || std::is_same_v<T, std::string> Json
 ToJson(const T& value) {
@@ -219,21 +216,6 @@
       not_run ? ResultCode::kNoEndpointAvailable : ResultCode::kOutcomeUnknown;
   return true;
 }
-bool FromJson(const Json& json, std::vector<LogEntry>* entries) {
-  if (!json.is_array()) {
-    return false;
-  }
-  for (const Json& row : json) {
-    LogEntry entry;
-    if (!row.is_array() || row.size() != 3 ||
-        !FromJson(row[0], &entry.offset) || !FromJson(row[1], &entry.time) ||
-        !FromJson(row[2], &entry.payload)) {
-      return false;
-    }
-    entries->push_back(std::move(entry));
-  }
-  return true;
-}
 
 // Fields with their default value are left out, which keeps heartbeats near
 // 100 bytes. The defaults are therefore part of the protocol.
@@ -290,7 +272,7 @@
 }
 
 // The parser recurses once for each level, so that deep nesting in a long
-// frame would overflow the stack. Messages need four levels. Short frames
+// frame would overflow the stack. Messages need two levels. Short frames
 // cannot nest deep enough and are not checked.
 constexpr int kMaxNesting = 16;
 constexpr std::size_t kCheckedFrameBytes = 1024;
--- a/packages/wire/message.h
+++ b/packages/wire/message.h
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <string>
 #include <variant>
-#include <vector>
 
 #include "base/incarnation.h"
 #include "base/log_entry.h"
@@ -47,10 +46,15 @@
   bool leaving = false;
   // Admission summary; only an endpoint agent's heartbeat has it.
   int limit = 0;
+  int full_limit = 0;
   int in_flight = 0;
   int queued = 0;
+  int granted = 0;
   bool warm = false;
+  bool takes_work = false;
+  // Zero if unknown.
   Duration step_time{0};
+  Duration mean_service{0};
 
   bool operator==(const Heartbeat&) const = default;
 };
@@ -72,10 +76,15 @@
   Incarnation receiver;
   AccountName account;
   ServiceName service;
+  // For generation: the model that the group serves.
+  std::string model;
   std::string method;
   std::string path;
   std::string content_type;
+  // The body of a plain call, or the prompt for generation.
   std::string body;
+  // For generation; zero leaves it to the engine.
+  int max_tokens = 0;
   int priority = 0;
   // Remaining time until the caller's deadline; zero means none.
   Duration remaining{0};
@@ -158,17 +167,17 @@
 // The configuration up to `as_of`, encoded by the config package.
 struct Snapshot {
   LogOffset as_of = 0;
-  std::vector<LogEntry> entries;
+  std::string text;
 
   bool operator==(const Snapshot&) const = default;
 };
 
 // Cache events of an engine, as the engine published them.
-struct CacheEvents {
+struct CacheNotice {
   EndpointName endpoint;
   std::string events;
 
-  bool operator==(const CacheEvents&) const = default;
+  bool operator==(const CacheNotice&) const = default;
 };
 
 using Message = std::variant<Hello,
@@ -183,7 +192,7 @@
                              Cancel,
                              SnapshotRequest,
                              Snapshot,
-                             CacheEvents>;
+                             CacheNotice>;
 
 }  // namespace toucanhollow
 
