--- a/packages/session/session.cc
+++ b/packages/session/session.cc
@@ -17,6 +17,7 @@
   void OnFrame(std::string_view frame);
   void OnHello(const Hello& hello);
   void OnTick();
+  void CountBytes();
   void OnLinkClosed(const std::string& reason);
   void Reject(Failure reason);
   bool SendFrame(const Message& message);
@@ -29,6 +30,9 @@
   std::optional<Hello> peer;
   std::optional<Failure> rejection;
   TimePoint last_received;
+  // Bytes of the link that the metrics have.
+  std::uint64_t counted_sent = 0;
+  std::uint64_t counted_received = 0;
 };
 
 bool Session::State::SendFrame(const Message& message) {
@@ -67,6 +71,17 @@
   if (this->peer) {
     this->SendFrame(this->self.heartbeat());
   }
+  this->CountBytes();
+}
+
+void Session::State::CountBytes() {
+  const std::uint64_t sent = this->link->BytesSent();
+  const std::uint64_t received = this->link->BytesReceived();
+  this->context.metrics.Count("link_bytes", "direction=\"sent\"",
+                              sent - std::exchange(this->counted_sent, sent));
+  this->context.metrics.Count(
+      "link_bytes", "direction=\"received\"",
+      received - std::exchange(this->counted_received, received));
 }
 
 // Closes the link for a reason that the owner shall learn.
