Answer a repeated key before its result stands in the log

Cause: a repeat through the other entry host, 2 ms after the answer, got 1202 key_outcome_unknown: the agent that had run the call looked for the result only in the log, where it is appended up to 15 ms later, or not at all in an outage. Ruled out: delaying the first answer until the result is appended, because every keyed call would pay the append. The new test case covers both the delay and the outage. Conclusion: the agent searches its unlogged results first.

--- a/packages/idempotency/claim_agent.cc
+++ b/packages/idempotency/claim_agent.cc
@@ -59,6 +59,28 @@
   return found == agent.pending.end() ? nullptr : &found->second;
 }
 
+// The result of a run of the same request that this incarnation has not seen
+// in the log yet. Without it, a repeat right after the answer, or during an
+// outage of the log, would get "outcome unknown".
+const ResultRecord* FindUnloggedResult(const ClaimAgent& agent,
+                                       const KeyedDispatch& dispatch) {
+  const auto holder = agent.fold.keys.find(dispatch.key);
+  if (holder == agent.fold.keys.end() || !holder->second.holder ||
+      holder->second.holder->digest != dispatch.digest) {
+    return nullptr;
+  }
+  for (const auto* records : {&agent.queue, &agent.outstanding}) {
+    for (const ClaimsRecord& record : *records) {
+      const auto* result = std::get_if<ResultRecord>(&record);
+      if (result != nullptr && result->whole &&
+          result->dispatch == holder->second.holder->dispatch) {
+        return result;
+      }
+    }
+  }
+  return nullptr;
+}
+
 // The code that refuses a dispatch before the log is considered.
 std::optional<ResultCode> RefuseEarly(const ClaimAgent& agent,
                                       const KeyedDispatch& dispatch,
@@ -176,6 +198,10 @@
     step.actions.emplace_back(AnswerDispatch{dispatch.id, decision.result});
     return step;
   }
+  if (const ResultRecord* result = FindUnloggedResult(step.agent, dispatch)) {
+    step.actions.emplace_back(AnswerDispatch{dispatch.id, *result});
+    return step;
+  }
   if (const auto code = RefuseEarly(step.agent, dispatch, now)) {
     return refuse(*code);
   }
--- a/packages/idempotency/idempotency_test.cc
+++ b/packages/idempotency/idempotency_test.cc
@@ -397,5 +397,28 @@
   }
 }
 
+// Guards against a repeat that gets "outcome unknown" because the result has
+// not reached the log yet: right after the answer, or in an outage of the log.
+TEST_CASE("a repeat is answered before the result stands in the log") {
+  TestLog log;
+  TestAgent agent;
+  agent.Receive("d1");
+  agent.Advance();
+  agent.Appended(AppendOutcome::kAcknowledged);
+  agent.Read(log.Append(agent.LastAppend()));
+  agent.Take(RecordRunEnd(std::move(agent.agent), {"d1"}, RunEnd::kAnswered,
+                          201, "entered"));
+  agent.Receive("d2");
+  CHECK(std::get<AnswerDispatch>(agent.actions.back()).result.body ==
+        "entered");
+  // The append of the result fails, and the log stays down.
+  agent.Advance(kNow + Seconds(1));
+  agent.Appended(AppendOutcome::kFailed, kNow + Seconds(1));
+  agent.Receive("d3", kNow + Seconds(5));
+  CHECK(std::get<AnswerDispatch>(agent.actions.back()).dispatch ==
+        DispatchId{"d3"});
+  CHECK(agent.Runs() == 1);
+}
+
 }  // namespace
 }  // namespace toucanhollow
