--- /dev/null
+++ b/packages/bench/measure_config.cc
@@ -0,0 +1,77 @@
+#include "bench/measure.h"
+#include "bench/measure_parts.h"
+#include "config/config_fold.h"
+#include "config/config_view.h"
+#include "config/plan_refresh.h"
+#include "log_codec/config_codec.h"
+
+namespace toucanhollow {
+namespace {
+
+// Endpoint records are the most numerous kind at the target size.
+LogEntry MakeEntry(std::int64_t number,
+                   LogOffset offset,
+                   LogOffset expected_revision) {
+  EndpointContent content;
+  content.service = {"group-" + std::to_string(number / 64)};
+  content.data_centre = {"centre-" + std::to_string(number % 11)};
+  content.addresses = {{"10.0.0.1", 7000}};
+  PublishedRecord record;
+  record.subject = {std::string(kEndpointKind),
+                    "endpoint-" + std::to_string(number)};
+  record.expected_revision = expected_revision;
+  record.copy.change_id = "change-" + std::to_string(offset);
+  record.copy.text = EncodeContent(content);
+  return {offset, WallTime(Seconds(offset)), EncodeRecord(record)};
+}
+
+void MeasureSubjects(std::int64_t subjects) {
+  const std::int64_t before = HeapBytes();
+  ConfigState state;
+  for (std::int64_t i = 0; i < subjects; ++i) {
+    state =
+        FoldEntry(std::move(state), DecodeConfig(MakeEntry(i, i + 1, 0))).state;
+  }
+  ReportPoint("config_bytes", subjects,
+              static_cast<double>(HeapBytes() - before), "bytes");
+  ReportPoint("config_snapshot_bytes", subjects,
+              static_cast<double>(EncodeSnapshot(TakeSnapshot(state)).size()),
+              "bytes");
+  LogOffset offset = subjects;
+  std::vector<LogOffset> revisions;
+  for (std::int64_t i = 0; i < subjects; ++i) {
+    revisions.push_back(i + 1);
+  }
+  const double us = MeasureCallUs([&](std::int64_t call) {
+    const std::int64_t number = call % subjects;
+    LogOffset& revision = revisions[static_cast<std::size_t>(number)];
+    const LogEntry entry = MakeEntry(number, ++offset, revision);
+    revision = offset;
+    state = FoldEntry(std::move(state), DecodeConfig(entry)).state;
+  });
+  ReportPoint("config_change_us", subjects, us, "us");
+  const double view_us = MeasureCallUs([&](std::int64_t) {
+    const ConfigView view = MakeConfigView(state);
+    if (view.endpoints.empty()) {
+      std::abort();
+    }
+  });
+  ReportPoint("config_view_us", subjects, view_us, "us");
+}
+
+void MeasureRecordBytes() {
+  ReportPoint("config_record_bytes", 1,
+              static_cast<double>(MakeEntry(1000, 5000, 4000).payload.size()),
+              "bytes");
+}
+
+}  // namespace
+
+void MeasureConfig() {
+  MeasureRecordBytes();
+  for (const std::int64_t subjects : {250, 500, 1000, 2000, 4000}) {
+    MeasureSubjects(subjects);
+  }
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/bench/measure_overload.cc
@@ -0,0 +1,39 @@
+#include "bench/measure.h"
+#include "bench/measure_parts.h"
+#include "overload/fair_queue.h"
+
+namespace toucanhollow {
+namespace {
+
+constexpr int kQueuedForEachAccount = 4;
+
+void MeasureAccounts(int accounts) {
+  FairQueue queue;
+  queue.parameters.total_limit = accounts * (kQueuedForEachAccount + 1);
+  TimePoint now{Seconds(1)};
+  const auto enqueue = [&](std::int64_t number) {
+    QueuedRequest request;
+    request.request = {"entry-1.17." + std::to_string(number)};
+    request.account = {"account-" + std::to_string(number % accounts)};
+    queue = Enqueue(std::move(queue), std::move(request), now).queue;
+  };
+  for (int i = 0; i < accounts * kQueuedForEachAccount; ++i) {
+    enqueue(i);
+  }
+  const double us = MeasureCallUs([&](std::int64_t call) {
+    now += Duration(400);
+    enqueue(call);
+    queue = Dequeue(std::move(queue), now).queue;
+  });
+  ReportPoint("enqueue_dequeue_us", accounts, us, "us");
+}
+
+}  // namespace
+
+void MeasureOverload() {
+  for (const int accounts : {10, 33, 100, 330, 1000}) {
+    MeasureAccounts(accounts);
+  }
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/bench/measure_parts.h
@@ -0,0 +1,17 @@
+// The measurements of one deciding package each.
+#ifndef BENCH_MEASURE_PARTS_H_
+#define BENCH_MEASURE_PARTS_H_
+
+namespace toucanhollow {
+
+void MeasureAdmission();
+void MeasureClaims();
+void MeasureConfig();
+void MeasureLinks();
+void MeasureOverload();
+void MeasureRouting();
+void MeasureWire();
+
+}  // namespace toucanhollow
+
+#endif  // BENCH_MEASURE_PARTS_H_
