--- a/packages/agent/endpoint_agent.cc
+++ b/packages/agent/endpoint_agent.cc
@@ -10,6 +10,7 @@
 #include "admission/limit.h"
 #include "admission/service_state.h"
 #include "agent/engine_back_end.h"
+#include "agent/service_back_end.h"
 #include "log_text/log.h"
 #include "operator_api/operator_api.h"
 #include "settings/parse_address.h"
@@ -40,10 +41,18 @@
   TimePoint first_piece;
   TimePoint last_piece;
   std::uint64_t pieces = 0;
+  // A keyed call is claimed in the log before it runs; its body is kept to be
+  // appended as the result.
+  bool keyed = false;
+  std::string body;
 };
 
 EndpointAgent::EndpointAgent(ProcessContext& process_context)
-    : context(process_context), client(process_context.loop) {}
+    : context(process_context),
+      client(process_context.loop),
+      log(this->client,
+          PlatformLogOptions{
+              FormatAddress(process_context.settings.platform_log)}) {}
 
 EndpointAgent::~EndpointAgent() = default;
 
@@ -61,7 +70,8 @@
       SummarizeAdmission(this->admission, EventLoop::Now());
   Heartbeat heartbeat;
   heartbeat.time = EventLoop::WallNow();
-  heartbeat.leaving = this->leaving;
+  heartbeat.config_offset = this->config->Offset();
+  heartbeat.leaving = IsLeaving(this->drain);
   heartbeat.limit = summary.limit;
   heartbeat.full_limit = summary.full_limit;
   heartbeat.in_flight = summary.in_flight;
@@ -74,21 +84,92 @@
   return heartbeat;
 }
 
+void EndpointAgent::MakeBackEnd() {
+  const BackEndSettings& settings = *this->context.settings.back_end;
+  AdmissionParameters parameters;
+  if (settings.kind == BackEndKind::kEngine) {
+    EngineClientOptions options;
+    options.address = FormatAddress(settings.address);
+    this->engine =
+        std::make_unique<EngineClient>(this->client, std::move(options));
+    this->back_end = MakeEngineBackEnd(*this->engine);
+  } else {
+    parameters.reports_load = false;
+    parameters.first_token_target = Duration(0);
+    parameters.step_target = Duration(0);
+    ServiceClientOptions options;
+    options.address = FormatAddress(settings.address);
+    this->service =
+        std::make_unique<ServiceClient>(this->client, std::move(options));
+    this->back_end = MakeServiceBackEnd(*this->service);
+    this->claims = std::make_unique<ClaimTask>(
+        this->context, this->log,
+        ClaimTaskEvents{
+            [this](const DispatchId& id) {
+              const auto found = this->runs.find(id);
+              if (found != this->runs.end()) {
+                this->context.Record(
+                    this->MakeEvent(*found->second, EventKind::kClaimed));
+                this->StartBackEnd(*found->second);
+              }
+            },
+            [this](const DispatchId& id, const ResultRecord& result) {
+              this->OnKeptAnswer(id, result);
+            },
+            [this](const DispatchId& id, ResultCode code) {
+              this->OnClaimRefused(id, code);
+            }});
+  }
+  this->admission = MakeAdmissionState(parameters, this->context.incarnation,
+                                       EventLoop::Now());
+  // Nothing says that operators want work here until the configuration does.
+  this->admission = SetEndpointOut(std::move(this->admission), true);
+}
+
+void EndpointAgent::OnConfigChanged(const ConfigView& view) {
+  const TimePoint now = EventLoop::Now();
+  const BackEndSettings& settings = *this->context.settings.back_end;
+  const auto endpoint = view.endpoints.find(settings.endpoint);
+  const auto data_centre =
+      view.data_centres.find(this->context.settings.data_centre);
+  const bool known = view.ready && endpoint != view.endpoints.end();
+  this->admission =
+      SetDataCentreOut(std::move(this->admission),
+                       data_centre == view.data_centres.end() ||
+                           !data_centre->second.content.in_service,
+                       now);
+  this->admission =
+      SetEndpointOut(std::move(this->admission),
+                     !known || !endpoint->second.content.in_service);
+  if (known) {
+    AdmissionParameters parameters = this->admission.parameters;
+    parameters.full_limit = endpoint->second.full_limit;
+    this->admission = SetParameters(std::move(this->admission), parameters);
+  }
+  if (this->claims) {
+    this->claims->SetWriters(static_cast<int>(
+        std::ranges::count_if(view.endpoints, [&](const auto& entry) {
+          const auto service = view.services.find(entry.second.content.service);
+          return service != view.services.end() &&
+                 service->second.plain.has_value();
+        })));
+  }
+  this->StartWaiting();
+  this->SendHeartbeats();
+}
+
 Result<bool> EndpointAgent::Start() {
   const Settings& settings = this->context.settings;
-  const BackEndSettings& back_end_settings = *settings.back_end;
-  EngineClientOptions engine_options;
-  engine_options.address = FormatAddress(back_end_settings.address);
-  this->engine =
-      std::make_unique<EngineClient>(this->client, std::move(engine_options));
-  this->back_end = MakeEngineBackEnd(*this->engine);
-  this->admission = MakeAdmissionState(
-      AdmissionParameters{}, this->context.incarnation, EventLoop::Now());
+  this->MakeBackEnd();
+  this->config = std::make_unique<ConfigTask>(
+      this->context, this->log,
+      [this](const ConfigView& view) { this->OnConfigChanged(view); });
 
   SessionSelf self;
   self.hello = [this] {
     Hello hello;
     hello.role = "endpoint";
+    hello.config_offset = this->config->Offset();
     hello.endpoint = this->context.settings.back_end->endpoint;
     hello.service = this->context.settings.back_end->service;
     return hello;
@@ -101,9 +182,32 @@
       });
   if (!this->listener->Error().empty()) {
     return MakeFailure(ResultCode::kSettingsInvalid,
-                       "[links] listen on " + FormatAddress(settings.link) +
-                           ": " + this->listener->Error());
+                       "[listen] link is " + FormatAddress(settings.link) +
+                           ": " + this->listener->Error() +
+                           "; use a free address of this host");
   }
+  const Result<bool> http_started = this->ListenHttp();
+  if (!http_started) {
+    return http_started;
+  }
+  this->load_timer =
+      std::make_unique<Timer>(this->context.loop, Duration(0), kLoadInterval,
+                              [this] { this->ReadLoad(); });
+  this->tick =
+      std::make_unique<Timer>(this->context.loop, kTickInterval, kTickInterval,
+                              [this] { this->OnTick(); });
+  this->grant_timer =
+      std::make_unique<Timer>(this->context.loop, kGrantInterval,
+                              kGrantInterval, [this] { this->SendGrants(); });
+  Log(Severity::kInfo, "agent",
+      "serving links on " + settings.link.ip + ":" +
+          std::to_string(this->listener->Port()) + ", HTTP on port " +
+          std::to_string(this->http->Port()));
+  return true;
+}
+
+Result<bool> EndpointAgent::ListenHttp() {
+  const Settings& settings = this->context.settings;
   HttpServerOptions options;
   options.address = settings.http.ip;
   options.port = settings.http.port;
@@ -111,8 +215,9 @@
       this->context.loop, options,
       [this](const HttpRequest& request,
              const std::shared_ptr<HttpResponseWriter>& writer) {
-        const bool ready =
-            !this->leaving && IsReady(this->admission, EventLoop::Now());
+        const bool ready = !IsLeaving(this->drain) &&
+                           this->config->View().ready &&
+                           IsReady(this->admission, EventLoop::Now());
         if (!AnswerOperator(this->context, ready, request, *writer)) {
           writer->Respond(404, {}, "");
         }
@@ -121,19 +226,6 @@
     return server.error();
   }
   this->http = std::move(server).value();
-  this->load_timer =
-      std::make_unique<Timer>(this->context.loop, Duration(0), kLoadInterval,
-                              [this] { this->ReadLoad(); });
-  this->tick =
-      std::make_unique<Timer>(this->context.loop, kTickInterval, kTickInterval,
-                              [this] { this->OnTick(); });
-  this->grant_timer =
-      std::make_unique<Timer>(this->context.loop, kGrantInterval,
-                              kGrantInterval, [this] { this->SendGrants(); });
-  Log(Severity::kInfo, "agent",
-      "serving links on " + settings.link.ip + ":" +
-          std::to_string(this->listener->Port()) + ", HTTP on port " +
-          std::to_string(this->http->Port()));
   return true;
 }
 
@@ -165,6 +257,9 @@
     this->OnDispatch(peer, std::move(*dispatch));
   } else if (const auto* cancel = std::get_if<Cancel>(&message)) {
     this->OnCancel(cancel->dispatch_id);
+  } else {
+    this->config->OnPeerMessage(
+        message, [&peer](const Message& reply) { peer->session->Send(reply); });
   }
 }
 
@@ -214,7 +309,23 @@
   }
 }
 
+// The dispatch holds a slot.
 void EndpointAgent::Begin(Run& run) {
+  const DispatchId id = run.dispatch.dispatch_id;
+  run.keyed = this->claims && !run.dispatch.repeatable &&
+              !run.dispatch.idempotency_key.empty();
+  if (!run.keyed) {
+    this->StartBackEnd(run);
+    return;
+  }
+  const Result<bool> received = this->claims->Receive(run.dispatch);
+  if (!received) {
+    this->Refuse(run, received.error().code, received.error().detail);
+    this->FreeUnrunSlot(id);
+  }
+}
+
+void EndpointAgent::StartBackEnd(Run& run) {
   run.begun = true;
   run.started = EventLoop::Now();
   this->context.Record(this->MakeEvent(run, EventKind::kRunStarted));
@@ -229,6 +340,48 @@
   this->Answer(run, Accepted{id});
 }
 
+// Ends a dispatch that held a slot and was not run.
+void EndpointAgent::FreeUnrunSlot(const DispatchId& id) {
+  CompletionSample sample;
+  sample.dispatch = id;
+  sample.outcome = CompletionOutcome::kNotRun;
+  this->admission =
+      RecordCompletion(std::move(this->admission), sample, EventLoop::Now());
+  // The run may be on the call stack of its caller.
+  Post(this->context.loop, [this, id] {
+    this->runs.erase(id);
+    this->StartWaiting();
+  });
+}
+
+void EndpointAgent::OnKeptAnswer(const DispatchId& id,
+                                 const ResultRecord& result) {
+  const auto found = this->runs.find(id);
+  if (found == this->runs.end()) {
+    return;
+  }
+  Event event = this->MakeEvent(*found->second, EventKind::kRunEnded);
+  event.code = static_cast<int>(ResultCode::kAnswered);
+  event.detail = "the log holds the answer of an earlier run";
+  this->context.Record(std::move(event));
+  this->Answer(*found->second, Token{id, 0, result.body});
+  this->Answer(*found->second, Done{id, 1, result.http_status, "", ""});
+  this->FreeUnrunSlot(id);
+}
+
+void EndpointAgent::OnClaimRefused(const DispatchId& id, ResultCode code) {
+  const auto found = this->runs.find(id);
+  if (found == this->runs.end()) {
+    return;
+  }
+  if (IsCertainlyNotRun(code)) {
+    this->Refuse(*found->second, code, "");
+  } else {
+    this->Answer(*found->second, OutcomeUnknown{id, code, ""});
+  }
+  this->FreeUnrunSlot(id);
+}
+
 void EndpointAgent::Answer(const Run& run, const Message& message) {
   const auto peer = run.peer.lock();
   if (peer && !peer->session->Send(message)) {
@@ -262,12 +415,17 @@
     run.first_piece = run.last_piece;
     this->context.Record(this->MakeEvent(run, EventKind::kFirstToken));
   }
+  if (run.keyed) {
+    run.body += text;
+  }
   const auto peer = run.peer.lock();
   if (peer && !peer->session->Send(Token{id, index, std::string(text)})) {
     // A stream with a missing token is of no use; the attempt ends.
     this->context.metrics.Count("streams_closed_by_full_queue");
     peer->unannounced.push_back(id);
-    Post(this->context.loop, [this, id] { this->CancelRun(id); });
+    if (!run.keyed) {
+      Post(this->context.loop, [this, id] { this->CancelRun(id); });
+    }
   }
 }
 
@@ -291,6 +449,14 @@
   event.code = static_cast<int>(end.failure.code);
   event.detail = end.failure.detail;
   this->context.Record(std::move(event));
+  if (run->keyed) {
+    const RunEnd run_end =
+        end.kind == BackEndEnd::Kind::kWhole
+            ? RunEnd::kAnswered
+            : (end.kind == BackEndEnd::Kind::kNotRun ? RunEnd::kNotRun
+                                                     : RunEnd::kUnknown);
+    this->claims->RunEnded(id, run_end, end.status, std::move(run->body));
+  }
   switch (end.kind) {
     case BackEndEnd::Kind::kWhole:
       sample.outcome = CompletionOutcome::kAnswered;
@@ -328,6 +494,11 @@
     return;
   }
   this->context.Record(this->MakeEvent(*found->second, EventKind::kCancelled));
+  if (!found->second->begun && found->second->keyed) {
+    this->claims->Cancel(id);
+    this->FreeUnrunSlot(id);
+    return;
+  }
   if (found->second->begun) {
     this->back_end.cancel(id);
     CompletionSample sample;
@@ -365,7 +536,7 @@
 }
 
 void EndpointAgent::ReadLoad() {
-  if (this->reading_load) {
+  if (this->reading_load || !this->engine) {
     return;
   }
   this->reading_load = true;
@@ -423,25 +594,31 @@
                                                 "the link's queue was full"});
     });
   }
-  if (this->leaving && this->drained) {
-    const bool idle =
-        this->runs.empty() &&
-        std::ranges::all_of(this->peers, [](const auto& peer) {
-          return peer->session->QueuedBytes() == 0 && peer->unannounced.empty();
-        });
-    if (idle || EventLoop::Now() - this->shutdown_at >
-                    this->context.settings.drain_timeout) {
-      const auto callback = std::exchange(this->drained, nullptr);
-      callback();
-    }
+  this->StepDrain();
+}
+
+void EndpointAgent::StepDrain() {
+  if (!this->drained) {
+    return;
+  }
+  std::size_t pending = this->runs.size();
+  pending += this->claims ? this->claims->Unsettled() : 0;
+  for (const auto& peer : this->peers) {
+    pending += peer->unannounced.size();
+    pending += peer->session->QueuedBytes() > 0 ? 1 : 0;
+  }
+  const bool timed_out = EventLoop::Now() - this->shutdown_at >
+                         this->context.settings.drain_timeout;
+  if (MayExit(this->drain, static_cast<int>(pending)) || timed_out) {
+    std::exchange(this->drained, nullptr)();
   }
 }
 
 void EndpointAgent::Shutdown(std::function<void()> on_drained) {
-  if (this->leaving) {
+  if (this->drain.terminating) {
     return;
   }
-  this->leaving = true;
+  this->drain.terminating = true;
   this->drained = std::move(on_drained);
   this->shutdown_at = EventLoop::Now();
   this->admission = SetLeaving(std::move(this->admission), true);
