--- a/packages/agent/endpoint_agent.cc
+++ b/packages/agent/endpoint_agent.cc
@@ -215,6 +215,9 @@
       this->context.loop, options,
       [this](const HttpRequest& request,
              const std::shared_ptr<HttpResponseWriter>& writer) {
+        if (request.path == "/metrics") {
+          this->SetGauges();
+        }
         const bool ready = !IsLeaving(this->drain) &&
                            this->config->View().ready &&
                            IsReady(this->admission, EventLoop::Now());
@@ -229,6 +232,20 @@
   return true;
 }
 
+void EndpointAgent::SetGauges() {
+  const AdmissionSummary summary =
+      SummarizeAdmission(this->admission, EventLoop::Now());
+  Metrics& metrics = this->context.metrics;
+  metrics.SetGauge("config_offset",
+                   static_cast<double>(this->config->Offset()));
+  metrics.SetGauge("limit", summary.limit);
+  metrics.SetGauge("full_limit", summary.full_limit);
+  metrics.SetGauge("in_flight", summary.in_flight);
+  metrics.SetGauge("waiting", summary.waiting);
+  metrics.SetGauge("warm", summary.warm ? 1 : 0);
+  metrics.SetGauge("takes_work", summary.takes_work ? 1 : 0);
+}
+
 SessionEvents EndpointAgent::OnAccepted(std::shared_ptr<Session> session) {
   const auto peer = std::make_shared<Peer>();
   peer->session = std::move(session);
--- a/packages/agent/endpoint_agent.h
+++ b/packages/agent/endpoint_agent.h
@@ -52,6 +52,7 @@
   void FreeUnrunSlot(const DispatchId& id);
   void MakeBackEnd();
   Result<bool> ListenHttp();
+  void SetGauges();
   void OnConfigChanged(const ConfigView& view);
   void StepDrain();
   void OnPiece(const DispatchId& id,
--- a/packages/ctl/command.cc
+++ b/packages/ctl/command.cc
@@ -214,7 +214,8 @@
       continue;
     }
     call.out << (ready[i].status == 200 ? " ready" : " not_ready");
-    for (const char* name : {"config_offset", "in_flight", "limit"}) {
+    for (const char* name : {"config_offset", "requests_open", "takes_work",
+                             "in_flight", "limit"}) {
       const std::string value = MetricValue(metrics[i].body, name);
       if (!value.empty()) {
         call.out << " " << name << "=" << value;
--- a/packages/metrics/metrics.cc
+++ b/packages/metrics/metrics.cc
@@ -21,6 +21,9 @@
 
 constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
 
+// The estimator has no quantiles before it has this many samples.
+constexpr std::size_t kMinQuantileSamples = 2 * kQuantiles.size() + 3;
+
 std::string Key(std::string_view name, std::string_view labels) {
   std::string key(name);
   if (!labels.empty()) {
@@ -77,7 +80,8 @@
   }
   for (const auto& [name, summary] : this->state->summaries) {
     const auto quantiles = acc::extended_p_square(summary);
-    for (std::size_t i = 0; i < kQuantiles.size(); ++i) {
+    const bool known = acc::count(summary) >= kMinQuantileSamples;
+    for (std::size_t i = 0; known && i < kQuantiles.size(); ++i) {
       text << "toucanhollow_" << name << "{quantile=\"" << kQuantiles[i]
            << "\"} " << quantiles[i] << '\n';
     }
--- a/packages/metrics/metrics_test.cc
+++ b/packages/metrics/metrics_test.cc
@@ -38,5 +38,16 @@
   CHECK(value("other_ms{quantile=\"0.95\"} ") == Approx(5));
 }
 
+// Guards against a scraper that reads a p95 of 0 after the first requests,
+// which was seen after three of them.
+TEST_CASE("no quantiles are printed before there are enough samples") {
+  Metrics metrics;
+  for (int i = 0; i < 3; ++i) {
+    metrics.Observe("wait_ms", 40);
+  }
+  CHECK(metrics.Print() ==
+        "toucanhollow_wait_ms_mean 40\ntoucanhollow_wait_ms_count 3\n");
+}
+
 }  // namespace
 }  // namespace toucanhollow
