Report free slots after a refusal, and send fewer heartbeats

Cause: an endpoint that refused with endpoint_full counts as full until its next report, up to 1 s later, although a slot is free after milliseconds. The agent now sends a heartbeat 20 ms after the first slot that is freed since a refusal.

Entry hosts send a heartbeat every 3 s instead of 1 s, since only their being alive is read from it. Ruled out: slower heartbeats of agents, because suspicion within 3 s needs them.

--- a/packages/agent/endpoint_agent.cc
+++ b/packages/agent/endpoint_agent.cc
@@ -21,6 +21,8 @@
 constexpr Duration kLoadInterval = Milliseconds(250);
 constexpr Duration kTickInterval = Milliseconds(50);
 constexpr Duration kGrantInterval = Seconds(1);
+// Free slots are reported this long after the first that followed a refusal.
+constexpr Duration kFreeSlotDelay = Milliseconds(20);
 
 }  // namespace
 
@@ -186,7 +188,7 @@
                            ": " + this->listener->Error() +
                            "; use a free address of this host");
   }
-  const Result<bool> http_started = this->ListenHttp();
+  Result<bool> http_started = this->ListenHttp();
   if (!http_started) {
     return http_started;
   }
@@ -409,6 +411,7 @@
 void EndpointAgent::Refuse(const Run& run,
                            ResultCode code,
                            const std::string& detail) {
+  this->refused_full = this->refused_full || code == ResultCode::kEndpointFull;
   Event event = this->MakeEvent(run, EventKind::kRefused);
   event.code = static_cast<int>(code);
   this->context.Record(std::move(event));
@@ -495,6 +498,7 @@
   }
   this->admission = RecordCompletion(std::move(this->admission), sample, now);
   this->StartWaiting();
+  this->ReportFreeSlot();
 }
 
 void EndpointAgent::OnCancel(const DispatchId& dispatch_id) {
@@ -596,6 +600,20 @@
   }
 }
 
+void EndpointAgent::ReportFreeSlot() {
+  if (!this->refused_full || this->free_slot_timer) {
+    return;
+  }
+  this->free_slot_timer = std::make_unique<Timer>(
+      this->context.loop, kFreeSlotDelay, Duration(0), [this] {
+        this->free_slot_timer.reset();
+        if (SlotsInUse(this->admission) < this->admission.limit) {
+          this->refused_full = false;
+          this->SendHeartbeats();
+        }
+      });
+}
+
 void EndpointAgent::SendHeartbeats() {
   for (const auto& peer : this->peers) {
     peer->session->SendHeartbeat();
--- a/packages/agent/endpoint_agent.h
+++ b/packages/agent/endpoint_agent.h
@@ -66,6 +66,7 @@
   void ReadLoad();
   void SendGrants();
   void SendHeartbeats();
+  void ReportFreeSlot();
   Heartbeat MakeHeartbeat() const;
   void OnTick();
   Event MakeEvent(const Run& run, EventKind kind) const;
@@ -90,6 +91,10 @@
   std::unique_ptr<Timer> tick;
   std::unique_ptr<Timer> grant_timer;
   bool reading_load = false;
+  // A dispatch was refused for want of a slot since the last heartbeat; its
+  // sender counts this endpoint as full until the next one.
+  bool refused_full = false;
+  std::unique_ptr<Timer> free_slot_timer;
   std::function<void()> drained;
   TimePoint shutdown_at;
 };
--- a/packages/entry/entry_host.cc
+++ b/packages/entry/entry_host.cc
@@ -70,7 +70,7 @@
   this->peers = std::make_unique<PeerLinks>(
       this->context, self,
       PeerLinksEvents{on_config_message, [this] { this->OnConfigChanged(); }});
-  const Result<bool> linked = this->peers->Start();
+  Result<bool> linked = this->peers->Start();
   if (!linked) {
     return linked;
   }
--- a/packages/entry/request_task.cc
+++ b/packages/entry/request_task.cc
@@ -482,14 +482,14 @@
   request.unanswered = !open.first_piece;
   request.hedges_sent = open.hedges_sent;
   request.elapsed = EventLoop::Now() - open.accepted_at;
-  HedgeDecision decision = ShouldHedge(this->hedges, request);
+  const HedgeDecision decision = ShouldHedge(this->hedges, request);
   const Attempt& attempt = open.life.attempts.front();
   const AgentRun besides{attempt.endpoint, attempt.incarnation};
   const Result<ChosenAgent> chosen = this->Choose(open, &besides);
   if (!decision.hedge || !chosen) {
     return;
   }
-  this->hedges = std::move(decision.state);
+  this->hedges = decision.state;
   ++open.hedges_sent;
   this->context.metrics.Count("hedges_sent");
   this->SendAttempt(open, chosen.value(), true);
--- a/packages/log_follow/log_follower.h
+++ b/packages/log_follow/log_follower.h
@@ -13,7 +13,7 @@
 namespace toucanhollow {
 
 // A silent log is noticed after the poll's wait and the client's read timeout.
-constexpr Duration kLogPollWait = Seconds(5);
+constexpr Duration kLogPollWait = Seconds(10);
 constexpr Duration kFirstLogRetry = Milliseconds(100);
 constexpr Duration kLastLogRetry = Seconds(2);
 
--- a/packages/session/session.cc
+++ b/packages/session/session.cc
@@ -53,8 +53,10 @@
   hello.shared_key = this->context.settings.shared_key;
   this->last_received = EventLoop::Now();
   this->SendFrame(hello);
-  this->tick = std::make_unique<Timer>(this->context.loop, kHeartbeatInterval,
-                                       kHeartbeatInterval,
+  const Duration interval = this->context.settings.role == Role::kEndpoint
+                                ? kAgentHeartbeatInterval
+                                : kEntryHostHeartbeatInterval;
+  this->tick = std::make_unique<Timer>(this->context.loop, interval, interval,
                                        [weak = this->weak_from_this()] {
                                          if (const auto state = weak.lock()) {
                                            state->OnTick();
--- a/packages/session/session.h
+++ b/packages/session/session.h
@@ -15,10 +15,14 @@
 
 namespace toucanhollow {
 
-// A heartbeat goes out every second. A peer that has sent nothing for the
-// silence limit is taken for lost; it is above the 2 s to 3 s in which routing
-// suspects the peer, so that a short pause does not cut streams.
-constexpr Duration kHeartbeatInterval = Seconds(1);
+// Agents send a heartbeat every second, because routing lives on it. Entry
+// hosts only show that they are alive: at 1 s, 29 links would take an entry
+// host over 6 KB/s with the acknowledgements.
+constexpr Duration kAgentHeartbeatInterval = Seconds(1);
+constexpr Duration kEntryHostHeartbeatInterval = Seconds(3);
+// A peer that has sent nothing for so long is taken for lost. It is above the
+// 2 s to 3 s in which routing suspects the peer, so that a short pause does
+// not cut streams.
 constexpr Duration kSilenceLimit = Seconds(8);
 
 // What this process says of itself.
