Take part in expert map changes, and leave when the host list says so

MapTask follows stream 'maps', steps the participant of each rank with every entry and engine report, gives the engine its orders and appends confirms, aborts and refreshes. While the engine runs or holds what the log does not explain, the endpoint takes no new work.

--- a/packages/agent/endpoint_agent.cc
+++ b/packages/agent/endpoint_agent.cc
@@ -11,6 +11,7 @@
 #include "admission/service_state.h"
 #include "agent/engine_back_end.h"
 #include "agent/service_back_end.h"
+#include "host_list/host_list.h"
 #include "log_text/log.h"
 #include "operator_api/operator_api.h"
 #include "settings/parse_address.h"
@@ -21,6 +22,8 @@
 constexpr Duration kLoadInterval = Milliseconds(250);
 constexpr Duration kTickInterval = Milliseconds(50);
 constexpr Duration kGrantInterval = Seconds(1);
+// The list lags anyway; it is advice beside the links.
+constexpr Duration kHostListInterval = Seconds(2);
 // Free slots are reported this long after the first that followed a refusal.
 constexpr Duration kFreeSlotDelay = Milliseconds(20);
 
@@ -95,6 +98,13 @@
     this->engine =
         std::make_unique<EngineClient>(this->client, std::move(options));
     this->back_end = MakeEngineBackEnd(*this->engine);
+    if (!settings.ranks.empty()) {
+      this->maps = std::make_unique<MapTask>(
+          this->context, this->log, *this->engine, [this](bool mismatch) {
+            this->map_mismatch = mismatch;
+            this->OnConfigChanged(this->config->View());
+          });
+    }
   } else {
     parameters.reports_load = false;
     parameters.first_token_target = Duration(0);
@@ -140,9 +150,9 @@
                        data_centre == view.data_centres.end() ||
                            !data_centre->second.content.in_service,
                        now);
-  this->admission =
-      SetEndpointOut(std::move(this->admission),
-                     !known || !endpoint->second.content.in_service);
+  this->admission = SetEndpointOut(
+      std::move(this->admission),
+      !known || !endpoint->second.content.in_service || this->map_mismatch);
   if (known) {
     AdmissionParameters parameters = this->admission.parameters;
     parameters.full_limit = endpoint->second.full_limit;
@@ -195,6 +205,11 @@
   this->load_timer =
       std::make_unique<Timer>(this->context.loop, Duration(0), kLoadInterval,
                               [this] { this->ReadLoad(); });
+  if (settings.host_list) {
+    this->host_list_timer = std::make_unique<Timer>(
+        this->context.loop, Duration(0), kHostListInterval,
+        [this] { this->ReadHosts(); });
+  }
   this->tick =
       std::make_unique<Timer>(this->context.loop, kTickInterval, kTickInterval,
                               [this] { this->OnTick(); });
@@ -567,6 +582,9 @@
       this->context.metrics.Count("load_reports_failed");
       return;
     }
+    if (this->maps) {
+      this->maps->OnStatus(status.value());
+    }
     EngineReport report;
     report.engine = Incarnation{status.value().incarnation};
     report.running =
@@ -656,13 +674,40 @@
   this->drain.terminating = true;
   this->drained = std::move(on_drained);
   this->shutdown_at = EventLoop::Now();
-  this->admission = SetLeaving(std::move(this->admission), true);
+  this->SetLeavingNow();
+}
+
+// Applies what `drain` says and tells the entry hosts at once.
+void EndpointAgent::SetLeavingNow() {
+  this->admission =
+      SetLeaving(std::move(this->admission), IsLeaving(this->drain));
   Event event;
-  event.kind = EventKind::kLeaving;
+  event.kind =
+      IsLeaving(this->drain) ? EventKind::kLeaving : EventKind::kJoined;
   event.endpoint = this->context.settings.back_end->endpoint;
+  event.detail = this->drain.terminating ? "SIGTERM" : "the host list";
   this->context.Record(std::move(event));
   this->SendHeartbeats();
   this->StartWaiting();
 }
 
+void EndpointAgent::ReadHosts() {
+  ReadHostList(this->client, FormatAddress(*this->context.settings.host_list),
+               [this](const Result<std::vector<ListedHost>>& hosts) {
+                 if (!hosts) {
+                   this->context.metrics.Count("host_list_reads_failed");
+                   return;
+                 }
+                 const auto listed = std::ranges::find(
+                     hosts.value(), this->context.settings.process.value,
+                     &ListedHost::name);
+                 const bool leaving =
+                     listed != hosts.value().end() && listed->leaving;
+                 if (std::exchange(this->drain.listed, leaving) != leaving &&
+                     !this->drain.terminating) {
+                   this->SetLeavingNow();
+                 }
+               });
+}
+
 }  // namespace toucanhollow
--- a/packages/agent/endpoint_agent.h
+++ b/packages/agent/endpoint_agent.h
@@ -12,6 +12,7 @@
 #include "admission/admission_state.h"
 #include "agent/back_end.h"
 #include "agent/claim_task.h"
+#include "agent/map_task.h"
 #include "base/result.h"
 #include "config_follow/config_task.h"
 #include "engine_api/engine_client.h"
@@ -55,6 +56,8 @@
   void SetGauges();
   void OnConfigChanged(const ConfigView& view);
   void StepDrain();
+  void ReadHosts();
+  void SetLeavingNow();
   void OnPiece(const DispatchId& id,
                std::uint64_t index,
                std::string_view text);
@@ -82,12 +85,16 @@
   std::unique_ptr<ConfigTask> config;
   // Only for plain services.
   std::unique_ptr<ClaimTask> claims;
+  // Only for engines that hold ranks of a group.
+  std::unique_ptr<MapTask> maps;
+  bool map_mismatch = false;
   AgentDrain drain;
   std::unique_ptr<SessionListener> listener;
   std::unique_ptr<HttpServer> http;
   std::set<std::shared_ptr<Peer>> peers;
   std::map<DispatchId, std::unique_ptr<Run>> runs;
   std::unique_ptr<Timer> load_timer;
+  std::unique_ptr<Timer> host_list_timer;
   std::unique_ptr<Timer> tick;
   std::unique_ptr<Timer> grant_timer;
   bool reading_load = false;
--- /dev/null
+++ b/packages/agent/map_task.cc
@@ -0,0 +1,245 @@
+#include "agent/map_task.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string>
+#include <utility>
+
+#include "log_codec/map_codec.h"
+#include "log_text/log.h"
+
+namespace toucanhollow {
+namespace {
+
+constexpr char kMapsStream[] = "maps";
+
+// Engines name a change by text; ours is the offset of its proposal.
+std::optional<ChangeOffset> ParseChange(const std::string& text) {
+  ChangeOffset change = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, change);
+  if (error != std::errc() || stop != end) {
+    return std::nullopt;
+  }
+  return change;
+}
+
+MapEngineStatus ToMapStatus(const EngineStatus& report) {
+  MapEngineStatus status;
+  status.incarnation = Incarnation{report.incarnation};
+  status.step = report.step;
+  if (report.map_version >= 0) {
+    status.version = report.map_version;
+  }
+  status.staged = ParseChange(report.staged_change);
+  if (report.hold_step >= 0) {
+    status.hold_step = report.hold_step;
+  }
+  return status;
+}
+
+// Experts of the rank that its present map does not have.
+std::int64_t CountNewExperts(const ExpertMap& from,
+                             const ExpertMap& to,
+                             int rank) {
+  const auto index = static_cast<std::size_t>(rank);
+  if (index >= to.experts_by_rank.size()) {
+    return 0;
+  }
+  const std::vector<int>& wanted = to.experts_by_rank[index];
+  if (index >= from.experts_by_rank.size()) {
+    return std::ssize(wanted);
+  }
+  const std::vector<int>& held = from.experts_by_rank[index];
+  return std::ranges::count_if(wanted, [&](int expert) {
+    return !std::ranges::binary_search(held, expert);
+  });
+}
+
+}  // namespace
+
+MapTask::MapTask(ProcessContext& process_context,
+                 PlatformLog& platform_log,
+                 EngineClient& engine_client,
+                 std::function<void(bool)> on_mismatch)
+    : context(process_context),
+      log(platform_log),
+      engine(engine_client),
+      mismatch_changed(std::move(on_mismatch)),
+      group(process_context.settings.back_end->service) {
+  for (const int rank : this->context.settings.back_end->ranks) {
+    this->participants.push_back(
+        MakeParticipant(this->group, rank, this->context.incarnation));
+  }
+  this->follower = std::make_unique<LogFollower>(
+      this->context, this->log, kMapsStream, 1,
+      LogFollowerEvents{
+          [this](const LogEntry& entry) {
+            this->fold =
+                FoldMapEntry(std::move(this->fold), DecodeMapEntry(entry));
+            this->Step();
+          },
+          [this](const LogStatus& read) {
+            this->log_status.end = read.next_offset - 1;
+            this->log_status.retention = read.retention;
+            for (Participant& participant : this->participants) {
+              participant = NoteMapLogEnd(std::move(participant), this->fold,
+                                          this->log_status.end);
+            }
+            this->Step();
+            this->RefreshMap();
+          },
+          [this](bool reachable) { this->log_status.reachable = reachable; }});
+}
+
+MapTask::~MapTask() {
+  *this->alive = false;
+}
+
+void MapTask::OnStatus(const EngineStatus& report) {
+  this->status = ToMapStatus(report);
+  this->Step();
+}
+
+void MapTask::Step() {
+  const GroupMaps maps = MapsOfGroup(this->fold, this->group);
+  const auto record = [&](EventKind kind, ChangeOffset change) {
+    Event event;
+    event.kind = kind;
+    event.endpoint = this->context.settings.back_end->endpoint;
+    event.subject = this->group.value + "/" + std::to_string(change);
+    this->context.Record(std::move(event));
+  };
+  const ChangeOffset open = maps.open ? maps.open->offset : 0;
+  const ChangeOffset version = CurrentMap(maps).version;
+  const ChangeOffset was_open = std::exchange(this->known_open, open);
+  if (std::exchange(this->known_version, version) != version) {
+    record(EventKind::kMapCommitted, version);
+  } else if (was_open != 0 && was_open != open) {
+    record(EventKind::kMapAborted, was_open);
+  }
+  if (open != was_open && open != 0) {
+    record(EventKind::kMapProposed, open);
+  }
+  if (!this->status) {
+    return;
+  }
+  const ChangeOffset running = this->status->version.value_or(0);
+  if (std::exchange(this->known_running, running) != running) {
+    record(EventKind::kMapActivated, running);
+  }
+  bool any_mismatch = false;
+  for (Participant& participant : this->participants) {
+    ParticipantStep step = StepParticipant(std::move(participant), maps,
+                                           *this->status, EventLoop::Now());
+    participant = std::move(step.participant);
+    any_mismatch = any_mismatch || participant.mismatch;
+    for (const ParticipantAction& action : step.actions) {
+      this->Perform(participant, action);
+    }
+  }
+  if (std::exchange(this->mismatch, any_mismatch) != any_mismatch) {
+    this->mismatch_changed(any_mismatch);
+  }
+}
+
+void MapTask::Perform(const Participant& participant,
+                      const ParticipantAction& action) {
+  if (const auto* order = std::get_if<MapOrder>(&action)) {
+    this->Order(participant, *order);
+  } else if (const auto* confirm = std::get_if<AppendConfirm>(&action)) {
+    Event event;
+    event.kind = EventKind::kMapConfirmed;
+    event.endpoint = this->context.settings.back_end->endpoint;
+    event.subject =
+        this->group.value + "/" + std::to_string(confirm->record.change);
+    event.detail = "rank " + std::to_string(confirm->record.rank);
+    this->context.Record(std::move(event));
+    this->Append(MapEntry{0, {}, this->group, confirm->record});
+  } else if (const auto* abort = std::get_if<AppendAbort>(&action)) {
+    this->Append(MapEntry{0, {}, this->group, abort->record});
+  } else if (const auto* report = std::get_if<ReportMapMismatch>(&action)) {
+    this->context.metrics.Count("map_mismatches");
+    Log(Severity::kError, "map", FormatFailure(report->failure));
+  }
+}
+
+void MapTask::Order(const Participant& participant, const MapOrder& order) {
+  EngineOrder engine_order;
+  const auto set_change = [&](EngineOrder::Kind kind, ChangeOffset change) {
+    engine_order.kind = kind;
+    engine_order.fence = change;
+    engine_order.change = std::to_string(change);
+  };
+  if (const auto* stage = std::get_if<StageOrder>(&order)) {
+    set_change(EngineOrder::Kind::kStageMap, stage->change);
+    engine_order.version = stage->change;
+    const GroupMaps maps = MapsOfGroup(this->fold, this->group);
+    engine_order.bytes =
+        kExpertBytes *
+        CountNewExperts(CurrentMap(maps).map, stage->map, participant.rank);
+  } else if (const auto* hold = std::get_if<HoldOrder>(&order)) {
+    set_change(EngineOrder::Kind::kHoldBefore, hold->change);
+    engine_order.step = hold->step;
+  } else if (const auto* activate = std::get_if<ActivateOrder>(&order)) {
+    set_change(EngineOrder::Kind::kActivateAt, activate->change);
+    engine_order.step = activate->step;
+  } else if (const auto* go_on = std::get_if<ContinueOrder>(&order)) {
+    set_change(EngineOrder::Kind::kContinueOn, go_on->change);
+    engine_order.step = go_on->step;
+  } else if (const auto* load = std::get_if<LoadOrder>(&order)) {
+    set_change(EngineOrder::Kind::kLoadMap, load->version.version);
+    engine_order.version = load->version.version;
+    engine_order.step = load->first_step;
+  }
+  this->context.metrics.Count("map_orders");
+  this->engine.GiveOrder(
+      engine_order, [this, guard = this->alive](const Result<bool>& given) {
+        // The engine's next status tells whether the order took effect.
+        if (*guard && !given) {
+          this->context.metrics.Count("map_orders_failed");
+          Log(Severity::kWarning, "map", FormatFailure(given.error()));
+        }
+      });
+}
+
+void MapTask::Append(const MapEntry& entry) {
+  const TimePoint begin = EventLoop::Now();
+  this->log.Append(
+      kMapsStream, {EncodeMapEntry(entry)}, "",
+      [this, begin, guard = this->alive](const LogAppendOutcome& outcome) {
+        if (!*guard) {
+          return;
+        }
+        this->appending = false;
+        this->log_status.last_append = EventLoop::Now() - begin;
+        if (outcome.end != AppendEnd::kAppended) {
+          // The participant appends again while the log does not
+          // show the record.
+          this->context.metrics.Count("map_appends_failed");
+        }
+      });
+}
+
+void MapTask::RefreshMap() {
+  if (this->appending || this->participants.empty()) {
+    return;
+  }
+  GroupStatus group_status;
+  group_status.group = this->group;
+  // Agents do not know which ranks are alive; with all lower ones counted in,
+  // each rank waits by its own number.
+  const int rank = this->participants.front().rank;
+  for (int other = 0; other <= rank; ++other) {
+    group_status.alive_ranks.insert(other);
+  }
+  const std::optional<MapRefreshRecord> refresh = PlanMapRefresh(
+      this->fold, group_status, this->log_status, rank, EventLoop::WallNow());
+  if (refresh) {
+    this->appending = true;
+    this->context.metrics.Count("map_refreshes");
+    this->Append(MapEntry{0, {}, this->group, *refresh});
+  }
+}
+
+}  // namespace toucanhollow
--- a/packages/session/session_test.cc
+++ b/packages/session/session_test.cc
@@ -143,14 +143,15 @@
       {EncodeMessage(Cancel{{"d"}}), ResultCode::kFrameMalformed},
       {EncodeMessage(future), ResultCode::kProtocolVersionMismatch},
       {"not CBOR", ResultCode::kFrameMalformed}};
-  for (const auto& [frame, code] : cases) {
+  for (const auto& entry : cases) {
+    const std::string& frame = entry.first;
     Pair pair("", "");
     std::shared_ptr<Link> link;
     link =
         Link::Connect(pair.loop, "127.0.0.1", pair.listener->Port(), {},
                       LinkEvents{[&] { link->Send(frame); }, nullptr, nullptr});
     pair.RunUntil([&] { return !pair.server_closed.empty(); });
-    CHECK(pair.server_closed.front() == code);
+    CHECK(pair.server_closed.front() == entry.second);
     CHECK(pair.received.empty());
   }
 }
