--- a/packages/bench/functions_main.cc
+++ b/packages/bench/functions_main.cc
@@ -16,6 +16,7 @@
       {"claims", toucanhollow::MeasureClaims},
       {"config", toucanhollow::MeasureConfig},
       {"links", toucanhollow::MeasureLinks},
+      {"maps", toucanhollow::MeasureMaps},
       {"overload", toucanhollow::MeasureOverload},
       {"routing", toucanhollow::MeasureRouting},
       {"wire", toucanhollow::MeasureWire}};
--- a/packages/bench/measure_parts.h
+++ b/packages/bench/measure_parts.h
@@ -8,6 +8,7 @@
 void MeasureClaims();
 void MeasureConfig();
 void MeasureLinks();
+void MeasureMaps();
 void MeasureOverload();
 void MeasureRouting();
 void MeasureWire();
