Measure the refresh check, the timeline and links between entry hosts

Cause: each entry host checks every second whether a refresh is due, which costs subjects times hosts.

--- a/packages/bench/functions_main.cc
+++ b/packages/bench/functions_main.cc
@@ -19,6 +19,7 @@
       {"maps", toucanhollow::MeasureMaps},
       {"overload", toucanhollow::MeasureOverload},
       {"routing", toucanhollow::MeasureRouting},
+      {"timeline", toucanhollow::MeasureTimeline},
       {"wire", toucanhollow::MeasureWire}};
   for (const auto& [name, measure] : parts) {
     if (FLAGS_part.empty() || FLAGS_part == name) {
--- a/packages/bench/measure_config.cc
+++ b/packages/bench/measure_config.cc
@@ -8,6 +8,10 @@
 namespace toucanhollow {
 namespace {
 
+// Entry hosts that one host has links to at the target size.
+constexpr std::int64_t kFewHosts = 20;
+constexpr std::int64_t kTargetSubjects = 1500;
+
 // Endpoint records are the most numerous kind at the target size.
 LogEntry MakeEntry(std::int64_t number,
                    LogOffset offset,
@@ -59,6 +63,35 @@
   ReportPoint("config_view_us", subjects, view_us, "us");
 }
 
+// The check that each entry host makes every second, with nothing due.
+void MeasureRefresh(std::int64_t subjects, std::int64_t hosts) {
+  ConfigState state;
+  for (std::int64_t i = 0; i < subjects; ++i) {
+    state =
+        FoldEntry(std::move(state), DecodeConfig(MakeEntry(i, i + 1, 0))).state;
+  }
+  std::vector<ProcessName> names;
+  for (std::int64_t i = 0; i < hosts; ++i) {
+    names.push_back({"entry-" + std::to_string(i)});
+  }
+  RefreshLogStatus log;
+  log.healthy = true;
+  log.end = subjects;
+  log.retention = Seconds(std::int64_t{25} * 3600);
+  const WallTime now{Seconds(subjects)};
+  const double us = MeasureCallUs([&](std::int64_t) {
+    if (!PlanRefresh(state, log, names.front(), names, now)
+             .refresh.subjects.empty()) {
+      std::abort();
+    }
+  });
+  if (hosts == kFewHosts) {
+    ReportPoint("plan_refresh_us_by_subjects", subjects, us, "us");
+  } else {
+    ReportPoint("plan_refresh_us_by_hosts", hosts, us, "us");
+  }
+}
+
 void MeasureRecordBytes() {
   ReportPoint("config_record_bytes", 1,
               static_cast<double>(MakeEntry(1000, 5000, 4000).payload.size()),
@@ -71,6 +104,10 @@
   MeasureRecordBytes();
   for (const std::int64_t subjects : {250, 500, 1000, 2000, 4000}) {
     MeasureSubjects(subjects);
+    MeasureRefresh(subjects, kFewHosts);
+  }
+  for (const std::int64_t hosts : {8, 50, 100, 200, 410}) {
+    MeasureRefresh(kTargetSubjects, hosts);
   }
 }
 
--- a/packages/bench/measure_parts.h
+++ b/packages/bench/measure_parts.h
@@ -11,6 +11,7 @@
 void MeasureMaps();
 void MeasureOverload();
 void MeasureRouting();
+void MeasureTimeline();
 void MeasureWire();
 
 }  // namespace toucanhollow
