--- /dev/null
+++ b/packages/http_message/http_message_test.cc
@@ -0,0 +1,51 @@
+#include "http_message/http_message.h"
+
+#include <random>
+
+#include <catch2/catch.hpp>
+
+namespace toucanhollow {
+namespace {
+
+// Guards against parameters that are cut at a reserved byte or matched by a
+// part of their name.
+TEST_CASE("query values survive encoding") {
+  const std::string value = "a&b=c d+e%\xff";
+  const std::string query = "xid=1&id=" + PercentEncode(value) + "&flag";
+  CHECK(QueryValue(query, "id") == value);
+  CHECK(QueryValue(query, "flag") == "");
+  CHECK_FALSE(QueryValue(query, "i").has_value());
+}
+
+// Guards against numbers that are read in part, which would turn a damaged
+// offset into another one.
+TEST_CASE("only whole decimal numbers are read") {
+  CHECK(ParseDecimal("-12") == -12);
+  for (const char* text : {"", " 1", "1 ", "1x", "9223372036854775808"}) {
+    CHECK_FALSE(ParseDecimal(text).has_value());
+  }
+}
+
+// Guards against reads beyond the end of a damaged query.
+TEST_CASE("queries of random bytes are read safely") {
+  std::mt19937 random(11);
+  for (int round = 0; round < 10'000; ++round) {
+    std::string query;
+    for (std::size_t size = random() % 12; size > 0; --size) {
+      query.push_back("%=&+a1"[random() % 6]);
+    }
+    const auto value = QueryValue(query, "a");
+    CHECK((!value || value->size() <= query.size()));
+  }
+}
+
+// Guards against header names that are compared by case.
+TEST_CASE("headers are found in any case") {
+  const HttpHeaders headers = {{"X-One", "1"}, {"x-two", "2"}};
+  CHECK(FindHeader(headers, "x-one") == "1");
+  CHECK(FindHeader(headers, "X-Two") == "2");
+  CHECK(FindHeader(headers, "X").empty());
+}
+
+}  // namespace
+}  // namespace toucanhollow
