--- a/packages/bench/functions_main.cc
+++ b/packages/bench/functions_main.cc
@@ -16,8 +16,10 @@
       {"claims", toucanhollow::MeasureClaims},
       {"config", toucanhollow::MeasureConfig},
       {"links", toucanhollow::MeasureLinks},
+      {"maps", toucanhollow::MeasureMaps},
       {"overload", toucanhollow::MeasureOverload},
       {"routing", toucanhollow::MeasureRouting},
+      {"timeline", toucanhollow::MeasureTimeline},
       {"wire", toucanhollow::MeasureWire}};
   for (const auto& [name, measure] : parts) {
     if (FLAGS_part.empty() || FLAGS_part == name) {
