Count the benefit of a placement over 60 s instead of 10 min

Cause: plans changed the map every minute for small, short-lived gains, because their benefit was counted over 10 min. Ruled out in trials: a shorter half-life or minimum interval alone, which did not reduce the bytes.

--- a/packages/expert_map/placement.h
+++ b/packages/expert_map/placement.h
@@ -25,8 +25,11 @@
   double ms_per_load = 0;
   // Loss by caches that the change invalidates.
   double cache_ms = 0;
-  // How long popularity is expected to stay similar.
-  Duration horizon = Seconds(600);
+  // How long the benefit is counted. Longer than the minimum interval, a plan
+  // would count time for which the next plan decides; with 10 min, plans moved
+  // two to four times the weights for no less skew
+  // (docs/measurements-placement.md).
+  Duration horizon = Seconds(60);
   Duration min_interval = Seconds(60);
   // The benefit must exceed the cost by this factor, so that noise in the
   // estimate does not move weights back and forth.
