Let load reports age and probe full endpoints in routing

Cause: a report counted as exact until the next one, and a refusal as full until then, although a plain service frees a slot every 2.5 ms. The load of others now moves to its mean within one service time, and a full endpoint is tried again after one slot time, doubling, or after an own answer.

--- a/packages/policy_bench/fleet.cc
+++ b/packages/policy_bench/fleet.cc
@@ -23,7 +23,8 @@
 constexpr Duration kReportInterval = Milliseconds(500);
 constexpr Duration kReportLag = Milliseconds(250);
 constexpr Duration kSampleInterval = Milliseconds(100);
-// Wait of a baseline router after a refusal, before the request goes again.
+// Wait of a host that found no endpoint, and of a baseline router after a
+// refusal, before the request goes again.
 constexpr Duration kBackoff = Milliseconds(10);
 // A lost link is noticed after this time.
 constexpr Duration kLinkLoss = Milliseconds(50);
@@ -70,6 +71,7 @@
   Budget retries = MakeRetryBudget();
   std::uint64_t round = 0;
   TimePoint blocked_until;
+  bool retry_scheduled = false;
   std::map<DispatchId, std::pair<int, int>> sent;  // request, agent
 };
 
@@ -105,6 +107,7 @@
   QueuedRequest Queued(int request) const;
   void Pump(int host);
   int Choose(Host& host, const ModelRequest& request);
+  void ScheduleRetry(int host);
   void Send(int host, int agent, int request);
   void Receive(int agent, int host, int request, const DispatchId& dispatch);
   void Start(int agent, int host, int request, const DispatchId& dispatch);
@@ -287,7 +290,10 @@
       int best = -1;
       for (int i = 0; i < std::ssize(host.view.endpoints); ++i) {
         const EndpointView& endpoint = host.view.endpoints[i];
-        if (IsEligible(host.view, endpoint) &&
+        // It goes on when an endpoint refused since its report.
+        const bool refused = endpoint.full_refusals > 0 &&
+                             endpoint.last_full >= endpoint.reported_at;
+        if (IsEligible(host.view, endpoint) && !refused &&
             (best < 0 ||
              endpoint.report.load < host.view.endpoints[best].report.load)) {
           best = i;
@@ -328,12 +334,24 @@
       requests[request].excluded.clear();
       host.queue = PutBack(std::move(host.queue), std::move(*decision.request),
                            schedule.now);
+      ScheduleRetry(number);
       return;
     }
     Send(number, agent, request);
   }
 }
 
+// A slot may be expected later without any message that says so.
+void Fleet::ScheduleRetry(int number) {
+  if (std::exchange(hosts[number].retry_scheduled, true)) {
+    return;
+  }
+  RunAfter(schedule, kBackoff, [this, number] {
+    hosts[number].retry_scheduled = false;
+    Pump(number);
+  });
+}
+
 void Fleet::Send(int number, int agent, int request) {
   Host& host = hosts[number];
   const DispatchId dispatch{std::to_string(request) + "." +
@@ -528,13 +546,13 @@
              }
              const int request = found->second.first;
              host.sent.erase(found);
-             host.view = NoteEnded(std::move(host.view), NameOf(agent));
              if (code == ResultCode::kEndpointFull ||
                  code == ResultCode::kDeadlineTooShort) {
                host.view = NoteFull(std::move(host.view), NameOf(agent));
              } else {
                requests[request].excluded.push_back(NameOf(agent));
              }
+             host.view = NoteEnded(std::move(host.view), NameOf(agent));
              if (config.router != RouterKind::kScored) {
                host.blocked_until = schedule.now + kBackoff;
                RunAfter(schedule, kBackoff, [this, number] { Pump(number); });
--- a/packages/routing/baselines.cc
+++ b/packages/routing/baselines.cc
@@ -55,10 +55,11 @@
   }
   const int first = DrawOne(eligible, first_draw);
   const int second = DrawOne(eligible, second_draw);
-  return CorrectedLoad(view.endpoints[second]) <
-                 CorrectedLoad(view.endpoints[first])
-             ? second
-             : first;
+  const auto load = [&](int index) {
+    const EndpointView& endpoint = view.endpoints[index];
+    return endpoint.others_at_report + endpoint.own_in_flight;
+  };
+  return load(second) < load(first) ? second : first;
 }
 
 }  // namespace toucanhollow
--- a/packages/routing/choose_endpoint.cc
+++ b/packages/routing/choose_endpoint.cc
@@ -12,7 +12,8 @@
 
 struct Candidate {
   int index = 0;
-  int free = 0;
+  double free = 0;
+  bool may_send = false;
   double wait_ms = 0;
   double score_ms = 0;
   // Uncertainty of the wait because of the age of the report.
@@ -70,17 +71,14 @@
   Candidate candidate;
   candidate.index = index;
   candidate.free = FreeSlots(endpoint, now);
+  candidate.may_send = MaySend(endpoint, now);
 
   const double service_ms = report.mean_service > Duration(0)
                                 ? ToMilliseconds(report.mean_service)
                                 : ToMilliseconds(parameters.default_service);
   const double limit = std::max(1, report.limit);
   const double load = limit - candidate.free;
-  // By Little's law, as many requests started since the report.
-  const double age_ms =
-      std::max(0.0, ToMilliseconds(now - endpoint.reported_at));
-  const double unknown = std::min(limit, report.load * age_ms / service_ms);
-  const double width = 0.5 + std::sqrt(unknown);
+  const double width = 0.5 + LoadUncertainty(endpoint, now);
   const double per_slot_ms = service_ms / limit;
   const double excess = load + 1 - limit;
   candidate.wait_ms = per_slot_ms * SmoothExcess(excess, width);
@@ -118,7 +116,7 @@
         std::max(candidate.uncertainty_ms, best.uncertainty_ms);
     const double distance = (candidate.score_ms - best.score_ms) / spread;
     if (distance < kMaxSpreads) {
-      sum += std::max(1, candidate.free) * std::exp(-distance);
+      sum += std::max(1.0, candidate.free) * std::exp(-distance);
     }
     weights.push_back(sum);
   }
@@ -151,7 +149,7 @@
     }
     const Candidate candidate =
         ScoreEndpoint(view, parameters, request, index, median_step_ms, now);
-    const bool free = candidate.free > 0;
+    const bool free = candidate.may_send;
     if (any_free && !free) {
       continue;
     }
--- a/packages/routing/choose_endpoint.h
+++ b/packages/routing/choose_endpoint.h
@@ -47,8 +47,8 @@
   // kDataCentreOut (all eligible endpoints are in data centres that are out).
   int endpoint = -1;
   ResultCode code = ResultCode::kNoEndpointAvailable;
-  // False if no candidate has a free slot; the request should then stay in
-  // the entry host's queue.
+  // False if a slot is expected at no candidate (see MaySend); the request
+  // should then stay in the entry host's queue.
   bool has_free_slot = false;
   double score_ms = 0;
   double wait_ms = 0;
--- a/packages/routing/routing_view.cc
+++ b/packages/routing/routing_view.cc
@@ -1,11 +1,42 @@
 #include "routing/routing_view.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace toucanhollow {
 namespace {
 
+constexpr double kReportWeight = 0.25;
+// Used while an endpoint has not reported its mean service time.
+constexpr double kDefaultServiceMs = 1000;
+// A host still probes a full endpoint after 32 times the time of one slot.
+constexpr int kMaxBackoffDoublings = 5;
+
+double ServiceMs(const EndpointView& endpoint) {
+  return endpoint.report.mean_service > Duration(0)
+             ? ToMilliseconds(endpoint.report.mean_service)
+             : kDefaultServiceMs;
+}
+
+// Time in which a full endpoint frees one slot.
+double SlotMs(const EndpointView& endpoint) {
+  return ServiceMs(endpoint) / std::max(1, endpoint.report.limit);
+}
+
+// Part of the reported requests that is still there.
+double ReportedPart(const EndpointView& endpoint, TimePoint now) {
+  const double age_ms =
+      std::max(0.0, ToMilliseconds(now - endpoint.reported_at));
+  return std::exp(-age_ms / ServiceMs(endpoint));
+}
+
+double Others(const EndpointView& endpoint, TimePoint now) {
+  return endpoint.others_mean +
+         ReportedPart(endpoint, now) *
+             (endpoint.others_at_report - endpoint.others_mean);
+}
+
 // The position of the name in the sorted list, or where it would be inserted.
 auto Position(std::vector<EndpointView>& endpoints, const EndpointName& name) {
   return std::ranges::lower_bound(endpoints, name, {}, &EndpointView::name);
@@ -62,12 +93,24 @@
       report.incarnation != endpoint->report.incarnation) {
     endpoint->own_in_flight = 0;
     endpoint->granted = 0;
+    endpoint->full_refusals = 0;
+    endpoint->refused_in_flight = 0;
+    endpoint->freed = 0;
+    endpoint->reported = false;
+  }
+  endpoint->others_at_report =
+      std::max(0, report.load - endpoint->own_in_flight);
+  endpoint->others_mean =
+      endpoint->reported ? endpoint->others_mean +
+                               kReportWeight * (endpoint->others_at_report -
+                                                endpoint->others_mean)
+                         : endpoint->others_at_report;
+  if (report.load < report.limit) {
+    endpoint->full_refusals = 0;
   }
   endpoint->report = report;
   endpoint->reported = true;
   endpoint->reported_at = now;
-  endpoint->sent_since = 0;
-  endpoint->ended_since = 0;
   return std::move(view);
 }
 
@@ -87,8 +130,9 @@
                      const EndpointName& name,
                      TimePoint now) {
   if (EndpointView* endpoint = Find(view, name)) {
-    ++endpoint->sent_since;
     ++endpoint->own_in_flight;
+    endpoint->last_sent = now;
+    endpoint->freed = std::max(0, endpoint->freed - 1);
     if (endpoint->granted > 0 && now < endpoint->grant_expiry) {
       --endpoint->granted;
       // The slot was part of the reported grants and is now in use.
@@ -100,9 +144,15 @@
 
 RoutingView NoteEnded(RoutingView&& view, const EndpointName& name) {
   EndpointView* endpoint = Find(view, name);
-  if (endpoint != nullptr && endpoint->own_in_flight > 0) {
-    --endpoint->own_in_flight;
-    ++endpoint->ended_since;
+  if (endpoint == nullptr || endpoint->own_in_flight == 0) {
+    return std::move(view);
+  }
+  --endpoint->own_in_flight;
+  if (endpoint->refused_in_flight > 0) {
+    --endpoint->refused_in_flight;
+  } else {
+    ++endpoint->freed;
+    endpoint->full_refusals = 0;
   }
   return std::move(view);
 }
@@ -110,8 +160,10 @@
 RoutingView NoteFull(RoutingView&& view, const EndpointName& name) {
   if (EndpointView* endpoint = Find(view, name)) {
     endpoint->granted = 0;
-    const int missing = endpoint->report.limit - CorrectedLoad(*endpoint);
-    endpoint->report.load += std::max(0, missing);
+    endpoint->freed = 0;
+    endpoint->last_full = endpoint->last_sent;
+    ++endpoint->full_refusals;
+    ++endpoint->refused_in_flight;
   }
   return std::move(view);
 }
@@ -132,18 +184,43 @@
   return std::move(view);
 }
 
-int CorrectedLoad(const EndpointView& endpoint) {
-  return std::max(
-      endpoint.own_in_flight,
-      endpoint.report.load + endpoint.sent_since - endpoint.ended_since);
+double EstimateLoad(const EndpointView& endpoint, TimePoint now) {
+  return endpoint.own_in_flight + Others(endpoint, now);
+}
+
+double LoadUncertainty(const EndpointView& endpoint, TimePoint now) {
+  const double part = ReportedPart(endpoint, now);
+  return std::sqrt(Others(endpoint, now) * (1 - part * part));
 }
 
-int FreeSlots(const EndpointView& endpoint, TimePoint now) {
+double FreeSlots(const EndpointView& endpoint, TimePoint now) {
   const int own_grant = now < endpoint.grant_expiry ? endpoint.granted : 0;
   // A grant younger than the report is not among the reported grants.
   const int others = std::max(0, endpoint.report.granted - own_grant);
-  return std::max(own_grant,
-                  endpoint.report.limit - CorrectedLoad(endpoint) - others);
+  return std::max<double>(
+      own_grant, endpoint.report.limit - EstimateLoad(endpoint, now) - others);
+}
+
+bool MaySend(const EndpointView& endpoint, TimePoint now) {
+  if (now < endpoint.grant_expiry && endpoint.granted > 0) {
+    return true;
+  }
+  if (endpoint.own_in_flight >= endpoint.report.limit) {
+    return false;
+  }
+  if (endpoint.freed > 0) {
+    return true;
+  }
+  const double slot_ms = SlotMs(endpoint);
+  if (endpoint.full_refusals > 0) {
+    const int doublings =
+        std::min(endpoint.full_refusals - 1, kMaxBackoffDoublings);
+    return ToMilliseconds(now - endpoint.last_full) >=
+           std::ldexp(slot_ms, doublings);
+  }
+  const double free = FreeSlots(endpoint, now);
+  return free >= 0.5 ||
+         ToMilliseconds(now - endpoint.reported_at) >= slot_ms * (1.5 - free);
 }
 
 bool IsEligible(const RoutingView& view, const EndpointView& endpoint) {
--- a/packages/routing/routing_view.h
+++ b/packages/routing/routing_view.h
@@ -37,11 +37,20 @@
   LoadReport report;
   TimePoint reported_at;
   bool reported = false;
-  // Own dispatches sent and ended since the report.
-  int sent_since = 0;
-  int ended_since = 0;
-  // All own dispatches that are not ended.
+  // Own dispatches that are not ended.
   int own_in_flight = 0;
+  // Requests of other senders at the report, and their mean over reports.
+  double others_at_report = 0;
+  double others_mean = 0;
+  TimePoint last_sent;
+  // Refusals as full since the endpoint was last known to have a free slot,
+  // and the time of the last dispatch that was refused so.
+  int full_refusals = 0;
+  TimePoint last_full;
+  // Refused dispatches whose end is not yet noted.
+  int refused_in_flight = 0;
+  // Slots that own answered dispatches freed and that are not yet used again.
+  int freed = 0;
   // Own grant, valid until its expiry by this host's clock.
   int granted = 0;
   TimePoint grant_expiry;
@@ -94,8 +103,9 @@
                      TimePoint now);
 RoutingView NoteEnded(RoutingView&& view, const EndpointName& name);
 
-// After the refusal kEndpointFull: the endpoint counts as full until its next
-// report.
+// After the refusal kEndpointFull, and before NoteEnded of that dispatch. The
+// endpoint gets nothing until a slot has probably been freed, twice as long
+// after each further refusal.
 RoutingView NoteFull(RoutingView&& view, const EndpointName& name);
 
 RoutingView SetSuspected(RoutingView&& view,
@@ -105,11 +115,21 @@
                               const DataCentreName& name,
                               const DataCentreView& data_centre);
 
-// Requests at the endpoint: the report corrected by own dispatches since.
-int CorrectedLoad(const EndpointView& endpoint);
+// Expected requests at the endpoint: own dispatches, and those of others by
+// the last report. Those of others move towards their mean as the report ages,
+// because after one service time none of the reported requests is left.
+double EstimateLoad(const EndpointView& endpoint, TimePoint now);
+
+// Standard deviation of the estimate because of the age of the report.
+double LoadUncertainty(const EndpointView& endpoint, TimePoint now);
 
 // Slots that this host may expect to be free for it.
-int FreeSlots(const EndpointView& endpoint, TimePoint now);
+double FreeSlots(const EndpointView& endpoint, TimePoint now);
+
+// True if a dispatch has a fair chance of a slot: one is expected to be free,
+// or what is known is older than the time in which the endpoint frees one. A
+// wrong guess costs one refusal.
+bool MaySend(const EndpointView& endpoint, TimePoint now);
 
 // True if new work may be sent: reported, takes work, and its data centre is
 // in service.
