Keep the deadline reserve when a request leaves the queue

Cause: the fair queue kept a tenth of the deadline in reserve on arrival only, so that a short wait at the endpoint made a dequeued request late.

--- a/packages/overload/fair_queue.cc
+++ b/packages/overload/fair_queue.cc
@@ -201,7 +201,7 @@
   while (!next.active.empty()) {
     const auto [tag, index] = *next.active.begin();
     QueuedRequest request = PopFront(next, index);
-    if (BudgetMs(request, 1.0, now) < 0) {
+    if (BudgetMs(request, next.parameters.deadline_use, now) < 0) {
       decision.refused.push_back(
           {std::move(request.request), ResultCode::kDeadlineTooShort});
       continue;
--- a/packages/overload/fair_queue.h
+++ b/packages/overload/fair_queue.h
@@ -38,7 +38,8 @@
   int account_limit = 256;
   int total_limit = 2048;
   // Part of the remaining deadline that the expected wait and the service may
-  // take. The rest covers the error of both estimates.
+  // take, when a request is queued and when it leaves the queue. The rest
+  // covers the error of both estimates and the wait at the endpoint.
   double deadline_use = 0.9;
 
   bool operator==(const FairQueueParameters&) const = default;
--- a/packages/overload/overload_test.cc
+++ b/packages/overload/overload_test.cc
@@ -137,6 +137,13 @@
         std::vector<QueueRefusal>{
             {RequestId{"a1"}, ResultCode::kDeadlineTooShort}});
   CHECK(decision.queue.size == 0);
+  // A tenth of the remaining 100 ms is left for the wait at the endpoint.
+  QueuedRequest tight = Request("a", 3, Priority::kHigh, At(120));
+  const int service_ms = GENERATE(90, 91);
+  Put(decision.queue, tight, At(20));
+  decision.queue.accounts[0].high[0].expected_service =
+      Milliseconds(service_ms);
+  CHECK(Take(decision.queue, At(20)).has_value() == (service_ms == 90));
 }
 
 // Guards against a queue without bound, and against a flood that fills the
