Let a draining entry host close and exit in two steps

Cause: an entry host that was paused after SIGTERM past its closing time went from not ready to exit in one step and cut off the requests that had arrived during the pause and were not read yet (I8). A longer lag was ruled out, since a pause may be longer still.

--- a/packages/membership/drain.cc
+++ b/packages/membership/drain.cc
@@ -16,8 +16,7 @@
   EntryDrain next = drain;
   if (next.phase == EntryDrainPhase::kNotReady && now >= next.close_at) {
     next.phase = EntryDrainPhase::kClosed;
-  }
-  if (next.phase == EntryDrainPhase::kClosed && in_flight == 0) {
+  } else if (next.phase == EntryDrainPhase::kClosed && in_flight == 0) {
     next.phase = EntryDrainPhase::kExit;
   }
   return next;
--- a/packages/membership/drain.h
+++ b/packages/membership/drain.h
@@ -29,7 +29,9 @@
                            TimePoint now);
 
 // To be called on a timer and whenever a request or connection ends.
-// `in_flight` counts requests accepted and not yet answered in full.
+// `in_flight` counts requests accepted and not yet answered in full. Closing
+// and exiting are two steps: requests that arrived before the close and were
+// not read yet, as after a pause of this process, are in flight by the second.
 EntryDrain StepEntryDrain(const EntryDrain& drain,
                           int in_flight,
                           TimePoint now);
--- a/packages/membership/membership_test.cc
+++ b/packages/membership/membership_test.cc
@@ -192,6 +192,17 @@
   CHECK(drain.phase == EntryDrainPhase::kExit);
 }
 
+// Guards against cut requests after a pause: they arrived before the close and
+// are first seen after the step that closes.
+TEST_CASE("an entry host that wakes late closes before it exits") {
+  EntryDrain drain = BeginEntryDrain({}, Seconds(2), At(0));
+  drain = StepEntryDrain(drain, 0, At(7000));
+  CHECK(drain.phase == EntryDrainPhase::kClosed);
+  drain = StepEntryDrain(drain, 1, At(7000));
+  CHECK(drain.phase == EntryDrainPhase::kClosed);
+  CHECK(StepEntryDrain(drain, 0, At(7001)).phase == EntryDrainPhase::kExit);
+}
+
 // Guards against an agent that ends because of the host list alone.
 TEST_CASE("only SIGTERM ends an agent, and only when nothing is pending") {
   CHECK(IsLeaving({false, true}));
