--- a/packages/config/config_fold.cc
+++ b/packages/config/config_fold.cc
@@ -215,7 +215,9 @@
 
 ConfigSnapshot TakeSnapshot(const ConfigState& state) {
   ConfigSnapshot snapshot;
-  snapshot.complete_as_of = ExtendOverRead(state, state.complete_as_of);
+  // A process that knows nothing must not make others ready.
+  snapshot.complete_as_of =
+      state.has_source ? ExtendOverRead(state, state.complete_as_of) : -1;
   for (const auto& [name, subject] : state.subjects) {
     if (subject.copies.latest) {
       snapshot.subjects.push_back(
--- a/packages/config/config_test.cc
+++ b/packages/config/config_test.cc
@@ -165,6 +165,15 @@
   CHECK(InForce(fresh) == 6);
 }
 
+// Guards against two fresh processes that make each other ready with an empty
+// configuration while the log is down.
+TEST_CASE("the snapshot of a process that knows nothing makes none ready") {
+  const ConfigState told = MergeSnapshot({}, TakeSnapshot({})).state;
+  CHECK_FALSE(told.has_source);
+  const ConfigState read = NoteConfigEnd({}, 0);
+  CHECK(MergeSnapshot({}, TakeSnapshot(read)).state.has_source);
+}
+
 // Guards against a process that missed entries while it was paused.
 TEST_CASE("a gap while running makes later records undecided") {
   ConfigState state = Fold({Entry(1, Record("a", 0))});
