Add the rows of configuration, data centres, cold starts and leaving

The matrix gets the procedures record publication, data centre out and back, cold start, endpoint leaves, agent and entry host shutdown, and the column of racing operators; the performers follow config, membership and overload.

--- a/apps/fault_matrix.cc
+++ b/apps/fault_matrix.cc
@@ -1,6 +1,7 @@
 // Runs the fault matrix, prints the failed cases and writes the page.
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <string>
 
 #include <gflags/gflags.h>
@@ -9,7 +10,7 @@
 
 DEFINE_int32(rounds, 1, "How often each pair of faults is tried.");
 DEFINE_int32(threads, 4, "Threads that run cases.");
-DEFINE_int32(shown, 3, "Failed cases to print with their events.");
+DEFINE_int32(shown, 1, "Failed cases of each invariant to print with events.");
 DEFINE_string(page, "", "File to write the table to; none if empty.");
 
 int main(int argc, char** argv) {
@@ -17,13 +18,18 @@
   const auto cases = toucanhollow::GenerateCases(FLAGS_rounds);
   const auto failures =
       toucanhollow::RunCases(cases, toucanhollow::Defect::kNone, FLAGS_threads);
-  int shown = 0;
+  std::map<std::string, int> count;
   for (const auto& failure : failures) {
-    if (shown++ < FLAGS_shown) {
-      std::cout << toucanhollow::DescribeFailure(cases[failure.index], failure,
+    const std::string& invariant = failure.violations.front().invariant;
+    if (count[invariant]++ < FLAGS_shown) {
+      std::cout << "case " << failure.index << ": "
+                << toucanhollow::DescribeFailure(cases[failure.index], failure,
                                                  toucanhollow::Defect::kNone);
     }
   }
+  for (const auto& [invariant, failed] : count) {
+    std::cout << invariant << ": " << failed << " cases failed\n";
+  }
   std::cout << cases.size() << " cases, " << failures.size() << " failed\n";
   if (!FLAGS_page.empty()) {
     std::ofstream(FLAGS_page) << toucanhollow::FormatMatrix(cases, failures);
--- a/packages/fault_matrix/fault_column.cc
+++ b/packages/fault_matrix/fault_column.cc
@@ -68,6 +68,9 @@
       return {MakeFault(FaultKind::kLogSlow, "", "", kSlowBy, kLogTime)};
     case FaultColumn::kAnswerLost:
       return {MakeFault(FaultKind::kLogAnswersLost, "", "", none, kLogTime)};
+    case FaultColumn::kOperatorsRace:
+      return {MakeFault(FaultKind::kOperatorsRace, base.data_centre, "", none,
+                        none)};
     case FaultColumn::kPlatformCut:
       return {MakeFault(FaultKind::kCutFromPlatform, base.data_centre, "", none,
                         kCutTime)};
@@ -93,6 +96,7 @@
     {FaultColumn::kLogDown, "log down"},
     {FaultColumn::kLogSlow, "log slow"},
     {FaultColumn::kAnswerLost, "append answer lost"},
+    {FaultColumn::kOperatorsRace, "operators race"},
     {FaultColumn::kPlatformCut, "cut from platform"},
     {FaultColumn::kDataCentresCut, "data centres cut"},
 });
--- a/packages/fault_matrix/fault_column.h
+++ b/packages/fault_matrix/fault_column.h
@@ -26,6 +26,7 @@
   kLogDown,
   kLogSlow,
   kAnswerLost,
+  kOperatorsRace,
   kPlatformCut,
   kDataCentresCut,
 };
--- a/packages/fault_matrix/fault_matrix.cc
+++ b/packages/fault_matrix/fault_matrix.cc
@@ -46,7 +46,8 @@
               const ProcedureCase& base,
               Moment moment,
               FaultColumn column,
-              int rounds) {
+              int rounds,
+              std::size_t case_index) {
   const std::string name = NameOfColumn(column);
   const std::vector<Step> first = StrikeAt(base, column, moment, Duration{0});
   cases.push_back(MakeCase(base, moment, column, first, name));
@@ -60,8 +61,13 @@
   };
   followed_by(column, kTwiceAfter, name + " twice");
   for (const FaultColumn other : AllColumns()) {
-    for (int round = 0; round < rounds && other != column; ++round) {
-      const std::string pair = name + ", then " + NameOfColumn(other);
+    const std::string pair = name + ", then " + NameOfColumn(other);
+    // A single round tries each pair in one of the two cases of a procedure.
+    const std::uint64_t chosen = HashText(pair + std::string(NameOf(moment)));
+    if (other == column || (rounds == 1 && chosen % 2 != case_index)) {
+      continue;
+    }
+    for (int round = 0; round < rounds; ++round) {
       followed_by(
           other,
           PairDistance(base.agent + std::string(NameOf(moment)) + pair, round),
@@ -75,10 +81,11 @@
 std::vector<MatrixCase> GenerateCases(int rounds) {
   std::vector<MatrixCase> cases;
   for (const Procedure procedure : AllProcedures()) {
-    for (const ProcedureCase& base : CasesOf(procedure)) {
+    const std::vector<ProcedureCase> bases = CasesOf(procedure);
+    for (std::size_t i = 0; i < bases.size(); ++i) {
       for (const Moment moment : StepsOf(procedure)) {
         for (const FaultColumn column : AllColumns()) {
-          AddCases(cases, base, moment, column, rounds);
+          AddCases(cases, bases[i], moment, column, rounds, i);
         }
       }
     }
@@ -139,8 +146,8 @@
       "`scripts/fault_matrix` writes this page. A row is a step of a "
       "procedure, a column is a fault that strikes when the step is reached. "
       "Each cell holds the number of its cases: the fault once, twice, and "
-      "followed by each other fault, with the agent beside the entry host and "
-      "in another data centre. Every case runs the deciding functions against "
+      "followed by each other fault, in the two cases of the procedure. Every "
+      "case runs the deciding functions against "
       "fakes with a fixed seed and is judged against the invariants I1 to I9. "
       "A cell with failed cases shows them as `failed/cases`.\n\n";
   text += std::to_string(cases.size()) + " cases, " +
--- a/packages/fault_matrix/fault_matrix.h
+++ b/packages/fault_matrix/fault_matrix.h
@@ -28,7 +28,8 @@
   std::vector<Violation> violations;
 };
 
-// `rounds` repeats the pairs with other distances in time; 1 for CI.
+// With one round, as in CI, each pair is tried in one of the two cases of a
+// procedure; more rounds try it in both, with other distances in time.
 std::vector<MatrixCase> GenerateCases(int rounds);
 
 // Runs the cases on `threads` threads. The order of the failures is that of
--- a/packages/fault_matrix/procedure.h
+++ b/packages/fault_matrix/procedure.h
@@ -15,6 +15,13 @@
   kIdempotentRead,
   kKeyedCall,
   kUnkeyedCall,
+  kColdStart,
+  kDrain,
+  kReturn,
+  kPublication,
+  kEndpointLeaves,
+  kAgentShutdown,
+  kEntryHostShutdown,
 };
 
 // A procedure without faults, and the parts that faults strike at.
@@ -39,7 +46,8 @@
 std::string ProcessAt(const ProcedureCase& base, Moment moment);
 
 // One case with the agent beside the entry host, and one with the agent in
-// another data centre.
+// another data centre. For the publication, the second case has a log that
+// soon drops its entries.
 std::vector<ProcedureCase> CasesOf(Procedure procedure);
 
 }  // namespace toucanhollow
--- a/packages/scenario/agent_performer.h
+++ b/packages/scenario/agent_performer.h
@@ -10,6 +10,8 @@
 
 #include "admission/admission_state.h"
 #include "idempotency/claim_agent.h"
+#include "membership/drain.h"
+#include "scenario/config_holder.h"
 #include "scenario/fake_endpoint.h"
 #include "scenario/site.h"
 #include "wire/message.h"
@@ -21,7 +23,8 @@
   AgentPerformer(Site& site, const NodeSetup& setup, Incarnation incarnation);
 
   void OnMessage(const Sender& sender, const Message& message);
-  void OnDataCentreRecord(bool out);
+  // The link to a run of an entry host has closed.
+  void OnLinkClosed(const Sender& entry_host);
   // Begins to leave; with `exits`, as on SIGTERM, the process ends when its
   // work is done.
   void Leave(bool exits);
@@ -41,6 +44,7 @@
   void Refuse(const DispatchId& id, ResultCode code, bool frees_slot);
   void OnDispatch(const Sender& sender, Dispatch dispatch);
   void OnCancel(const DispatchId& id);
+  void ApplyConfig();
   void Begin(const DispatchId& id);
   void Run(const DispatchId& id);
   void OnPiece(const DispatchId& id, const EndpointPiece& piece);
@@ -64,7 +68,8 @@
   ClaimAgent claims;
   std::optional<LogOffset> log_end;
   std::map<DispatchId, Open> open;
-  bool exits = false;
+  ConfigHolder config;
+  AgentDrain drain;
 };
 
 // The parameters of admission that every scenario uses.
--- a/packages/scenario/fake_log.cc
+++ b/packages/scenario/fake_log.cc
@@ -22,8 +22,15 @@
   this->active.push_back({fault, this->queue.Now() + fault.duration});
 }
 
-void FakeLog::Retain(const std::string& stream, LogOffset first) {
-  this->streams[stream].first = first;
+void FakeLog::SetRetention(Duration age) {
+  this->retention = age;
+}
+
+void FakeLog::Preload(const std::string& stream, const std::string& payload) {
+  std::vector<LogEntry>& entries = this->streams[stream].entries;
+  entries.push_back({.offset = static_cast<LogOffset>(entries.size()) + 1,
+                     .time = this->WallNow(),
+                     .payload = payload});
 }
 
 WallTime FakeLog::WallNow() const {
@@ -44,7 +51,14 @@
 }
 
 LogRead FakeLog::EntriesFrom(const std::string& stream, LogOffset offset) {
-  const Stream& found = this->streams[stream];
+  Stream& found = this->streams[stream];
+  if (this->retention != Duration{0}) {
+    for (const LogEntry& entry : found.entries) {
+      if (this->WallNow() - entry.time > this->retention) {
+        found.first = entry.offset + 1;
+      }
+    }
+  }
   LogRead read{.reached = true,
                .first_offset = found.first,
                .end = static_cast<LogOffset>(found.entries.size())};
--- a/packages/scenario/fake_log.h
+++ b/packages/scenario/fake_log.h
@@ -29,8 +29,10 @@
   FakeLog(EventQueue& queue, FakeNetwork& network);
 
   void Apply(const Fault& fault);
-  // Drops the entries below `first` from the stream.
-  void Retain(const std::string& stream, LogOffset first);
+  // Drops entries older than this, looked at whenever the stream is read.
+  void SetRetention(Duration age);
+  // Appends before the run begins.
+  void Preload(const std::string& stream, const std::string& payload);
 
   // Appends the payloads in order. `answered` receives the first offset, or 0
   // when the log refused without effect; it is never called when the request
@@ -70,6 +72,8 @@
   std::map<std::string, Stream> streams;
   std::vector<Active> active;
   std::int64_t appends = 0;
+  // Zero keeps everything.
+  Duration retention{};
 };
 
 }  // namespace toucanhollow
--- a/packages/scenario/fake_network.h
+++ b/packages/scenario/fake_network.h
@@ -28,8 +28,8 @@
   // True unless a partition separates the nodes now.
   bool Connected(const std::string& from, const std::string& to) const;
 
-  // Calls `deliver` at the receiver's end: never, once or twice. Messages of
-  // one pair stay in order unless a fault delays some of them.
+  // Calls `deliver` at the receiver's end: never, once, or repeatedly. Messages
+  // of one pair stay in order unless a fault delays some of them.
   void Send(const std::string& from,
             const std::string& to,
             std::function<void()> deliver);
--- a/packages/scenario/moment.h
+++ b/packages/scenario/moment.h
@@ -21,7 +21,7 @@
   kAnswerReceived,
   kVoidSent,
   kRecordSent,
-  kRecordAppended,
+  // A record replaced an earlier one in a process.
   kRecordRead,
   kProposalSent,
   kProposalRead,
@@ -32,6 +32,7 @@
   kActivated,
   kShutdownStarted,
   kLeavingSent,
+  kEngineRestarted,
 };
 
 struct MomentName {
--- a/packages/scenario/observation.h
+++ b/packages/scenario/observation.h
@@ -30,6 +30,8 @@
   CallerOutcome outcome = CallerOutcome::kPending;
   ResultCode code = ResultCode::kAnswered;
   std::string answer = {};
+  // The entry host ended with the request open.
+  bool connection_broke = false;
 };
 
 // One start of a request at a service or an engine.
@@ -66,10 +68,21 @@
   std::string content = {};
 };
 
+// A record as it stands in the log.
+struct LoggedRecord {
+  TimePoint time{};
+  std::string subject = {};
+  std::string change_id = {};
+  std::int64_t revision = 0;
+  std::int64_t expected_revision = 0;
+  bool out = false;
+};
+
 // An operator was told that the record was accepted or refused.
 struct OperatorTold {
   TimePoint time{};
   std::string subject = {};
+  std::string change_id = {};
   std::int64_t revision = 0;
   bool accepted = false;
 };
@@ -101,6 +114,7 @@
   std::vector<Run> runs;
   std::vector<RankStep> steps;
   std::vector<RecordSeen> records;
+  std::vector<LoggedRecord> logged;
   std::vector<OperatorTold> operators;
   std::vector<NodeEvent> nodes;
   std::vector<FaultSeen> faults;
--- a/packages/scenario/scenario.h
+++ b/packages/scenario/scenario.h
@@ -39,6 +39,7 @@
   kRequest,
   kTakeOut,
   kBringBack,
+  kRestartEngine,
   kChangeMap,
   kShutDown,
   kListAsLeaving,
@@ -95,6 +96,10 @@
   std::string title = {};
   std::uint64_t seed = 1;
   std::vector<std::string> data_centres = {};
+  // Those of them whose first record says that they are out.
+  std::vector<std::string> data_centres_out = {};
+  // Age at which the log drops entries; zero keeps everything.
+  Duration log_retention{};
   std::vector<NodeSetup> nodes = {};
   std::vector<Step> steps = {};
 
--- a/packages/scenario/site.cc
+++ b/packages/scenario/site.cc
@@ -2,10 +2,14 @@
 
 #include <algorithm>
 #include <utility>
+#include <variant>
 
 #include "base/check.h"
+#include "log_codec/config_codec.h"
 #include "scenario/agent_performer.h"
+#include "scenario/config_holder.h"
 #include "scenario/entry_host_performer.h"
+#include "scenario/operator_performer.h"
 
 namespace toucanhollow {
 
@@ -18,11 +22,43 @@
           this->world.queue, this->world.seen, node);
     }
   }
+  this->world.log.SetRetention(scenario.log_retention);
+  for (const std::string& data_centre : this->scenario.data_centres) {
+    PublishedRecord record;
+    record.subject = DataCentreSubject(data_centre);
+    record.copy.change_id = "initial-" + data_centre;
+    record.copy.text = DataCentreText(
+        data_centre,
+        std::ranges::find(scenario.data_centres_out, data_centre) !=
+            scenario.data_centres_out.end());
+    this->world.log.Preload("config", EncodeRecord(record));
+  }
   for (const NodeSetup& node : this->scenario.nodes) {
     this->Start(node.name);
   }
 }
 
+Observations Site::Finish() {
+  for (const LogEntry& entry : this->world.log.Entries("config")) {
+    const ConfigEntry decoded = DecodeConfig(entry);
+    const auto* record = std::get_if<PublishedRecord>(&decoded.record);
+    if (record == nullptr) {
+      continue;
+    }
+    this->world.seen.logged.push_back(
+        {.time = TimePoint(entry.time - this->world.log.WallNow() +
+                           this->world.Now().time_since_epoch()),
+         .subject = record->subject.name,
+         .change_id = record->copy.change_id,
+         .revision = entry.offset,
+         .expected_revision = record->expected_revision,
+         .out =
+             record->copy.text == DataCentreText(record->subject.name, true)});
+  }
+  this->world.seen.end = this->world.Now();
+  return std::move(this->world.seen);
+}
+
 Site::~Site() = default;
 
 const NodeSetup& Site::Setup(const std::string& node) const {
@@ -34,6 +70,9 @@
 }
 
 void Site::Start(const std::string& node) {
+  if (this->world.IncarnationOf(node) != Incarnation{}) {
+    return;
+  }
   const NodeSetup& setup = this->Setup(node);
   const Incarnation incarnation = this->world.StartProcess(node);
   if (setup.kind == NodeKind::kEntryHost) {
@@ -54,11 +93,19 @@
   }
   this->world.EndProcess(node, fact);
   if (this->entry_hosts.contains(node)) {
+    for (const auto& entry : this->agents) {
+      const std::string name = entry.first;
+      this->world.network.Send(node, name, [=, this] {
+        this->world.InProcess(name, this->world.IncarnationOf(name), [=, this] {
+          this->agents.at(name)->OnLinkClosed({node, incarnation});
+        });
+      });
+    }
     for (const CallerAsked& asked : std::vector(this->world.seen.asked)) {
       if (asked.entry_host == node && asked.time <= this->world.Now()) {
         // The caller's connection breaks.
         this->TellCaller(asked.request, CallerOutcome::kUnknown,
-                         ResultCode::kOutcomeUnknown, {});
+                         ResultCode::kOutcomeUnknown, {}, true);
       }
     }
     return;
@@ -84,6 +131,11 @@
   });
 }
 
+void Site::RestartEngine(const std::string& node) {
+  this->endpoints.at(node)->Restart();
+  this->world.Reach(Moment::kEngineRestarted, node);
+}
+
 void Site::ListAsLeaving(const std::string& node) {
   const Incarnation incarnation = this->world.IncarnationOf(node);
   this->world.InProcess(node, incarnation,
@@ -122,7 +174,8 @@
 void Site::TellCaller(const std::string& request,
                       CallerOutcome outcome,
                       ResultCode code,
-                      const std::string& answer) {
+                      const std::string& answer,
+                      bool connection_broke) {
   const bool told = std::ranges::any_of(
       this->world.seen.told,
       [&](const CallerTold& entry) { return entry.request == request; });
@@ -133,7 +186,8 @@
                                    .request = request,
                                    .outcome = outcome,
                                    .code = code,
-                                   .answer = answer});
+                                   .answer = answer,
+                                   .connection_broke = connection_broke});
   if (this->world.tracing) {
     this->world.Trace("caller of " + request + " is told " +
                       std::string(DescribeResultCode(code).name) + " '" +
@@ -141,19 +195,15 @@
   }
 }
 
-void Site::SendToAgent(const Sender& sender,
-                       const std::string& agent,
-                       const Message& message) {
-  this->world.Send(sender.name, sender.incarnation, agent, [=, this] {
-    this->agents.at(agent)->OnMessage(sender, message);
-  });
-}
-
-void Site::SendToEntryHost(const Sender& sender,
-                           const std::string& entry_host,
-                           const Message& message) {
-  this->world.Send(sender.name, sender.incarnation, entry_host, [=, this] {
-    this->entry_hosts.at(entry_host)->OnMessage(sender, message);
+void Site::Send(const Sender& sender,
+                const std::string& receiver,
+                const Message& message) {
+  this->world.Send(sender.name, sender.incarnation, receiver, [=, this] {
+    if (this->entry_hosts.contains(receiver)) {
+      this->entry_hosts.at(receiver)->OnMessage(sender, message);
+    } else {
+      this->agents.at(receiver)->OnMessage(sender, message);
+    }
   });
 }
 
@@ -190,6 +240,8 @@
       this->world.log.Apply(fault);
       break;
     case FaultKind::kOperatorsRace:
+      PublishDataCentre(*this, "operator-1", fault.target, true);
+      PublishDataCentre(*this, "operator-2", fault.target, false);
       break;
   }
 }
--- a/packages/scenario/site.h
+++ b/packages/scenario/site.h
@@ -31,6 +31,7 @@
   Site(const Scenario& scenario, Defect defect, bool tracing);
   ~Site();
 
+  // Starts a process unless it runs.
   void Start(const std::string& node);
   // Ends the present run of a process; its links and callers notice.
   void End(const std::string& node, NodeFact fact);
@@ -38,21 +39,23 @@
   void ShutDown(const std::string& node);
   // The host list names the endpoint as leaving.
   void ListAsLeaving(const std::string& node);
+  void RestartEngine(const std::string& node);
   // A caller sends a request to an entry host.
   void Ask(const Action& action);
   void TellCaller(const std::string& request,
                   CallerOutcome outcome,
                   ResultCode code,
-                  const std::string& answer);
+                  const std::string& answer,
+                  bool connection_broke = false);
   // The Idempotency-Key header of a key of the scenario.
   std::string KeyText(const std::string& key) const;
   void Apply(const Fault& fault);
-  void SendToAgent(const Sender& sender,
-                   const std::string& agent,
-                   const Message& message);
-  void SendToEntryHost(const Sender& sender,
-                       const std::string& entry_host,
-                       const Message& message);
+  void Send(const Sender& sender,
+            const std::string& receiver,
+            const Message& message);
+
+  // Everything that was observed, at the end of the run.
+  Observations Finish();
 
   const NodeSetup& Setup(const std::string& node) const;
 
