--- a/packages/scenario/config_holder.cc
+++ b/packages/scenario/config_holder.cc
@@ -44,17 +44,14 @@
 }
 
 bool ConfigHolder::Merge(const Snapshot& snapshot) {
-  for (const LogEntry& entry : snapshot.entries) {
-    const Result<ConfigSnapshot> decoded = DecodeSnapshot(entry.payload);
-    if (decoded.has_value()) {
-      if (this->world.Has(Defect::kSnapshotReverts)) {
-        for (const SubjectSnapshot& subject : decoded.value().subjects) {
-          this->state.subjects[subject.subject].copies = {};
-        }
+  const Result<ConfigSnapshot> decoded = DecodeSnapshot(snapshot.text);
+  if (decoded.has_value()) {
+    if (this->world.Has(Defect::kSnapshotReverts)) {
+      for (const SubjectSnapshot& subject : decoded.value().subjects) {
+        this->state.subjects[subject.subject].copies = {};
       }
-      this->state =
-          MergeSnapshot(std::move(this->state), decoded.value()).state;
     }
+    this->state = MergeSnapshot(std::move(this->state), decoded.value()).state;
   }
   return this->ObserveChanges();
 }
@@ -64,13 +61,8 @@
 }
 
 Snapshot ConfigHolder::Take() const {
-  Snapshot snapshot;
-  snapshot.as_of = this->Offset();
-  LogEntry entry;
-  entry.offset = snapshot.as_of;
-  entry.payload = EncodeSnapshot(TakeSnapshot(this->state));
-  snapshot.entries = {entry};
-  return snapshot;
+  return {.as_of = this->Offset(),
+          .text = EncodeSnapshot(TakeSnapshot(this->state))};
 }
 
 bool ConfigHolder::HasGap() const {
--- a/packages/scenario/entry_host_performer.cc
+++ b/packages/scenario/entry_host_performer.cc
@@ -339,15 +339,15 @@
   const NodeSetup& peer = this->site.Setup(sender.name);
   const bool is_agent = peer.kind != NodeKind::kEntryHost;
   const ProcessName name{sender.name};
-  HeartbeatDecision decision =
-      OnHeartbeat(std::move(this->members),
-                  {.sender = name,
-                   .role = is_agent ? Role::kEndpoint : Role::kEntryHost,
-                   .data_centre = DataCentreName{peer.data_centre},
-                   .incarnation = sender.incarnation,
-                   .leaving = heartbeat.leaving,
-                   .config_offset = heartbeat.config_offset},
-                  this->world.Now());
+  HeartbeatDecision decision = OnHeartbeat(
+      std::move(this->members),
+      {.sender = name,
+       .role = is_agent ? MemberRole::kEndpoint : MemberRole::kEntryHost,
+       .data_centre = DataCentreName{peer.data_centre},
+       .incarnation = sender.incarnation,
+       .leaving = heartbeat.leaving,
+       .config_offset = heartbeat.config_offset},
+      this->world.Now());
   this->members = std::move(decision.state);
   if (decision.stale) {
     return;
@@ -470,7 +470,7 @@
   const TimePoint now = this->world.Now();
   for (const ProcessName& name : Suspects(this->members, now)) {
     const Member& member = this->members.members.at(name);
-    if (member.role != Role::kEndpoint) {
+    if (member.role != MemberRole::kEndpoint) {
       continue;
     }
     RoutingView& view = this->ViewFor(this->site.Setup(name.value).service);
