--- a/packages/bench/measure_parts.h
+++ b/packages/bench/measure_parts.h
@@ -8,8 +8,10 @@
 void MeasureClaims();
 void MeasureConfig();
 void MeasureLinks();
+void MeasureMaps();
 void MeasureOverload();
 void MeasureRouting();
+void MeasureTimeline();
 void MeasureWire();
 
 }  // namespace toucanhollow
