Answer 408, 413 and 431 in the callers' format

These answers come from the HTTP server itself and were plain text without a numbered code. The entry host now gives it the body.

--- a/packages/entry/entry_host.cc
+++ b/packages/entry/entry_host.cc
@@ -94,6 +94,12 @@
   options.request_timeout = limits.caller_timeout;
   options.idle_timeout = limits.idle_timeout;
   options.max_connections = static_cast<unsigned>(limits.connections);
+  options.error_body = [](int status) {
+    const ResultCode code = status == 431   ? ResultCode::kHeaderTooLarge
+                            : status == 413 ? ResultCode::kBodyTooLarge
+                                            : ResultCode::kCallerTimeout;
+    return WriteError(MakeFailure(code, ""), RequestId{});
+  };
   Result<std::unique_ptr<HttpServer>> server =
       HttpServer::Listen(this->context.loop, options,
                          [this](const HttpRequest& request,
--- a/packages/http_server/http_server.cc
+++ b/packages/http_server/http_server.cc
@@ -89,11 +89,23 @@
   }
 }
 
-MHD_Result QueueError(MHD_Connection* mhd, int status) {
-  const std::string_view body = ReasonOf(status);
+// Content type and body of an answer of the server's own.
+std::pair<std::string, std::string> ErrorAnswer(
+    const HttpServerOptions& options,
+    int status) {
+  if (options.error_body) {
+    return {"application/json", options.error_body(status)};
+  }
+  return {"text/plain", std::string(ReasonOf(status))};
+}
+
+MHD_Result QueueError(MHD_Connection* mhd,
+                      const HttpServerOptions& options,
+                      int status) {
+  auto [type, body] = ErrorAnswer(options, status);
   MHD_Response* response = MHD_create_response_from_buffer(
-      body.size(), const_cast<char*>(body.data()), MHD_RESPMEM_PERSISTENT);
-  AddHeaders(response, {{"Content-Type", "text/plain"}}, true);
+      body.size(), body.data(), MHD_RESPMEM_MUST_COPY);
+  AddHeaders(response, {{"Content-Type", type}}, true);
   const MHD_Result result =
       MHD_queue_response(mhd, static_cast<unsigned int>(status), response);
   MHD_destroy_response(response);
@@ -127,12 +139,14 @@
 
 // Sent past libmicrohttpd, which cannot answer a request that is not whole.
 // No part of an answer is pending on the connection at that moment.
-void SendRequestTimeout(int file_descriptor) {
-  constexpr std::string_view kAnswer =
-      "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
-      "Content-Length: 0\r\n\r\n";
+void SendRequestTimeout(const HttpServerOptions& options, int file_descriptor) {
+  const auto [type, body] = ErrorAnswer(options, 408);
+  const std::string answer =
+      "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Type: " +
+      type + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+      body;
   [[maybe_unused]] const ssize_t sent =
-      send(file_descriptor, kAnswer.data(), kAnswer.size(),
+      send(file_descriptor, answer.data(), answer.size(),
            MSG_DONTWAIT | MSG_NOSIGNAL);
 }
 
@@ -251,7 +265,7 @@
     const bool idle = !connection->in_request &&
                       now - connection->idle_since > this->options.idle_timeout;
     if (slow) {
-      SendRequestTimeout(connection->file_descriptor);
+      SendRequestTimeout(this->options, connection->file_descriptor);
     }
     if (slow || idle) {
       connection->closing = true;
@@ -316,13 +330,13 @@
     MHD_get_connection_values(slot->mhd, MHD_HEADER_KIND, CollectHeader,
                               &exchange.request.headers);
     if (HeaderBytes(exchange.request) > this->options.max_header_bytes) {
-      return QueueError(slot->mhd, 431);
+      return QueueError(slot->mhd, this->options, 431);
     }
     const auto length =
         ParseDecimal(FindHeader(exchange.request.headers, "Content-Length"));
     if (length.has_value() &&
         *length > static_cast<std::int64_t>(this->options.max_body_bytes)) {
-      return QueueError(slot->mhd, 413);
+      return QueueError(slot->mhd, this->options, 413);
     }
     return MHD_YES;
   }
@@ -350,7 +364,7 @@
   slot->connection->reading_since.reset();
   if (exchange->body_too_large) {
     exchange->taken = 0;
-    return QueueError(slot->mhd, 413);
+    return QueueError(slot->mhd, this->options, 413);
   }
   if (!exchange->handed_over) {
     exchange->handed_over = true;
--- a/packages/http_server/http_server.h
+++ b/packages/http_server/http_server.h
@@ -29,6 +29,9 @@
   Duration request_timeout = Seconds(10);
   // Connections without a request, and callers that do not read, are closed.
   Duration idle_timeout = Seconds(60);
+  // The JSON body of the server's own answers 408, 413 and 431; plain text if
+  // empty.
+  std::function<std::string(int status)> error_body;
   // Connections beyond it wait in the listening socket's backlog.
   unsigned int max_connections = 4096;
 };
--- a/packages/http_server/http_server_test.cc
+++ b/packages/http_server/http_server_test.cc
@@ -229,6 +229,28 @@
   CHECK(fixture.SendRaw("").empty());
 }
 
+// Guards against refusals of the server itself in another form than those of
+// its handler.
+TEST_CASE("the server's own answers have the owner's body") {
+  Fixture fixture;
+  HttpServerOptions options;
+  options.max_body_bytes = 10;
+  options.request_timeout = Milliseconds(100);
+  options.error_body = [](int status) {
+    return "{\"status\":" + std::to_string(status) + "}";
+  };
+  fixture.Listen([](const HttpRequest&, auto) { FAIL("refused"); }, options);
+  HttpCall call = fixture.Call("POST", "/");
+  call.body = std::string(11, 'b');
+  const HttpOutcome outcome = fixture.Fetch(call);
+  CHECK(outcome.body == "{\"status\":413}");
+  CHECK(FindHeader(outcome.headers, "Content-Type") == "application/json");
+  CHECK(fixture
+            .SendRaw("POST / HTTP/1.1\r\nHost: a\r\n"
+                     "Content-Length: 10\r\n\r\nabc")
+            .ends_with("{\"status\":408}"));
+}
+
 // Guards against a shutdown that cuts an open stream or takes a new request.
 TEST_CASE("open streams finish after the server stops accepting") {
   Fixture fixture;
