Pass cache events to entry hosts and write the timeline's file

Agents read their engine's cache events every 500 ms and pass them on; entry hosts apply them to the prefix index and hash prompts as the engines do, so that own dispatches and reported blocks meet in one index.

The setting timeline.file now receives every event.

--- a/packages/agent/endpoint_agent.cc
+++ b/packages/agent/endpoint_agent.cc
@@ -11,6 +11,7 @@
 #include "admission/service_state.h"
 #include "agent/engine_back_end.h"
 #include "agent/service_back_end.h"
+#include "engine_api/engine_codec.h"
 #include "host_list/host_list.h"
 #include "log_text/log.h"
 #include "operator_api/operator_api.h"
@@ -21,6 +22,8 @@
 
 constexpr Duration kLoadInterval = Milliseconds(250);
 constexpr Duration kTickInterval = Milliseconds(50);
+// Engines publish cache events late anyway.
+constexpr Duration kCacheInterval = Milliseconds(500);
 constexpr Duration kGrantInterval = Seconds(1);
 // The list lags anyway; it is advice beside the links.
 constexpr Duration kHostListInterval = Seconds(2);
@@ -205,6 +208,11 @@
   this->load_timer =
       std::make_unique<Timer>(this->context.loop, Duration(0), kLoadInterval,
                               [this] { this->ReadLoad(); });
+  if (this->engine) {
+    this->cache_timer = std::make_unique<Timer>(
+        this->context.loop, kCacheInterval, kCacheInterval,
+        [this] { this->ReadCacheEvents(); });
+  }
   if (settings.host_list) {
     this->host_list_timer = std::make_unique<Timer>(
         this->context.loop, Duration(0), kHostListInterval,
@@ -599,6 +607,37 @@
   });
 }
 
+// Passes the engine's cache events on as they are.
+void EndpointAgent::ReadCacheEvents() {
+  if (std::exchange(this->reading_cache, true)) {
+    return;
+  }
+  this->engine->ReadCacheEvents(
+      this->next_cache_event, [this](const Result<EngineCacheEvents>& read) {
+        this->reading_cache = false;
+        if (!read) {
+          return;
+        }
+        if (std::exchange(this->cache_incarnation, read.value().incarnation) !=
+                read.value().incarnation &&
+            this->next_cache_event != 0) {
+          // A new engine counts its events anew.
+          this->next_cache_event = 0;
+          return;
+        }
+        this->next_cache_event = read.value().next;
+        if (read.value().events.empty()) {
+          return;
+        }
+        const CacheNotice notice{this->context.settings.back_end->endpoint,
+                                 EncodeCacheEvents(read.value())};
+        for (const auto& peer : this->peers) {
+          // A notice that a full queue refuses costs efficiency only.
+          peer->session->Send(notice);
+        }
+      });
+}
+
 void EndpointAgent::SendGrants() {
   std::vector<GrantDemand> demand;
   for (const auto& peer : this->peers) {
--- a/packages/agent/endpoint_agent.h
+++ b/packages/agent/endpoint_agent.h
@@ -67,6 +67,7 @@
   void Refuse(const Run& run, ResultCode code, const std::string& detail);
   void StartWaiting();
   void ReadLoad();
+  void ReadCacheEvents();
   void SendGrants();
   void SendHeartbeats();
   void ReportFreeSlot();
@@ -98,6 +99,10 @@
   std::unique_ptr<Timer> tick;
   std::unique_ptr<Timer> grant_timer;
   bool reading_load = false;
+  bool reading_cache = false;
+  std::int64_t next_cache_event = 0;
+  std::uint64_t cache_incarnation = 0;
+  std::unique_ptr<Timer> cache_timer;
   // A dispatch was refused for want of a slot since the last heartbeat; its
   // sender counts this endpoint as full until the next one.
   bool refused_full = false;
--- a/packages/entry/request_task.cc
+++ b/packages/entry/request_task.cc
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "caller_api/write_answer.h"
+#include "engine_api/cache_event.h"
+#include "engine_api/engine_codec.h"
 #include "idempotency/claim_rate.h"
 #include "idempotency/idempotency_key.h"
 
@@ -15,10 +17,6 @@
 constexpr std::size_t kMaxUnreadBytes = std::size_t{1} << 20;
 // Expected tokens of an answer whose caller gave no bound.
 constexpr int kExpectedTokens = 128;
-// A prompt is taken to have one token for each 4 bytes and is matched in
-// blocks of 16 tokens.
-constexpr std::size_t kBytesPerToken = 4;
-constexpr std::size_t kBytesPerBlock = 64;
 // An endpoint that refused or failed an attempt is left out of the request's
 // next attempts for this time; it may be the only one, and come back.
 constexpr Duration kExclusion = Milliseconds(500);
@@ -46,7 +44,9 @@
   std::optional<ScopedKey> key;
   // Where voids are read from.
   LogOffset claims_from = 0;
+  // Hashes as engines report them in their cache events.
   std::vector<BlockHash> blocks;
+  int prompt_tokens = 0;
   TimePoint accepted_at;
   TimePoint deadline;
   std::unique_ptr<Timer> deadline_timer;
@@ -175,7 +175,8 @@
   if (caller.form == AnswerForm::kPlain) {
     return this->ResolvePlain(open);
   }
-  open.blocks = ChainBlockHashes(caller.prompt, kBytesPerBlock);
+  open.blocks = PromptBlocks(caller.prompt);
+  open.prompt_tokens = static_cast<int>(CountPromptTokens(caller.prompt));
   open.services =
       GroupsOfModel(this->view, caller.service.value, caller.account);
   if (!open.services.empty()) {
@@ -371,8 +372,7 @@
   std::vector<PrefixMatch> matches;
   if (open.caller.form != AnswerForm::kPlain) {
     matches = MatchPrefix(this->prefixes, open.blocks, now);
-    request.prompt_tokens =
-        static_cast<int>(open.caller.prompt.size() / kBytesPerToken);
+    request.prompt_tokens = open.prompt_tokens;
     request.expected_output_tokens =
         open.caller.max_tokens.value_or(kExpectedTokens);
   }
@@ -622,7 +622,9 @@
     }
     return this->FindOpen(dispatch->second.request);
   };
-  if (auto* token = std::get_if<Token>(&message)) {
+  if (const auto* notice = std::get_if<CacheNotice>(&message)) {
+    this->OnCacheNotice(*notice);
+  } else if (auto* token = std::get_if<Token>(&message)) {
     if (Open* open = find_open(token->dispatch_id)) {
       this->Apply(*open, PieceArrived{token->dispatch_id, agent.incarnation,
                                       token->index, std::move(token->text)});
@@ -643,6 +645,27 @@
   }
 }
 
+void RequestTask::OnCacheNotice(const CacheNotice& notice) {
+  const std::optional<EngineCacheEvents> decoded =
+      DecodeCacheEvents(notice.events);
+  if (!decoded) {
+    this->context.metrics.Count("cache_notices_malformed");
+    return;
+  }
+  const TimePoint now = EventLoop::Now();
+  for (const EngineCacheEvent& event : decoded->events) {
+    CacheEvent change;
+    change.endpoint = notice.endpoint;
+    change.engine = Incarnation{decoded->incarnation};
+    change.sequence = static_cast<std::uint64_t>(event.sequence);
+    change.kind =
+        event.stored ? CacheEvent::Kind::kStored : CacheEvent::Kind::kRemoved;
+    change.blocks = {event.block};
+    this->prefixes = ApplyCacheEvent(std::move(this->prefixes), change, now);
+  }
+  this->context.metrics.Count("cache_events", "", decoded->events.size());
+}
+
 void RequestTask::OnLost(const AgentRun& agent) {
   std::vector<DispatchId> lost;
   for (const auto& [dispatch_id, dispatch] : this->dispatches) {
--- a/packages/entry/request_task.h
+++ b/packages/entry/request_task.h
@@ -41,6 +41,7 @@
   // A message of an agent about a dispatch.
   void OnMessage(const AgentRun& agent, Message message);
   void OnLost(const AgentRun& agent);
+
   void OnVoidSettled(const VoidWatch& watch);
   // Sends queued requests while endpoints have free slots, after the current
   // callback.
@@ -62,6 +63,7 @@
   };
 
   void Pump();
+  void OnCacheNotice(const CacheNotice& notice);
   Open* FindOpen(const RequestId& id);
   Result<bool> Resolve(Open& open);
   Result<bool> ResolvePlain(Open& open);
--- a/packages/session/process_context.cc
+++ b/packages/session/process_context.cc
@@ -2,6 +2,9 @@
 
 #include <utility>
 
+#include "event_codec/event_codec.h"
+#include "log_text/log.h"
+
 namespace toucanhollow {
 namespace {
 
@@ -19,10 +22,23 @@
       timeline(this->settings.process,
                this->incarnation,
                this->settings.timeline_events),
-      random(std::random_device{}()) {}
+      random(std::random_device{}()) {
+  if (!this->settings.timeline_file.empty()) {
+    this->timeline_file.open(this->settings.timeline_file, std::ios::app);
+    if (!this->timeline_file.is_open()) {
+      Log(Severity::kWarning, "timeline",
+          "cannot open " + this->settings.timeline_file +
+              "; events are kept in memory only");
+    }
+  }
+}
 
 void ProcessContext::Record(Event event) {
-  this->timeline.Record(std::move(event), EventLoop::WallNow());
+  const Event& recorded =
+      this->timeline.Record(std::move(event), EventLoop::WallNow());
+  if (this->timeline_file.is_open()) {
+    this->timeline_file << EncodeEvent(recorded) << std::endl;
+  }
 }
 
 }  // namespace toucanhollow
--- a/packages/session/process_context.h
+++ b/packages/session/process_context.h
@@ -2,6 +2,7 @@
 #ifndef SESSION_PROCESS_CONTEXT_H_
 #define SESSION_PROCESS_CONTEXT_H_
 
+#include <fstream>
 #include <random>
 #include <string_view>
 
@@ -17,7 +18,7 @@
 struct ProcessContext {
   ProcessContext(EventLoop& event_loop, Settings process_settings);
 
-  // Keeps an event in the timeline.
+  // Keeps an event in the timeline, and in its file if the settings name one.
   void Record(Event event);
 
   EventLoop& loop;
@@ -25,6 +26,7 @@
   Incarnation incarnation;
   Metrics metrics;
   EventRing timeline;
+  std::ofstream timeline_file;
   // For jitter and for draws among endpoints.
   std::mt19937_64 random;
 };
