Fill endpoints evenly between two reports in routing

Cause: all entry hosts see the same reports, and a draw by free slots sent all of them to the emptiest endpoints for a whole report interval. The draw now fills endpoints to one level by the next report, scores within one spread count as alike, and of two draws the one with fewer own dispatches wins. Known differences such as prefill keep a narrow spread.

--- a/packages/routing/choose_endpoint.cc
+++ b/packages/routing/choose_endpoint.cc
@@ -12,7 +12,11 @@
 
 struct Candidate {
   int index = 0;
+  double limit = 1;
   double free = 0;
+  int own = 0;
+  // Requests of all senders that start in one report interval.
+  double arrivals = 0;
   bool may_send = false;
   double wait_ms = 0;
   double score_ms = 0;
@@ -81,6 +85,10 @@
   const double width = 0.5 + LoadUncertainty(endpoint, now);
   const double per_slot_ms = service_ms / limit;
   const double excess = load + 1 - limit;
+  candidate.limit = limit;
+  candidate.own = endpoint.own_in_flight;
+  candidate.arrivals =
+      load * ToMilliseconds(parameters.report_interval) / service_ms;
   candidate.wait_ms = per_slot_ms * SmoothExcess(excess, width);
   candidate.uncertainty_ms =
       per_slot_ms * SmoothExcess(excess + width, width) - candidate.wait_ms;
@@ -93,37 +101,91 @@
       std::max(0.0, ToMilliseconds(report.step) -
                         parameters.straggler_factor * median_step_ms);
   candidate.score_ms =
-      candidate.wait_ms + parameters.occupancy_ms * load / limit +
-      uncached * parameters.prefill_ms_per_token + DistanceMs(view, endpoint) +
+      candidate.wait_ms + uncached * parameters.prefill_ms_per_token +
+      DistanceMs(view, endpoint) +
       parameters.slow_start_ms * (1 - limit / std::max(1.0, full_limit)) +
       excess_step_ms * request.expected_output_tokens +
       (endpoint.suspected ? parameters.suspicion_ms : 0);
   return candidate;
 }
 
-// Draws by free slots, and by how near the score is to the best.
+// Weight of a candidate in the draw. All hosts see the same reports, so a
+// weight by free slots alone would send all of them to the emptiest endpoint
+// for a whole report interval. This weight brings all endpoints to the same
+// free share at the end of the interval.
+double FillWeight(const Candidate& candidate,
+                  double mean_free_share,
+                  double mean_arrival_share) {
+  constexpr double kSmallestShare = 0.01;
+  const double share = candidate.free / candidate.limit;
+  return candidate.limit *
+         std::max(kSmallestShare, mean_arrival_share + share - mean_free_share);
+}
+
+// How far a candidate is behind the best, in units of what makes scores alike.
+// A difference of waits is as uncertain as the reports; one of prefill or
+// distance is known, so a prefix match is not given away for an uncertain wait.
+double DistanceInSpreads(const Candidate& candidate,
+                         const Candidate& best,
+                         const RoutingParameters& parameters) {
+  // Above this, an uncertain wait gives prefix matches away; see round 3 in
+  // docs/measurements.md.
+  constexpr double kKnownPart = 0.25;
+  const double behind_ms = candidate.score_ms - best.score_ms;
+  const double wait_ms = std::abs(candidate.wait_ms - best.wait_ms);
+  const double known_ms =
+      std::abs(behind_ms - (candidate.wait_ms - best.wait_ms));
+  const double wait_part =
+      wait_ms + known_ms > 0 ? wait_ms / (wait_ms + known_ms) : 0;
+  const double uncertainty_ms =
+      std::max(candidate.uncertainty_ms, best.uncertainty_ms);
+  const double spread_ms =
+      parameters.spread_ms +
+      uncertainty_ms * (kKnownPart + (1 - kKnownPart) * wait_part);
+  return std::max(0.0, behind_ms - spread_ms) / spread_ms;
+}
+
+// A further number in [0, 1) from the low bits of the draw.
+double SecondDraw(double draw) {
+  constexpr double kShift = 1 << 20;
+  const double shifted = draw * kShift;
+  return shifted - std::floor(shifted);
+}
+
+// Draws by fill weight, and by how near the score is to the best.
 const Candidate& Draw(const std::vector<Candidate>& candidates,
                       const RoutingParameters& parameters,
                       double draw) {
   const Candidate& best =
       *std::ranges::min_element(candidates, {}, &Candidate::score_ms);
+  double limits = 0;
+  double free = 0;
+  double arrivals = 0;
+  for (const Candidate& candidate : candidates) {
+    limits += candidate.limit;
+    free += candidate.free;
+    arrivals += candidate.arrivals;
+  }
   std::vector<double> weights;
   weights.reserve(candidates.size());
   double sum = 0;
   for (const Candidate& candidate : candidates) {
-    const double spread =
-        parameters.spread_ms +
-        std::max(candidate.uncertainty_ms, best.uncertainty_ms);
-    const double distance = (candidate.score_ms - best.score_ms) / spread;
+    const double distance = DistanceInSpreads(candidate, best, parameters);
     if (distance < kMaxSpreads) {
-      sum += std::max(1.0, candidate.free) * std::exp(-distance);
+      sum += FillWeight(candidate, free / limits, arrivals / limits) *
+             std::exp(-distance);
     }
     weights.push_back(sum);
   }
-  const auto drawn = std::ranges::upper_bound(weights, draw * sum);
-  const auto index = std::min<std::ptrdiff_t>(drawn - weights.begin(),
-                                              std::ssize(weights) - 1);
-  return candidates[index];
+  const auto candidate_at = [&](double position) -> const Candidate& {
+    const auto drawn = std::ranges::upper_bound(weights, position * sum);
+    const auto index = std::min<std::ptrdiff_t>(drawn - weights.begin(),
+                                                std::ssize(weights) - 1);
+    return candidates[index];
+  };
+  const Candidate& first = candidate_at(draw);
+  const Candidate& second = candidate_at(SecondDraw(draw));
+  return second.own / second.limit < first.own / first.limit ? second : first;
 }
 
 }  // namespace
--- a/packages/routing/choose_endpoint.h
+++ b/packages/routing/choose_endpoint.h
@@ -18,8 +18,6 @@
   int tokens_per_block = 16;
   // Used while an endpoint has not reported its mean service time.
   Duration default_service = Seconds(1);
-  // Slowdown of an endpoint with a full batch against an empty one.
-  double occupancy_ms = 10;
   // Penalty of an endpoint at the very start of its ramp: its caches are
   // empty.
   double slow_start_ms = 30;
@@ -27,6 +25,8 @@
   double straggler_factor = 1.3;
   // A false suspicion moves work to the others while they have free slots.
   double suspicion_ms = 500;
+  // Time between two load reports of an endpoint.
+  Duration report_interval = Seconds(1);
   // Scores closer than this are alike.
   double spread_ms = 2;
 
@@ -57,7 +57,8 @@
 };
 
 // `draw` is a random number in [0, 1). Endpoints with a free slot go first;
-// among those whose score is near the best, one is drawn by its free slots.
+// among those whose score is near the best, one is drawn so that all are filled
+// alike by the next report.
 RoutingDecision ChooseEndpoint(const RoutingView& view,
                                const RoutingParameters& parameters,
                                const RoutingRequest& request,
