Add map changes to the scenarios and the fault matrix

A fake lock-step group runs what each engine was ordered; the performer of a rank's agent carries out the orders and appends of expert_map. Rows are the steps of a map change, with engines that honour and that ignore fencing; pauses, cuts and log faults last 4 times longer there, so that they outlast the lead of 10 s. The checker judges I1 and that the group steps on.

--- a/packages/fault_matrix/check_invariants.cc
+++ b/packages/fault_matrix/check_invariants.cc
@@ -65,6 +65,7 @@
   }
 
   std::vector<Violation> Check() {
+    this->CheckMaps();
     this->CheckColdLoad();
     this->CheckOut();
     this->CheckReturn();
@@ -100,6 +101,30 @@
     return next;
   }
 
+  // I1, and that a group steps on after the faults.
+  void CheckMaps() {
+    std::map<std::pair<std::string, std::int64_t>, std::int64_t> map_of;
+    std::map<std::string, TimePoint> last_step;
+    for (const RankStep& step : this->seen.steps) {
+      const auto [found, first] =
+          map_of.try_emplace({step.group, step.step}, step.map_version);
+      if (!first && found->second != step.map_version) {
+        this->Report("I1",
+                     step.group + " runs step " + std::to_string(step.step) +
+                         " on maps " + std::to_string(found->second) + " and " +
+                         std::to_string(step.map_version) + At(step.time));
+        return;
+      }
+      last_step[step.group] = step.time;
+    }
+    for (const auto& [group, time] : last_step) {
+      if (this->quiet + kRecovery + Seconds(1) < this->seen.end &&
+          time < this->seen.end - Seconds(1)) {
+        this->Report("service", group + " has not stepped since" + At(time));
+      }
+    }
+  }
+
   // I2: from the start of an engine, its load grows by at most one for each
   // completion and at most doubles in each second.
   void CheckColdLoad() {
--- a/packages/fault_matrix/fault_column.cc
+++ b/packages/fault_matrix/fault_column.cc
@@ -32,9 +32,15 @@
   const std::string& entry = base.entry_host;
   const std::string& agent = base.agent;
   const Duration none{};
+  // A map change takes 10 s from proposal to activation; faults must be able
+  // to outlast it.
+  const int scale = base.procedure == Procedure::kMapChange ? 4 : 1;
+  const Duration pause_time = scale * kPauseTime;
+  const Duration cut_time = scale * kCutTime;
+  const Duration log_time = scale * kLogTime;
   switch (column) {
     case FaultColumn::kStall:
-      return {MakeFault(FaultKind::kRankStall, agent, "", none, kPauseTime)};
+      return {MakeFault(FaultKind::kRankStall, agent, "", none, pause_time)};
     case FaultColumn::kLateToAgent:
       return {MakeFault(FaultKind::kLateMessages, entry, agent, kLateBy,
                         kMessageTime)};
@@ -57,26 +63,28 @@
     case FaultColumn::kAgentDies:
       return {MakeFault(FaultKind::kProcessDeath, agent, "", none, none)};
     case FaultColumn::kEntryHostPauses:
-      return {MakeFault(FaultKind::kPause, entry, "", none, kPauseTime)};
+      return {MakeFault(FaultKind::kPause, entry, "", none, pause_time)};
     case FaultColumn::kAgentPauses:
-      return {MakeFault(FaultKind::kPause, agent, "", none, kPauseTime)};
+      return {MakeFault(FaultKind::kPause, agent, "", none, pause_time)};
     case FaultColumn::kTurnsCold:
       return {MakeFault(FaultKind::kTurnCold, agent, "", none, none)};
     case FaultColumn::kLogDown:
-      return {MakeFault(FaultKind::kLogDown, "", "", none, kLogTime)};
+      return {MakeFault(FaultKind::kLogDown, "", "", none, log_time)};
     case FaultColumn::kLogSlow:
-      return {MakeFault(FaultKind::kLogSlow, "", "", kSlowBy, kLogTime)};
+      return {MakeFault(FaultKind::kLogSlow, "", "", kSlowBy, log_time)};
     case FaultColumn::kAnswerLost:
-      return {MakeFault(FaultKind::kLogAnswersLost, "", "", none, kLogTime)};
+      return {MakeFault(FaultKind::kLogAnswersLost, "", "", none, log_time)};
     case FaultColumn::kOperatorsRace:
-      return {MakeFault(FaultKind::kOperatorsRace, base.data_centre, "", none,
-                        none)};
+      return {MakeFault(
+          FaultKind::kOperatorsRace,
+          base.procedure == Procedure::kMapChange ? "group" : base.data_centre,
+          "", none, none)};
     case FaultColumn::kPlatformCut:
       return {MakeFault(FaultKind::kCutFromPlatform, base.data_centre, "", none,
-                        kCutTime)};
+                        cut_time)};
     case FaultColumn::kDataCentresCut:
       return {MakeFault(FaultKind::kCutDataCentres, base.data_centre,
-                        base.other_data_centre, none, kCutTime)};
+                        base.other_data_centre, none, cut_time)};
   }
   return {};
 }
--- a/packages/fault_matrix/procedure.cc
+++ b/packages/fault_matrix/procedure.cc
@@ -156,17 +156,19 @@
       return "agent shutdown";
     case Procedure::kEntryHostShutdown:
       return "entry host shutdown";
+    case Procedure::kMapChange:
+      return "map change";
   }
   return {};
 }
 
 std::vector<Procedure> AllProcedures() {
   std::vector<Procedure> procedures(kRequests.begin(), kRequests.end());
-  procedures.insert(
-      procedures.end(),
-      {Procedure::kColdStart, Procedure::kDrain, Procedure::kReturn,
-       Procedure::kPublication, Procedure::kEndpointLeaves,
-       Procedure::kAgentShutdown, Procedure::kEntryHostShutdown});
+  procedures.insert(procedures.end(),
+                    {Procedure::kColdStart, Procedure::kDrain,
+                     Procedure::kReturn, Procedure::kPublication,
+                     Procedure::kEndpointLeaves, Procedure::kAgentShutdown,
+                     Procedure::kEntryHostShutdown, Procedure::kMapChange});
   return procedures;
 }
 
@@ -197,6 +199,9 @@
       return {Moment::kShutdownStarted, Moment::kLeavingSent};
     case Procedure::kEntryHostShutdown:
       return {Moment::kShutdownStarted};
+    case Procedure::kMapChange:
+      return {Moment::kProposalSent, Moment::kProposalRead, Moment::kStaged,
+              Moment::kConfirmSent,  Moment::kDecisionRead, Moment::kActivated};
   }
   return {};
 }
@@ -209,6 +214,7 @@
     case Moment::kRecordRead:
       return base.entry_host;
     case Moment::kRecordSent:
+    case Moment::kProposalSent:
       return "";
     case Moment::kShutdownStarted:
       return base.procedure == Procedure::kEntryHostShutdown ? base.entry_host
@@ -299,6 +305,33 @@
       ActionAt(at + Seconds(18), ActionKind::kBringBack, kSouth));
 }
 
+// The agent of the procedure is the proposer in the first case, and the last
+// rank in the second one.
+ProcedureCase MapCase(bool fencing) {
+  ProcedureCase made{.procedure = Procedure::kMapChange,
+                     .scenario = {},
+                     .entry_host = fencing ? "rank-1" : "rank-0",
+                     .agent = fencing ? "rank-0" : "rank-2",
+                     .data_centre = kWest,
+                     .other_data_centre = kSouth};
+  made.scenario.data_centres = {kWest, kSouth};
+  for (int rank = 0; rank < 3; ++rank) {
+    NodeSetup node;
+    node.kind = NodeKind::kEngine;
+    node.name = "rank-" + std::to_string(rank);
+    node.data_centre = kWest;
+    node.service = "group";
+    node.rank = rank;
+    node.fencing = fencing;
+    made.scenario.nodes.push_back(node);
+  }
+  made.scenario.steps.push_back(
+      ActionAt(kStartOfProcedure, ActionKind::kChangeMap, "group"));
+  made.scenario.steps.push_back(ActionAt(kStartOfProcedure + Seconds(20),
+                                         ActionKind::kChangeMap, "group"));
+  return made;
+}
+
 // The case with the endpoint of the procedure in the second data centre; the
 // entry host stands in `place`.
 ProcedureCase OperationCase(Procedure procedure, const std::string& place) {
@@ -361,8 +394,12 @@
 std::vector<ProcedureCase> CasesOf(Procedure procedure) {
   std::vector<ProcedureCase> cases;
   for (const char* place : {kWest, kSouth}) {
-    cases.push_back(IsRequest(procedure) ? RequestCase(procedure, place)
-                                         : OperationCase(procedure, place));
+    if (procedure == Procedure::kMapChange) {
+      cases.push_back(MapCase(place == kWest));
+    } else {
+      cases.push_back(IsRequest(procedure) ? RequestCase(procedure, place)
+                                           : OperationCase(procedure, place));
+    }
   }
   return cases;
 }
--- a/packages/fault_matrix/procedure.h
+++ b/packages/fault_matrix/procedure.h
@@ -22,6 +22,7 @@
   kEndpointLeaves,
   kAgentShutdown,
   kEntryHostShutdown,
+  kMapChange,
 };
 
 // A procedure without faults, and the parts that faults strike at.
@@ -47,7 +48,7 @@
 
 // One case with the agent beside the entry host, and one with the agent in
 // another data centre. For the publication, the second case has a log that
-// soon drops its entries.
+// soon drops its entries; for a map change, engines that ignore fencing.
 std::vector<ProcedureCase> CasesOf(Procedure procedure);
 
 }  // namespace toucanhollow
--- a/packages/scenario/moment.cc
+++ b/packages/scenario/moment.cc
@@ -27,7 +27,7 @@
     {Moment::kProposalRead, "proposal-read"},
     {Moment::kStaged, "staged"},
     {Moment::kConfirmSent, "confirm-sent"},
-    {Moment::kConfirmAppended, "confirm-appended"},
+    {Moment::kAbortSent, "abort-sent"},
     {Moment::kDecisionRead, "decision-read"},
     {Moment::kActivated, "activated"},
     {Moment::kShutdownStarted, "shutdown-started"},
--- a/packages/scenario/moment.h
+++ b/packages/scenario/moment.h
@@ -27,7 +27,7 @@
   kProposalRead,
   kStaged,
   kConfirmSent,
-  kConfirmAppended,
+  kAbortSent,
   kDecisionRead,
   kActivated,
   kShutdownStarted,
--- a/packages/scenario/run_scenario.cc
+++ b/packages/scenario/run_scenario.cc
@@ -7,6 +7,8 @@
 #include "scenario/agent_performer.h"
 #include "scenario/config_holder.h"
 #include "scenario/entry_host_performer.h"
+#include "scenario/fake_group.h"
+#include "scenario/map_agent_performer.h"
 #include "scenario/operator_performer.h"
 #include "scenario/site.h"
 
@@ -91,6 +93,21 @@
     return "";
   }
 
+  // Maps are numbered by the changes that came into force.
+  std::string UsesMap(const Action& action) const {
+    std::int64_t version = 0;
+    std::int64_t changes = 0;
+    for (const RankStep& step : this->seen.steps) {
+      if (step.group == action.subject && step.map_version != version) {
+        version = step.map_version;
+        ++changes;
+      }
+    }
+    return changes == action.count
+               ? ""
+               : action.subject + " uses map " + std::to_string(changes);
+  }
+
   std::string Exited(const Action& action) const {
     for (const NodeEvent& event : this->seen.nodes) {
       if (event.node == action.subject && event.fact == NodeFact::kExited) {
@@ -168,6 +185,7 @@
         this->site.RestartEngine(action.subject);
         break;
       case ActionKind::kChangeMap:
+        ++this->site.wanted_maps[action.subject];
         break;
       case ActionKind::kShutDown:
         this->site.ShutDown(action.subject);
@@ -200,6 +218,7 @@
         this->Expect(step, this->InForceEverywhere(action));
         break;
       case ActionKind::kExpectMapVersion:
+        this->Expect(step, judge.UsesMap(action));
         break;
     }
   }
--- a/packages/scenario/scenario.h
+++ b/packages/scenario/scenario.h
@@ -20,7 +20,8 @@
   std::string data_centre = {};
   // Plain service or model group; empty for an entry host.
   std::string service = {};
-  int rank = 0;
+  // Place in a group that advances in lock-step; -1 for an engine of its own.
+  int rank = -1;
   bool warm = true;
   // False for an engine that obeys orders with an old fencing token.
   bool fencing = true;
--- a/packages/scenario/site.cc
+++ b/packages/scenario/site.cc
@@ -9,6 +9,8 @@
 #include "scenario/agent_performer.h"
 #include "scenario/config_holder.h"
 #include "scenario/entry_host_performer.h"
+#include "scenario/fake_group.h"
+#include "scenario/map_agent_performer.h"
 #include "scenario/operator_performer.h"
 
 namespace toucanhollow {
@@ -17,13 +19,25 @@
     : scenario(scenario), world(scenario.seed, defect, tracing) {
   for (const NodeSetup& node : this->scenario.nodes) {
     this->world.network.AddNode(node.name, node.data_centre);
-    if (node.kind != NodeKind::kEntryHost) {
+    if (node.rank >= 0) {
+      auto& group = this->groups[node.service];
+      if (!group) {
+        group = std::make_unique<FakeGroup>(this->world, node.service);
+      }
+      group->AddRank(node);
+    } else if (node.kind != NodeKind::kEntryHost) {
       this->endpoints[node.name] = std::make_unique<FakeEndpoint>(
           this->world.queue, this->world.seen, node);
     }
   }
   this->world.log.SetRetention(scenario.log_retention);
+  const bool has_readers = std::ranges::any_of(
+      this->scenario.nodes,
+      [](const NodeSetup& node) { return node.kind == NodeKind::kEntryHost; });
   for (const std::string& data_centre : this->scenario.data_centres) {
+    if (!has_readers) {
+      break;
+    }
     PublishedRecord record;
     record.subject = DataCentreSubject(data_centre);
     record.copy.change_id = "initial-" + data_centre;
@@ -75,7 +89,10 @@
   }
   const NodeSetup& setup = this->Setup(node);
   const Incarnation incarnation = this->world.StartProcess(node);
-  if (setup.kind == NodeKind::kEntryHost) {
+  if (setup.rank >= 0) {
+    this->map_agent_runs.push_back(
+        std::make_unique<MapAgentPerformer>(*this, setup, incarnation));
+  } else if (setup.kind == NodeKind::kEntryHost) {
     this->entry_host_runs.push_back(
         std::make_unique<EntryHostPerformer>(*this, setup, incarnation));
     this->entry_hosts[node] = this->entry_host_runs.back().get();
@@ -92,6 +109,9 @@
     return;
   }
   this->world.EndProcess(node, fact);
+  if (this->Setup(node).rank >= 0) {
+    return;
+  }
   if (this->entry_hosts.contains(node)) {
     for (const auto& entry : this->agents) {
       const std::string name = entry.first;
@@ -131,8 +151,32 @@
   });
 }
 
+void Site::Stall(const std::string& node, TimePoint until) {
+  const NodeSetup& setup = this->Setup(node);
+  if (setup.rank >= 0) {
+    this->groups.at(setup.service)->StallUntil(setup.rank, until);
+  } else {
+    this->endpoints.at(node)->StallUntil(until);
+  }
+}
+
+void Site::TurnCold(const std::string& node) {
+  const NodeSetup& setup = this->Setup(node);
+  if (setup.rank >= 0) {
+    // For a rank, cold means a new engine process without a map.
+    this->groups.at(setup.service)->Restart(setup.rank);
+  } else {
+    this->endpoints.at(node)->TurnCold();
+  }
+}
+
 void Site::RestartEngine(const std::string& node) {
-  this->endpoints.at(node)->Restart();
+  const NodeSetup& setup = this->Setup(node);
+  if (setup.rank >= 0) {
+    this->groups.at(setup.service)->Restart(setup.rank);
+  } else {
+    this->endpoints.at(node)->Restart();
+  }
   this->world.Reach(Moment::kEngineRestarted, node);
 }
 
@@ -201,7 +245,7 @@
   this->world.Send(sender.name, sender.incarnation, receiver, [=, this] {
     if (this->entry_hosts.contains(receiver)) {
       this->entry_hosts.at(receiver)->OnMessage(sender, message);
-    } else {
+    } else if (this->agents.contains(receiver)) {
       this->agents.at(receiver)->OnMessage(sender, message);
     }
   });
@@ -215,8 +259,7 @@
   }
   switch (fault.kind) {
     case FaultKind::kRankStall:
-      this->endpoints.at(fault.target)
-          ->StallUntil(this->world.Now() + fault.duration);
+      this->Stall(fault.target, this->world.Now() + fault.duration);
       break;
     case FaultKind::kLateMessages:
     case FaultKind::kDoubledMessages:
@@ -232,7 +275,7 @@
       this->world.PauseProcess(fault.target, fault.duration);
       break;
     case FaultKind::kTurnCold:
-      this->endpoints.at(fault.target)->TurnCold();
+      this->TurnCold(fault.target);
       break;
     case FaultKind::kLogDown:
     case FaultKind::kLogSlow:
@@ -240,6 +283,11 @@
       this->world.log.Apply(fault);
       break;
     case FaultKind::kOperatorsRace:
+      if (this->groups.contains(fault.target)) {
+        ++this->wanted_maps[fault.target];
+        this->racing_groups.insert(fault.target);
+        break;
+      }
       PublishDataCentre(*this, "operator-1", fault.target, true);
       PublishDataCentre(*this, "operator-2", fault.target, false);
       break;
--- a/packages/scenario/site.h
+++ b/packages/scenario/site.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,8 @@
 
 class AgentPerformer;
 class EntryHostPerformer;
+class FakeGroup;
+class MapAgentPerformer;
 
 // Where a message comes from: one run of a process.
 struct Sender {
@@ -63,14 +66,23 @@
   World world;
   PayloadStore<std::vector<ClaimsRecord>> claims;
   std::map<std::string, std::unique_ptr<FakeEndpoint>> endpoints;
+  std::map<std::string, std::unique_ptr<FakeGroup>> groups;
+  // How many map changes each group was asked for.
+  std::map<std::string, int> wanted_maps;
+  // Groups in which every agent proposes, as if each had been asked.
+  std::set<std::string> racing_groups;
   // The present run of each process; earlier runs are kept until the end,
   // because undelivered callbacks refer to them.
   std::map<std::string, AgentPerformer*> agents;
   std::map<std::string, EntryHostPerformer*> entry_hosts;
 
  private:
+  void Stall(const std::string& node, TimePoint until);
+  void TurnCold(const std::string& node);
+
   std::vector<std::unique_ptr<AgentPerformer>> agent_runs;
   std::vector<std::unique_ptr<EntryHostPerformer>> entry_host_runs;
+  std::vector<std::unique_ptr<MapAgentPerformer>> map_agent_runs;
 };
 
 }  // namespace toucanhollow
