Add dying engines and the retry budget to the fault matrix

An engine process can die at any step of a request, and engines can fail 60 times in a row under load, where retries must stay within a tenth of the requests and the stock of each run of an entry host. The defect that forgets the budget turns that row red.

--- a/packages/fault_matrix/check_invariants.cc
+++ b/packages/fault_matrix/check_invariants.cc
@@ -16,6 +16,9 @@
 constexpr Duration kInForceWithin = Seconds(13);
 // A data centre that is out for longer returns cold.
 constexpr Duration kOutTolerance = Seconds(5);
+// Retries of an entry host: a part of its requests, and a stock at the start.
+constexpr double kRetryShare = 0.1;
+constexpr double kRetriesAtStart = 10;
 // Time after the last fault in which service must have returned.
 constexpr Duration kRecovery = Seconds(8);
 // What an endpoint bears: at first, and at most.
@@ -58,7 +61,8 @@
       this->quiet = std::max(this->quiet, EndOf(fault));
     }
     for (const NodeEvent& event : seen.nodes) {
-      if (event.fact == NodeFact::kProcessStarted) {
+      if (event.fact == NodeFact::kProcessStarted ||
+          event.fact == NodeFact::kEngineStarted) {
         this->quiet = std::max(this->quiet, event.time);
       }
     }
@@ -76,6 +80,7 @@
     this->CheckRefusals();
     this->CheckAtMostOnce();
     this->CheckShutdown();
+    this->CheckRetries();
     this->CheckService();
     return std::move(this->violations);
   }
@@ -444,6 +449,34 @@
     }
   }
 
+  // Retries of an entry host stay within its budget: a tenth of its requests,
+  // and what each of its runs may spend at the start.
+  void CheckRetries() {
+    std::map<std::string, double> allowed;
+    std::map<std::string, std::string> entry_host_of;
+    for (const CallerAsked& asked : this->seen.asked) {
+      allowed[asked.entry_host] += kRetryShare;
+      entry_host_of[asked.request] = asked.entry_host;
+    }
+    for (const NodeEvent& event : this->seen.nodes) {
+      if (event.fact == NodeFact::kProcessStarted) {
+        allowed[event.node] += kRetriesAtStart;
+      }
+    }
+    std::set<std::string> ran;
+    for (const Run& run : this->seen.runs) {
+      if (!ran.insert(run.request).second) {
+        allowed[entry_host_of[run.request]] -= 1;
+      }
+    }
+    for (const auto& [entry_host, left] : allowed) {
+      if (left < 0) {
+        this->Report("retries", entry_host + " exceeded its retry budget by " +
+                                    std::to_string(-left));
+      }
+    }
+  }
+
   // Long after the last fault, requests are answered again.
   void CheckService() {
     std::map<std::string, int> uses;
--- a/packages/fault_matrix/check_invariants.h
+++ b/packages/fault_matrix/check_invariants.h
@@ -11,8 +11,9 @@
 namespace toucanhollow {
 
 struct Violation {
-  // "I1" to "I9", "told" for a caller that was left without an outcome, or
-  // "service" for a request that failed long after the last fault.
+  // "I1" to "I9", "told" for a caller that was left without an outcome,
+  // "retries" for an overspent retry budget, or "service" for a request that
+  // failed or a group that stood long after the last fault.
   std::string invariant;
   std::string detail;
 
--- a/packages/fault_matrix/fault_column.cc
+++ b/packages/fault_matrix/fault_column.cc
@@ -68,6 +68,8 @@
       return {MakeFault(FaultKind::kPause, agent, "", none, pause_time)};
     case FaultColumn::kTurnsCold:
       return {MakeFault(FaultKind::kTurnCold, agent, "", none, none)};
+    case FaultColumn::kEngineDies:
+      return {};
     case FaultColumn::kLogDown:
       return {MakeFault(FaultKind::kLogDown, "", "", none, log_time)};
     case FaultColumn::kLogSlow:
@@ -101,6 +103,7 @@
     {FaultColumn::kEntryHostPauses, "entry host pauses"},
     {FaultColumn::kAgentPauses, "agent pauses"},
     {FaultColumn::kTurnsCold, "turns cold"},
+    {FaultColumn::kEngineDies, "engine dies"},
     {FaultColumn::kLogDown, "log down"},
     {FaultColumn::kLogSlow, "log slow"},
     {FaultColumn::kAnswerLost, "append answer lost"},
@@ -134,6 +137,15 @@
                            Moment moment,
                            Duration after) {
   std::vector<Step> steps;
+  if (column == FaultColumn::kEngineDies) {
+    Step step;
+    step.at = after;
+    step.when = NameOf(moment);
+    step.when_at = ProcessAt(base, moment);
+    step.action.kind = ActionKind::kRestartEngine;
+    step.action.subject = base.agent;
+    steps.push_back(step);
+  }
   for (const Fault& fault : FaultsOf(base, column)) {
     Step step;
     step.at = after;
--- a/packages/fault_matrix/fault_column.h
+++ b/packages/fault_matrix/fault_column.h
@@ -23,6 +23,7 @@
   kEntryHostPauses,
   kAgentPauses,
   kTurnsCold,
+  kEngineDies,
   kLogDown,
   kLogSlow,
   kAnswerLost,
--- a/packages/fault_matrix/fault_matrix_test.cc
+++ b/packages/fault_matrix/fault_matrix_test.cc
@@ -64,6 +64,7 @@
     {Defect::kCutOnShutdown, "cut streams on shutdown", "I8"},
     {Defect::kTruncatedAsWhole, "take a truncated answer as whole", "I4"},
     {Defect::kIgnoreCorrelation, "ignore the correlation of answers", "I4"},
+    {Defect::kForgetRetryBudget, "forget the retry budget", "retries"},
     {Defect::kActivateWithoutDecision, "activate without the decision", "I1"},
     {Defect::kNoHold, "do not hold before the activation step", "I1"},
     {Defect::kAcceptAnyRevision, "accept a wrong expected revision", "I9"},
--- a/packages/fault_matrix/procedure.cc
+++ b/packages/fault_matrix/procedure.cc
@@ -18,6 +18,9 @@
     Procedure::kStreamedDraft, Procedure::kIdempotentRead,
     Procedure::kKeyedCall, Procedure::kUnkeyedCall};
 constexpr Duration kStartOfProcedure = Seconds(3);
+// Failures of engines in a row, each while streams run.
+constexpr int kFailures = 60;
+constexpr Duration kFailureSpacing = Milliseconds(70);
 // Repeats of a key: while the first request may run, and later.
 constexpr Duration kFirstRepeat = Milliseconds(3500);
 constexpr Duration kSecondRepeat = Seconds(8);
@@ -144,6 +147,8 @@
       return "unkeyed call";
     case Procedure::kColdStart:
       return "cold start";
+    case Procedure::kRepeatedFailures:
+      return "repeated failures";
     case Procedure::kDrain:
       return "data centre out";
     case Procedure::kReturn:
@@ -164,11 +169,12 @@
 
 std::vector<Procedure> AllProcedures() {
   std::vector<Procedure> procedures(kRequests.begin(), kRequests.end());
-  procedures.insert(procedures.end(),
-                    {Procedure::kColdStart, Procedure::kDrain,
-                     Procedure::kReturn, Procedure::kPublication,
-                     Procedure::kEndpointLeaves, Procedure::kAgentShutdown,
-                     Procedure::kEntryHostShutdown, Procedure::kMapChange});
+  procedures.insert(
+      procedures.end(),
+      {Procedure::kColdStart, Procedure::kRepeatedFailures, Procedure::kDrain,
+       Procedure::kReturn, Procedure::kPublication, Procedure::kEndpointLeaves,
+       Procedure::kAgentShutdown, Procedure::kEntryHostShutdown,
+       Procedure::kMapChange});
   return procedures;
 }
 
@@ -189,6 +195,7 @@
               Moment::kResultSent,       Moment::kAnswerSent,
               Moment::kAnswerReceived};
     case Procedure::kColdStart:
+    case Procedure::kRepeatedFailures:
       return {Moment::kEngineRestarted};
     case Procedure::kDrain:
     case Procedure::kReturn:
@@ -349,6 +356,14 @@
       scenario.steps.push_back(ActionAt(
           at + Milliseconds(500), ActionKind::kRestartEngine, made.agent));
       break;
+    case Procedure::kRepeatedFailures:
+      AddLoad(scenario, at, at + Seconds(4), Milliseconds(25));
+      for (int i = 0; i < kFailures; ++i) {
+        scenario.steps.push_back(ActionAt(at + i * kFailureSpacing,
+                                          ActionKind::kRestartEngine,
+                                          i % 2 == 0 ? "draft-2" : "draft-1"));
+      }
+      break;
     case Procedure::kDrain:
       AddLoad(scenario, at - Seconds(1), at + Seconds(10), Milliseconds(150));
       scenario.steps.push_back(ActionAt(at, ActionKind::kTakeOut, kSouth));
--- a/packages/fault_matrix/procedure.h
+++ b/packages/fault_matrix/procedure.h
@@ -16,6 +16,7 @@
   kKeyedCall,
   kUnkeyedCall,
   kColdStart,
+  kRepeatedFailures,
   kDrain,
   kReturn,
   kPublication,
