Report no step time of an idle engine

Cause: a cold endpoint that went idle kept the slow step time of its last steps, so routing gave it no work and it never warmed up.

--- a/packages/admission/admission_test.cc
+++ b/packages/admission/admission_test.cc
@@ -150,6 +150,17 @@
   CHECK(OfferMany(state, 70, 10, At(50)) == 1);
 }
 
+// Guards against an idle endpoint that gets no work for ever because its last
+// steps were slow.
+TEST_CASE("an idle engine reports no step time") {
+  AdmissionState state = ReadyState(8);
+  state =
+      RecordReport(std::move(state), {kEngine, 1, Milliseconds(90)}, At(20));
+  CHECK(SummarizeAdmission(state, At(20)).step == Milliseconds(90));
+  state = RecordReport(std::move(state), {kEngine, 0, Duration(0)}, At(30));
+  CHECK(SummarizeAdmission(state, At(30)).step == Duration(0));
+}
+
 // Guards against growth at a load that proves nothing.
 TEST_CASE("samples at a low load do not grow the limit") {
   AdmissionState state = ReadyState(8);
--- a/packages/admission/health.cc
+++ b/packages/admission/health.cc
@@ -120,7 +120,13 @@
                               : std::min(foreign, state.foreign_running);
   state.foreign_known = true;
   state = TrimGrants(std::move(state));
-  if (report.running == 0 || report.step == Duration(0)) {
+  if (report.running == 0) {
+    // An idle engine has no step time. The last one of a cold engine would
+    // keep work away, and without work the engine never warms up.
+    state.last_step_ms = 0;
+    return std::move(state);
+  }
+  if (report.step == Duration(0)) {
     return std::move(state);
   }
   state.last_health_sample = now;
--- a/packages/policy_bench/bench_policy_main.cc
+++ b/packages/policy_bench/bench_policy_main.cc
@@ -227,7 +227,8 @@
   PrintHeader({"case", "time to full limit s", "starts above what it bears",
                "highest load over what it bears", "endpoint failures"});
   for (const std::string_view kind :
-       {"fresh, among 3 warm", "fresh, all 4 fresh", "turns cold",
+       {"fresh, among 3 warm", "fresh, all 4 fresh",
+        "fresh, with its data centre, 60% load", "turns cold",
         "fresh, no slow start (baseline)",
         "turns cold, no detection (baseline)"}) {
     Row row;
@@ -238,7 +239,11 @@
       const bool baseline = kind.find("baseline") != std::string_view::npos;
       const bool turns = kind.starts_with("turns");
       const double event_s = kind == "fresh, all 4 fresh" ? 0 : 20;
-      if (turns) {
+      if (kind.find("60%") != std::string_view::npos) {
+        config = Drafting(seed, 0.6);
+        config.duration = Seconds(90);
+        config.outage = {0, Seconds(10), Seconds(20), true};
+      } else if (turns) {
         config.cold_at = Seconds(20);
       } else if (event_s == 0) {
         config.start_warm = false;
