Give endpoints in slow start work by their free slots

Cause: at 60% load, 2 of 5 endpoints that returned with their data centre stayed half-way through the ramp with 1 to 3 requests in flight: the slow-start penalty of 30 ms was far wider than the spread of the draw. The penalty is now 1 ms; the smaller limit already lowers the weight. The model now makes returning endpoints cold, and warms endpoints up during a request.

--- a/packages/policy_bench/engine_model.cc
+++ b/packages/policy_bench/engine_model.cc
@@ -24,6 +24,25 @@
   return 1 + (engine.profile.cold_factor - 1) * (1 - std::min(1.0, warmth));
 }
 
+double ElapsedMs(const EngineModel& engine, double warm_ms) {
+  constexpr double kStepMs = 20;
+  const double full = engine.profile.full_limit;
+  EngineModel ahead;
+  ahead.profile = engine.profile;
+  ahead.bears = engine.bears;
+  double elapsed_ms = 0;
+  while (ahead.bears < full && warm_ms > 0) {
+    const double slowdown = Slowdown(ahead);
+    const double spent_ms = std::min(kStepMs, warm_ms * slowdown);
+    elapsed_ms += spent_ms;
+    warm_ms -= spent_ms / slowdown;
+    ahead.bears = std::min(
+        full,
+        ahead.bears * std::exp2(spent_ms / engine.profile.warm_doubling_ms));
+  }
+  return elapsed_ms + warm_ms;
+}
+
 double StepMs(const EngineModel& engine) {
   const EngineProfile& profile = engine.profile;
   const double fill = static_cast<double>(engine.running) / profile.full_limit;
--- a/packages/policy_bench/engine_model.h
+++ b/packages/policy_bench/engine_model.h
@@ -49,6 +49,10 @@
 // 1 for a warm endpoint, `cold_factor` for a cold one.
 double Slowdown(const EngineModel& engine);
 
+// Time that work of `warm_ms` on a warm endpoint takes, if the endpoint stays
+// in use and so warms up meanwhile.
+double ElapsedMs(const EngineModel& engine, double warm_ms);
+
 double StepMs(const EngineModel& engine);
 
 struct CacheChange {
--- a/packages/policy_bench/fleet.cc
+++ b/packages/policy_bench/fleet.cc
@@ -422,8 +422,8 @@
   attempt.started = schedule.now;
   double total_ms = 0;
   if (config.engine.plain_ms > 0) {
-    total_ms = config.engine.plain_ms * NextBetween(random, 0.5, 1.5) *
-               Slowdown(engine);
+    total_ms = ElapsedMs(
+        engine, config.engine.plain_ms * NextBetween(random, 0.5, 1.5));
     attempt.first_token = FromMs(total_ms);
   } else {
     const ModelRequest& model = requests[request];
@@ -433,13 +433,16 @@
       matched = change.matched_blocks * kTokensInBlock;
       SendCacheEvents(number, change);
     }
-    attempt.step_ms = StepMs(engine);
     attempt.prefill_tokens = model.prompt_tokens - matched;
-    const double prefill_ms = attempt.prefill_tokens *
-                              config.engine.prefill_ms_per_token *
-                              Slowdown(engine);
-    attempt.first_token = FromMs(prefill_ms + attempt.step_ms);
-    total_ms = prefill_ms + attempt.step_ms * model.output_tokens;
+    const double warm_step_ms = StepMs(engine) / Slowdown(engine);
+    const double warm_prefill_ms =
+        attempt.prefill_tokens * config.engine.prefill_ms_per_token;
+    const double first_ms = ElapsedMs(engine, warm_prefill_ms + warm_step_ms);
+    total_ms =
+        ElapsedMs(engine, warm_prefill_ms + warm_step_ms * model.output_tokens);
+    attempt.first_token = FromMs(first_ms);
+    attempt.step_ms =
+        (total_ms - first_ms) / std::max(1, model.output_tokens - 1);
     result.matched_tokens += matched;
     result.prompt_tokens += model.prompt_tokens;
   }
@@ -709,11 +712,11 @@
   Agent& agent = agents[number];
   WarmEngine(agent.engine, schedule.now);
   agent.engine.bears = agent.engine.profile.cold_limit;
-  const double factor = agent.engine.profile.cold_factor;
   for (auto& [dispatch, attempt] : agent.running) {
-    attempt.step_ms *= factor;
-    attempt.ends = schedule.now +
-                   FromMs(ToMilliseconds(attempt.ends - schedule.now) * factor);
+    const double left_ms = ToMilliseconds(attempt.ends - schedule.now);
+    const double slow_ms = ElapsedMs(agent.engine, left_ms);
+    attempt.step_ms *= std::max(1.0, slow_ms / left_ms);
+    attempt.ends = schedule.now + FromMs(slow_ms);
     ++attempt.version;
     ScheduleEnd(number, dispatch);
   }
@@ -725,6 +728,10 @@
   const int data_centre = config.outage->data_centre;
   for (int i = 0; i < std::ssize(agents); ++i) {
     if (agents[i].data_centre == data_centre) {
+      if (!out) {
+        // Its caches are gone by then.
+        TurnCold(i);
+      }
       RunAfter(
           schedule,
           FromMs(NextBetween(random, 10, ToMilliseconds(config.record_delay))),
--- a/packages/routing/choose_endpoint.h
+++ b/packages/routing/choose_endpoint.h
@@ -18,9 +18,10 @@
   int tokens_per_block = 16;
   // Used while an endpoint has not reported its mean service time.
   Duration default_service = Seconds(1);
-  // Penalty of an endpoint at the very start of its ramp: its caches are
-  // empty.
-  double slow_start_ms = 30;
+  // Penalty of an endpoint at the very start of its ramp. Below the spread, so
+  // that an endpoint in slow start gets work in proportion to its free slots:
+  // with 30 ms, endpoints half-way through the ramp stayed there.
+  double slow_start_ms = 1;
   // An endpoint is a straggler above this multiple of the median step time.
   double straggler_factor = 1.3;
   // A false suspicion moves work to the others while they have free slots.
