--- a/packages/expert_map/expert_map.cc
+++ b/packages/expert_map/expert_map.cc
@@ -1,8 +1,32 @@
 #include "expert_map/expert_map.h"
 
 #include <algorithm>
+#include <numeric>
+
+#include "expert_map/replica_weights.h"
 
 namespace toucanhollow {
+namespace {
+
+// Either no weights, or one above 0 for each held expert.
+bool HasWeights(const ExpertMap& map) {
+  if (map.weights_by_rank.empty()) {
+    return true;
+  }
+  if (map.weights_by_rank.size() != map.experts_by_rank.size()) {
+    return false;
+  }
+  for (std::size_t rank = 0; rank < map.weights_by_rank.size(); ++rank) {
+    const std::vector<int>& weights = map.weights_by_rank[rank];
+    if (weights.size() != map.experts_by_rank[rank].size() ||
+        std::ranges::any_of(weights, [](int weight) { return weight < 1; })) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
 
 ExpertMap InitialMap(int ranks, int experts, int slots_per_rank) {
   ExpertMap map;
@@ -18,6 +42,10 @@
   return map;
 }
 
+int WeightOf(const ExpertMap& map, std::size_t rank, std::size_t slot) {
+  return map.weights_by_rank.empty() ? 1 : map.weights_by_rank[rank][slot];
+}
+
 std::vector<int> ReplicaCounts(const ExpertMap& map, int experts) {
   std::vector<int> counts(static_cast<std::size_t>(experts), 0);
   for (const auto& held : map.experts_by_rank) {
@@ -30,17 +58,9 @@
 
 std::vector<double> RankLoads(const ExpertMap& map,
                               std::span<const double> expert_load) {
-  const std::vector<int> replicas =
-      ReplicaCounts(map, static_cast<int>(expert_load.size()));
   std::vector<double> loads;
-  loads.reserve(map.experts_by_rank.size());
-  for (const auto& held : map.experts_by_rank) {
-    double load = 0;
-    for (const int expert : held) {
-      const auto index = static_cast<std::size_t>(expert);
-      load += expert_load[index] / replicas[index];
-    }
-    loads.push_back(load);
+  for (const std::vector<double>& shares : SharesOf(map, expert_load)) {
+    loads.push_back(std::accumulate(shares.begin(), shares.end(), 0.0));
   }
   return loads;
 }
@@ -58,6 +78,9 @@
 }
 
 bool IsCompleteMap(const ExpertMap& map, int experts) {
+  if (!HasWeights(map)) {
+    return false;
+  }
   std::vector<bool> held_somewhere(static_cast<std::size_t>(experts), false);
   for (std::vector<int> held : map.experts_by_rank) {
     std::ranges::sort(held);
--- a/packages/expert_map/full_placement.cc
+++ b/packages/expert_map/full_placement.cc
@@ -92,6 +92,10 @@
     }
     used[best] = true;
     matched.experts_by_rank[rank] = std::move(target.experts_by_rank[best]);
+    if (!target.weights_by_rank.empty()) {
+      matched.weights_by_rank.push_back(
+          std::move(target.weights_by_rank[best]));
+    }
   }
   return matched;
 }
--- a/packages/expert_map/placement.cc
+++ b/packages/expert_map/placement.cc
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "expert_map/replica_weights.h"
+
 namespace toucanhollow {
 namespace {
 
@@ -12,10 +14,11 @@
 // cannot be relieved must not end the search for the others.
 constexpr std::size_t kRanksTried = 3;
 
-// The map under change, with its loads kept up to date.
+// The map under change, with its replicas balanced.
 struct Draft {
   ExpertMap map;
   std::span<const double> tokens;
+  RankShares shares;
   std::vector<std::vector<int>> ranks_of_expert;
   std::vector<double> load;
   double mean = 0;
@@ -39,9 +42,10 @@
          draft.map.experts_by_rank[rank].end();
 }
 
-double ShareOf(const Draft& draft, int expert) {
-  return draft.tokens[expert] /
-         static_cast<double>(draft.ranks_of_expert[expert].size());
+double ShareOf(const Draft& draft, int rank, int expert) {
+  const auto& held = draft.map.experts_by_rank[rank];
+  const auto slot = std::ranges::find(held, expert) - held.begin();
+  return draft.shares[rank][slot];
 }
 
 // Weighs a rank's load so that the most loaded ranks dominate and relief of one
@@ -53,6 +57,14 @@
   return fourth * fourth;
 }
 
+double UnevennessOf(const Draft& draft) {
+  double sum = 0;
+  for (const double load : draft.load) {
+    sum += Weigh(load, draft.mean);
+  }
+  return sum;
+}
+
 // Changes of load by rank, a short list.
 struct LoadChanges {
   std::vector<std::pair<int, double>> by_rank;
@@ -78,36 +90,36 @@
   }
 };
 
-// Replaces a replica of one expert, of which another stays, by a replica of
-// another expert.
-double GainOfReplacement(const Draft& draft,
-                         const Replacement& replacement,
-                         LoadChanges& changes) {
-  const auto& [rank, dropped, added] = replacement;
-  const auto& losing = draft.ranks_of_expert[dropped];
-  const auto& gaining = draft.ranks_of_expert[added];
-  if (losing.size() < 2 || dropped == added || Holds(draft, rank, added)) {
+// Copies an expert of the hot rank to another rank, in place of a replica of an
+// expert that other ranks hold as well. The copy takes over what evens the two
+// ranks; the tokens of the dropped replica go to its other holders.
+double GainOfCopy(const Draft& draft,
+                  int hot,
+                  const Replacement& copy,
+                  LoadChanges& changes) {
+  const auto& holders = draft.ranks_of_expert[copy.dropped];
+  if (holders.size() < 2 || Holds(draft, copy.rank, copy.added)) {
     return 0;
   }
   changes.by_rank.clear();
-  const double old_dropped = ShareOf(draft, dropped);
-  const double new_dropped =
-      draft.tokens[dropped] / static_cast<double>(losing.size() - 1);
-  for (const int holder : losing) {
-    changes.Add(holder,
-                holder == rank ? -old_dropped : new_dropped - old_dropped);
-  }
-  const double old_added = ShareOf(draft, added);
-  const double new_added =
-      draft.tokens[added] / static_cast<double>(gaining.size() + 1);
-  for (const int holder : gaining) {
-    changes.Add(holder, new_added - old_added);
+  const double dropped = ShareOf(draft, copy.rank, copy.dropped);
+  double hot_load = draft.load[hot];
+  for (const int holder : holders) {
+    if (holder != copy.rank) {
+      const double taken = dropped / static_cast<double>(holders.size() - 1);
+      changes.Add(holder, taken);
+      hot_load += holder == hot ? taken : 0;
+    }
   }
-  changes.Add(rank, new_added);
+  const double moved =
+      std::clamp((hot_load - (draft.load[copy.rank] - dropped)) / 2, 0.0,
+                 ShareOf(draft, hot, copy.added));
+  changes.Add(copy.rank, moved - dropped);
+  changes.Add(hot, -moved);
   return changes.Gain(draft);
 }
 
-// Exchanges an expert of one rank for an expert of another.
+// Exchanges an expert of one rank for an expert of another, with their shares.
 double GainOfExchange(const Draft& draft,
                       const Replacement& here,
                       int there,
@@ -117,8 +129,8 @@
     return 0;
   }
   changes.by_rank.clear();
-  const double change =
-      ShareOf(draft, here.added) - ShareOf(draft, here.dropped);
+  const double change = ShareOf(draft, there, here.added) -
+                        ShareOf(draft, here.rank, here.dropped);
   changes.Add(here.rank, change);
   changes.Add(there, -change);
   return changes.Gain(draft);
@@ -138,7 +150,6 @@
   Move best;
   LoadChanges changes;
   const int ranks = static_cast<int>(draft.load.size());
-  const int experts = static_cast<int>(draft.tokens.size());
   for (const int expert : draft.map.experts_by_rank[hot]) {
     for (int rank = 0; rank < ranks; ++rank) {
       if (rank == hot) {
@@ -146,30 +157,27 @@
       }
       for (const int other : draft.map.experts_by_rank[rank]) {
         const Replacement copy{rank, other, expert};
-        KeepBetter(best, GainOfReplacement(draft, copy, changes), {copy});
+        KeepBetter(best, GainOfCopy(draft, hot, copy, changes), {copy});
         const Replacement here{hot, expert, other};
         KeepBetter(best, GainOfExchange(draft, here, rank, changes),
                    {here, {rank, other, expert}});
       }
     }
-    for (int other = 0; other < experts; ++other) {
-      const Replacement replacement{hot, expert, other};
-      KeepBetter(best, GainOfReplacement(draft, replacement, changes),
-                 {replacement});
-    }
   }
   return best;
 }
 
 Draft MakeDraft(ExpertMap map, std::span<const double> tokens) {
-  Draft draft{std::move(map), tokens, {}, {}, 0};
+  Draft draft{std::move(map), tokens, {}, {}, {}, 0};
+  draft.shares = BalanceShares(draft.map, tokens);
   draft.ranks_of_expert.resize(tokens.size());
   for (std::size_t rank = 0; rank < draft.map.experts_by_rank.size(); ++rank) {
     for (const int expert : draft.map.experts_by_rank[rank]) {
       draft.ranks_of_expert[expert].push_back(static_cast<int>(rank));
     }
+    draft.load.push_back(std::accumulate(draft.shares[rank].begin(),
+                                         draft.shares[rank].end(), 0.0));
   }
-  draft.load = RankLoads(draft.map, tokens);
   draft.mean = std::accumulate(draft.load.begin(), draft.load.end(), 0.0) /
                static_cast<double>(draft.load.size());
   return draft;
@@ -215,29 +223,38 @@
   if (draft.load.empty() || draft.mean <= 0) {
     return plan;
   }
-  const double slowest = std::ranges::max(draft.load);
+  const double slowest = std::ranges::max(RankLoads(current, tokens_per_step));
   const double steps = ToMilliseconds(costs.horizon) / costs.step_ms;
   double best_net = 0;
-  while (true) {
-    const Move move = FindBestMove(draft);
-    if (move.replacements.empty()) {
-      break;
-    }
-    draft = Apply(draft, move);
-    const std::size_t loads = CountLoads(current, draft.map);
-    if (loads > costs.max_loads) {
-      break;
-    }
+  std::size_t loads = 0;
+  // Each prefix of the moves is a candidate, the first one with other weights
+  // only; the best one needs few loads.
+  while (loads <= costs.max_loads) {
     const double benefit =
         (slowest - std::ranges::max(draft.load)) * costs.ms_per_token * steps;
     const double cost = costs.pause_ms + costs.cache_ms +
                         static_cast<double>(loads) * costs.ms_per_load;
-    // Each prefix of the moves is a candidate; the best one needs few loads.
     const double net = benefit - costs.hysteresis * cost;
     if (net > best_net) {
       best_net = net;
       plan = {PlacementPlan::Verdict::kMove, draft.map, loads, benefit, cost};
     }
+    const Move move = FindBestMove(draft);
+    if (move.replacements.empty()) {
+      break;
+    }
+    // Gains are estimated before the split is balanced again. A move that does
+    // not hold its promise ends the search, since it could be undone and done
+    // again without end.
+    Draft next = Apply(draft, move);
+    if (UnevennessOf(next) >= UnevennessOf(draft)) {
+      break;
+    }
+    draft = std::move(next);
+    loads = CountLoads(current, draft.map);
+  }
+  if (plan.verdict == PlacementPlan::Verdict::kMove) {
+    plan.map = BalanceReplicas(std::move(plan.map), tokens_per_step);
   }
   if (plan.verdict == PlacementPlan::Verdict::kMove && last_change &&
       now - *last_change < costs.min_interval) {
--- a/packages/expert_map/placement.h
+++ b/packages/expert_map/placement.h
@@ -56,7 +56,8 @@
   bool operator==(const PlacementPlan&) const = default;
 };
 
-// Improves the current map by few swaps and replacements of replicas.
+// Improves the current map by another split of tokens among replicas, few swaps
+// and replacements of replicas.
 // `tokens_per_step` is the estimate for each expert.
 PlacementPlan PlanPlacement(const ExpertMap& current,
                             std::span<const double> tokens_per_step,
--- a/packages/log_codec/map_codec.cc
+++ b/packages/log_codec/map_codec.cc
@@ -16,7 +16,16 @@
 
 // Bounds against payloads that would cost memory out of proportion.
 constexpr std::int64_t kMaxMapRanks = 4096;
-constexpr std::int64_t kMaxExpertNumber = 1 << 20;
+constexpr std::uint64_t kMaxExpertNumber = 1 << 20;
+constexpr std::uint64_t kMaxWeight = 1 << 20;
+
+json EncodeMap(const ExpertMap& map) {
+  json object = {{"experts", map.experts_by_rank}};
+  if (!map.weights_by_rank.empty()) {
+    object["weights"] = map.weights_by_rank;
+  }
+  return object;
+}
 
 struct RecordEncoder {
   json operator()(const UnreadableMapRecord&) const {
@@ -26,7 +35,7 @@
     return {{"type", "propose"},
             {"change", BytesToText(proposal.change)},
             {"base_version", proposal.base_version},
-            {"map", proposal.map.experts_by_rank},
+            {"map", EncodeMap(proposal.map)},
             {"activation_step", proposal.activation_step},
             {"ranks", proposal.ranks},
             {"lead_us", proposal.lead.count()},
@@ -48,35 +57,57 @@
   json operator()(const MapRefreshRecord& refresh) const {
     return {{"type", "refresh"},
             {"version", refresh.version},
-            {"map", refresh.map.experts_by_rank},
+            {"map", EncodeMap(refresh.map)},
             {"activation_step", refresh.activation_step},
             {"last_step", refresh.last_step},
             {"as_of", refresh.as_of}};
   }
 };
 
-std::optional<ExpertMap> DecodeMap(const json& object) {
-  const json* ranks = FindField(object, "map");
+// A list of lists of numbers up to `max`.
+std::optional<std::vector<std::vector<int>>> NumberLists(const json& object,
+                                                         const char* name,
+                                                         std::uint64_t max) {
+  const json* ranks = FindField(object, name);
   if (ranks == nullptr || !ranks->is_array() ||
       ranks->size() > static_cast<std::size_t>(kMaxMapRanks)) {
     return std::nullopt;
   }
-  ExpertMap map;
+  std::vector<std::vector<int>> lists;
   for (const json& rank : *ranks) {
     if (!rank.is_array()) {
       return std::nullopt;
     }
-    std::vector<int>& held = map.experts_by_rank.emplace_back();
-    for (const json& expert : rank) {
-      if (!expert.is_number_unsigned() ||
-          expert.get<std::uint64_t>() >
-              static_cast<std::uint64_t>(kMaxExpertNumber)) {
+    std::vector<int>& list = lists.emplace_back();
+    for (const json& number : rank) {
+      if (!number.is_number_unsigned() || number.get<std::uint64_t>() > max) {
         return std::nullopt;
       }
-      held.push_back(expert.get<int>());
+      list.push_back(number.get<int>());
+    }
+  }
+  return lists;
+}
+
+// Without weights, replicas share evenly.
+std::optional<ExpertMap> DecodeMap(const json& object) {
+  const json* map = FindField(object, "map");
+  if (map == nullptr) {
+    return std::nullopt;
+  }
+  auto experts = NumberLists(*map, "experts", kMaxExpertNumber);
+  std::optional<std::vector<std::vector<int>>> weights;
+  if (FindField(*map, "weights") != nullptr) {
+    weights = NumberLists(*map, "weights", kMaxWeight);
+    if (!weights) {
+      return std::nullopt;
     }
   }
-  return map;
+  if (!experts) {
+    return std::nullopt;
+  }
+  return ExpertMap{std::move(*experts), std::move(weights).value_or(
+                                            std::vector<std::vector<int>>{})};
 }
 
 std::optional<ProposeRecord> DecodeProposal(const json& object) {
--- a/packages/placement_bench/bench_placement_main.cc
+++ b/packages/placement_bench/bench_placement_main.cc
@@ -43,6 +43,7 @@
       {Policy::kPeriod, "period 120 s", 120, 0},
       {Policy::kPeriodMatched, "period 120 s, ranks matched", 120, 0},
       {Policy::kPeriod, "period 600 s", 600, 0},
+      {Policy::kPeriodWeighted, "period 120 s, replicas weighted", 120, 0},
       {Policy::kThreshold, "threshold 1.2", 0, 1.2},
       {Policy::kPlanned, "planned (ours)", 0, 0},
   };
--- a/packages/placement_bench/simulate.h
+++ b/packages/placement_bench/simulate.h
@@ -40,12 +40,13 @@
 };
 
 enum class Policy {
-  kEvenLoad,       // no policy: the floor that random routing leaves
-  kNever,          // the initial map
-  kPeriod,         // placed anew every period
-  kPeriodMatched,  // the same, with ranks renumbered to keep experts
-  kThreshold,      // placed anew when the estimated skew exceeds a threshold
-  kPlanned,        // PlanPlacement
+  kEvenLoad,        // no policy: the floor that random routing leaves
+  kNever,           // the initial map
+  kPeriod,          // placed anew every period
+  kPeriodMatched,   // the same, with ranks renumbered to keep experts
+  kPeriodWeighted,  // placed anew, with replicas weighted as planned
+  kThreshold,       // placed anew when the estimated skew exceeds a threshold
+  kPlanned,         // PlanPlacement
 };
 
 struct PolicyParameters {
