--- a/packages/agent/endpoint_agent.cc
+++ b/packages/agent/endpoint_agent.cc
@@ -11,6 +11,7 @@
 #include "admission/service_state.h"
 #include "agent/engine_back_end.h"
 #include "agent/service_back_end.h"
+#include "host_list/host_list.h"
 #include "log_text/log.h"
 #include "operator_api/operator_api.h"
 #include "settings/parse_address.h"
@@ -21,6 +22,10 @@
 constexpr Duration kLoadInterval = Milliseconds(250);
 constexpr Duration kTickInterval = Milliseconds(50);
 constexpr Duration kGrantInterval = Seconds(1);
+// The list lags anyway; it is advice beside the links.
+constexpr Duration kHostListInterval = Seconds(2);
+// Free slots are reported this long after the first that followed a refusal.
+constexpr Duration kFreeSlotDelay = Milliseconds(20);
 
 }  // namespace
 
@@ -70,7 +75,8 @@
       SummarizeAdmission(this->admission, EventLoop::Now());
   Heartbeat heartbeat;
   heartbeat.time = EventLoop::WallNow();
-  heartbeat.leaving = this->leaving;
+  heartbeat.config_offset = this->config->Offset();
+  heartbeat.leaving = IsLeaving(this->drain);
   heartbeat.limit = summary.limit;
   heartbeat.full_limit = summary.full_limit;
   heartbeat.in_flight = summary.in_flight;
@@ -92,6 +98,13 @@
     this->engine =
         std::make_unique<EngineClient>(this->client, std::move(options));
     this->back_end = MakeEngineBackEnd(*this->engine);
+    if (!settings.ranks.empty()) {
+      this->maps = std::make_unique<MapTask>(
+          this->context, this->log, *this->engine, [this](bool mismatch) {
+            this->map_mismatch = mismatch;
+            this->OnConfigChanged(this->config->View());
+          });
+    }
   } else {
     parameters.reports_load = false;
     parameters.first_token_target = Duration(0);
@@ -121,16 +134,54 @@
   }
   this->admission = MakeAdmissionState(parameters, this->context.incarnation,
                                        EventLoop::Now());
+  // Nothing says that operators want work here until the configuration does.
+  this->admission = SetEndpointOut(std::move(this->admission), true);
+}
+
+void EndpointAgent::OnConfigChanged(const ConfigView& view) {
+  const TimePoint now = EventLoop::Now();
+  const BackEndSettings& settings = *this->context.settings.back_end;
+  const auto endpoint = view.endpoints.find(settings.endpoint);
+  const auto data_centre =
+      view.data_centres.find(this->context.settings.data_centre);
+  const bool known = view.ready && endpoint != view.endpoints.end();
+  this->admission =
+      SetDataCentreOut(std::move(this->admission),
+                       data_centre == view.data_centres.end() ||
+                           !data_centre->second.content.in_service,
+                       now);
+  this->admission = SetEndpointOut(
+      std::move(this->admission),
+      !known || !endpoint->second.content.in_service || this->map_mismatch);
+  if (known) {
+    AdmissionParameters parameters = this->admission.parameters;
+    parameters.full_limit = endpoint->second.full_limit;
+    this->admission = SetParameters(std::move(this->admission), parameters);
+  }
+  if (this->claims) {
+    this->claims->SetWriters(static_cast<int>(
+        std::ranges::count_if(view.endpoints, [&](const auto& entry) {
+          const auto service = view.services.find(entry.second.content.service);
+          return service != view.services.end() &&
+                 service->second.plain.has_value();
+        })));
+  }
+  this->StartWaiting();
+  this->SendHeartbeats();
 }
 
 Result<bool> EndpointAgent::Start() {
   const Settings& settings = this->context.settings;
   this->MakeBackEnd();
+  this->config = std::make_unique<ConfigTask>(
+      this->context, this->log,
+      [this](const ConfigView& view) { this->OnConfigChanged(view); });
 
   SessionSelf self;
   self.hello = [this] {
     Hello hello;
     hello.role = "endpoint";
+    hello.config_offset = this->config->Offset();
     hello.endpoint = this->context.settings.back_end->endpoint;
     hello.service = this->context.settings.back_end->service;
     return hello;
@@ -143,9 +194,37 @@
       });
   if (!this->listener->Error().empty()) {
     return MakeFailure(ResultCode::kSettingsInvalid,
-                       "[links] listen on " + FormatAddress(settings.link) +
-                           ": " + this->listener->Error());
+                       "[listen] link is " + FormatAddress(settings.link) +
+                           ": " + this->listener->Error() +
+                           "; use a free address of this host");
   }
+  Result<bool> http_started = this->ListenHttp();
+  if (!http_started) {
+    return http_started;
+  }
+  this->load_timer =
+      std::make_unique<Timer>(this->context.loop, Duration(0), kLoadInterval,
+                              [this] { this->ReadLoad(); });
+  if (settings.host_list) {
+    this->host_list_timer = std::make_unique<Timer>(
+        this->context.loop, Duration(0), kHostListInterval,
+        [this] { this->ReadHosts(); });
+  }
+  this->tick =
+      std::make_unique<Timer>(this->context.loop, kTickInterval, kTickInterval,
+                              [this] { this->OnTick(); });
+  this->grant_timer =
+      std::make_unique<Timer>(this->context.loop, kGrantInterval,
+                              kGrantInterval, [this] { this->SendGrants(); });
+  Log(Severity::kInfo, "agent",
+      "serving links on " + settings.link.ip + ":" +
+          std::to_string(this->listener->Port()) + ", HTTP on port " +
+          std::to_string(this->http->Port()));
+  return true;
+}
+
+Result<bool> EndpointAgent::ListenHttp() {
+  const Settings& settings = this->context.settings;
   HttpServerOptions options;
   options.address = settings.http.ip;
   options.port = settings.http.port;
@@ -153,8 +232,12 @@
       this->context.loop, options,
       [this](const HttpRequest& request,
              const std::shared_ptr<HttpResponseWriter>& writer) {
-        const bool ready =
-            !this->leaving && IsReady(this->admission, EventLoop::Now());
+        if (request.path == "/metrics") {
+          this->SetGauges();
+        }
+        const bool ready = !IsLeaving(this->drain) &&
+                           this->config->View().ready &&
+                           IsReady(this->admission, EventLoop::Now());
         if (!AnswerOperator(this->context, ready, request, *writer)) {
           writer->Respond(404, {}, "");
         }
@@ -163,22 +246,23 @@
     return server.error();
   }
   this->http = std::move(server).value();
-  this->load_timer =
-      std::make_unique<Timer>(this->context.loop, Duration(0), kLoadInterval,
-                              [this] { this->ReadLoad(); });
-  this->tick =
-      std::make_unique<Timer>(this->context.loop, kTickInterval, kTickInterval,
-                              [this] { this->OnTick(); });
-  this->grant_timer =
-      std::make_unique<Timer>(this->context.loop, kGrantInterval,
-                              kGrantInterval, [this] { this->SendGrants(); });
-  Log(Severity::kInfo, "agent",
-      "serving links on " + settings.link.ip + ":" +
-          std::to_string(this->listener->Port()) + ", HTTP on port " +
-          std::to_string(this->http->Port()));
   return true;
 }
 
+void EndpointAgent::SetGauges() {
+  const AdmissionSummary summary =
+      SummarizeAdmission(this->admission, EventLoop::Now());
+  Metrics& metrics = this->context.metrics;
+  metrics.SetGauge("config_offset",
+                   static_cast<double>(this->config->Offset()));
+  metrics.SetGauge("limit", summary.limit);
+  metrics.SetGauge("full_limit", summary.full_limit);
+  metrics.SetGauge("in_flight", summary.in_flight);
+  metrics.SetGauge("waiting", summary.waiting);
+  metrics.SetGauge("warm", summary.warm ? 1 : 0);
+  metrics.SetGauge("takes_work", summary.takes_work ? 1 : 0);
+}
+
 SessionEvents EndpointAgent::OnAccepted(std::shared_ptr<Session> session) {
   const auto peer = std::make_shared<Peer>();
   peer->session = std::move(session);
@@ -207,6 +291,9 @@
     this->OnDispatch(peer, std::move(*dispatch));
   } else if (const auto* cancel = std::get_if<Cancel>(&message)) {
     this->OnCancel(cancel->dispatch_id);
+  } else {
+    this->config->OnPeerMessage(
+        message, [&peer](const Message& reply) { peer->session->Send(reply); });
   }
 }
 
@@ -339,6 +426,7 @@
 void EndpointAgent::Refuse(const Run& run,
                            ResultCode code,
                            const std::string& detail) {
+  this->refused_full = this->refused_full || code == ResultCode::kEndpointFull;
   Event event = this->MakeEvent(run, EventKind::kRefused);
   event.code = static_cast<int>(code);
   this->context.Record(std::move(event));
@@ -425,6 +513,7 @@
   }
   this->admission = RecordCompletion(std::move(this->admission), sample, now);
   this->StartWaiting();
+  this->ReportFreeSlot();
 }
 
 void EndpointAgent::OnCancel(const DispatchId& dispatch_id) {
@@ -493,6 +582,9 @@
       this->context.metrics.Count("load_reports_failed");
       return;
     }
+    if (this->maps) {
+      this->maps->OnStatus(status.value());
+    }
     EngineReport report;
     report.engine = Incarnation{status.value().incarnation};
     report.running =
@@ -526,6 +618,20 @@
   }
 }
 
+void EndpointAgent::ReportFreeSlot() {
+  if (!this->refused_full || this->free_slot_timer) {
+    return;
+  }
+  this->free_slot_timer = std::make_unique<Timer>(
+      this->context.loop, kFreeSlotDelay, Duration(0), [this] {
+        this->free_slot_timer.reset();
+        if (SlotsInUse(this->admission) < this->admission.limit) {
+          this->refused_full = false;
+          this->SendHeartbeats();
+        }
+      });
+}
+
 void EndpointAgent::SendHeartbeats() {
   for (const auto& peer : this->peers) {
     peer->session->SendHeartbeat();
@@ -541,35 +647,67 @@
                                                 "the link's queue was full"});
     });
   }
-  if (this->leaving && this->drained) {
-    const bool idle =
-        this->runs.empty() &&
-        (!this->claims || this->claims->Unsettled() == 0) &&
-        std::ranges::all_of(this->peers, [](const auto& peer) {
-          return peer->session->QueuedBytes() == 0 && peer->unannounced.empty();
-        });
-    if (idle || EventLoop::Now() - this->shutdown_at >
-                    this->context.settings.drain_timeout) {
-      const auto callback = std::exchange(this->drained, nullptr);
-      callback();
-    }
+  this->StepDrain();
+}
+
+void EndpointAgent::StepDrain() {
+  if (!this->drained) {
+    return;
+  }
+  std::size_t pending = this->runs.size();
+  pending += this->claims ? this->claims->Unsettled() : 0;
+  for (const auto& peer : this->peers) {
+    pending += peer->unannounced.size();
+    pending += peer->session->QueuedBytes() > 0 ? 1 : 0;
+  }
+  const bool timed_out = EventLoop::Now() - this->shutdown_at >
+                         this->context.settings.drain_timeout;
+  if (MayExit(this->drain, static_cast<int>(pending)) || timed_out) {
+    std::exchange(this->drained, nullptr)();
   }
 }
 
 void EndpointAgent::Shutdown(std::function<void()> on_drained) {
-  if (this->leaving) {
+  if (this->drain.terminating) {
     return;
   }
-  this->leaving = true;
+  this->drain.terminating = true;
   this->drained = std::move(on_drained);
   this->shutdown_at = EventLoop::Now();
-  this->admission = SetLeaving(std::move(this->admission), true);
+  this->SetLeavingNow();
+}
+
+// Applies what `drain` says and tells the entry hosts at once.
+void EndpointAgent::SetLeavingNow() {
+  this->admission =
+      SetLeaving(std::move(this->admission), IsLeaving(this->drain));
   Event event;
-  event.kind = EventKind::kLeaving;
+  event.kind =
+      IsLeaving(this->drain) ? EventKind::kLeaving : EventKind::kJoined;
   event.endpoint = this->context.settings.back_end->endpoint;
+  event.detail = this->drain.terminating ? "SIGTERM" : "the host list";
   this->context.Record(std::move(event));
   this->SendHeartbeats();
   this->StartWaiting();
 }
 
+void EndpointAgent::ReadHosts() {
+  ReadHostList(this->client, FormatAddress(*this->context.settings.host_list),
+               [this](const Result<std::vector<ListedHost>>& hosts) {
+                 if (!hosts) {
+                   this->context.metrics.Count("host_list_reads_failed");
+                   return;
+                 }
+                 const auto listed = std::ranges::find(
+                     hosts.value(), this->context.settings.process.value,
+                     &ListedHost::name);
+                 const bool leaving =
+                     listed != hosts.value().end() && listed->leaving;
+                 if (std::exchange(this->drain.listed, leaving) != leaving &&
+                     !this->drain.terminating) {
+                   this->SetLeavingNow();
+                 }
+               });
+}
+
 }  // namespace toucanhollow
--- a/packages/agent/endpoint_agent.h
+++ b/packages/agent/endpoint_agent.h
@@ -12,10 +12,13 @@
 #include "admission/admission_state.h"
 #include "agent/back_end.h"
 #include "agent/claim_task.h"
+#include "agent/map_task.h"
 #include "base/result.h"
+#include "config_follow/config_task.h"
 #include "engine_api/engine_client.h"
 #include "http_client/http_client.h"
 #include "http_server/http_server.h"
+#include "membership/drain.h"
 #include "platform_log/platform_log.h"
 #include "service_api/service_client.h"
 #include "session/process_context.h"
@@ -49,6 +52,12 @@
   void OnClaimRefused(const DispatchId& id, ResultCode code);
   void FreeUnrunSlot(const DispatchId& id);
   void MakeBackEnd();
+  Result<bool> ListenHttp();
+  void SetGauges();
+  void OnConfigChanged(const ConfigView& view);
+  void StepDrain();
+  void ReadHosts();
+  void SetLeavingNow();
   void OnPiece(const DispatchId& id,
                std::uint64_t index,
                std::string_view text);
@@ -60,6 +69,7 @@
   void ReadLoad();
   void SendGrants();
   void SendHeartbeats();
+  void ReportFreeSlot();
   Heartbeat MakeHeartbeat() const;
   void OnTick();
   Event MakeEvent(const Run& run, EventKind kind) const;
@@ -72,17 +82,26 @@
   std::unique_ptr<ServiceClient> service;
   BackEnd back_end;
   AdmissionState admission;
+  std::unique_ptr<ConfigTask> config;
   // Only for plain services.
   std::unique_ptr<ClaimTask> claims;
-  bool leaving = false;
+  // Only for engines that hold ranks of a group.
+  std::unique_ptr<MapTask> maps;
+  bool map_mismatch = false;
+  AgentDrain drain;
   std::unique_ptr<SessionListener> listener;
   std::unique_ptr<HttpServer> http;
   std::set<std::shared_ptr<Peer>> peers;
   std::map<DispatchId, std::unique_ptr<Run>> runs;
   std::unique_ptr<Timer> load_timer;
+  std::unique_ptr<Timer> host_list_timer;
   std::unique_ptr<Timer> tick;
   std::unique_ptr<Timer> grant_timer;
   bool reading_load = false;
+  // A dispatch was refused for want of a slot since the last heartbeat; its
+  // sender counts this endpoint as full until the next one.
+  bool refused_full = false;
+  std::unique_ptr<Timer> free_slot_timer;
   std::function<void()> drained;
   TimePoint shutdown_at;
 };
--- a/packages/fault_matrix/fault_column.h
+++ b/packages/fault_matrix/fault_column.h
@@ -23,9 +23,11 @@
   kEntryHostPauses,
   kAgentPauses,
   kTurnsCold,
+  kEngineDies,
   kLogDown,
   kLogSlow,
   kAnswerLost,
+  kOperatorsRace,
   kPlatformCut,
   kDataCentresCut,
 };
--- a/packages/scenario/moment.cc
+++ b/packages/scenario/moment.cc
@@ -22,17 +22,17 @@
     {Moment::kAnswerReceived, "answer-received"},
     {Moment::kVoidSent, "void-sent"},
     {Moment::kRecordSent, "record-sent"},
-    {Moment::kRecordAppended, "record-appended"},
     {Moment::kRecordRead, "record-read"},
     {Moment::kProposalSent, "proposal-sent"},
     {Moment::kProposalRead, "proposal-read"},
     {Moment::kStaged, "staged"},
     {Moment::kConfirmSent, "confirm-sent"},
-    {Moment::kConfirmAppended, "confirm-appended"},
+    {Moment::kAbortSent, "abort-sent"},
     {Moment::kDecisionRead, "decision-read"},
     {Moment::kActivated, "activated"},
     {Moment::kShutdownStarted, "shutdown-started"},
     {Moment::kLeavingSent, "leaving-sent"},
+    {Moment::kEngineRestarted, "engine-restarted"},
 });
 
 }  // namespace
--- a/packages/scenario/moment.h
+++ b/packages/scenario/moment.h
@@ -21,17 +21,18 @@
   kAnswerReceived,
   kVoidSent,
   kRecordSent,
-  kRecordAppended,
+  // A record replaced an earlier one in a process.
   kRecordRead,
   kProposalSent,
   kProposalRead,
   kStaged,
   kConfirmSent,
-  kConfirmAppended,
+  kAbortSent,
   kDecisionRead,
   kActivated,
   kShutdownStarted,
   kLeavingSent,
+  kEngineRestarted,
 };
 
 struct MomentName {
--- a/packages/scenario/run_scenario.cc
+++ b/packages/scenario/run_scenario.cc
@@ -5,7 +5,11 @@
 
 #include "base/check.h"
 #include "scenario/agent_performer.h"
+#include "scenario/config_holder.h"
 #include "scenario/entry_host_performer.h"
+#include "scenario/fake_group.h"
+#include "scenario/map_agent_performer.h"
+#include "scenario/operator_performer.h"
 #include "scenario/site.h"
 
 namespace toucanhollow {
@@ -89,6 +93,21 @@
     return "";
   }
 
+  // Maps are numbered by the changes that came into force.
+  std::string UsesMap(const Action& action) const {
+    std::int64_t version = 0;
+    std::int64_t changes = 0;
+    for (const RankStep& step : this->seen.steps) {
+      if (step.group == action.subject && step.map_version != version) {
+        version = step.map_version;
+        ++changes;
+      }
+    }
+    return changes == action.count
+               ? ""
+               : action.subject + " uses map " + std::to_string(changes);
+  }
+
   std::string Exited(const Action& action) const {
     for (const NodeEvent& event : this->seen.nodes) {
       if (event.node == action.subject && event.fact == NodeFact::kExited) {
@@ -124,8 +143,7 @@
                    "the moment " + steps[i].when + " was never reached");
       }
     }
-    this->site.world.seen.end = this->site.world.Now();
-    return {std::move(this->site.world.seen), std::move(this->failures)};
+    return {this->site.Finish(), std::move(this->failures)};
   }
 
  private:
@@ -160,7 +178,14 @@
         break;
       case ActionKind::kTakeOut:
       case ActionKind::kBringBack:
+        PublishDataCentre(this->site, "operator-1", action.subject,
+                          action.kind == ActionKind::kTakeOut);
+        break;
+      case ActionKind::kRestartEngine:
+        this->site.RestartEngine(action.subject);
+        break;
       case ActionKind::kChangeMap:
+        ++this->site.wanted_maps[action.subject];
         break;
       case ActionKind::kShutDown:
         this->site.ShutDown(action.subject);
@@ -189,10 +214,32 @@
       case ActionKind::kExpectExited:
         this->Expect(step, judge.Exited(action));
         break;
-      case ActionKind::kExpectMapVersion:
       case ActionKind::kExpectRecord:
+        this->Expect(step, this->InForceEverywhere(action));
         break;
+      case ActionKind::kExpectMapVersion:
+        this->Expect(step, judge.UsesMap(action));
+        break;
+    }
+  }
+
+  std::string InForceEverywhere(const Action& action) {
+    const std::string text = DataCentreText(action.subject, action.out);
+    for (const NodeSetup& node : this->site.scenario.nodes) {
+      const std::uint64_t incarnation =
+          this->site.world.IncarnationOf(node.name).value;
+      std::string in_force;
+      for (const RecordSeen& seen : this->site.world.seen.records) {
+        if (seen.process == node.name && seen.incarnation == incarnation &&
+            seen.subject == action.subject) {
+          in_force = seen.content;
+        }
+      }
+      if (incarnation != 0 && in_force != text) {
+        return node.name + " has '" + in_force + "' in force";
+      }
     }
+    return "";
   }
 
   Site site;
--- a/packages/scenario/scenario.h
+++ b/packages/scenario/scenario.h
@@ -20,7 +20,8 @@
   std::string data_centre = {};
   // Plain service or model group; empty for an entry host.
   std::string service = {};
-  int rank = 0;
+  // Place in a group that advances in lock-step; -1 for an engine of its own.
+  int rank = -1;
   bool warm = true;
   // False for an engine that obeys orders with an old fencing token.
   bool fencing = true;
@@ -39,6 +40,7 @@
   kRequest,
   kTakeOut,
   kBringBack,
+  kRestartEngine,
   kChangeMap,
   kShutDown,
   kListAsLeaving,
@@ -95,6 +97,10 @@
   std::string title = {};
   std::uint64_t seed = 1;
   std::vector<std::string> data_centres = {};
+  // Those of them whose first record says that they are out.
+  std::vector<std::string> data_centres_out = {};
+  // Age at which the log drops entries; zero keeps everything.
+  Duration log_retention{};
   std::vector<NodeSetup> nodes = {};
   std::vector<Step> steps = {};
 
