--- a/packages/scenario/config_holder.cc
+++ b/packages/scenario/config_holder.cc
@@ -14,8 +14,7 @@
   return {std::string(kDataCentreKind), data_centre};
 }
 
-std::string DataCentreText(const std::string& data_centre, bool out) {
-  static_cast<void>(data_centre);
+std::string DataCentreText(bool out) {
   DataCentreContent content;
   content.in_service = !out;
   content.region = "region";
--- a/packages/scenario/config_holder.h
+++ b/packages/scenario/config_holder.h
@@ -41,7 +41,7 @@
 
 // The subject of a data centre's record, and its content.
 ConfigSubject DataCentreSubject(const std::string& data_centre);
-std::string DataCentreText(const std::string& data_centre, bool out);
+std::string DataCentreText(bool out);
 
 }  // namespace toucanhollow
 
--- a/packages/scenario/fake_log.cc
+++ b/packages/scenario/fake_log.cc
@@ -85,7 +85,6 @@
     const Active* slow = this->Find(FaultKind::kLogSlow);
     const Duration time = slow != nullptr ? slow->fault.delay : kAppendTime;
     this->queue.After(time, [=, this] {
-      ++this->appends;
       Stream& target = this->streams[stream];
       const auto first = static_cast<LogOffset>(target.entries.size()) + 1;
       for (const std::string& payload : payloads) {
--- a/packages/scenario/fake_log.h
+++ b/packages/scenario/fake_log.h
@@ -1,5 +1,5 @@
 // The platform's append-only log: streams with offsets, long poll, retention,
-// outage, slowness, answers lost after effect, and a count of appends.
+// outage, slowness, and answers lost after effect.
 #ifndef SCENARIO_FAKE_LOG_H_
 #define SCENARIO_FAKE_LOG_H_
 
@@ -52,7 +52,6 @@
   const std::vector<LogEntry>& Entries(const std::string& stream);
   // Wall time of the log's own clock, which stamps the entries.
   WallTime WallNow() const;
-  std::int64_t append_calls() const { return this->appends; }
 
  private:
   struct Stream {
@@ -71,7 +70,6 @@
   FakeNetwork& network;
   std::map<std::string, Stream> streams;
   std::vector<Active> active;
-  std::int64_t appends = 0;
   // Zero keeps everything.
   Duration retention{};
 };
--- a/packages/scenario/operator_performer.cc
+++ b/packages/scenario/operator_performer.cc
@@ -48,7 +48,7 @@
   record.subject = DataCentreSubject(work->data_centre);
   record.expected_revision = *work->expected;
   record.copy.change_id = work->change_id;
-  record.copy.text = DataCentreText(work->data_centre, work->out);
+  record.copy.text = DataCentreText(work->out);
   site.world.Reach(Moment::kRecordSent, work->name);
   work->appending = true;
   work->may_have_taken_effect = true;
--- a/packages/scenario/run_scenario.cc
+++ b/packages/scenario/run_scenario.cc
@@ -224,7 +224,7 @@
   }
 
   std::string InForceEverywhere(const Action& action) {
-    const std::string text = DataCentreText(action.subject, action.out);
+    const std::string text = DataCentreText(action.out);
     for (const NodeSetup& node : this->site.scenario.nodes) {
       const std::uint64_t incarnation =
           this->site.world.IncarnationOf(node.name).value;
--- a/packages/scenario/site.cc
+++ b/packages/scenario/site.cc
@@ -42,9 +42,8 @@
     record.subject = DataCentreSubject(data_centre);
     record.copy.change_id = "initial-" + data_centre;
     record.copy.text = DataCentreText(
-        data_centre,
         std::ranges::find(scenario.data_centres_out, data_centre) !=
-            scenario.data_centres_out.end());
+        scenario.data_centres_out.end());
     this->world.log.Preload("config", EncodeRecord(record));
   }
   for (const NodeSetup& node : this->scenario.nodes) {
@@ -66,8 +65,7 @@
          .change_id = record->copy.change_id,
          .revision = entry.offset,
          .expected_revision = record->expected_revision,
-         .out =
-             record->copy.text == DataCentreText(record->subject.name, true)});
+         .out = record->copy.text == DataCentreText(true)});
   }
   this->world.seen.end = this->world.Now();
   return std::move(this->world.seen);
