Answer a lost keyed call of a scenario from the log

The lifecycle takes the kept answer that a void finds in the log; the performer hands it over instead of reporting an unknown outcome.

--- a/packages/scenario/entry_host_performer.cc
+++ b/packages/scenario/entry_host_performer.cc
@@ -531,9 +531,13 @@
       continue;
     }
     this->voiding.erase(id);
-    const ResultCode code = outcome == DispatchOutcome::kNotRun
-                                ? ResultCode::kDispatchVoided
-                                : ResultCode::kOutcomeUnknown;
+    if (outcome == DispatchOutcome::kAnswered) {
+      this->Feed(this->request_of.at(id),
+                 KeptAnswer{id, watch.result->body,
+                            AnswerEnd{1, watch.result->http_status, {}, {}}});
+      continue;
+    }
+    const ResultCode code = StateOutcome(watch);
     this->Feed(this->request_of.at(id),
                VoidSettled{id, outcome == DispatchOutcome::kNotRun,
                            MakeFailure(code, "settled in the log")});
