--- a/packages/config/config_fold.cc
+++ b/packages/config/config_fold.cc
@@ -236,6 +236,10 @@
   return ExtendOverRead(state, as_of);
 }
 
+bool HasConfigGap(const ConfigState& state) {
+  return KnownAsOf(state, {}) < state.next_offset - 1;
+}
+
 std::optional<ChangeRecord> FindChange(const ConfigState& state,
                                        const std::string& change_id) {
   std::optional<ChangeRecord> best;
--- a/packages/config/config_fold.h
+++ b/packages/config/config_fold.h
@@ -109,6 +109,10 @@
 // is known.
 LogOffset KnownAsOf(const ConfigState& state, const ConfigSubject& subject);
 
+// True if entries were dropped by the log before they were read, and no
+// refresh or snapshot has told yet what they held for every subject.
+bool HasConfigGap(const ConfigState& state);
+
 // What became of a change, for a publisher whose append answer was lost; none
 // if no record with this id was read. The best outcome of several appends.
 std::optional<ChangeRecord> FindChange(const ConfigState& state,
--- /dev/null
+++ b/packages/config/snapshot_request_test.cc
@@ -0,0 +1,70 @@
+#include "config/snapshot_request.h"
+
+#include <utility>
+
+#include <catch2/catch.hpp>
+
+namespace toucanhollow {
+namespace {
+
+constexpr TimePoint kStart{Seconds(100)};
+
+PublishedRecord DataCentreRecord() {
+  PublishedRecord record{
+      {std::string(kDataCentreKind), "nadi-south"}, 0, ConfigCopy()};
+  record.copy.change_id = "c";
+  record.copy.judgement = ContentJudgement::kGood;
+  record.copy.content = DataCentreContent{true, "west"};
+  return record;
+}
+
+// The state of a process whose log began at `first` when it started.
+ConfigState ReadFrom(LogOffset first) {
+  ConfigEntry entry;
+  entry.offset = first;
+  entry.record = DataCentreRecord();
+  return FoldEntry(ConfigState(), entry).state;
+}
+
+TEST_CASE("a process without configuration asks a peer that is ahead at once") {
+  const auto decision = DecideSnapshotRequest({}, {}, false, 5, kStart);
+  CHECK(decision.ask);
+  CHECK_FALSE(DecideSnapshotRequest(decision.state, {}, false, 5,
+                                    kStart + Milliseconds(500))
+                  .ask);
+}
+
+// Guards against a snapshot request for each record that a peer read earlier.
+TEST_CASE("the log has a head start") {
+  const ConfigState config = ReadFrom(1);
+  auto decision = DecideSnapshotRequest({}, config, true, 2, kStart);
+  CHECK_FALSE(decision.ask);
+  decision = DecideSnapshotRequest(decision.state, config, true, 2,
+                                   kStart + Seconds(3));
+  CHECK(decision.ask);
+  decision = DecideSnapshotRequest(decision.state, config, true, 1,
+                                   kStart + Seconds(4));
+  CHECK_FALSE(decision.state.behind_since.has_value());
+}
+
+// Guards against a process that started after the log had dropped its
+// beginning and whose undecided records wait for a refresh although every
+// peer could decide them: its offset is not behind theirs.
+TEST_CASE("a process with a gap asks a peer that is not ahead, rarely") {
+  const ConfigState config = ReadFrom(7);
+  REQUIRE(HasConfigGap(config));
+  REQUIRE_FALSE(HasConfigGap(ReadFrom(1)));
+  auto decision = DecideSnapshotRequest({}, config, true, 7, kStart);
+  decision = DecideSnapshotRequest(decision.state, config, true, 7,
+                                   kStart + Seconds(2));
+  CHECK(decision.ask);
+  decision = DecideSnapshotRequest(decision.state, config, true, 7,
+                                   kStart + Seconds(4));
+  CHECK_FALSE(decision.ask);
+  decision = DecideSnapshotRequest(decision.state, config, true, 7,
+                                   kStart + Seconds(40));
+  CHECK(decision.ask);
+}
+
+}  // namespace
+}  // namespace toucanhollow
--- a/packages/config_follow/config_task.cc
+++ b/packages/config_follow/config_task.cc
@@ -11,10 +11,6 @@
 namespace {
 
 constexpr char kConfigStream[] = "config";
-// A record usually comes by the log within this time; a snapshot of 1,100
-// endpoints is some 300 KB and is asked for only after it.
-constexpr Duration kLogHeadStart = Seconds(2);
-constexpr Duration kRequestInterval = Seconds(1);
 constexpr Duration kRefreshCheck = Seconds(1);
 
 }  // namespace
@@ -100,19 +96,12 @@
 void ConfigTask::OnPeerMessage(
     const Message& message,
     const std::function<void(const Message& reply)>& reply) {
-  const TimePoint now = EventLoop::Now();
   if (const auto* heartbeat = std::get_if<Heartbeat>(&message)) {
-    if (heartbeat->config_offset <= this->Offset()) {
-      this->behind_since.reset();
-      return;
-    }
-    if (!this->behind_since) {
-      this->behind_since = now;
-    }
-    const bool due =
-        !this->view.ready || now - *this->behind_since >= kLogHeadStart;
-    if (due && now - this->last_request >= kRequestInterval) {
-      this->last_request = now;
+    const SnapshotRequestDecision decision = DecideSnapshotRequest(
+        this->snapshot_request, this->state, this->view.ready,
+        heartbeat->config_offset, EventLoop::Now());
+    this->snapshot_request = decision.state;
+    if (decision.ask) {
       reply(SnapshotRequest{this->Offset()});
     }
   } else if (std::holds_alternative<SnapshotRequest>(message)) {
--- a/packages/config_follow/config_task.h
+++ b/packages/config_follow/config_task.h
@@ -10,6 +10,7 @@
 
 #include "config/config_fold.h"
 #include "config/config_view.h"
+#include "config/snapshot_request.h"
 #include "log_follow/log_follower.h"
 #include "platform_log/platform_log.h"
 #include "session/process_context.h"
@@ -56,8 +57,7 @@
   std::unique_ptr<LogFollower> follower;
   std::unique_ptr<Timer> refresh_timer;
   bool refreshing = false;
-  std::optional<TimePoint> behind_since;
-  TimePoint last_request;
+  SnapshotRequestState snapshot_request;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/packages/scenario/config_holder.cc
+++ b/packages/scenario/config_holder.cc
@@ -65,7 +65,7 @@
 }
 
 bool ConfigHolder::HasGap() const {
-  return KnownAsOf(this->state, {}) < this->state.next_offset - 1;
+  return HasConfigGap(this->state);
 }
 
 bool ConfigHolder::IsOut(const std::string& data_centre) const {
--- a/scripts/site_setup.py
+++ b/scripts/site_setup.py
@@ -27,10 +27,10 @@
 
 
 def build(fleet, data_centres, engines_each=1, services_each=1,
-          entry_hosts_each=1, **engine_flags):
+          entry_hosts_each=1, log_flags=None, **engine_flags):
     """Starts the stand-ins and writes the settings of all processes."""
     site = Site()
-    fleet.stand_in("log", "log")
+    fleet.stand_in("log", "log", **(log_flags or {}))
     for data_centre in data_centres:
         for kind, service, count, names in (
                 ("engine", MODEL, engines_each, site.engines),
