Let agents propose expert maps

Cause: agents took part in map changes, but nobody began one, because an agent does not know which ranks are alive. Ruled out: heartbeats between agents, which would be new links only for this. Each rank waits 5 s longer than the rank before it and then proposes from its own engine's counts; a proposal that a dead rank cannot confirm is aborted by the others at half of the lead, and two proposals do no harm. The record of a model group gains slots_per_rank (schema 2). Before, no map was ever proposed.

--- a/packages/agent/endpoint_agent.cc
+++ b/packages/agent/endpoint_agent.cc
@@ -161,12 +161,18 @@
     parameters.full_limit = endpoint->second.full_limit;
     this->admission = SetParameters(std::move(this->admission), parameters);
   }
+  const auto service = view.services.find(settings.service);
+  if (this->maps && service != view.services.end() && service->second.group) {
+    const ModelGroupContent& group = *service->second.group;
+    this->maps->SetShape(
+        {settings.service, group.ranks, group.experts, SlotsPerRank(group)});
+  }
   if (this->claims) {
     this->claims->SetWriters(static_cast<int>(
         std::ranges::count_if(view.endpoints, [&](const auto& entry) {
-          const auto service = view.services.find(entry.second.content.service);
-          return service != view.services.end() &&
-                 service->second.plain.has_value();
+          const auto writer = view.services.find(entry.second.content.service);
+          return writer != view.services.end() &&
+                 writer->second.plain.has_value();
         })));
   }
   this->StartWaiting();
--- a/packages/agent/map_task.cc
+++ b/packages/agent/map_task.cc
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr char kMapsStream[] = "maps";
+// Planning a map costs milliseconds at 64 ranks with 128 experts, and the
+// estimate of popularity changes little in less.
+constexpr Duration kProposalCheckInterval = Seconds(10);
 
 // Engines name a change by text; ours is the offset of its proposal.
 std::optional<ChangeOffset> ParseChange(const std::string& text) {
@@ -71,6 +74,10 @@
     this->participants.push_back(
         MakeParticipant(this->group, rank, this->context.incarnation));
   }
+  this->proposer.process = this->context.settings.process;
+  if (!this->participants.empty()) {
+    this->proposer.rank = this->participants.front().rank;
+  }
   this->follower = std::make_unique<LogFollower>(
       this->context, this->log, kMapsStream, 1,
       LogFollowerEvents{
@@ -99,6 +106,37 @@
 void MapTask::OnStatus(const EngineStatus& report) {
   this->status = ToMapStatus(report);
   this->Step();
+  this->Propose(report);
+}
+
+void MapTask::SetShape(GroupShape group_shape) {
+  this->shape = std::move(group_shape);
+}
+
+void MapTask::Propose(const EngineStatus& report) {
+  const TimePoint now = EventLoop::Now();
+  if (!this->shape || this->participants.empty() ||
+      now < this->next_proposal_check || this->appending || this->mismatch) {
+    return;
+  }
+  this->next_proposal_check = now + kProposalCheckInterval;
+  ExpertCounts counts;
+  counts.engine = Incarnation{report.incarnation};
+  counts.step = report.step;
+  counts.step_time = report.step_time;
+  counts.tokens = report.expert_tokens;
+  ProposerStep step =
+      AdvanceProposer(std::move(this->proposer), this->fold, *this->shape,
+                      this->log_status, counts, now);
+  this->proposer = std::move(step.proposer);
+  if (step.proposal) {
+    this->context.metrics.Count("map_proposals");
+    Log(Severity::kInfo, "map",
+        "proposed " + step.proposal->change + " for step " +
+            std::to_string(step.proposal->activation_step));
+    this->appending = true;
+    this->Append(MapEntry{0, {}, this->group, *std::move(step.proposal)});
+  }
 }
 
 void MapTask::Step() {
--- a/packages/agent/map_task.h
+++ b/packages/agent/map_task.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "engine_api/engine_client.h"
+#include "expert_map/advance_proposer.h"
 #include "expert_map/map_fold.h"
 #include "expert_map/participant.h"
 #include "expert_map/propose_change.h"
@@ -34,7 +35,11 @@
   // Takes in the engine's report. The orders that follow go out at once.
   void OnStatus(const EngineStatus& status);
 
+  // The group as its record in force describes it; nothing is proposed before.
+  void SetShape(GroupShape shape);
+
  private:
+  void Propose(const EngineStatus& status);
   void Step();
   void Perform(const Participant& participant, const ParticipantAction& action);
   void Order(const Participant& participant, const MapOrder& order);
@@ -50,6 +55,9 @@
   std::vector<Participant> participants;
   std::optional<MapEngineStatus> status;
   MapLogStatus log_status;
+  Proposer proposer;
+  std::optional<GroupShape> shape;
+  TimePoint next_proposal_check;
   bool mismatch = false;
   bool appending = false;
   ChangeOffset known_version = 0;
--- a/packages/config/config_content.h
+++ b/packages/config/config_content.h
@@ -31,6 +31,9 @@
   // Share of the model's work against other groups of the same model.
   double weight = 1;
   int full_limit = kDefaultFullLimit;
+  // Experts that a rank has room for, replicas included. 0 leaves room for one
+  // more than an even share.
+  int slots_per_rank = 0;
 
   bool operator==(const ModelGroupContent&) const = default;
 };
--- a/packages/config/config_view.cc
+++ b/packages/config/config_view.cc
@@ -1,5 +1,6 @@
 #include "config/config_view.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -115,6 +116,14 @@
   return groups;
 }
 
+int SlotsPerRank(const ModelGroupContent& group) {
+  if (group.slots_per_rank > 0) {
+    return group.slots_per_rank;
+  }
+  const int even_share = (group.experts + group.ranks - 1) / group.ranks;
+  return std::min(even_share + 1, group.experts);
+}
+
 double ShareOf(const ConfigView& view,
                const ServiceName& service,
                const AccountName& account) {
--- a/packages/config/config_view.h
+++ b/packages/config/config_view.h
@@ -72,6 +72,9 @@
                                        std::string_view model,
                                        const AccountName& account);
 
+// Experts that each rank of the group has room for.
+int SlotsPerRank(const ModelGroupContent& group);
+
 // The account's share of the service, 0 if no record lets it use the service.
 double ShareOf(const ConfigView& view,
                const ServiceName& service,
--- a/packages/config/validate_record.cc
+++ b/packages/config/validate_record.cc
@@ -95,6 +95,14 @@
     this->CheckName("model", group.model);
     this->CheckCount("ranks", group.ranks, kMaxRanks);
     this->CheckCount("experts", group.experts, kMaxExperts);
+    if (group.slots_per_rank != 0 &&
+        (group.slots_per_rank > group.experts ||
+         group.slots_per_rank * group.ranks < group.experts)) {
+      this->mistakes.push_back(InvalidField(
+          "slots_per_rank", std::to_string(group.slots_per_rank),
+          "give room for all experts over all ranks, and at most for each "
+          "expert once on a rank"));
+    }
     this->CheckAccounts(group.accounts);
     this->CheckWeight("weight", group.weight);
     this->CheckCount("full_limit", group.full_limit, kMaxFullLimit);
--- a/packages/log_codec/config_codec.cc
+++ b/packages/log_codec/config_codec.cc
@@ -171,6 +171,9 @@
     group.model = reader.Text("model", "name the model");
     group.ranks = reader.Integer("ranks", 1);
     group.experts = reader.Integer("experts", 1);
+    if (this->schema >= 2) {
+      group.slots_per_rank = reader.Integer("slots_per_rank", 0);
+    }
     group.accounts = this->Accounts(reader);
     group.weight = reader.Number("weight", 1);
     group.full_limit = reader.Integer("full_limit", kDefaultFullLimit);
@@ -301,6 +304,7 @@
     return {{"model", group.model},
             {"ranks", group.ranks},
             {"experts", group.experts},
+            {"slots_per_rank", group.slots_per_rank},
             {"accounts", EncodeAccounts(group.accounts)},
             {"weight", group.weight},
             {"full_limit", group.full_limit}};
