--- a/packages/expert_map/advance_proposer_test.cc
+++ b/packages/expert_map/advance_proposer_test.cc
@@ -6,7 +6,9 @@
 namespace {
 
 constexpr TimePoint kStart{Seconds(1000)};
-const GroupShape kShape{{"drafting"}, 2, 4, 3};
+GroupShape Shape() {
+  return {{"drafting"}, 2, 4, 3};
+}
 
 MapLogStatus HealthyLog() {
   MapLogStatus log;
@@ -43,7 +45,7 @@
   for (int second = 0; second < 60; ++second) {
     const TimePoint now = kStart + Seconds(second);
     engine.Run(tokens);
-    ProposerStep step = AdvanceProposer(std::move(proposer), fold, kShape, log,
+    ProposerStep step = AdvanceProposer(std::move(proposer), fold, Shape(), log,
                                         engine.counts, now);
     proposer = std::move(step.proposer);
     if (step.proposal) {
@@ -54,12 +56,16 @@
 }
 
 // In the initial map of this shape, rank 0 alone holds expert 2.
-const std::vector<std::int64_t> kSkewed = {400, 10, 300, 10};
-const std::vector<std::int64_t> kEven = {100, 100, 100, 100};
+std::vector<std::int64_t> Skewed() {
+  return {400, 10, 300, 10};
+}
+std::vector<std::int64_t> Even() {
+  return {100, 100, 100, 100};
+}
 
 // Guards against a group that stays skewed because nobody proposes.
 TEST_CASE("a skewed group gets a proposal on top of its current version") {
-  const Run run = RunMinute(0, kSkewed, HealthyLog());
+  const Run run = RunMinute(0, Skewed(), HealthyLog());
   REQUIRE(run.proposal.has_value());
   CHECK(run.proposal->base_version == 0);
   CHECK(run.proposal->ranks == 2);
@@ -70,34 +76,34 @@
 
 // Guards against weights that move without a benefit.
 TEST_CASE("an even group is left alone") {
-  CHECK_FALSE(RunMinute(0, kEven, HealthyLog()).proposal.has_value());
+  CHECK_FALSE(RunMinute(0, Even(), HealthyLog()).proposal.has_value());
 }
 
 // Guards against a change that is begun while the log could leave the group
 // holding at the activation step.
 TEST_CASE("nothing is proposed while the log is slow or down") {
-  CHECK_FALSE(RunMinute(0, kSkewed, MapLogStatus()).proposal.has_value());
+  CHECK_FALSE(RunMinute(0, Skewed(), MapLogStatus()).proposal.has_value());
   MapLogStatus slow = HealthyLog();
   slow.last_append = Seconds(2);
-  CHECK_FALSE(RunMinute(0, kSkewed, slow).proposal.has_value());
+  CHECK_FALSE(RunMinute(0, Skewed(), slow).proposal.has_value());
 }
 
 // Guards against every agent proposing at once.
 TEST_CASE("a higher rank waits for the lower ones") {
-  const Run first = RunMinute(0, kSkewed, HealthyLog());
-  const Run later = RunMinute(3, kSkewed, HealthyLog());
+  const Run first = RunMinute(0, Skewed(), HealthyLog());
+  const Run later = RunMinute(3, Skewed(), HealthyLog());
   REQUIRE(later.proposal.has_value());
   CHECK(later.at - first.at == 3 * kProposerStagger);
 }
 
 // Guards against a second proposal while one is open.
 TEST_CASE("an open change is waited for") {
-  const Run run = RunMinute(0, kSkewed, HealthyLog());
-  MapEntry entry{1, {}, kShape.group, *run.proposal};
+  const Run run = RunMinute(0, Skewed(), HealthyLog());
+  MapEntry entry{1, {}, Shape().group, *run.proposal};
   const MapFold fold = FoldMapEntry(MapFold(), entry);
   MapLogStatus log = HealthyLog();
   log.end = 1;
-  CHECK_FALSE(RunMinute(0, kSkewed, log, fold).proposal.has_value());
+  CHECK_FALSE(RunMinute(0, Skewed(), log, fold).proposal.has_value());
 }
 
 }  // namespace
