--- a/packages/agent/map_task.cc
+++ b/packages/agent/map_task.cc
@@ -109,7 +109,7 @@
   this->Propose(report);
 }
 
-void MapTask::SetShape(GroupShape group_shape) {
+void MapTask::SetShape(ModelGroupShape group_shape) {
   this->shape = std::move(group_shape);
 }
 
--- a/packages/agent/map_task.h
+++ b/packages/agent/map_task.h
@@ -36,7 +36,7 @@
   void OnStatus(const EngineStatus& status);
 
   // The group as its record in force describes it; nothing is proposed before.
-  void SetShape(GroupShape shape);
+  void SetShape(ModelGroupShape shape);
 
  private:
   void Propose(const EngineStatus& status);
@@ -56,7 +56,7 @@
   std::optional<MapEngineStatus> status;
   MapLogStatus log_status;
   Proposer proposer;
-  std::optional<GroupShape> shape;
+  std::optional<ModelGroupShape> shape;
   TimePoint next_proposal_check;
   bool mismatch = false;
   bool appending = false;
--- a/packages/expert_map/advance_proposer.cc
+++ b/packages/expert_map/advance_proposer.cc
@@ -26,7 +26,7 @@
   return total > 0 ? sample : std::vector<double>();
 }
 
-bool IsUsable(const GroupShape& shape, const ExpertCounts& counts) {
+bool IsUsable(const ModelGroupShape& shape, const ExpertCounts& counts) {
   return shape.ranks > 1 && shape.experts > 0 &&
          static_cast<int>(counts.tokens.size()) == shape.experts &&
          shape.slots_per_rank <= shape.experts &&
@@ -34,7 +34,7 @@
 }
 
 PlacementCosts CostsOf(const Proposer& proposer,
-                       const GroupShape& shape,
+                       const ModelGroupShape& shape,
                        const ExpertCounts& counts) {
   PlacementCosts costs = proposer.costs;
   costs.step_ms = ToMilliseconds(counts.step_time);
@@ -49,7 +49,7 @@
 
 ProposerStep AdvanceProposer(Proposer proposer,
                              const MapFold& fold,
-                             const GroupShape& shape,
+                             const ModelGroupShape& shape,
                              const MapLogStatus& log,
                              const ExpertCounts& counts,
                              TimePoint now) {
--- a/packages/expert_map/advance_proposer.h
+++ b/packages/expert_map/advance_proposer.h
@@ -38,14 +38,14 @@
 };
 
 // The group as its record describes it.
-struct GroupShape {
+struct ModelGroupShape {
   ServiceName group;
   int ranks = 0;
   int experts = 0;
   // Experts that a rank has room for, replicas included.
   int slots_per_rank = 0;
 
-  bool operator==(const GroupShape&) const = default;
+  bool operator==(const ModelGroupShape&) const = default;
 };
 
 struct Proposer {
@@ -75,7 +75,7 @@
 // down, a change is open, or the stream is not read to its end.
 ProposerStep AdvanceProposer(Proposer proposer,
                              const MapFold& fold,
-                             const GroupShape& shape,
+                             const ModelGroupShape& shape,
                              const MapLogStatus& log,
                              const ExpertCounts& counts,
                              TimePoint now);
--- a/packages/expert_map/advance_proposer_test.cc
+++ b/packages/expert_map/advance_proposer_test.cc
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr TimePoint kStart{Seconds(1000)};
-GroupShape Shape() {
+ModelGroupShape Shape() {
   return {{"drafting"}, 2, 4, 3};
 }
 
