--- a/packages/fault_matrix/fault_matrix_test.cc
+++ b/packages/fault_matrix/fault_matrix_test.cc
@@ -8,6 +8,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "fault_matrix/expected_red.h"
 #include "fault_matrix/fault_matrix.h"
 
 namespace toucanhollow {
@@ -45,38 +46,11 @@
   CHECK(cases.size() > 1000);
 }
 
-struct ExpectedRed {
-  Defect defect;
-  const char* name;
-  const char* invariant;
-};
-
-constexpr auto kDefects = std::to_array<ExpectedRed>({
-    {Defect::kRunBeforeClaim, "run before the claim is settled", "I6"},
-    {Defect::kAcceptOldIncarnation, "accept an old incarnation", "I6"},
-    {Defect::kForgetDispatches, "forget the dispatches seen", "I6"},
-    {Defect::kNotRunAfterSend, "say not run after a send", "I5"},
-    {Defect::kRetryNonRepeatable, "repeat a non-repeatable request", "I6"},
-    {Defect::kAcceptOverLimit, "accept over the limit", "I2"},
-    {Defect::kStartWarm, "take a new engine for warm", "I2"},
-    {Defect::kIgnoreOut, "ignore the record of an out data centre", "I3"},
-    {Defect::kIgnoreLeaving, "take work while leaving", "I7"},
-    {Defect::kCutOnShutdown, "cut streams on shutdown", "I8"},
-    {Defect::kTruncatedAsWhole, "take a truncated answer as whole", "I4"},
-    {Defect::kIgnoreCorrelation, "ignore the correlation of answers", "I4"},
-    {Defect::kForgetRetryBudget, "forget the retry budget", "retries"},
-    {Defect::kActivateWithoutDecision, "activate without the decision", "I1"},
-    {Defect::kNoHold, "do not hold before the activation step", "I1"},
-    {Defect::kAcceptAnyRevision, "accept a wrong expected revision", "I9"},
-    {Defect::kDropUndecided, "decide what cannot be verified", "I9"},
-    {Defect::kSnapshotReverts, "let a snapshot go back", "I9"},
-});
-
 // Guards against a checker that cannot fail: without each rule, the invariant
 // that the rule guards must turn red in at least one cell.
 TEST_CASE("every deliberate defect turns a cell red") {
   const std::vector<MatrixCase> all = GenerateCases(1);
-  for (const ExpectedRed& expected : kDefects) {
+  for (const ExpectedRed& expected : ExpectedReds()) {
     std::size_t red = 0;
     for (std::size_t begin = 0; begin < all.size() && red == 0;
          begin += kDefectBatch) {
