Remove the second way of hashing prompt blocks

Cause: routing kept ChainBlockHashes, which only its own test called; entry hosts and engines share PromptBlocks of engine_api, whose test covers that hashes chain. Two schemes had once kept cache events from matching. The index test keeps all its checks on fixed hashes.

--- a/packages/routing/prefix_index.cc
+++ b/packages/routing/prefix_index.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "base/hash.h"
-
 namespace toucanhollow {
 namespace {
 
@@ -92,21 +90,6 @@
 
 }  // namespace
 
-std::vector<BlockHash> ChainBlockHashes(std::string_view prompt,
-                                        std::size_t block_size) {
-  std::vector<BlockHash> hashes;
-  if (block_size == 0) {
-    return hashes;
-  }
-  hashes.reserve(prompt.size() / block_size);
-  BlockHash previous = 0;
-  for (; prompt.size() >= block_size; prompt.remove_prefix(block_size)) {
-    previous = HashText(prompt.substr(0, block_size), previous);
-    hashes.push_back(previous);
-  }
-  return hashes;
-}
-
 PrefixIndex ApplyCacheEvent(PrefixIndex&& index,
                             const CacheEvent& event,
                             TimePoint now) {
--- a/packages/routing/prefix_index.h
+++ b/packages/routing/prefix_index.h
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <map>
 #include <span>
-#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -20,11 +19,6 @@
 // Hash of a block and of all blocks before it.
 using BlockHash = std::uint64_t;
 
-// Chained hashes of the whole blocks of a prompt, `block_size` bytes each. A
-// partial last block is left out, because an engine shares whole blocks only.
-std::vector<BlockHash> ChainBlockHashes(std::string_view prompt,
-                                        std::size_t block_size);
-
 struct CacheEvent {
   enum class Kind { kStored, kRemoved, kCleared };
 
--- a/packages/routing/routing_test.cc
+++ b/packages/routing/routing_test.cc
@@ -234,10 +234,7 @@
 // Guards against a match that skips a missing block, and against events that
 // are late, repeated or missing doing more than weaken a match.
 TEST_CASE("the prefix index bears late, repeated and missing events") {
-  const std::vector<BlockHash> prompt =
-      ChainBlockHashes(std::string(4 * 8 + 3, 'x'), 8);
-  REQUIRE(prompt.size() == 4);
-  CHECK(prompt[0] != prompt[1]);
+  const std::vector<BlockHash> prompt = {11, 22, 33, 44};
   PrefixIndex index =
       ApplyCacheEvent({}, Stored(1, {prompt[0], prompt[1], prompt[3]}), At(0));
   CHECK(MatchOf(index, prompt) == 2);
