--- a/apps/toucanhollow.cc
+++ b/apps/toucanhollow.cc
@@ -10,11 +10,17 @@
 #include "agent/endpoint_agent.h"
 #include "entry/entry_host.h"
 #include "event_loop/event_loop.h"
+#include "json_log/json_log.h"
 #include "log_text/log.h"
+#include "platform/platform_codec.h"
+#include "relay/relay_host.h"
+#include "relay/relay_settings.h"
 #include "session/process_context.h"
 #include "settings/parse_settings.h"
 
-DEFINE_string(role, "", "entry_host or endpoint; must match the settings");
+DEFINE_string(role,
+              "",
+              "entry_host, endpoint or relay; must match the settings");
 DEFINE_string(settings, "", "the INI settings file");
 DEFINE_bool(check, false, "check the settings file and exit");
 
@@ -74,7 +80,39 @@
   return 0;
 }
 
+// An entry host on the users' platform, which has settings of its own.
+int RunRelay() {
+  const Result<RelaySettings> settings = LoadRelaySettings(FLAGS_settings);
+  if (!settings) {
+    std::cerr << FormatFailure(settings.error()) << "\n";
+    return kExitUsage;
+  }
+  if (FLAGS_check) {
+    std::cout << "the settings are valid\n";
+    return 0;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  StartJsonLog(settings.value().process.value, LogBound{});
+  EventLoop loop;
+  RelayHost host(loop, settings.value(), PlatformCodec());
+  const Result<bool> started = host.Start();
+  if (!started) {
+    std::cerr << FormatFailure(started.error()) << "\n";
+    return kExitFailure;
+  }
+  const SignalWatcher terminate(
+      loop, SIGTERM, [&] { host.Shutdown([&loop] { loop.Stop(); }); });
+  // The platform fills in the settings at each start; none changes while the
+  // process runs.
+  const SignalWatcher reload(loop, SIGHUP, [] { LogJsonNow("reloaded", {}); });
+  loop.Run();
+  return 0;
+}
+
 int Main() {
+  if (FLAGS_role == "relay") {
+    return RunRelay();
+  }
   const std::optional<Settings> settings = ReadSettings();
   if (!settings) {
     return kExitUsage;
@@ -97,7 +135,8 @@
 
 int main(int argc, char** argv) {
   gflags::SetUsageMessage(
-      "toucanhollow --role=entry_host|endpoint --settings=FILE [--check]");
+      "toucanhollow --role=entry_host|endpoint|relay --settings=FILE "
+      "[--check]");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   return toucanhollow::Main();
 }
--- /dev/null
+++ b/packages/http_stream/message_parser.cc
@@ -0,0 +1,297 @@
+#include "http_stream/message_parser.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include "http_stream/write_message.h"
+
+namespace toucanhollow {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+using BeastText = boost::beast::string_view;
+
+// A larger header than any server of the platform sends.
+constexpr std::uint32_t kMaxResponseHeaderBytes = 64 * 1024;
+
+std::string ToString(BeastText text) {
+  return {text.data(), text.size()};
+}
+
+ParseProblem ToProblem(const error_code& error) {
+  if (error == http::error::header_limit) {
+    return ParseProblem::kHeaderTooLarge;
+  }
+  if (error == http::error::body_limit) {
+    return ParseProblem::kBodyTooLarge;
+  }
+  return ParseProblem::kMalformed;
+}
+
+// Collects what Beast finds. `Head` is RequestHead or ResponseHead.
+template <bool IsRequest, typename Head>
+class Collector : public http::basic_parser<IsRequest> {
+ public:
+  Head head;
+  std::string body;
+  bool has_length = false;
+  std::uint64_t length = 0;
+
+ private:
+  // The names below are Beast's.
+  // NOLINTBEGIN(readability-identifier-naming)
+  void on_request_impl(http::verb /*verb*/,
+                       BeastText method,
+                       BeastText target,
+                       int /*version*/,
+                       error_code& error) override {
+    error = {};
+    if constexpr (IsRequest) {
+      this->head.method = ToString(method);
+      this->head.target = ToString(target);
+    }
+  }
+  void on_response_impl(int status,
+                        BeastText reason,
+                        int /*version*/,
+                        error_code& error) override {
+    error = {};
+    if constexpr (!IsRequest) {
+      this->head.status = status;
+      this->head.reason = ToString(reason);
+    }
+  }
+  void on_field_impl(http::field /*field*/,
+                     BeastText name,
+                     BeastText value,
+                     error_code& error) override {
+    error = {};
+    this->head.headers.push_back({ToString(name), ToString(value)});
+  }
+  void on_header_impl(error_code& error) override { error = {}; }
+  void on_body_init_impl(const boost::optional<std::uint64_t>& content_length,
+                         error_code& error) override {
+    error = {};
+    this->has_length = content_length.has_value();
+    this->length = content_length.value_or(0);
+  }
+  std::size_t on_body_impl(BeastText bytes, error_code& error) override {
+    error = {};
+    this->body.append(bytes.data(), bytes.size());
+    return bytes.size();
+  }
+  void on_chunk_header_impl(std::uint64_t /*size*/,
+                            BeastText /*extensions*/,
+                            error_code& error) override {
+    error = {};
+  }
+  std::size_t on_chunk_body_impl(std::uint64_t /*remain*/,
+                                 BeastText bytes,
+                                 error_code& error) override {
+    return this->on_body_impl(bytes, error);
+  }
+  void on_finish_impl(error_code& error) override { error = {}; }
+  // NOLINTEND(readability-identifier-naming)
+};
+
+// Puts the pending bytes into the parser until it needs more, is done, or
+// fails. Consumed bytes are removed.
+template <typename Parser>
+ParseProblem Advance(Parser& parser, std::string& pending) {
+  std::size_t used = 0;
+  ParseProblem problem = ParseProblem::kNone;
+  while (!parser.is_done() && used < pending.size()) {
+    error_code error;
+    const std::size_t step = parser.put(
+        boost::asio::const_buffer(pending.data() + used, pending.size() - used),
+        error);
+    used += step;
+    if (error == http::error::need_more) {
+      break;
+    }
+    if (error) {
+      problem = ToProblem(error);
+      break;
+    }
+    if (step == 0) {
+      break;
+    }
+  }
+  pending.erase(0, used);
+  return problem;
+}
+
+// Continuation lines were dropped from HTTP/1.1, and servers disagree on them.
+bool HasFoldedLine(std::string_view header) {
+  const std::size_t end = header.find("\r\n\r\n");
+  const std::string_view block = header.substr(0, end);
+  return block.find("\r\n ") != std::string_view::npos ||
+         block.find("\r\n\t") != std::string_view::npos;
+}
+
+std::size_t CountHeaders(const HttpHeaders& headers, std::string_view name) {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(headers, [name](const HttpHeader& header) {
+        return SameHeaderName(header.name, name);
+      }));
+}
+
+}  // namespace
+
+struct RequestParser::State {
+  Collector<true, RequestHead> parser;
+  std::string pending;
+  bool any_bytes = false;
+  ParseProblem problem = ParseProblem::kNone;
+};
+
+RequestParser::RequestParser(ParserLimits limits)
+    : state(std::make_unique<State>()) {
+  this->state->parser.eager(true);
+  this->state->parser.header_limit(limits.header_bytes);
+  this->state->parser.body_limit(limits.body_bytes);
+}
+
+RequestParser::~RequestParser() = default;
+
+void RequestParser::Feed(std::string_view bytes) {
+  State& state = *this->state;
+  state.any_bytes = state.any_bytes || !bytes.empty();
+  state.pending.append(bytes);
+  if (state.problem != ParseProblem::kNone || state.parser.is_done()) {
+    return;
+  }
+  const bool had_head = state.parser.is_header_done();
+  if (!had_head && HasFoldedLine(state.pending)) {
+    state.problem = ParseProblem::kMalformed;
+    return;
+  }
+  state.problem = Advance(state.parser, state.pending);
+  if (had_head || !state.parser.is_header_done()) {
+    return;
+  }
+  RequestHead& head = state.parser.head;
+  head.keep_alive = state.parser.keep_alive();
+  if (head.target.empty() || head.target.front() != '/' ||
+      CountHeaders(head.headers, "Host") != 1) {
+    state.problem = ParseProblem::kMalformed;
+  }
+}
+
+bool RequestParser::started() const {
+  return this->state->any_bytes;
+}
+bool RequestParser::head_done() const {
+  return this->state->parser.is_header_done();
+}
+bool RequestParser::done() const {
+  return this->state->parser.is_done();
+}
+ParseProblem RequestParser::problem() const {
+  return this->state->problem;
+}
+const RequestHead& RequestParser::head() const {
+  return this->state->parser.head;
+}
+std::string RequestParser::TakeBody() {
+  return std::exchange(this->state->parser.body, {});
+}
+std::string RequestParser::TakeRest() {
+  return std::exchange(this->state->pending, {});
+}
+
+struct ResponseParser::State {
+  using Parser = Collector<false, ResponseHead>;
+  bool body_expected = true;
+  std::unique_ptr<Parser> parser;
+  std::string pending;
+  ParseProblem problem = ParseProblem::kNone;
+
+  void Begin() {
+    this->parser = std::make_unique<Parser>();
+    this->parser->eager(true);
+    this->parser->header_limit(kMaxResponseHeaderBytes);
+    this->parser->body_limit(boost::none);
+    this->parser->skip(!this->body_expected);
+  }
+
+  bool IsInterim() const {
+    return this->parser->is_header_done() && this->parser->head.status < 200 &&
+           this->parser->head.status != 101;
+  }
+};
+
+ResponseParser::ResponseParser(bool body_expected)
+    : state(std::make_unique<State>()) {
+  this->state->body_expected = body_expected;
+  this->state->Begin();
+}
+
+ResponseParser::~ResponseParser() = default;
+
+void ResponseParser::Feed(std::string_view bytes) {
+  State& state = *this->state;
+  state.pending.append(bytes);
+  while (state.problem == ParseProblem::kNone && !state.parser->is_done()) {
+    const std::size_t before = state.pending.size();
+    const bool had_head = state.parser->is_header_done();
+    state.problem = Advance(*state.parser, state.pending);
+    if (state.problem == ParseProblem::kNone && state.IsInterim()) {
+      state.Begin();
+      continue;
+    }
+    if (!had_head && state.parser->is_header_done()) {
+      ResponseHead& head = state.parser->head;
+      head.keep_alive = state.parser->keep_alive();
+      head.ends_with_connection = state.parser->need_eof();
+      if (state.parser->has_length) {
+        head.content_length = state.parser->length;
+      }
+    }
+    if (state.pending.size() == before || state.pending.empty()) {
+      return;
+    }
+  }
+}
+
+void ResponseParser::FeedEnd() {
+  State& state = *this->state;
+  if (state.problem != ParseProblem::kNone || state.parser->is_done()) {
+    return;
+  }
+  error_code error;
+  if (state.parser->is_header_done() && state.parser->need_eof()) {
+    state.parser->put_eof(error);
+  } else {
+    error = http::error::partial_message;
+  }
+  if (error) {
+    state.problem = ToProblem(error);
+  }
+}
+
+bool ResponseParser::head_done() const {
+  return this->state->parser->is_header_done() && !this->state->IsInterim();
+}
+bool ResponseParser::done() const {
+  return this->state->parser->is_done() && !this->state->IsInterim();
+}
+ParseProblem ResponseParser::problem() const {
+  return this->state->problem;
+}
+const ResponseHead& ResponseParser::head() const {
+  return this->state->parser->head;
+}
+std::string ResponseParser::TakeBody() {
+  return std::exchange(this->state->parser->body, {});
+}
+std::string ResponseParser::TakeRest() {
+  return std::exchange(this->state->pending, {});
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/json_log/json_log.cc
@@ -0,0 +1,222 @@
+#include "json_log/json_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+#include <boost/log/core.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/make_shared.hpp>
+
+namespace toucanhollow {
+namespace {
+
+namespace logging = boost::log;
+
+using Writer = std::function<void(std::string_view line)>;
+
+class LineBackend : public logging::sinks::basic_formatted_sink_backend<char> {
+ public:
+  explicit LineBackend(Writer writer) : writer(std::move(writer)) {}
+
+  // NOLINTNEXTLINE(readability-identifier-naming): called by Boost.Log.
+  void consume(const logging::record_view& /*record*/,
+               const std::string& line) {
+    this->writer(line);
+  }
+
+ private:
+  Writer writer;
+};
+
+struct LogState {
+  std::string process;
+  LogBound bound;
+  double tokens = 0;
+  TimePoint refilled_at;
+  std::int64_t dropped = 0;
+  // Bytes that standard output has not taken yet: the rest of a line.
+  std::string unwritten;
+};
+
+LogState& State() {
+  static LogState state;
+  return state;
+}
+
+// Writes what standard output takes without waiting. Only the rest of a line
+// that has begun is kept; whole lines that do not fit are dropped.
+void WriteWithoutWaiting(std::string_view line) {
+  LogState& state = State();
+  if (!state.unwritten.empty()) {
+    const ssize_t sent =
+        write(STDOUT_FILENO, state.unwritten.data(), state.unwritten.size());
+    state.unwritten.erase(0,
+                          static_cast<std::size_t>(std::max<ssize_t>(sent, 0)));
+    if (!state.unwritten.empty()) {
+      ++state.dropped;
+      return;
+    }
+  }
+  std::string text(line);
+  text += '\n';
+  const ssize_t sent = write(STDOUT_FILENO, text.data(), text.size());
+  if (sent <= 0) {
+    ++state.dropped;
+    return;
+  }
+  if (static_cast<std::size_t>(sent) < text.size()) {
+    state.unwritten = text.substr(static_cast<std::size_t>(sent));
+  }
+}
+
+void Install(Writer writer, std::string_view process, const LogBound& bound) {
+  using Sink = logging::sinks::synchronous_sink<LineBackend>;
+  const auto core = logging::core::get();
+  core->remove_all_sinks();
+  core->add_sink(boost::make_shared<Sink>(
+      boost::make_shared<LineBackend>(std::move(writer))));
+  State() = LogState{std::string(process), bound, bound.burst_lines, {}, 0, {}};
+}
+
+void AppendText(std::string& line, std::string_view text) {
+  constexpr std::string_view kHex = "0123456789abcdef";
+  line += '"';
+  for (const char character : text) {
+    const auto byte = static_cast<unsigned char>(character);
+    if (character == '"' || character == '\\') {
+      line += '\\';
+      line += character;
+    } else if (byte < 0x20 || byte >= 0x7f) {
+      line += "\\u00";
+      line += kHex[byte >> 4U];
+      line += kHex[byte & 0xfU];
+    } else {
+      line += character;
+    }
+  }
+  line += '"';
+}
+
+template <typename Number>
+void AppendNumber(std::string& line, Number number) {
+  std::array<char, 32> digits{};
+  std::to_chars_result end{};
+  if constexpr (std::is_floating_point_v<Number>) {
+    end = std::to_chars(digits.data(), digits.data() + digits.size(), number,
+                        std::chars_format::fixed, 3);
+  } else {
+    end = std::to_chars(digits.data(), digits.data() + digits.size(), number);
+  }
+  line.append(digits.data(), end.ptr);
+}
+
+void AppendField(std::string& line, const LogField& field) {
+  line += ',';
+  AppendText(line, field.name);
+  line += ':';
+  std::visit(
+      [&line](const auto& value) {
+        using Value = std::decay_t<decltype(value)>;
+        if constexpr (std::is_same_v<Value, std::string_view>) {
+          AppendText(line, value);
+        } else if constexpr (std::is_same_v<Value, bool>) {
+          line += value ? "true" : "false";
+        } else {
+          AppendNumber(line, value);
+        }
+      },
+      field.value);
+}
+
+void Push(const std::string& line) {
+  static logging::sources::logger logger;
+  logging::record record = logger.open_record();
+  if (!record) {
+    return;
+  }
+  logging::record_ostream stream(record);
+  stream << line;
+  stream.flush();
+  logger.push_record(std::move(record));
+}
+
+void PushLine(std::string_view event,
+              std::initializer_list<LogField> fields,
+              WallTime now) {
+  std::string line = "{\"time\":";
+  AppendNumber(line, static_cast<double>(now.time_since_epoch().count()) / 1e6);
+  line += ",\"process\":";
+  AppendText(line, State().process);
+  line += ",\"event\":";
+  AppendText(line, event);
+  for (const LogField& field : fields) {
+    AppendField(line, field);
+  }
+  line += '}';
+  Push(line);
+}
+
+// Takes one token; false beyond the bound.
+bool TakeToken(TimePoint now) {
+  LogState& state = State();
+  const double elapsed_s = ToMilliseconds(now - state.refilled_at) / 1000;
+  state.refilled_at = now;
+  state.tokens = std::min(state.bound.burst_lines,
+                          state.tokens + elapsed_s * state.bound.lines_per_s);
+  if (state.tokens < 1) {
+    return false;
+  }
+  state.tokens -= 1;
+  return true;
+}
+
+}  // namespace
+
+void StartJsonLog(std::string_view process, const LogBound& bound) {
+  const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+  fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  Install(WriteWithoutWaiting, process, bound);
+}
+
+void StartJsonLogTo(std::function<void(std::string_view line)> sink,
+                    std::string_view process,
+                    const LogBound& bound) {
+  Install(std::move(sink), process, bound);
+}
+
+void LogJson(std::string_view event,
+             std::initializer_list<LogField> fields,
+             WallTime now,
+             TimePoint steady) {
+  LogState& state = State();
+  if (!TakeToken(steady)) {
+    ++state.dropped;
+    return;
+  }
+  if (state.dropped > 0) {
+    const std::int64_t dropped = std::exchange(state.dropped, 0);
+    PushLine("log_dropped", {{"lines", dropped}}, now);
+  }
+  PushLine(event, fields, now);
+}
+
+void LogJsonNow(std::string_view event,
+                std::initializer_list<LogField> fields) {
+  const auto wall =
+      std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
+  const auto steady =
+      std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+  LogJson(event, fields, WallTime(wall.time_since_epoch()),
+          TimePoint(steady.time_since_epoch()));
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/relay/keyed_topic_task.cc
@@ -0,0 +1,191 @@
+#include "relay/keyed_topic_task.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+#include "json_log/json_log.h"
+
+namespace toucanhollow {
+namespace {
+
+// How long the store holds a read without news. A connection that has fallen
+// silent is noticed this much later, plus kAnswerTime.
+constexpr Duration kReadWait = Milliseconds(2000);
+// Time for an answer beyond the wait; slow days of the store take 250 ms.
+constexpr Duration kAnswerTime = Milliseconds(900);
+constexpr Duration kConnectTimeout = Milliseconds(600);
+// Pause after a failed read, doubled up to the maximum.
+constexpr Duration kFirstRetry = Milliseconds(100);
+constexpr Duration kLongestRetry = Milliseconds(400);
+
+constexpr int kStatusGone = 410;
+
+std::string_view TopicName(KeyedTopic topic) {
+  return topic == KeyedTopic::kOperator ? "operator" : "servers";
+}
+
+}  // namespace
+
+KeyedTopicTask::KeyedTopicTask(EventLoop& loop,
+                               HttpClient& client,
+                               const RelayCodec& codec,
+                               Address store,
+                               KeyedTopic topic,
+                               Duration pause,
+                               KeyedTopicCallbacks callbacks)
+    : loop(loop),
+      client(client),
+      codec(codec),
+      store(std::move(store)),
+      topic(topic),
+      pause(pause),
+      callbacks(std::move(callbacks)) {
+  this->ReadNewest("");
+}
+
+KeyedTopicTask::~KeyedTopicTask() {
+  this->client.Cancel(this->call);
+}
+
+void KeyedTopicTask::Schedule(Duration delay) {
+  this->timer = std::make_unique<Timer>(this->loop, delay, Duration(0),
+                                        [this] { this->Continue(); });
+}
+
+void KeyedTopicTask::Continue() {
+  if (this->following) {
+    this->ReadLog();
+  } else {
+    this->ReadNewest("");
+  }
+}
+
+void KeyedTopicTask::ReadNewest(const std::string& after) {
+  if (after.empty()) {
+    this->pages.clear();
+  }
+  HttpCall request = this->codec.newest_call(this->store, this->topic, after);
+  request.connect_timeout = kConnectTimeout;
+  request.total_timeout = kAnswerTime;
+  request.repeatable = !this->failing;
+  this->call = this->client.Start(
+      std::move(request),
+      {nullptr, nullptr,
+       [this](const HttpOutcome& outcome) { this->OnNewest(outcome); }});
+}
+
+void KeyedTopicTask::OnNewest(const HttpOutcome& outcome) {
+  if (outcome.end != HttpEnd::kComplete || outcome.status != 200) {
+    this->OnFailed(outcome);
+    return;
+  }
+  Result<NewestPage> page = this->codec.decode_newest(outcome.body);
+  if (!page) {
+    LogJsonNow("store_answer_malformed",
+               {{"topic", TopicName(this->topic)},
+                {"detail", std::string_view(page.error().detail)}});
+    this->OnFailed(outcome);
+    return;
+  }
+  this->OnAnswered();
+  if (this->pages.empty()) {
+    // Records that come while the pages are read are read again from here.
+    this->pages_end = page.value().end;
+  }
+  std::ranges::move(page.value().records, std::back_inserter(this->pages));
+  if (page.value().has_more && !this->pages.empty()) {
+    this->ReadNewest(this->pages.back().key);
+    return;
+  }
+  const auto changed = MergeAllKeys(
+      this->records, std::exchange(this->pages, {}), this->pages_end);
+  this->following = true;
+  this->Report(changed);
+  this->Schedule(Duration(0));
+}
+
+void KeyedTopicTask::ReadLog() {
+  const LogOffset from = this->records.end;
+  HttpCall request =
+      this->codec.read_call(this->store, this->topic, from, kReadWait);
+  request.connect_timeout = kConnectTimeout;
+  request.total_timeout = kReadWait + kAnswerTime;
+  request.repeatable = !this->failing;
+  this->call = this->client.Start(
+      std::move(request),
+      {nullptr, nullptr, [this, from](const HttpOutcome& outcome) {
+         this->OnLog(outcome, from);
+       }});
+}
+
+void KeyedTopicTask::OnLog(const HttpOutcome& outcome, LogOffset from) {
+  if (outcome.end == HttpEnd::kComplete && outcome.status == kStatusGone) {
+    LogJsonNow("store_history_dropped",
+               {{"topic", TopicName(this->topic)}, {"offset", from}});
+    this->OnAnswered();
+    this->following = false;
+    this->Schedule(Duration(0));
+    return;
+  }
+  if (outcome.end != HttpEnd::kComplete || outcome.status != 200) {
+    this->OnFailed(outcome);
+    return;
+  }
+  Result<LogPage> page = this->codec.decode_read(outcome.body, from);
+  if (!page) {
+    LogJsonNow("store_answer_malformed",
+               {{"topic", TopicName(this->topic)},
+                {"detail", std::string_view(page.error().detail)}});
+    this->OnFailed(outcome);
+    return;
+  }
+  this->OnAnswered();
+  this->records.end = std::max(this->records.end, page.value().next);
+  this->Report(MergeRecords(this->records, page.value().records));
+  this->Schedule(this->pause);
+}
+
+void KeyedTopicTask::OnAnswered() {
+  this->failures_in_row = 0;
+  if (std::exchange(this->failing, false)) {
+    LogJsonNow("store_back", {{"topic", TopicName(this->topic)},
+                              {"offset", this->records.end}});
+  }
+  this->callbacks.on_contact(true);
+}
+
+void KeyedTopicTask::OnFailed(const HttpOutcome& outcome) {
+  if (!std::exchange(this->failing, true)) {
+    LogJsonNow("store_lost",
+               {{"topic", TopicName(this->topic)},
+                {"status", static_cast<std::int64_t>(outcome.status)},
+                {"detail", std::string_view(outcome.error)},
+                {"offset", this->records.end}});
+  }
+  this->callbacks.on_contact(false);
+  const Duration delay =
+      kFirstRetry * (1 << std::min(this->failures_in_row, 4));
+  ++this->failures_in_row;
+  this->Schedule(std::min(delay, kLongestRetry));
+}
+
+void KeyedTopicTask::TakeFromPeer(const std::vector<KeyedRecord>& from_peer,
+                                  LogOffset from,
+                                  LogOffset end) {
+  const auto changed = MergeRecords(this->records, from_peer);
+  if (from <= this->records.end && end > this->records.end) {
+    this->records.end = end;
+    this->records.complete = true;
+    this->following = true;
+  }
+  this->Report(changed);
+}
+
+void KeyedTopicTask::Report(const std::vector<std::string>& keys) {
+  if (!keys.empty()) {
+    this->callbacks.on_change(keys);
+  }
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/relay/peer_codec.cc
@@ -0,0 +1,96 @@
+#include "relay/peer_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace toucanhollow {
+namespace {
+
+using nlohmann::json;
+
+std::string ToBytes(const json& document) {
+  const std::vector<std::uint8_t> bytes = json::to_cbor(document);
+  return {bytes.begin(), bytes.end()};
+}
+
+json FromBytes(std::string_view bytes) {
+  return json::from_cbor(bytes.begin(), bytes.end());
+}
+
+json ToJson(const SharedRecords& shared) {
+  json records = json::array();
+  for (const KeyedRecord& record : shared.records) {
+    records.push_back({record.key, record.offset,
+                       record.value ? json(*record.value) : json(nullptr)});
+  }
+  return {{"end", shared.end}, {"records", std::move(records)}};
+}
+
+SharedRecords ToRecords(const json& document) {
+  SharedRecords shared;
+  shared.end = document.at("end").get<LogOffset>();
+  for (const json& entry : document.at("records")) {
+    KeyedRecord record;
+    record.key = entry.at(0).get<std::string>();
+    record.offset = entry.at(1).get<LogOffset>();
+    if (!entry.at(2).is_null()) {
+      record.value = entry.at(2).get<std::string>();
+    }
+    shared.records.push_back(std::move(record));
+  }
+  return shared;
+}
+
+template <typename Value, typename Decode>
+Result<Value> Guard(std::string_view bytes, Decode decode) {
+  try {
+    return decode(FromBytes(bytes));
+  } catch (const json::exception& error) {
+    return MakeFailure(ResultCode::kFrameMalformed, error.what());
+  }
+}
+
+}  // namespace
+
+std::string EncodeLoadReport(const HostLoadReport& report) {
+  json loads = json::array();
+  for (const ServerLoad& load : report.loads) {
+    loads.push_back({load.server, load.outstanding, load.unread_tokens});
+  }
+  return ToBytes(
+      json::array({report.incarnation, report.sequence, std::move(loads)}));
+}
+
+Result<HostLoadReport> DecodeLoadReport(std::string_view bytes) {
+  return Guard<HostLoadReport>(bytes, [](const json& document) {
+    HostLoadReport report;
+    report.incarnation = document.at(0).get<std::uint64_t>();
+    report.sequence = document.at(1).get<std::uint64_t>();
+    for (const json& load : document.at(2)) {
+      report.loads.push_back({load.at(0).get<std::uint32_t>(),
+                              load.at(1).get<int>(), load.at(2).get<int>()});
+    }
+    return report;
+  });
+}
+
+std::string EncodeBeliefReply(const BeliefReply& reply) {
+  return ToBytes({{"operator", ToJson(reply.operator_records)},
+                  {"servers", ToJson(reply.server_records)},
+                  {"age_us", reply.age ? json(reply.age->count()) : json()},
+                  {"hosts", reply.hosts}});
+}
+
+Result<BeliefReply> DecodeBeliefReply(std::string_view bytes) {
+  return Guard<BeliefReply>(bytes, [](const json& document) {
+    BeliefReply reply;
+    reply.operator_records = ToRecords(document.at("operator"));
+    reply.server_records = ToRecords(document.at("servers"));
+    if (!document.at("age_us").is_null()) {
+      reply.age = Duration(document.at("age_us").get<Duration::rep>());
+    }
+    reply.hosts = document.at("hosts").get<std::vector<std::string>>();
+    return reply;
+  });
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/relay/relay_host.cc
@@ -0,0 +1,173 @@
+#include "relay/relay_host.h"
+
+#include <unistd.h>
+
+#include <utility>
+#include <vector>
+
+#include "json_log/json_log.h"
+
+namespace toucanhollow {
+namespace {
+
+constexpr Duration kSweepPeriod = Milliseconds(100);
+// After SIGTERM the balancer needs two failed probes, one a second, before it
+// sends no more connections.
+constexpr Duration kBalancerLag = Milliseconds(2600);
+// Open requests are cut this long before the grace time ends, so that the
+// process can still close its connections in order.
+constexpr Duration kGraceMargin = Milliseconds(300);
+// Descriptors that are not for callers: files, the store, peers.
+constexpr std::size_t kReservedDescriptors = 260;
+// Each caller's request needs one connection to a server.
+constexpr std::size_t kDescriptorsPerCaller = 2;
+
+}  // namespace
+
+RelayHost::RelayHost(EventLoop& loop,
+                     RelaySettings settings,
+                     const RelayCodec& codec)
+    : loop(loop),
+      settings(std::move(settings)),
+      codec(codec),
+      client(loop),
+      dispatcher(loop, this->settings) {}
+
+RelayHost::~RelayHost() = default;
+
+bool RelayHost::IsReady() const {
+  return !this->leaving_since && this->beliefs->belief().traffic != nullptr;
+}
+
+Result<std::unique_ptr<HttpServer>> RelayHost::Serve(const Address& address,
+                                                     HttpHandler handler) {
+  HttpServerOptions options;
+  options.address = address.ip;
+  options.port = address.port;
+  options.max_connections = 32;
+  return HttpServer::Listen(this->loop, std::move(options), std::move(handler));
+}
+
+Result<bool> RelayHost::Start() {
+  this->beliefs = std::make_unique<BeliefTask>(
+      this->loop, this->client, this->codec, this->settings,
+      [this] { this->OnBeliefChange(); });
+  this->peers =
+      std::make_unique<PeerTask>(this->loop, this->client, this->settings,
+                                 *this->beliefs, this->dispatcher);
+  BOOST_OUTCOME_TRYV(this->peers->Start());
+  auto readiness =
+      this->Serve(this->settings.readiness,
+                  [this](const HttpRequest&,
+                         const std::shared_ptr<HttpResponseWriter>& writer) {
+                    writer->Respond(this->IsReady() ? 200 : 503, {}, "");
+                  });
+  BOOST_OUTCOME_TRY(opened_readiness_server, std::move(readiness));
+  this->readiness_server = std::move(opened_readiness_server);
+  auto counters = this->Serve(
+      {this->settings.control.ip, this->settings.metrics_port},
+      [this](const HttpRequest&,
+             const std::shared_ptr<HttpResponseWriter>& writer) {
+        this->metrics.SetGauge("sessions",
+                               static_cast<double>(this->sessions.size()));
+        this->metrics.SetGauge(
+            "waiting_requests",
+            static_cast<double>(this->dispatcher.waiting_requests()));
+        writer->Respond(200, {{"Content-Type", "text/plain"}},
+                        this->metrics.Print());
+      });
+  BOOST_OUTCOME_TRY(opened_metrics_server, std::move(counters));
+  this->metrics_server = std::move(opened_metrics_server);
+  auto listening =
+      TcpListener::Listen(this->loop, this->settings.callers,
+                          [this](int socket) { this->OnAccept(socket); });
+  BOOST_OUTCOME_TRY(opened_listener, std::move(listening));
+  this->listener = std::move(opened_listener);
+  this->sweep_timer = std::make_unique<Timer>(
+      this->loop, kSweepPeriod, kSweepPeriod, [this] { this->Sweep(); });
+  LogJsonNow("started", {{"data_centre",
+                          std::string_view(this->settings.data_centre.value)}});
+  return true;
+}
+
+void RelayHost::OnBeliefChange() {
+  // Called while the task is made, before it is known here.
+  if (this->beliefs != nullptr) {
+    this->dispatcher.TakeBelief(this->beliefs->belief());
+  }
+}
+
+void RelayHost::OnAccept(int socket) {
+  const std::size_t most =
+      (this->settings.max_descriptors - kReservedDescriptors) /
+      kDescriptorsPerCaller;
+  if (this->settings.max_descriptors <= kReservedDescriptors ||
+      this->sessions.size() >= most) {
+    this->metrics.Count("sessions_refused_total");
+    close(socket);
+    return;
+  }
+  const std::uint64_t number = this->next_session++;
+  const auto closed = [this, number] {
+    Post(this->loop, [this, number] { this->sessions.erase(number); });
+  };
+  auto session = std::make_unique<CallerSession>(
+      RelayContext{this->loop, this->codec, this->dispatcher, this->metrics,
+                   this->beliefs->belief()},
+      socket, number, closed);
+  if (this->leaving_since) {
+    session->Leave();
+  }
+  this->sessions.emplace(number, std::move(session));
+}
+
+void RelayHost::Sweep() {
+  const TimePoint now = EventLoop::Now();
+  for (const auto& [number, session] : this->sessions) {
+    session->Sweep(now);
+  }
+  if (this->leaving_since) {
+    this->EndShutdownIfDue(now);
+  }
+}
+
+void RelayHost::Shutdown(std::function<void()> done) {
+  if (this->leaving_since) {
+    return;
+  }
+  this->leaving_since = EventLoop::Now();
+  this->on_drained = std::move(done);
+  for (const auto& [number, session] : this->sessions) {
+    session->Leave();
+  }
+  LogJsonNow("stopping",
+             {{"sessions", static_cast<std::int64_t>(this->sessions.size())}});
+}
+
+void RelayHost::EndShutdownIfDue(TimePoint now) {
+  const Duration left_for = now - *this->leaving_since;
+  if (left_for < kBalancerLag) {
+    return;
+  }
+  this->listener.reset();
+  std::vector<CallerSession*> open;
+  for (const auto& [number, session] : this->sessions) {
+    open.push_back(session.get());
+  }
+  bool busy = false;
+  const bool last_moment = left_for >= this->settings.grace - kGraceMargin;
+  for (CallerSession* session : open) {
+    if (!session->busy() || last_moment) {
+      session->Cut("the process stops");
+    } else {
+      busy = true;
+    }
+  }
+  if (!busy && this->on_drained) {
+    LogJsonNow("stopped", {{"cut", last_moment}});
+    const auto done = std::exchange(this->on_drained, nullptr);
+    done();
+  }
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/relay/relay_host.h
@@ -0,0 +1,65 @@
+// RelayHost: the entry host process on the users' platform. It relays callers'
+// requests to the servers that the platform lists.
+#ifndef RELAY_RELAY_HOST_H_
+#define RELAY_RELAY_HOST_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "event_loop/event_loop.h"
+#include "http_client/http_client.h"
+#include "http_server/http_server.h"
+#include "http_stream/tcp_connection.h"
+#include "metrics/metrics.h"
+#include "relay/belief_task.h"
+#include "relay/caller_session.h"
+#include "relay/dispatcher.h"
+#include "relay/peer_task.h"
+#include "relay/relay_codec.h"
+#include "relay/relay_settings.h"
+
+namespace toucanhollow {
+
+class RelayHost {
+ public:
+  RelayHost(EventLoop& loop, RelaySettings settings, const RelayCodec& codec);
+  ~RelayHost();
+
+  // Opens the sockets. Fails with kSettingsInvalid.
+  Result<bool> Start();
+  // Stops taking requests, finishes those in flight and calls `done`, at the
+  // latest shortly before the grace time ends.
+  void Shutdown(std::function<void()> done);
+
+ private:
+  void OnAccept(int socket);
+  void OnBeliefChange();
+  void Sweep();
+  void EndShutdownIfDue(TimePoint now);
+  bool IsReady() const;
+  Result<std::unique_ptr<HttpServer>> Serve(const Address& address,
+                                            HttpHandler handler);
+
+  EventLoop& loop;
+  RelaySettings settings;
+  const RelayCodec& codec;
+  Metrics metrics;
+  HttpClient client;
+  Dispatcher dispatcher;
+  std::unique_ptr<BeliefTask> beliefs;
+  std::unique_ptr<PeerTask> peers;
+  std::unique_ptr<TcpListener> listener;
+  std::unique_ptr<HttpServer> readiness_server;
+  std::unique_ptr<HttpServer> metrics_server;
+  std::map<std::uint64_t, std::unique_ptr<CallerSession>> sessions;
+  std::uint64_t next_session = 1;
+  std::unique_ptr<Timer> sweep_timer;
+  std::optional<TimePoint> leaving_since;
+  std::function<void()> on_drained;
+};
+
+}  // namespace toucanhollow
+
+#endif  // RELAY_RELAY_HOST_H_
--- /dev/null
+++ b/packages/relay/relay_settings.cc
@@ -0,0 +1,140 @@
+#include "relay/relay_settings.h"
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+#include <boost/property_tree/ini_parser.hpp>
+#include <boost/property_tree/ptree.hpp>
+
+#include "settings/parse_address.h"
+
+namespace toucanhollow {
+namespace {
+
+using boost::property_tree::ptree;
+
+Failure Mistake(const std::string& field, const std::string& remedy) {
+  return MakeFailure(ResultCode::kSettingsInvalid, field + ": " + remedy);
+}
+
+Result<std::string> ReadText(const ptree& tree, const std::string& field) {
+  const auto value = tree.get_optional<std::string>(field);
+  if (!value || value->empty()) {
+    return Mistake(field, "missing; set it");
+  }
+  return *value;
+}
+
+Result<Address> ReadAddress(const ptree& tree, const std::string& field) {
+  BOOST_OUTCOME_TRY(text, ReadText(tree, field));
+  Result<Address> address = ParseAddress(text);
+  if (!address) {
+    return Mistake(field, address.error().detail);
+  }
+  return address;
+}
+
+Result<double> ReadNumber(const ptree& tree,
+                          const std::string& field,
+                          double low,
+                          double high) {
+  BOOST_OUTCOME_TRY(text, ReadText(tree, field));
+  double value = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, value);
+  if (error != std::errc() || stop != end || value < low || value > high) {
+    std::ostringstream remedy;
+    remedy << "value \"" << text << "\" refused; use a number from " << low
+           << " to " << high;
+    return Mistake(field, remedy.str());
+  }
+  return value;
+}
+
+Result<std::vector<Address>> ReadAddresses(const ptree& tree,
+                                           const std::string& field) {
+  std::vector<Address> addresses;
+  std::istringstream parts(tree.get<std::string>(field, ""));
+  for (std::string part; std::getline(parts, part, ',');) {
+    const Result<Address> address = ParseAddress(part);
+    if (!address) {
+      return Mistake(field, address.error().detail);
+    }
+    addresses.push_back(address.value());
+  }
+  return addresses;
+}
+
+Duration ToDuration(double seconds) {
+  return Duration(static_cast<Duration::rep>(seconds * 1e6));
+}
+
+constexpr double kMaxPort = 65535;
+constexpr double kMaxSeconds = 3600;
+
+}  // namespace
+
+Result<RelaySettings> ParseRelaySettings(const std::string& text) {
+  ptree tree;
+  try {
+    std::istringstream stream(text);
+    boost::property_tree::read_ini(stream, tree);
+  } catch (const boost::property_tree::ini_parser_error& error) {
+    return Mistake("line " + std::to_string(error.line()), error.message());
+  }
+  RelaySettings settings;
+  BOOST_OUTCOME_TRY(process_value, ReadText(tree, "process.name"));
+  settings.process.value = process_value;
+  BOOST_OUTCOME_TRY(data_centre_value, ReadText(tree, "process.data_centre"));
+  settings.data_centre.value = data_centre_value;
+  BOOST_OUTCOME_TRY(callers, ReadAddress(tree, "listen.callers"));
+  settings.callers = callers;
+  BOOST_OUTCOME_TRY(readiness, ReadAddress(tree, "listen.readiness"));
+  settings.readiness = readiness;
+  BOOST_OUTCOME_TRY(control, ReadAddress(tree, "listen.control"));
+  settings.control = control;
+  BOOST_OUTCOME_TRY(report_port,
+                    ReadNumber(tree, "listen.report_port", 1, kMaxPort));
+  BOOST_OUTCOME_TRY(metrics_port,
+                    ReadNumber(tree, "listen.metrics_port", 1, kMaxPort));
+  settings.report_port = static_cast<std::uint16_t>(report_port);
+  settings.metrics_port = static_cast<std::uint16_t>(metrics_port);
+  BOOST_OUTCOME_TRY(store, ReadAddress(tree, "store.address"));
+  settings.store = store;
+  BOOST_OUTCOME_TRY(seeds, ReadAddresses(tree, "peers.seeds"));
+  settings.seeds = seeds;
+  BOOST_OUTCOME_TRY(descriptors,
+                    ReadNumber(tree, "limits.descriptors", 64, 1 << 20));
+  settings.max_descriptors = static_cast<std::size_t>(descriptors);
+  BOOST_OUTCOME_TRY(grace_s,
+                    ReadNumber(tree, "shutdown.grace_s", 0.5, kMaxSeconds));
+  settings.grace = ToDuration(grace_s);
+  BOOST_OUTCOME_TRY(retry_ratio, ReadNumber(tree, "retries.ratio", 0, 1));
+  settings.retry.ratio = retry_ratio;
+  BOOST_OUTCOME_TRY(window_s,
+                    ReadNumber(tree, "retries.window_s", 0.1, kMaxSeconds));
+  settings.retry.window = ToDuration(window_s);
+  BOOST_OUTCOME_TRY(retry_slack, ReadNumber(tree, "retries.slack", 0, 1e6));
+  settings.retry.slack = retry_slack;
+  BOOST_OUTCOME_TRY(cold_burst_factor,
+                    ReadNumber(tree, "cold.burst_factor", 0, 100));
+  settings.cold.burst_factor = cold_burst_factor;
+  BOOST_OUTCOME_TRY(cold_slack, ReadNumber(tree, "cold.slack", 0, 1e6));
+  settings.cold.slack = cold_slack;
+  return settings;
+}
+
+Result<RelaySettings> LoadRelaySettings(const std::string& file) {
+  std::ifstream stream(file);
+  if (!stream) {
+    return MakeFailure(ResultCode::kSettingsUnreadable,
+                       "cannot open the settings file \"" + file +
+                           "\"; pass a readable file with --settings");
+  }
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return ParseRelaySettings(text.str());
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/relay/relay_settings.h
@@ -0,0 +1,46 @@
+// Settings of an entry host that relays requests on the users' platform.
+#ifndef RELAY_RELAY_SETTINGS_H_
+#define RELAY_RELAY_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/address.h"
+#include "base/name.h"
+#include "base/result.h"
+#include "base/time.h"
+#include "traffic/retry_allowance.h"
+#include "traffic/start_rate.h"
+
+namespace toucanhollow {
+
+struct RelaySettings {
+  ProcessName process;
+  DataCentreName data_centre;
+  Address callers;
+  Address readiness;
+  Address control;                 // other entry hosts
+  std::uint16_t report_port = 0;   // UDP, load reports of entry hosts
+  std::uint16_t metrics_port = 0;  // TCP, counters as text
+  Address store;
+  std::vector<Address> seeds;  // control addresses of some entry hosts
+  std::size_t max_descriptors = 1024;
+  Duration grace = Seconds(8);  // SIGTERM to SIGKILL
+  RetryBound retry;
+  ColdBound cold;
+
+  bool operator==(const RelaySettings&) const = default;
+};
+
+// Reads an INI text. Fails with kSettingsInvalid; the detail names the field
+// and the remedy. Unknown fields are ignored, because the platform may add
+// some.
+Result<RelaySettings> ParseRelaySettings(const std::string& text);
+
+// Reads a file. Fails with kSettingsUnreadable or kSettingsInvalid.
+Result<RelaySettings> LoadRelaySettings(const std::string& file);
+
+}  // namespace toucanhollow
+
+#endif  // RELAY_RELAY_SETTINGS_H_
--- /dev/null
+++ b/packages/relay/server_attempt.cc
@@ -0,0 +1,209 @@
+#include "relay/server_attempt.h"
+
+#include <utility>
+
+#include "http_stream/write_message.h"
+
+namespace toucanhollow {
+namespace {
+
+// Seconds in "Keep-Alive: timeout=5", zero if there are none.
+Duration KeepTime(const HttpHeaders& headers) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::string_view value = FindHeader(headers, "Keep-Alive");
+  const std::size_t begin = value.find(kTimeout);
+  if (begin == std::string_view::npos) {
+    return Duration(0);
+  }
+  std::string_view digits = value.substr(begin + kTimeout.size());
+  digits = digits.substr(0, digits.find_first_not_of("0123456789"));
+  return Seconds(ParseDecimal(digits).value_or(0));
+}
+
+bool IsSuccess(int status) {
+  return status >= 200 && status < 300;
+}
+
+}  // namespace
+
+struct ServerAttempt::State : std::enable_shared_from_this<State> {
+  const RelayCodec& codec;
+  std::unique_ptr<TcpConnection> connection;
+  std::string request_id;
+  bool body_expected;
+  AttemptCallbacks callbacks;
+  std::unique_ptr<ResponseParser> parser;
+  bool head_seen = false;
+  // The answer being read belongs to an earlier request.
+  bool stray = false;
+  bool any_stray = false;
+  bool ended = false;
+  bool reusable = false;
+  Duration keep_time{0};
+
+  State(const RelayCodec& codec, std::string request_id, bool body_expected)
+      : codec(codec),
+        request_id(std::move(request_id)),
+        body_expected(body_expected),
+        parser(std::make_unique<ResponseParser>(body_expected)) {}
+
+  void OnData(std::string_view bytes);
+  void OnConnectionEnd(ConnectionEnd end);
+  bool Advance();
+  bool TakeHead();
+  void Finish();
+  void End(AttemptEnd end, std::string_view detail);
+};
+
+void ServerAttempt::State::End(AttemptEnd end, std::string_view detail) {
+  if (std::exchange(this->ended, true)) {
+    return;
+  }
+  if (end != AttemptEnd::kComplete || !this->reusable) {
+    this->connection.reset();
+  }
+  const auto callback = std::move(this->callbacks.on_end);
+  this->callbacks = {};
+  if (callback) {
+    callback(end, detail);
+  }
+}
+
+void ServerAttempt::State::OnData(std::string_view bytes) {
+  const auto keep = this->shared_from_this();
+  this->parser->Feed(bytes);
+  while (!this->ended && this->Advance()) {
+  }
+}
+
+// Takes what the parser has; true if a stray answer was skipped and the next
+// one is to be read.
+bool ServerAttempt::State::Advance() {
+  if (this->parser->head_done() && !this->head_seen && !this->TakeHead()) {
+    return false;
+  }
+  if (this->parser->problem() != ParseProblem::kNone) {
+    this->End(this->head_seen && !this->stray ? AttemptEnd::kTruncated
+                                              : AttemptEnd::kBroken,
+              "the server's bytes are no HTTP response");
+    return false;
+  }
+  std::string body = this->parser->TakeBody();
+  if (!body.empty() && !this->stray) {
+    const auto callback = this->callbacks.on_body;
+    callback(std::move(body));
+    if (this->ended) {
+      return false;
+    }
+  }
+  if (!this->parser->done()) {
+    return false;
+  }
+  if (!this->stray) {
+    this->Finish();
+    return false;
+  }
+  const std::string rest = this->parser->TakeRest();
+  this->parser = std::make_unique<ResponseParser>(this->body_expected);
+  this->head_seen = false;
+  this->stray = false;
+  this->parser->Feed(rest);
+  return !rest.empty();
+}
+
+// False if the attempt has ended.
+bool ServerAttempt::State::TakeHead() {
+  this->head_seen = true;
+  const ResponseHead& head = this->parser->head();
+  const ResponseFacts facts = this->codec.read_response(head);
+  if (!facts.request_id.empty() && facts.request_id != this->request_id) {
+    this->stray = true;
+    this->any_stray = true;
+    return true;
+  }
+  const bool unmarked =
+      facts.request_id.empty() || !facts.sealed || facts.encoded;
+  if (IsSuccess(head.status) && unmarked) {
+    this->End(AttemptEnd::kBroken, "a success without the server's marks");
+    return false;
+  }
+  this->keep_time = KeepTime(head.headers);
+  const auto callback = this->callbacks.on_head;
+  callback(head, facts);
+  return !this->ended;
+}
+
+void ServerAttempt::State::Finish() {
+  const bool extra = !this->parser->TakeRest().empty();
+  this->reusable = this->connection != nullptr &&
+                   this->parser->head().keep_alive &&
+                   !this->parser->head().ends_with_connection && !extra &&
+                   !this->any_stray && this->connection->unsent() == 0;
+  this->End(AttemptEnd::kComplete, "");
+}
+
+void ServerAttempt::State::OnConnectionEnd(ConnectionEnd end) {
+  const auto keep = this->shared_from_this();
+  if (end == ConnectionEnd::kNotConnected || !this->connection->any_sent()) {
+    this->End(AttemptEnd::kNotSent, "no connection to the server");
+    return;
+  }
+  if (end == ConnectionEnd::kOrderly) {
+    this->parser->FeedEnd();
+    while (!this->ended && this->Advance()) {
+    }
+  }
+  this->End(this->head_seen && !this->stray ? AttemptEnd::kTruncated
+                                            : AttemptEnd::kBroken,
+            end == ConnectionEnd::kOrderly ? "the server closed the connection"
+                                           : "the connection was reset");
+}
+
+ServerAttempt::ServerAttempt(std::unique_ptr<TcpConnection> connection,
+                             const RelayCodec& codec,
+                             std::string bytes,
+                             std::string request_id,
+                             bool body_expected,
+                             AttemptCallbacks callbacks)
+    : state(std::make_shared<State>(codec,
+                                    std::move(request_id),
+                                    body_expected)) {
+  State& state = *this->state;
+  state.callbacks = std::move(callbacks);
+  state.connection = std::move(connection);
+  State* raw = &state;
+  state.connection->SetCallbacks(
+      {nullptr, [raw](std::string_view data) { raw->OnData(data); }, nullptr,
+       [raw](ConnectionEnd end) { raw->OnConnectionEnd(end); }});
+  state.connection->Write(bytes);
+}
+
+ServerAttempt::~ServerAttempt() {
+  this->state->ended = true;
+  this->state->callbacks = {};
+  this->state->connection.reset();
+}
+
+bool ServerAttempt::any_sent() const {
+  return this->state->connection == nullptr ||
+         this->state->connection->any_sent();
+}
+
+void ServerAttempt::SetReading(bool reading) {
+  if (this->state->connection != nullptr) {
+    this->state->connection->SetReading(reading);
+  }
+}
+
+std::unique_ptr<TcpConnection> ServerAttempt::TakeConnection() {
+  if (!this->state->reusable) {
+    return nullptr;
+  }
+  return std::move(this->state->connection);
+}
+
+Duration ServerAttempt::server_keep_time() const {
+  return this->state->keep_time;
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/traffic/event_splitter.cc
@@ -0,0 +1,68 @@
+#include "traffic/event_splitter.h"
+
+#include <charconv>
+
+namespace toucanhollow {
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+
+// The number in the event's "id" line.
+std::optional<std::int64_t> EventId(std::string_view event) {
+  while (!event.empty()) {
+    const std::size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    if (line.starts_with(kIdField)) {
+      line.remove_prefix(kIdField.size());
+      while (!line.empty() && line.front() == ' ') {
+        line.remove_prefix(1);
+      }
+      std::int64_t id = 0;
+      const auto [stop, error] =
+          std::from_chars(line.data(), line.data() + line.size(), id);
+      return error == std::errc() ? std::optional(id) : std::nullopt;
+    }
+    event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string SplitEvents(EventSplitter& splitter, std::string_view bytes) {
+  splitter.partial.append(bytes);
+  std::string whole;
+  std::size_t begin = 0;
+  while (!splitter.broken_order) {
+    const std::size_t gap = splitter.partial.find("\n\n", begin);
+    if (gap == std::string::npos) {
+      break;
+    }
+    const std::size_t end = gap + 2;
+    const std::string_view event =
+        std::string_view(splitter.partial).substr(begin, end - begin);
+    begin = end;
+    const std::optional<std::int64_t> id = EventId(event);
+    if (id && splitter.last_id) {
+      if (*id <= *splitter.last_id) {
+        continue;
+      }
+      if (*id != *splitter.last_id + 1) {
+        splitter.broken_order = true;
+        break;
+      }
+    }
+    if (id) {
+      splitter.last_id = id;
+    }
+    whole.append(event);
+  }
+  splitter.partial.erase(0, begin);
+  return whole;
+}
+
+void DropPartialEvent(EventSplitter& splitter) {
+  splitter.partial.clear();
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/traffic/traffic_config.h
@@ -0,0 +1,109 @@
+// TrafficConfig: one version of the operators' configuration of routes,
+// services, client accounts and limits, as an entry host acts on it.
+#ifndef TRAFFIC_TRAFFIC_CONFIG_H_
+#define TRAFFIC_TRAFFIC_CONFIG_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/name.h"
+#include "base/time.h"
+
+namespace toucanhollow {
+
+enum class RouteKind {
+  kSafe,    // may run more than once
+  kUnsafe,  // runs at most once
+  kStream,  // an event stream; repeatable only if the route is resumable
+};
+
+struct ServiceShare {
+  ServiceName service;
+  double weight = 1;
+
+  bool operator==(const ServiceShare&) const = default;
+};
+
+struct Route {
+  std::string name;
+  std::string host;
+  std::string path_prefix;  // begins and ends with a slash
+  RouteKind kind = RouteKind::kUnsafe;
+  Duration timeout{0};         // longest time from arrival to the final answer
+  Duration target_latency{0};  // to the answer, or to the first event
+  int priority = 0;            // 0 is the most urgent
+  std::vector<ServiceShare> shares;
+  int max_attempts = 1;  // servers that one request may be sent to
+  bool anonymous = false;
+  bool resumable = false;
+  Duration max_event_gap{0};  // of streams; zero means no aim
+
+  bool operator==(const Route&) const = default;
+};
+
+// Figures of a model engine that let a host predict its times.
+struct EngineFigures {
+  int slots = 0;
+  double kv_capacity_tokens = 0;
+  double step_ms = 0;                   // one token step of an idle batch
+  double step_ms_per_sequence = 0;      // added by each writing request
+  double step_ms_per_1000_context = 0;  // added by 1,000 tokens of context
+  double read_tokens_per_s = 0;
+  double read_ms_per_million_pairs = 0;
+  int chunk_tokens = 0;    // prompt tokens read in one step at most
+  int steps_per_pass = 1;  // token steps of a pass that has writers
+  double usual_prompt_tokens = 0;
+  double usual_answer_tokens = 0;
+
+  bool operator==(const EngineFigures&) const = default;
+};
+
+struct Service {
+  ServiceName name;
+  int max_connections = 0;  // that one server accepts from all callers
+  Duration cold_time{0};
+  double cold_requests_per_s = 0;  // zero means that servers have no cold phase
+  std::optional<EngineFigures> engine;
+
+  bool operator==(const Service&) const = default;
+};
+
+struct ClientAccount {
+  AccountName name;
+  std::optional<int> priority;  // goes before the route's
+
+  bool operator==(const ClientAccount&) const = default;
+};
+
+struct IngressLimits {
+  std::uint32_t header_bytes = 16 * 1024;
+  std::uint64_t body_bytes = std::uint64_t{4} * 1024 * 1024;
+  Duration header_timeout = Seconds(3);
+  Duration idle_timeout = Seconds(15);
+
+  bool operator==(const IngressLimits&) const = default;
+};
+
+struct TrafficConfig {
+  std::int64_t version = 0;
+  std::vector<Route> routes;
+  std::map<ServiceName, Service> services;
+  // Without accounts, no request needs a key.
+  bool has_accounts = false;
+  std::map<std::string, ClientAccount, std::less<>> account_of_key;
+  IngressLimits limits;
+
+  bool operator==(const TrafficConfig&) const = default;
+};
+
+constexpr bool IsRepeatable(const Route& route) {
+  return route.kind == RouteKind::kSafe ||
+         (route.kind == RouteKind::kStream && route.resumable);
+}
+
+}  // namespace toucanhollow
+
+#endif  // TRAFFIC_TRAFFIC_CONFIG_H_
