Close a caller's connection only after an answer that announced it

Cause: a stream whose head had left before SIGTERM ended after it, and the session then closed the kept connection although no answer had said so; the caller's next request on it got neither an answer nor a refusal. Ruled out: the balancer's lag (the request came on a kept connection, 1.9 s after the signal) and the cut at the end of the grace time (0.5 s later).

--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -163,7 +163,7 @@
     headers.push_back({"Content-Length", std::string(framing)});
   }
   if (this->leaving || !this->caller_keeps_alive) {
-    this->leaving = true;
+    this->close_announced = true;
     headers.push_back({"Connection", "close"});
   }
   this->connection->Write(WriteResponseHead(status, reason, headers));
@@ -183,7 +183,8 @@
 
 void CallerSession::FinishAnswer() {
   this->run.reset();
-  if (this->leaving) {
+  // A head that left before the process began to stop promised more answers.
+  if (this->close_announced) {
     this->BeginClosing();
     return;
   }
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -27,7 +27,7 @@
 
   // Closes what is due: slow headers, idle and closing connections.
   void Sweep(TimePoint now);
-  // The present answer is the last one of this connection.
+  // The next answer that begins is the last one of this connection.
   void Leave();
   // Ends the connection whatever it does.
   void Cut(std::string_view reason);
@@ -58,6 +58,8 @@
   std::shared_ptr<RelayRun> run;
   Phase phase = Phase::kIdle;
   bool leaving = false;
+  // The caller has been told that this answer is the last one.
+  bool close_announced = false;
   bool continue_sent = false;
   bool caller_keeps_alive = true;
   bool head_request = false;
