Balance expert maps on the platform's model groups

The entry host that the store's group names coordinator reads the ranks' counters through agents on the engines' machines, plans a map that needs few loads, prepares it on all ranks, holds a coming pass, arms all ranks and releases the hold once all report to be armed.

--- a/apps/toucanhollow.cc
+++ b/apps/toucanhollow.cc
@@ -1,7 +1,9 @@
 // One process of the system: an entry host or an endpoint agent.
 #include <csignal>
+#include <fstream>
 #include <iostream>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <utility>
 
@@ -12,6 +14,8 @@
 #include "event_loop/event_loop.h"
 #include "json_log/json_log.h"
 #include "log_text/log.h"
+#include "map_task/rank_agent.h"
+#include "platform/engine_calls.h"
 #include "platform/platform_codec.h"
 #include "relay/relay_host.h"
 #include "relay/relay_settings.h"
@@ -20,7 +24,8 @@
 
 DEFINE_string(role,
               "",
-              "entry_host, endpoint or relay; must match the settings");
+              "entry_host, endpoint, relay or rank_agent; must match the "
+              "settings");
 DEFINE_string(settings, "", "the INI settings file");
 DEFINE_bool(check, false, "check the settings file and exit");
 
@@ -94,7 +99,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   StartJsonLog(settings.value().process.value, LogBound{});
   EventLoop loop;
-  RelayHost host(loop, settings.value(), PlatformCodec());
+  RelayHost host(loop, settings.value(), PlatformCodec(),
+                 platform::EngineCodec());
   const Result<bool> started = host.Start();
   if (!started) {
     std::cerr << FormatFailure(started.error()) << "\n";
@@ -109,7 +115,39 @@
   return 0;
 }
 
+// The process beside a model engine on the users' platform.
+int RunRankAgent() {
+  std::ifstream file(FLAGS_settings);
+  std::ostringstream text;
+  text << file.rdbuf();
+  const Result<RankAgentSettings> settings = ParseRankAgentSettings(text.str());
+  if (!settings) {
+    std::cerr << FormatFailure(settings.error()) << "\n";
+    return kExitUsage;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  StartJsonLog(settings.value().process, LogBound{});
+  EventLoop loop;
+  const EngineMapCodec& codec = platform::EngineCodec();
+  const std::string experts_path =
+      codec.experts_path.substr(0, codec.experts_path.find('?'));
+  RankAgent agent(
+      loop, settings.value(),
+      {codec.report_path, codec.counts_path, codec.order_path, experts_path});
+  const Result<bool> started = agent.Start();
+  if (!started) {
+    std::cerr << FormatFailure(started.error()) << "\n";
+    return kExitFailure;
+  }
+  const SignalWatcher terminate(loop, SIGTERM, [&loop] { loop.Stop(); });
+  loop.Run();
+  return 0;
+}
+
 int Main() {
+  if (FLAGS_role == "rank_agent") {
+    return RunRankAgent();
+  }
   if (FLAGS_role == "relay") {
     return RunRelay();
   }
@@ -135,7 +173,8 @@
 
 int main(int argc, char** argv) {
   gflags::SetUsageMessage(
-      "toucanhollow --role=entry_host|endpoint|relay --settings=FILE "
+      "toucanhollow --role=entry_host|endpoint|relay|rank_agent "
+      "--settings=FILE "
       "[--check]");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   return toucanhollow::Main();
--- /dev/null
+++ b/packages/map_task/demand.cc
@@ -0,0 +1,82 @@
+#include "map_task/demand.h"
+
+#include <cmath>
+#include <cstddef>
+
+namespace toucanhollow {
+namespace {
+
+using Table = std::vector<std::vector<double>>;
+
+bool SameShape(const Table& left, const Table& right) {
+  if (left.size() != right.size()) {
+    return false;
+  }
+  for (std::size_t set = 0; set < left.size(); ++set) {
+    if (left[set].size() != right[set].size()) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// False if any counter fell, as it does when a rank starts anew.
+bool Grew(const Table& before, const Table& after) {
+  for (std::size_t set = 0; set < after.size(); ++set) {
+    for (std::size_t expert = 0; expert < after[set].size(); ++expert) {
+      if (after[set][expert] < before[set][expert]) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+void AddCounts(Demand& demand,
+               const std::map<std::string, RankCounts>& counts,
+               TimePoint now) {
+  const double half_lives =
+      static_cast<double>((now - demand.updated_at).count()) /
+      static_cast<double>(kDemandHalfLife.count());
+  const double kept = std::exp2(-half_lives);
+  for (auto& set : demand.chosen) {
+    for (double& chosen : set) {
+      chosen *= kept;
+    }
+  }
+  demand.updated_at = now;
+  for (const auto& [server, present] : counts) {
+    if (!SameShape(demand.chosen, present.chosen)) {
+      demand.chosen = present.chosen;
+      for (auto& set : demand.chosen) {
+        set.assign(set.size(), 0);
+      }
+    }
+    const auto before = demand.last.find(server);
+    if (before != demand.last.end() &&
+        SameShape(before->second.chosen, present.chosen) &&
+        Grew(before->second.chosen, present.chosen)) {
+      for (std::size_t set = 0; set < present.chosen.size(); ++set) {
+        for (std::size_t i = 0; i < present.chosen[set].size(); ++i) {
+          demand.chosen[set][i] +=
+              present.chosen[set][i] - before->second.chosen[set][i];
+        }
+      }
+    }
+    demand.last.insert_or_assign(server, present);
+  }
+}
+
+double DemandWeight(const Demand& demand) {
+  double sum = 0;
+  for (const auto& set : demand.chosen) {
+    for (const double chosen : set) {
+      sum += chosen;
+    }
+  }
+  return sum;
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/map_task/engine_codec.h
@@ -0,0 +1,64 @@
+// The interface between expert maps and the engines of the platform: plain
+// functions that translate paths and formats. They decide nothing.
+#ifndef MAP_TASK_ENGINE_CODEC_H_
+#define MAP_TASK_ENGINE_CODEC_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/address.h"
+#include "base/result.h"
+#include "http_client/http_call.h"
+#include "map_change/rank_report.h"
+
+namespace toucanhollow {
+
+// How often a rank's requests chose each expert since the rank started.
+struct RankCounts {
+  std::int64_t epoch = 0;
+  StepNumber step = 0;
+  // By set of layers, then by expert.
+  std::vector<std::vector<double>> chosen;
+};
+
+// The experts that a rank holds.
+struct RankExperts {
+  GroupMapVersion version = 0;
+  std::vector<std::vector<int>> by_set;
+};
+
+// A place in the store's group that names the coordinator.
+struct CoordinatorTerm {
+  // Rises with each change of the group.
+  std::int64_t generation = 0;
+  bool is_coordinator = false;
+};
+
+struct EngineMapCodec {
+  std::string report_path;
+  std::string counts_path;
+  std::string experts_path;
+  std::string order_path;
+  // Fails with kEngineAnswerMalformed. `server` names the rank's server.
+  Result<RankReport> (*decode_report)(const std::string& server,
+                                      const std::string& body);
+  // `sets` is the number of sets of layers.
+  Result<RankCounts> (*decode_counts)(const std::string& body, int sets);
+  Result<RankExperts> (*decode_experts)(const std::string& body);
+  // The body of an order; `map` is used by kPrepare.
+  std::string (*encode_order)(const RankOrder& order,
+                              const GroupMap& map,
+                              std::int64_t fence);
+  // Joins the coordinators' group or stays in it.
+  HttpCall (*join_call)(const Address& store,
+                        const std::string& member,
+                        std::int64_t generation,
+                        Duration time_to_live);
+  HttpCall (*leave_call)(const Address& store, const std::string& member);
+  Result<CoordinatorTerm> (*decode_term)(const std::string& body);
+};
+
+}  // namespace toucanhollow
+
+#endif  // MAP_TASK_ENGINE_CODEC_H_
--- /dev/null
+++ b/packages/map_task/group_map_task.cc
@@ -0,0 +1,340 @@
+#include "map_task/group_map_task.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "json_log/json_log.h"
+
+namespace toucanhollow {
+namespace {
+
+// The task looks at what is due this often.
+constexpr Duration kTick = Milliseconds(20);
+// Counters are read this often; demand shifts every few seconds.
+constexpr Duration kCountsPeriod = Milliseconds(250);
+// Reports are read this often while no round is under way.
+constexpr Duration kIdleReportPeriod = Milliseconds(250);
+constexpr Duration kRoundReportPeriod = Milliseconds(40);
+constexpr Duration kReportTimeout = Milliseconds(300);
+constexpr Duration kOrderTimeout = Milliseconds(250);
+// A reading that took longer, or that this process was paused after, mixes
+// moments that are too far apart to decide on.
+constexpr Duration kMaxReadingAge = Milliseconds(500);
+// A change must lower the load of the most loaded rank by this part: less does
+// not pay for passes that take 15% longer while experts load.
+constexpr double kLeastImprovement = 0.06;
+// Choices below which the estimate is noise.
+constexpr double kLeastDemand = 2000;
+constexpr GroupMapVersion kVersionsPerTerm = 1 << 16;
+constexpr int kStatusFenced = 412;
+
+std::string_view PhaseName(ChangePhase phase) {
+  switch (phase) {
+    case ChangePhase::kIdle:
+      return "idle";
+    case ChangePhase::kPreparing:
+      return "preparing";
+    case ChangePhase::kHolding:
+      return "holding";
+    case ChangePhase::kArming:
+      return "arming";
+    case ChangePhase::kReleasing:
+      return "releasing";
+    case ChangePhase::kResolving:
+      return "resolving";
+  }
+  return "";
+}
+
+// Mean over the sets of the most loaded rank's load against the mean rank's.
+double MeanRatio(const GroupMap& map,
+                 const std::vector<std::vector<double>>& chosen) {
+  double sum = 0;
+  for (std::size_t set = 0; set < map.size(); ++set) {
+    sum += LoadRatio(map[set], chosen[set]);
+  }
+  return map.empty() ? 1 : sum / static_cast<double>(map.size());
+}
+
+}  // namespace
+
+GroupMapTask::GroupMapTask(EventLoop& loop,
+                           HttpClient& client,
+                           const EngineMapCodec& codec,
+                           const Address& store,
+                           std::string member,
+                           std::function<GroupView()> view)
+    : loop(loop),
+      client(client),
+      codec(codec),
+      view(std::move(view)),
+      coordinator(loop, client, codec, store, std::move(member)),
+      calls(loop, client),
+      timer(std::make_unique<Timer>(loop, kTick, kTick, [this] {
+        this->Tick();
+      })) {}
+
+void GroupMapTask::Leave() {
+  this->coordinator.Leave();
+}
+
+GroupMapVersion GroupMapTask::FreeVersion() const {
+  return this->coordinator.term().generation * kVersionsPerTerm +
+         this->versions_used + 1;
+}
+
+void GroupMapTask::Tick() {
+  const CoordinatorTerm& term = this->coordinator.term();
+  if (!term.is_coordinator || term.generation <= this->deposed_generation) {
+    this->state = ChangeState{};
+    return;
+  }
+  if (term.generation != this->versions_generation) {
+    this->versions_generation = term.generation;
+    this->versions_used = 0;
+    this->state = ChangeState{};
+  }
+  this->group = this->view();
+  if (this->group.ranks.empty()) {
+    return;
+  }
+  const TimePoint now = EventLoop::Now();
+  const bool idle = this->state.phase == ChangePhase::kIdle;
+  const Duration report_period = idle ? kIdleReportPeriod : kRoundReportPeriod;
+  if (!this->reports_open && now - this->reports_at >= report_period) {
+    this->reports_at = now;
+    this->ReadReports();
+  }
+  if (!this->counts_open && now - this->counts_at >= kCountsPeriod) {
+    this->counts_at = now;
+    this->ReadCounts();
+  }
+}
+
+std::vector<RankCall> GroupMapTask::CallAll(const std::string& path) const {
+  std::vector<RankCall> all;
+  for (const RankAddress& rank : this->group.ranks) {
+    all.push_back({rank, "GET", path, ""});
+  }
+  return all;
+}
+
+void GroupMapTask::ReadReports() {
+  this->reports_open = true;
+  const TimePoint asked_at = EventLoop::Now();
+  this->calls.Start(this->CallAll(this->codec.report_path), kReportTimeout,
+                    true,
+                    [this, asked_at](const std::vector<RankAnswer>& answers) {
+                      this->reports_open = false;
+                      this->OnReports(answers, asked_at);
+                    });
+}
+
+void GroupMapTask::OnReports(const std::vector<RankAnswer>& answers,
+                             TimePoint asked_at) {
+  const TimePoint now = EventLoop::Now();
+  const CoordinatorTerm& term = this->coordinator.term();
+  if (!term.is_coordinator || term.generation != this->versions_generation ||
+      now - asked_at > kMaxReadingAge) {
+    return;
+  }
+  GroupReading complete;
+  for (const RankAnswer& answer : answers) {
+    if (answer.status != 200) {
+      return;
+    }
+    const Result<RankReport> report =
+        this->codec.decode_report(answer.server, answer.body);
+    if (!report) {
+      LogJsonNow("rank_report_malformed",
+                 {{"server", std::string_view(answer.server)},
+                  {"detail", std::string_view(report.error().detail)}});
+      return;
+    }
+    complete.push_back(report.value());
+  }
+  std::ranges::sort(complete, {}, &RankReport::rank);
+  if (!IsCompleteReading(complete)) {
+    return;
+  }
+  this->reading = std::move(complete);
+  const RankReport& first = this->reading.front();
+  if (first.epoch != this->present_epoch ||
+      first.map != this->present_version) {
+    if (!this->present_open) {
+      this->ReadPresentMap();
+    }
+  }
+  ChangeInput input;
+  input.reading = this->reading;
+  input.free_version = this->FreeVersion();
+  input.present = this->present;
+  if (this->state.phase == ChangePhase::kIdle) {
+    input.wanted = this->PlanWanted();
+    if (this->present.empty()) {
+      // Nothing may be prepared before the present map is known.
+      return;
+    }
+  }
+  ChangeDecision decision = AdvanceChange(this->state, input, now);
+  if (decision.state.version == input.free_version) {
+    ++this->versions_used;
+  }
+  if (!decision.note.empty()) {
+    LogJsonNow("map_round", {{"phase", PhaseName(decision.state.phase)},
+                             {"note", std::string_view(decision.note)},
+                             {"version", decision.state.version},
+                             {"epoch", first.epoch},
+                             {"step", first.step},
+                             {"hold_step", decision.state.hold_step},
+                             {"reading_ms", ToMilliseconds(now - asked_at)}});
+  }
+  if (decision.note == "switched") {
+    this->present = this->state.map;
+    this->present_version = this->state.version;
+    this->present_epoch = this->state.epoch;
+    this->changed_at = now;
+  }
+  this->state = decision.state;
+  this->SendOrders(decision);
+}
+
+void GroupMapTask::SendOrders(const ChangeDecision& decision) {
+  if (decision.orders.empty()) {
+    return;
+  }
+  std::vector<RankCall> orders;
+  for (const RankOrder& order : decision.orders) {
+    const auto rank = std::ranges::find(this->group.ranks, order.server,
+                                        &RankAddress::server);
+    if (rank == this->group.ranks.end()) {
+      continue;
+    }
+    orders.push_back(
+        {*rank, "POST", this->codec.order_path,
+         this->codec.encode_order(order, this->state.map,
+                                  this->coordinator.term().generation)});
+  }
+  // The next reading must come after the orders.
+  this->reports_open = true;
+  const std::int64_t generation = this->versions_generation;
+  this->calls.Start(
+      orders, kOrderTimeout, true,
+      [this, generation](const std::vector<RankAnswer>& answers) {
+        this->reports_open = false;
+        for (const RankAnswer& answer : answers) {
+          if (answer.status == kStatusFenced) {
+            this->deposed_generation =
+                std::max(this->deposed_generation, generation);
+            LogJsonNow("coordinator_deposed", {{"generation", generation}});
+          } else if (answer.status >= 400 || answer.status == 0) {
+            LogJsonNow("rank_order_failed",
+                       {{"server", std::string_view(answer.server)},
+                        {"status", static_cast<std::int64_t>(answer.status)},
+                        {"body", std::string_view(answer.body)}});
+          }
+        }
+        this->Tick();
+      });
+}
+
+void GroupMapTask::ReadCounts() {
+  this->counts_open = true;
+  this->calls.Start(this->CallAll(this->codec.counts_path), kReportTimeout,
+                    false, [this](const std::vector<RankAnswer>& answers) {
+                      this->counts_open = false;
+                      this->OnCounts(answers);
+                    });
+}
+
+void GroupMapTask::OnCounts(const std::vector<RankAnswer>& answers) {
+  std::map<std::string, RankCounts> counts;
+  for (const RankAnswer& answer : answers) {
+    if (answer.status != 200) {
+      continue;
+    }
+    Result<RankCounts> decoded =
+        this->codec.decode_counts(answer.body, this->group.sets);
+    if (!decoded) {
+      LogJsonNow("rank_counts_malformed",
+                 {{"server", std::string_view(answer.server)},
+                  {"detail", std::string_view(decoded.error().detail)}});
+      continue;
+    }
+    counts.emplace(answer.server, std::move(decoded.value()));
+  }
+  AddCounts(this->demand, counts, EventLoop::Now());
+}
+
+void GroupMapTask::ReadPresentMap() {
+  this->present_open = true;
+  this->calls.Start(this->CallAll(this->codec.experts_path), kReportTimeout,
+                    false, [this](const std::vector<RankAnswer>& answers) {
+                      this->present_open = false;
+                      this->OnPresentMap(answers);
+                    });
+}
+
+void GroupMapTask::OnPresentMap(const std::vector<RankAnswer>& answers) {
+  std::map<std::string, RankExperts> by_server;
+  for (const RankAnswer& answer : answers) {
+    const Result<RankExperts> experts =
+        answer.status == 200
+            ? this->codec.decode_experts(answer.body)
+            : Result<RankExperts>(
+                  MakeFailure(ResultCode::kEngineUnreachable, "no answer"));
+    if (!experts) {
+      LogJsonNow("rank_experts_malformed",
+                 {{"server", std::string_view(answer.server)},
+                  {"status", static_cast<std::int64_t>(answer.status)},
+                  {"detail", std::string_view(experts.error().detail)}});
+      return;
+    }
+    by_server.emplace(answer.server, experts.value());
+  }
+  if (this->reading.empty()) {
+    return;
+  }
+  const RankReport& first = this->reading.front();
+  GroupMap map;
+  for (const RankReport& rank : this->reading) {
+    const auto found = by_server.find(rank.server);
+    if (found == by_server.end() || found->second.version != first.map) {
+      return;
+    }
+    map.resize(found->second.by_set.size());
+    for (std::size_t set = 0; set < map.size(); ++set) {
+      map[set].experts_by_rank.push_back(found->second.by_set[set]);
+    }
+  }
+  this->present = std::move(map);
+  this->present_version = first.map;
+  this->present_epoch = first.epoch;
+}
+
+std::optional<GroupMap> GroupMapTask::PlanWanted() {
+  const RankReport& first = this->reading.front();
+  if (this->present_epoch != first.epoch ||
+      this->present_version != first.map ||
+      this->demand.chosen.size() != this->present.size() ||
+      DemandWeight(this->demand) < kLeastDemand) {
+    return std::nullopt;
+  }
+  GroupMap wanted;
+  for (std::size_t set = 0; set < this->present.size(); ++set) {
+    wanted.push_back(PlanEvenMap(this->present[set], this->demand.chosen[set],
+                                 this->group.limits));
+  }
+  const double before = MeanRatio(this->present, this->demand.chosen);
+  const double after = MeanRatio(wanted, this->demand.chosen);
+  if (after > before * (1 - kLeastImprovement)) {
+    return std::nullopt;
+  }
+  LogJsonNow("map_planned", {{"ratio_now", before},
+                             {"ratio_planned", after},
+                             {"choices", DemandWeight(this->demand)},
+                             {"present_version", this->present_version}});
+  return wanted;
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/map_task/group_map_task.h
@@ -0,0 +1,86 @@
+// GroupMapTask: keeps the ranks of a model group evenly loaded while this host
+// is the coordinator.
+#ifndef MAP_TASK_GROUP_MAP_TASK_H_
+#define MAP_TASK_GROUP_MAP_TASK_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "event_loop/event_loop.h"
+#include "expert_map/even_placement.h"
+#include "http_client/http_client.h"
+#include "map_change/advance_change.h"
+#include "map_task/coordinator_task.h"
+#include "map_task/demand.h"
+#include "map_task/rank_calls.h"
+
+namespace toucanhollow {
+
+// The ranks as the host believes them now.
+struct GroupView {
+  std::vector<RankAddress> ranks;
+  EvenPlacementLimits limits;
+  int sets = 0;  // sets of layers, each with a map of its own
+};
+
+class GroupMapTask {
+ public:
+  GroupMapTask(EventLoop& loop,
+               HttpClient& client,
+               const EngineMapCodec& codec,
+               const Address& store,
+               std::string member,
+               std::function<GroupView()> view);
+
+  // Gives coordination up; a round under way is left to the successor.
+  void Leave();
+
+ private:
+  void Tick();
+  void ReadReports();
+  void OnReports(const std::vector<RankAnswer>& answers, TimePoint asked_at);
+  void SendOrders(const ChangeDecision& decision);
+  void ReadCounts();
+  void OnCounts(const std::vector<RankAnswer>& answers);
+  void ReadPresentMap();
+  void OnPresentMap(const std::vector<RankAnswer>& answers);
+  std::optional<GroupMap> PlanWanted();
+  std::vector<RankCall> CallAll(const std::string& path) const;
+  GroupMapVersion FreeVersion() const;
+
+  EventLoop& loop;
+  HttpClient& client;
+  const EngineMapCodec& codec;
+  std::function<GroupView()> view;
+  CoordinatorTask coordinator;
+  RankCalls calls;
+  GroupView group;
+  ChangeState state;
+  GroupReading reading;
+  Demand demand;
+  // The map in use, known for this epoch and version.
+  GroupMap present;
+  std::int64_t present_epoch = -1;
+  GroupMapVersion present_version = -1;
+  // Versions used in this term.
+  std::int64_t versions_used = 0;
+  std::int64_t versions_generation = 0;
+  // The store or a rank said that a later coordinator has taken over.
+  std::int64_t deposed_generation = 0;
+  bool reports_open = false;
+  bool counts_open = false;
+  bool present_open = false;
+  TimePoint reports_at;
+  TimePoint counts_at;
+  TimePoint changed_at;
+  std::unique_ptr<Timer> timer;
+};
+
+}  // namespace toucanhollow
+
+#endif  // MAP_TASK_GROUP_MAP_TASK_H_
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -26,10 +26,12 @@
 
 RelayHost::RelayHost(EventLoop& loop,
                      RelaySettings settings,
-                     const RelayCodec& codec)
+                     const RelayCodec& codec,
+                     const EngineMapCodec& engine_codec)
     : loop(loop),
       settings(std::move(settings)),
       codec(codec),
+      engine_codec(engine_codec),
       client(loop),
       dispatcher(loop, this->settings) {}
 
@@ -39,6 +41,30 @@
   return !this->leaving_since && this->beliefs->belief().traffic != nullptr;
 }
 
+// All ranks of the service that has expert maps, leaving ones included: they
+// are ranks until they have left.
+GroupView RelayHost::ViewGroup() const {
+  const Belief& belief = this->beliefs->belief();
+  GroupView view;
+  if (belief.traffic == nullptr) {
+    return view;
+  }
+  for (const auto& [id, server] : belief.servers) {
+    const auto service = belief.traffic->services.find(server.listed.service);
+    if (server.missing_since || service == belief.traffic->services.end() ||
+        !service->second.engine || service->second.engine->expert_sets == 0) {
+      continue;
+    }
+    view.limits = {service->second.engine->expert_places,
+                   service->second.engine->spare_experts};
+    view.sets = service->second.engine->expert_sets;
+    // Every machine of the platform has the same internal ports.
+    const Address agent{server.listed.address.ip, this->settings.report_port};
+    view.ranks.push_back({id, agent, server.listed.address});
+  }
+  return view;
+}
+
 Result<std::unique_ptr<HttpServer>> RelayHost::Serve(const Address& address,
                                                      HttpHandler handler) {
   HttpServerOptions options;
@@ -83,6 +109,14 @@
                           [this](int socket) { this->OnAccept(socket); });
   BOOST_OUTCOME_TRY(opened_listener, std::move(listening));
   this->listener = std::move(opened_listener);
+  // A restarted process is another member, so that no two coordinators ever
+  // have one name in one generation.
+  const std::string member =
+      this->settings.process.value + "." +
+      std::to_string(EventLoop::WallNow().time_since_epoch().count());
+  this->maps = std::make_unique<GroupMapTask>(
+      this->loop, this->client, this->engine_codec, this->settings.store,
+      member, [this] { return this->ViewGroup(); });
   this->sweep_timer = std::make_unique<Timer>(
       this->loop, kSweepPeriod, kSweepPeriod, [this] { this->Sweep(); });
   LogJsonNow("started", {{"data_centre",
@@ -136,6 +170,7 @@
     return;
   }
   this->leaving_since = EventLoop::Now();
+  this->maps->Leave();
   this->on_drained = std::move(done);
   for (const auto& [number, session] : this->sessions) {
     session->Leave();
--- a/packages/relay/relay_host.h
+++ b/packages/relay/relay_host.h
@@ -12,6 +12,7 @@
 #include "http_client/http_client.h"
 #include "http_server/http_server.h"
 #include "http_stream/tcp_connection.h"
+#include "map_task/group_map_task.h"
 #include "metrics/metrics.h"
 #include "relay/belief_task.h"
 #include "relay/caller_session.h"
@@ -24,7 +25,10 @@
 
 class RelayHost {
  public:
-  RelayHost(EventLoop& loop, RelaySettings settings, const RelayCodec& codec);
+  RelayHost(EventLoop& loop,
+            RelaySettings settings,
+            const RelayCodec& codec,
+            const EngineMapCodec& engine_codec);
   ~RelayHost();
 
   // Opens the sockets. Fails with kSettingsInvalid.
@@ -39,17 +43,20 @@
   void Sweep();
   void EndShutdownIfDue(TimePoint now);
   bool IsReady() const;
+  GroupView ViewGroup() const;
   Result<std::unique_ptr<HttpServer>> Serve(const Address& address,
                                             HttpHandler handler);
 
   EventLoop& loop;
   RelaySettings settings;
   const RelayCodec& codec;
+  const EngineMapCodec& engine_codec;
   Metrics metrics;
   HttpClient client;
   Dispatcher dispatcher;
   std::unique_ptr<BeliefTask> beliefs;
   std::unique_ptr<PeerTask> peers;
+  std::unique_ptr<GroupMapTask> maps;
   std::unique_ptr<TcpListener> listener;
   std::unique_ptr<HttpServer> readiness_server;
   std::unique_ptr<HttpServer> metrics_server;
--- a/packages/traffic/traffic_config.h
+++ b/packages/traffic/traffic_config.h
@@ -57,6 +57,10 @@
   int steps_per_pass = 1;  // token steps of a pass that has writers
   double usual_prompt_tokens = 0;
   double usual_answer_tokens = 0;
+  // Expert maps; no sets means that the engine has none.
+  int expert_sets = 0;
+  int expert_places = 0;  // experts that one rank holds of a set
+  int spare_experts = 0;  // of a set, that one preparation may add to a rank
 
   bool operator==(const EngineFigures&) const = default;
 };
