Change expert maps in smaller and faster steps

Cause: a change loaded up to 8 experts a rank, which took 0.93 s, and the estimate of demand lagged by half a second, while demand shifts every 3 to 4 s and a pass over 120 ms makes every stream late. Loads were also spent on sets that were nearly even. One plan for all sets now loads 3 experts a rank at most, leaves sets under 1.12 alone, and the counters are read every 120 ms with a half-life of 250 ms. An idle group keeps its estimate.

--- a/apps/toucanhollow.cc
+++ b/apps/toucanhollow.cc
@@ -140,6 +140,7 @@
     return kExitFailure;
   }
   const SignalWatcher terminate(loop, SIGTERM, [&loop] { loop.Stop(); });
+  const SignalWatcher reload(loop, SIGHUP, [] { LogJsonNow("reloaded", {}); });
   loop.Run();
   return 0;
 }
--- a/packages/expert_map/even_placement.cc
+++ b/packages/expert_map/even_placement.cc
@@ -29,6 +29,7 @@
   std::vector<std::vector<int>> held;     // by rank
   std::vector<std::vector<int>> holders;  // by expert
   std::vector<int> added;                 // by rank, against the current map
+  std::vector<int>* loads = nullptr;      // by rank, of all sets
   const ExpertMap* current = nullptr;
   std::vector<double> load;  // by rank
   double mean = 0;
@@ -66,7 +67,17 @@
   if (change.dropped >= 0 && IsNew(draft, change.rank, change.dropped)) {
     --added;
   }
-  return added <= draft.limits.spare;
+  const int more = added - draft.added[change.rank];
+  return added <= draft.limits.spare &&
+         (more <= 0 ||
+          (*draft.loads)[change.rank] + more <= draft.limits.loads_per_rank);
+}
+
+void CountAdded(Draft& draft, int rank, int expert, int sign) {
+  if (IsNew(draft, rank, expert)) {
+    draft.added[rank] += sign;
+    (*draft.loads)[rank] += sign;
+  }
 }
 
 void Apply(Draft& draft, const Change& change) {
@@ -83,15 +94,14 @@
     std::erase(held, change.dropped);
     std::erase(draft.holders[change.dropped], change.rank);
     spread(change.dropped, 1);
-    draft.added[change.rank] -=
-        IsNew(draft, change.rank, change.dropped) ? 1 : 0;
+    CountAdded(draft, change.rank, change.dropped, -1);
   }
   if (change.added >= 0) {
     spread(change.added, -1);
     held.push_back(change.added);
     draft.holders[change.added].push_back(change.rank);
     spread(change.added, 1);
-    draft.added[change.rank] += IsNew(draft, change.rank, change.added) ? 1 : 0;
+    CountAdded(draft, change.rank, change.added, 1);
   }
 }
 
@@ -173,13 +183,15 @@
 
 Draft MakeDraft(const ExpertMap& current,
                 std::span<const double> tokens,
-                const EvenPlacementLimits& limits) {
+                const EvenPlacementLimits& limits,
+                std::vector<int>& loads) {
   Draft draft;
   draft.tokens = tokens;
   draft.limits = limits;
   draft.held = current.experts_by_rank;
   draft.holders.resize(tokens.size());
   draft.added.assign(draft.held.size(), 0);
+  draft.loads = &loads;
   draft.current = &current;
   for (std::size_t rank = 0; rank < draft.held.size(); ++rank) {
     for (const int expert : draft.held[rank]) {
@@ -192,6 +204,26 @@
   return draft;
 }
 
+double Ratio(const Draft& draft) {
+  return draft.mean <= 0 ? 1 : std::ranges::max(draft.load) / draft.mean;
+}
+
+// The best relief for one of the most loaded ranks; no changes if there is
+// none.
+Best FindRelief(Draft& draft) {
+  std::vector<int> by_load(draft.load.size());
+  std::iota(by_load.begin(), by_load.end(), 0);
+  const std::size_t tried = std::min(kRanksTried, by_load.size());
+  std::ranges::partial_sort(
+      by_load, by_load.begin() + static_cast<std::ptrdiff_t>(tried),
+      std::ranges::greater{}, [&](int rank) { return draft.load[rank]; });
+  Best best;
+  for (std::size_t i = 0; i < tried && best.changes.empty(); ++i) {
+    best = FindBest(draft, by_load[i]);
+  }
+  return best;
+}
+
 }  // namespace
 
 double LoadRatio(const ExpertMap& map, std::span<const double> expert_load) {
@@ -203,38 +235,45 @@
   return std::ranges::max(loads) * static_cast<double>(loads.size()) / sum;
 }
 
-ExpertMap PlanEvenMap(const ExpertMap& current,
-                      std::span<const double> expert_load,
-                      const EvenPlacementLimits& limits) {
-  Draft draft = MakeDraft(current, expert_load, limits);
-  if (draft.mean <= 0) {
-    return current;
-  }
-  const int most_moves = kMovesPerRank * static_cast<int>(draft.held.size());
-  for (int move = 0; move < most_moves; ++move) {
-    std::vector<int> by_load(draft.load.size());
-    std::iota(by_load.begin(), by_load.end(), 0);
-    const std::size_t tried = std::min(kRanksTried, by_load.size());
-    std::ranges::partial_sort(
-        by_load, by_load.begin() + static_cast<std::ptrdiff_t>(tried),
-        std::ranges::greater{}, [&](int rank) { return draft.load[rank]; });
-    Best best;
-    for (std::size_t i = 0; i < tried && best.changes.empty(); ++i) {
-      best = FindBest(draft, by_load[i]);
+SetMaps PlanEvenMaps(const SetMaps& current,
+                     const std::vector<std::vector<double>>& expert_load,
+                     const EvenPlacementLimits& limits) {
+  std::vector<int> loads(
+      current.empty() ? 0 : current.front().experts_by_rank.size(), 0);
+  std::vector<Draft> drafts;
+  for (std::size_t set = 0; set < current.size(); ++set) {
+    drafts.push_back(MakeDraft(current[set], expert_load[set], limits, loads));
+  }
+  std::vector<bool> done(drafts.size(), false);
+  const std::size_t most_moves = kMovesPerRank * loads.size() * drafts.size();
+  for (std::size_t move = 0; move < most_moves; ++move) {
+    std::size_t worst = drafts.size();
+    for (std::size_t set = 0; set < drafts.size(); ++set) {
+      const double ratio = Ratio(drafts[set]);
+      if (!done[set] && ratio > limits.good_ratio &&
+          (worst == drafts.size() || ratio > Ratio(drafts[worst]))) {
+        worst = set;
+      }
     }
-    if (best.changes.empty()) {
+    if (worst == drafts.size()) {
       break;
     }
-    for (const Change& change : best.changes) {
-      Apply(draft, change);
+    const Best relief = FindRelief(drafts[worst]);
+    done[worst] = relief.changes.empty();
+    for (const Change& change : relief.changes) {
+      Apply(drafts[worst], change);
     }
   }
-  ExpertMap map;
-  map.experts_by_rank = std::move(draft.held);
-  for (auto& held : map.experts_by_rank) {
-    std::ranges::sort(held);
+  SetMaps planned;
+  for (Draft& draft : drafts) {
+    ExpertMap map;
+    map.experts_by_rank = std::move(draft.held);
+    for (auto& held : map.experts_by_rank) {
+      std::ranges::sort(held);
+    }
+    planned.push_back(std::move(map));
   }
-  return map;
+  return planned;
 }
 
 }  // namespace toucanhollow
--- a/packages/expert_map/even_placement.h
+++ b/packages/expert_map/even_placement.h
@@ -1,31 +1,44 @@
-// A better map for engines that split an expert's tokens evenly among its
-// holders and can load only a few experts ahead of a change.
+// Better maps for engines that split an expert's tokens evenly among its
+// holders and load experts ahead of a change.
+//
+// A pass lasts as long as the most loaded rank of each set of layers, set by
+// set, so what counts is the sum of those loads.
 #ifndef EXPERT_MAP_EVEN_PLACEMENT_H_
 #define EXPERT_MAP_EVEN_PLACEMENT_H_
 
 #include <span>
+#include <vector>
 
 #include "expert_map/expert_map.h"
 
 namespace toucanhollow {
 
 struct EvenPlacementLimits {
-  int places = 1;  // experts that one rank can hold
-  int spare = 1;   // experts that one change may add to a rank
+  int places = 1;  // experts of a set that one rank can hold
+  int spare = 1;   // experts of a set that one change may add to a rank
+  // Experts of all sets that one change may add to a rank. Ranks load at the
+  // same time, so this bounds how long a change takes.
+  int loads_per_rank = 1;
+  // A set whose most loaded rank has less than this many times the mean is left
+  // as it is.
+  double good_ratio = 1;
 
   bool operator==(const EvenPlacementLimits&) const = default;
 };
 
+// One map for each set of layers.
+using SetMaps = std::vector<ExpertMap>;
+
 // Load of the most loaded rank against the mean; 1 is perfect. 1 if there is
 // no load.
 double LoadRatio(const ExpertMap& map, std::span<const double> expert_load);
 
-// Lowers the load of the most loaded ranks by copies and exchanges of experts.
-// Every expert stays on at least one rank. Returns the current map if nothing
-// helps.
-ExpertMap PlanEvenMap(const ExpertMap& current,
-                      std::span<const double> expert_load,
-                      const EvenPlacementLimits& limits);
+// Lowers the load of the most loaded ranks by copies and exchanges of experts,
+// the most uneven set first. Every expert stays on at least one rank. The load
+// is by set and expert.
+SetMaps PlanEvenMaps(const SetMaps& current,
+                     const std::vector<std::vector<double>>& expert_load,
+                     const EvenPlacementLimits& limits);
 
 }  // namespace toucanhollow
 
--- a/packages/map_change/rank_report.h
+++ b/packages/map_change/rank_report.h
@@ -7,14 +7,15 @@
 #include <string>
 #include <vector>
 
+#include "expert_map/even_placement.h"
 #include "expert_map/expert_map.h"
 
 namespace toucanhollow {
 
 using GroupMapVersion = std::int64_t;
 
-// One map a set of layers.
-using GroupMap = std::vector<ExpertMap>;
+// One map for each set of layers.
+using GroupMap = SetMaps;
 
 struct RankReport {
   std::string server;  // id
--- a/packages/map_task/demand.cc
+++ b/packages/map_task/demand.cc
@@ -32,25 +32,30 @@
   return true;
 }
 
+// Adds what the counters grew by, and returns the sum.
+double AddGrowth(Table& sums, const Table& before, const Table& after) {
+  double total = 0;
+  for (std::size_t set = 0; set < after.size(); ++set) {
+    for (std::size_t i = 0; i < after[set].size(); ++i) {
+      const double grown = after[set][i] - before[set][i];
+      sums[set][i] += grown;
+      total += grown;
+    }
+  }
+  return total;
+}
+
 }  // namespace
 
 void AddCounts(Demand& demand,
                const std::map<std::string, RankCounts>& counts,
                TimePoint now) {
-  const double half_lives =
-      static_cast<double>((now - demand.updated_at).count()) /
-      static_cast<double>(kDemandHalfLife.count());
-  const double kept = std::exp2(-half_lives);
-  for (auto& set : demand.chosen) {
-    for (double& chosen : set) {
-      chosen *= kept;
-    }
-  }
-  demand.updated_at = now;
+  Table added;
+  double total = 0;
   for (const auto& [server, present] : counts) {
-    if (!SameShape(demand.chosen, present.chosen)) {
-      demand.chosen = present.chosen;
-      for (auto& set : demand.chosen) {
+    if (!SameShape(added, present.chosen)) {
+      added = present.chosen;
+      for (auto& set : added) {
         set.assign(set.size(), 0);
       }
     }
@@ -58,15 +63,27 @@
     if (before != demand.last.end() &&
         SameShape(before->second.chosen, present.chosen) &&
         Grew(before->second.chosen, present.chosen)) {
-      for (std::size_t set = 0; set < present.chosen.size(); ++set) {
-        for (std::size_t i = 0; i < present.chosen[set].size(); ++i) {
-          demand.chosen[set][i] +=
-              present.chosen[set][i] - before->second.chosen[set][i];
-        }
-      }
+      total += AddGrowth(added, before->second.chosen, present.chosen);
     }
     demand.last.insert_or_assign(server, present);
   }
+  if (total <= 0) {
+    return;
+  }
+  const double half_lives =
+      static_cast<double>((now - demand.updated_at).count()) /
+      static_cast<double>(kDemandHalfLife.count());
+  const double kept = std::exp2(-half_lives);
+  demand.updated_at = now;
+  if (!SameShape(demand.chosen, added)) {
+    demand.chosen = std::move(added);
+    return;
+  }
+  for (std::size_t set = 0; set < added.size(); ++set) {
+    for (std::size_t i = 0; i < added[set].size(); ++i) {
+      demand.chosen[set][i] = demand.chosen[set][i] * kept + added[set][i];
+    }
+  }
 }
 
 double DemandWeight(const Demand& demand) {
--- a/packages/map_task/demand.h
+++ b/packages/map_task/demand.h
@@ -17,12 +17,13 @@
   std::map<std::string, RankCounts> last;
   // Faded sum of choices, by set and expert.
   std::vector<std::vector<double>> chosen;
+  // When the last choices were counted; an idle group keeps its estimate.
   TimePoint updated_at;
 };
 
 // Demand changes within seconds on the days that the platform's users play; an
 // older choice says little of the next one.
-inline constexpr Duration kDemandHalfLife = Milliseconds(500);
+inline constexpr Duration kDemandHalfLife = Milliseconds(250);
 
 // Adds what the ranks counted since their last counters. A rank that started
 // anew counts from its new start.
--- a/packages/map_task/group_map_task.cc
+++ b/packages/map_task/group_map_task.cc
@@ -11,9 +11,9 @@
 // The task looks at what is due this often.
 constexpr Duration kTick = Milliseconds(20);
 // Counters are read this often; demand shifts every few seconds.
-constexpr Duration kCountsPeriod = Milliseconds(250);
+constexpr Duration kCountsPeriod = Milliseconds(120);
 // Reports are read this often while no round is under way.
-constexpr Duration kIdleReportPeriod = Milliseconds(250);
+constexpr Duration kIdleReportPeriod = Milliseconds(120);
 constexpr Duration kRoundReportPeriod = Milliseconds(40);
 constexpr Duration kReportTimeout = Milliseconds(300);
 constexpr Duration kOrderTimeout = Milliseconds(250);
@@ -23,6 +23,12 @@
 // A change must lower the load of the most loaded rank by this part: less does
 // not pay for passes that take 15% longer while experts load.
 constexpr double kLeastImprovement = 0.06;
+// Experts that a rank loads for one change. Loading one takes about 0.1 s, and
+// demand shifts within seconds: an early small change is worth more than a late
+// large one.
+constexpr int kLoadsPerRank = 3;
+// Sets that are closer to even are left alone; each load has a price.
+constexpr double kGoodRatio = 1.12;
 // Choices below which the estimate is noise.
 constexpr double kLeastDemand = 2000;
 constexpr GroupMapVersion kVersionsPerTerm = 1 << 16;
@@ -320,11 +326,10 @@
       DemandWeight(this->demand) < kLeastDemand) {
     return std::nullopt;
   }
-  GroupMap wanted;
-  for (std::size_t set = 0; set < this->present.size(); ++set) {
-    wanted.push_back(PlanEvenMap(this->present[set], this->demand.chosen[set],
-                                 this->group.limits));
-  }
+  EvenPlacementLimits limits = this->group.limits;
+  limits.loads_per_rank = kLoadsPerRank;
+  limits.good_ratio = kGoodRatio;
+  GroupMap wanted = PlanEvenMaps(this->present, this->demand.chosen, limits);
   const double before = MeanRatio(this->present, this->demand.chosen);
   const double after = MeanRatio(wanted, this->demand.chosen);
   if (after > before * (1 - kLeastImprovement)) {
