--- a/packages/map_task/group_map_task.cc
+++ b/packages/map_task/group_map_task.cc
@@ -26,9 +26,9 @@
 // Experts that a rank loads for one change. Loading one takes about 0.1 s, and
 // demand shifts within seconds: an early small change is worth more than a late
 // large one.
-constexpr int kLoadsPerRank = 3;
+constexpr int kLoadsPerRank = 2;
 // Sets that are closer to even are left alone; each load has a price.
-constexpr double kGoodRatio = 1.12;
+constexpr double kGoodRatio = 1.18;
 // Choices below which the estimate is noise.
 constexpr double kLeastDemand = 2000;
 constexpr GroupMapVersion kVersionsPerTerm = 1 << 16;
