Refuse at once while a model group stands, and test the platform's path

Cause: while a rank of a group is cut off, every engine answers after 1.5 s of stall that it did not run the request; callers were refused late and told to come back after 0.5 s, into the same outage, and refused again. Each entry host asks one rank ten times a second whether the group is open. A request for a group that stands is refused at once, to return after a third of its time; a caller that returns (it allows much less time than others on the route) goes first and waits longer.

--- a/packages/http_stream/message_parser.cc
+++ b/packages/http_stream/message_parser.cc
@@ -233,6 +233,8 @@
 }
 
 ResponseParser::~ResponseParser() = default;
+ResponseParser::ResponseParser(ResponseParser&&) noexcept = default;
+ResponseParser& ResponseParser::operator=(ResponseParser&&) noexcept = default;
 
 void ResponseParser::Feed(std::string_view bytes) {
   State& state = *this->state;
--- a/packages/http_stream/message_parser.h
+++ b/packages/http_stream/message_parser.h
@@ -59,6 +59,8 @@
   // `body_expected` is false for the response to a HEAD request.
   explicit ResponseParser(bool body_expected);
   ~ResponseParser();
+  ResponseParser(ResponseParser&&) noexcept;
+  ResponseParser& operator=(ResponseParser&&) noexcept;
 
   void Feed(std::string_view bytes);
   // To be called at an orderly end of the connection.
--- a/packages/json_log/json_log.cc
+++ b/packages/json_log/json_log.cc
@@ -38,13 +38,15 @@
 };
 
 struct LogState {
+  // Nothing is written before StartJsonLog.
+  bool started = false;
   std::string process;
   LogBound bound;
   double tokens = 0;
-  TimePoint refilled_at;
+  TimePoint refilled_at = {};
   std::int64_t dropped = 0;
   // Bytes that standard output has not taken yet: the rest of a line.
-  std::string unwritten;
+  std::string unwritten = {};
 };
 
 LogState& State() {
@@ -84,7 +86,10 @@
   core->remove_all_sinks();
   core->add_sink(boost::make_shared<Sink>(
       boost::make_shared<LineBackend>(std::move(writer))));
-  State() = LogState{std::string(process), bound, bound.burst_lines, {}, 0, {}};
+  State() = LogState{.started = true,
+                     .process = std::string(process),
+                     .bound = bound,
+                     .tokens = bound.burst_lines};
 }
 
 void AppendText(std::string& line, std::string_view text) {
@@ -198,6 +203,9 @@
              WallTime now,
              TimePoint steady) {
   LogState& state = State();
+  if (!state.started) {
+    return;
+  }
   if (!TakeToken(steady)) {
     ++state.dropped;
     return;
--- a/packages/map_task/group_map_task.cc
+++ b/packages/map_task/group_map_task.cc
@@ -15,6 +15,8 @@
 // Reports are read this often while no round is under way.
 constexpr Duration kIdleReportPeriod = Milliseconds(120);
 constexpr Duration kRoundReportPeriod = Milliseconds(40);
+// Each host asks one rank this often whether the group is open.
+constexpr Duration kProbePeriod = Milliseconds(100);
 constexpr Duration kReportTimeout = Milliseconds(300);
 constexpr Duration kOrderTimeout = Milliseconds(250);
 // A reading that took longer, or that this process was paused after, mixes
@@ -69,11 +71,11 @@
                            const EngineMapCodec& codec,
                            const Address& store,
                            std::string member,
-                           std::function<GroupView()> view)
+                           GroupMapCallbacks callbacks)
     : loop(loop),
       client(client),
       codec(codec),
-      view(std::move(view)),
+      callbacks(std::move(callbacks)),
       coordinator(loop, client, codec, store, std::move(member)),
       calls(loop, client),
       timer(std::make_unique<Timer>(loop, kTick, kTick, [this] {
@@ -91,6 +93,11 @@
 
 void GroupMapTask::Tick() {
   const CoordinatorTerm& term = this->coordinator.term();
+  this->group = this->callbacks.view();
+  if (!this->group.ranks.empty() && !this->probe_open &&
+      EventLoop::Now() - this->probed_at >= kProbePeriod) {
+    this->ProbeGroup();
+  }
   if (!term.is_coordinator || term.generation <= this->deposed_generation) {
     this->state = ChangeState{};
     return;
@@ -100,7 +107,6 @@
     this->versions_used = 0;
     this->state = ChangeState{};
   }
-  this->group = this->view();
   if (this->group.ranks.empty()) {
     return;
   }
@@ -125,6 +131,30 @@
   return all;
 }
 
+void GroupMapTask::ProbeGroup() {
+  this->probe_open = true;
+  this->probed_at = EventLoop::Now();
+  const RankAddress& rank =
+      this->group.ranks[this->next_probe % this->group.ranks.size()];
+  this->calls.Start(
+      {{rank, "GET", this->codec.report_path, ""}}, kReportTimeout, false,
+      [this](const std::vector<RankAnswer>& answers) {
+        this->probe_open = false;
+        const RankAnswer& answer = answers.front();
+        const Result<RankReport> report =
+            answer.status == 200
+                ? this->codec.decode_report(answer.server, answer.body)
+                : Result<RankReport>(
+                      MakeFailure(ResultCode::kEngineUnreachable, "no answer"));
+        if (!report) {
+          // Another rank may answer; nothing is known of the group meanwhile.
+          ++this->next_probe;
+          return;
+        }
+        this->callbacks.on_group_state(report.value().open);
+      });
+}
+
 void GroupMapTask::ReadReports() {
   this->reports_open = true;
   const TimePoint asked_at = EventLoop::Now();
--- a/packages/map_task/group_map_task.h
+++ b/packages/map_task/group_map_task.h
@@ -28,6 +28,12 @@
   int sets = 0;  // sets of layers, each with a map of its own
 };
 
+struct GroupMapCallbacks {
+  std::function<GroupView()> view;
+  // Whether the group executes passes, as a rank reported last.
+  std::function<void(bool open)> on_group_state;
+};
+
 class GroupMapTask {
  public:
   GroupMapTask(EventLoop& loop,
@@ -35,7 +41,7 @@
                const EngineMapCodec& codec,
                const Address& store,
                std::string member,
-               std::function<GroupView()> view);
+               GroupMapCallbacks callbacks);
 
   // Gives coordination up; a round under way is left to the successor.
   void Leave();
@@ -43,6 +49,8 @@
  private:
   void Tick();
   void ReadReports();
+  // Asks one rank whether the group is open.
+  void ProbeGroup();
   void OnReports(const std::vector<RankAnswer>& answers, TimePoint asked_at);
   void SendOrders(const ChangeDecision& decision);
   void ReadCounts();
@@ -56,7 +64,7 @@
   EventLoop& loop;
   HttpClient& client;
   const EngineMapCodec& codec;
-  std::function<GroupView()> view;
+  GroupMapCallbacks callbacks;
   CoordinatorTask coordinator;
   RankCalls calls;
   GroupView group;
@@ -72,6 +80,9 @@
   std::int64_t versions_generation = 0;
   // The store or a rank said that a later coordinator has taken over.
   std::int64_t deposed_generation = 0;
+  bool probe_open = false;
+  TimePoint probed_at;
+  std::size_t next_probe = 0;
   bool reports_open = false;
   bool counts_open = false;
   bool present_open = false;
--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -50,9 +50,9 @@
 }
 
 const IngressLimits& CallerSession::Limits() const {
-  static const IngressLimits kBeforeConfiguration;
+  static const IngressLimits before_configuration;
   const auto& traffic = this->context.belief.traffic;
-  return traffic == nullptr ? kBeforeConfiguration : traffic->limits;
+  return traffic == nullptr ? before_configuration : traffic->limits;
 }
 
 void CallerSession::OnData(std::string_view bytes) {
--- a/packages/relay/dispatcher.cc
+++ b/packages/relay/dispatcher.cc
@@ -5,6 +5,7 @@
 
 #include "base/hash.h"
 #include "json_log/json_log.h"
+#include "traffic/return_order.h"
 
 namespace toucanhollow {
 namespace {
@@ -13,7 +14,9 @@
 constexpr Duration kTick = Milliseconds(10);
 // A refused caller comes back after the expected wait within these bounds.
 constexpr Duration kShortestRetryAfter = Milliseconds(300);
-constexpr Duration kLongestRetryAfter = Milliseconds(1500);
+constexpr Duration kLongestBusyRetryAfter = Milliseconds(1500);
+// A broken group needs seconds to come back.
+constexpr Duration kLongestRetryAfter = Seconds(5);
 // Plain services answer faster than load reports travel, so the limit leaves
 // room for what the reports still count.
 constexpr int kPlainLimitFactor = 2;
@@ -35,7 +38,7 @@
     auto& pool = this->pools[id];
     if (pool == nullptr || pool->server().born_ms != server.listed.born_ms ||
         pool->server().address != server.listed.address) {
-      pool = std::make_shared<ServerPool>(this->loop, server.listed);
+      pool = std::make_shared<ServerPool>(server.listed);
     }
   }
   std::erase_if(this->pools, [&belief](const auto& entry) {
@@ -78,7 +81,8 @@
     return nullptr;
   }
   const auto service = this->belief->traffic->services.find(order.service);
-  if (service == this->belief->traffic->services.end()) {
+  if (service == this->belief->traffic->services.end() ||
+      this->IsStanding(order.service)) {
     return nullptr;
   }
   DropSilentHosts(this->board, now);
@@ -101,7 +105,6 @@
     (order.tried.contains(candidate.id) ? tried : fresh).push_back(candidate);
   }
   PlacementRequest request;
-  request.prompt_tokens = order.prompt_tokens;
   request.draw = this->draws++;
   for (const auto* candidates : {&fresh, &tried}) {
     const auto chosen = PlaceRequest(*candidates, request, now);
@@ -130,7 +133,13 @@
       return;
     }
   }
+  if (this->IsStanding(order.service) && !order.urgent) {
+    callbacks.on_refused(ResultCode::kNoEndpointAvailable,
+                         this->RetryAfter(order, now));
+    return;
+  }
   QueuedRequest queued;
+  queued.priority = order.urgent ? Priority::kHigh : Priority::kLow;
   queued.request = order.request;
   queued.account = order.account;
   queued.cost = order.cost;
@@ -155,7 +164,7 @@
   const Waiting refused = std::move(found->second);
   this->waiting.erase(found);
   refused.callbacks.on_refused(
-      code, this->RetryAfter(refused.order.service, this->draws++));
+      code, this->RetryAfter(refused.order, EventLoop::Now()));
 }
 
 void Dispatcher::Pump(const ServiceName& service) {
@@ -244,20 +253,42 @@
   }
 }
 
-Duration Dispatcher::RetryAfter(const ServiceName& service,
-                                std::uint64_t draw) const {
-  Duration wait = kShortestRetryAfter;
-  const auto found = this->services.find(service);
-  if (found != this->services.end()) {
-    wait += ExpectedWait(found->second.queue, {}, Priority::kLow, 1,
-                         EventLoop::Now());
+Duration Dispatcher::RetryAfter(const PlacementOrder& order, TimePoint now) {
+  // A service that stands comes back after seconds, if at all in time.
+  Duration wait = kLongestRetryAfter;
+  if (!this->IsStanding(order.service)) {
+    wait = kShortestRetryAfter;
+    const auto found = this->services.find(order.service);
+    if (found != this->services.end()) {
+      wait += ExpectedWait(found->second.queue, {}, Priority::kLow, 1, now);
+    }
+    wait = std::clamp(wait, kShortestRetryAfter, kLongestBusyRetryAfter);
+    // Spread over the same time again, so that callers do not return together.
+    constexpr std::uint64_t kSteps = 1000;
+    const auto step = static_cast<Duration::rep>(
+        HashText(std::to_string(this->draws++)) % kSteps);
+    wait += wait * step / static_cast<Duration::rep>(kSteps);
+  }
+  return ReturnAfter(wait, order.deadline - now);
+}
+
+void Dispatcher::SetStanding(const std::set<ServiceName>& standing) {
+  if (standing == this->standing_services) {
+    return;
+  }
+  this->standing_services = standing;
+  LogJsonNow("model_group_changed", {{"standing", !standing.empty()}});
+  std::vector<ServiceName> names;
+  for (const auto& [name, state] : this->services) {
+    names.push_back(name);
+  }
+  for (const ServiceName& name : names) {
+    this->Pump(name);
   }
-  wait = std::clamp(wait, kShortestRetryAfter, kLongestRetryAfter);
-  // Spread over the same time again, so that callers do not return together.
-  constexpr std::uint64_t kSteps = 1000;
-  const auto step =
-      static_cast<Duration::rep>(HashText(std::to_string(draw)) % kSteps);
-  return wait + wait * step / static_cast<Duration::rep>(kSteps);
+}
+
+bool Dispatcher::IsStanding(const ServiceName& service) const {
+  return this->standing_services.contains(service);
 }
 
 void Dispatcher::NoteRequestFor(const ServiceName& service) {
--- a/packages/relay/dispatcher.h
+++ b/packages/relay/dispatcher.h
@@ -33,6 +33,10 @@
   double prompt_tokens = 0;
   double cost = 1;  // for fair shares
   TimePoint wait_until;
+  TimePoint deadline;
+  // Refused before, or a stream that has begun: goes first, and waits even
+  // while the service stands.
+  bool urgent = false;
   // Servers that refused or failed this request, chosen last.
   std::set<std::string> tried;
 };
@@ -51,6 +55,10 @@
   // The request's room at the server is free again.
   void Release(ServerPool& pool, int unread_tokens);
 
+  // A service stands while its model group is broken; nothing is sent to it.
+  void SetStanding(const std::set<ServiceName>& standing);
+  bool IsStanding(const ServiceName& service) const;
+
   void NoteRequestFor(const ServiceName& service);
   // True if one more attempt fits the shared bound on retries.
   bool SpendRetryFor(const ServiceName& service);
@@ -81,7 +89,7 @@
   void Pump(const ServiceName& service);
   void Tick();
   void StartTicking();
-  Duration RetryAfter(const ServiceName& service, std::uint64_t draw) const;
+  Duration RetryAfter(const PlacementOrder& order, TimePoint now);
   void Refuse(const RequestId& request, ResultCode code);
 
   EventLoop& loop;
@@ -90,6 +98,7 @@
   std::map<std::string, std::shared_ptr<ServerPool>> pools;
   std::map<ServiceName, ServiceState> services;
   std::map<RequestId, Waiting> waiting;
+  std::set<ServiceName> standing_services;
   LoadBoard board;
   int host_count = 1;
   std::uint64_t draws = 0;
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -116,7 +116,9 @@
       std::to_string(EventLoop::WallNow().time_since_epoch().count());
   this->maps = std::make_unique<GroupMapTask>(
       this->loop, this->client, this->engine_codec, this->settings.store,
-      member, [this] { return this->ViewGroup(); });
+      member,
+      GroupMapCallbacks{[this] { return this->ViewGroup(); },
+                        [this](bool open) { this->OnGroupState(open); }});
   this->sweep_timer = std::make_unique<Timer>(
       this->loop, kSweepPeriod, kSweepPeriod, [this] { this->Sweep(); });
   LogJsonNow("started", {{"data_centre",
@@ -131,6 +133,19 @@
   }
 }
 
+void RelayHost::OnGroupState(bool open) {
+  std::set<ServiceName> standing;
+  const auto& traffic = this->beliefs->belief().traffic;
+  if (!open && traffic != nullptr) {
+    for (const auto& [name, service] : traffic->services) {
+      if (service.engine && service.engine->expert_sets > 0) {
+        standing.insert(name);
+      }
+    }
+  }
+  this->dispatcher.SetStanding(standing);
+}
+
 void RelayHost::OnAccept(int socket) {
   const std::size_t most =
       (this->settings.max_descriptors - kReservedDescriptors) /
@@ -147,7 +162,7 @@
   };
   auto session = std::make_unique<CallerSession>(
       RelayContext{this->loop, this->codec, this->dispatcher, this->metrics,
-                   this->beliefs->belief()},
+                   this->beliefs->belief(), this->patience},
       socket, number, closed);
   if (this->leaving_since) {
     session->Leave();
--- a/packages/relay/relay_host.h
+++ b/packages/relay/relay_host.h
@@ -40,6 +40,7 @@
  private:
   void OnAccept(int socket);
   void OnBeliefChange();
+  void OnGroupState(bool open);
   void Sweep();
   void EndShutdownIfDue(TimePoint now);
   bool IsReady() const;
@@ -54,6 +55,7 @@
   Metrics metrics;
   HttpClient client;
   Dispatcher dispatcher;
+  PatienceMemory patience;
   std::unique_ptr<BeliefTask> beliefs;
   std::unique_ptr<PeerTask> peers;
   std::unique_ptr<GroupMapTask> maps;
--- a/packages/relay/relay_run.cc
+++ b/packages/relay/relay_run.cc
@@ -18,13 +18,15 @@
 constexpr std::size_t kMaxBuffered = std::size_t{256} * 1024;
 // Reading from the server stops while the caller has this much unread.
 constexpr std::size_t kMaxUnsent = std::size_t{256} * 1024;
-// A request waits for room for this part of its target latency; the rest is
-// left for the server.
-constexpr double kWaitPart = 0.5;
+// A stream that has begun waits for another server this long; callers give up
+// after a pause of 2 s.
+constexpr Duration kResumeWait = Milliseconds(1500);
 // Without this much time left, a server could not finish anything.
 constexpr Duration kMinTimeLeft = Milliseconds(20);
 // A refusal that has nothing to do with load.
 constexpr Duration kShortRetryAfter = Milliseconds(500);
+// A broken model group needs seconds to come back.
+constexpr Duration kStandingRetryAfter = Seconds(5);
 constexpr int kLowestPriority = 9;
 
 bool IsEventStream(const ResponseHead& head) {
@@ -108,6 +110,9 @@
     time_left = std::min(time_left, *this->facts.deadline);
   }
   this->deadline = this->arrived_at + time_left;
+  this->returning = this->facts.deadline &&
+                    IsReturning(this->context.patience, this->route->name,
+                                *this->facts.deadline);
   this->deadline_timer = std::make_unique<Timer>(
       this->context.loop, std::max(this->deadline - now, Duration(0)),
       Duration(0), [this] {
@@ -130,10 +135,14 @@
     order.account = this->account->name;
   }
   order.prompt_tokens = this->facts.prompt_tokens;
-  const auto wait = std::chrono::duration_cast<Duration>(
-      this->route->target_latency * kWaitPart);
-  order.wait_until =
-      std::min(EventLoop::Now() + wait, this->deadline - kMinTimeLeft);
+  const TimePoint now = EventLoop::Now();
+  const Duration wait =
+      this->begun ? kResumeWait
+                  : WaitForRoom(this->returning, this->route->target_latency,
+                                this->deadline - now);
+  order.wait_until = std::min(now + wait, this->deadline - kMinTimeLeft);
+  order.deadline = this->deadline;
+  order.urgent = this->returning || this->begun;
   order.tried = this->tried;
   ++this->placements;
   this->waiting = true;
@@ -229,9 +238,9 @@
             const auto keep = raw->shared_from_this();
             raw->OnHead(answer, facts);
           },
-          [raw](std::string bytes) {
+          [raw](const std::string& bytes) {
             const auto keep = raw->shared_from_this();
-            raw->OnBody(std::move(bytes));
+            raw->OnBody(bytes);
           },
           [raw](AttemptEnd end, std::string_view detail) {
             const auto keep = raw->shared_from_this();
@@ -269,7 +278,7 @@
   }
 }
 
-void RelayRun::OnBody(std::string bytes) {
+void RelayRun::OnBody(const std::string& bytes) {
   switch (this->mode) {
     case AnswerMode::kUndecided:
     case AnswerMode::kDiscard:
@@ -370,7 +379,10 @@
   if (this->begun || this->maybe_ran) {
     this->Fail(502, detail);
   } else {
-    this->Refuse(503, "servers did not run it", kShortRetryAfter);
+    const bool standing = this->context.dispatcher.IsStanding(this->service);
+    this->Refuse(503, "servers did not run it",
+                 ReturnAfter(standing ? kStandingRetryAfter : kShortRetryAfter,
+                             this->deadline - now));
   }
 }
 
@@ -487,6 +499,7 @@
        {"outcome", outcome},
        {"status", static_cast<std::int64_t>(status)},
        {"why", why},
+       {"returning", this->returning},
        {"attempts", static_cast<std::int64_t>(this->sends)},
        {"maybe_ran", this->maybe_ran},
        {"first_byte_ms",
--- a/packages/relay/relay_run.h
+++ b/packages/relay/relay_run.h
@@ -21,6 +21,7 @@
 #include "relay/relay_codec.h"
 #include "relay/server_attempt.h"
 #include "traffic/event_splitter.h"
+#include "traffic/return_order.h"
 
 namespace toucanhollow {
 
@@ -30,6 +31,7 @@
   Dispatcher& dispatcher;
   Metrics& metrics;
   const Belief& belief;
+  PatienceMemory& patience;
 };
 
 // How the answer leaves. The sink may be gone after any of them.
@@ -73,7 +75,7 @@
   void Send(const std::shared_ptr<ServerPool>& pool);
   std::string ServerRequest(const ServerPool& pool, TimePoint now) const;
   void OnHead(const ResponseHead& head, const ResponseFacts& facts);
-  void OnBody(std::string bytes);
+  void OnBody(const std::string& bytes);
   void OnEnd(AttemptEnd end, std::string_view detail);
   void OnComplete();
   void OnDeadline();
@@ -108,6 +110,8 @@
   int placements = 0;
   // A server may have run the request.
   bool maybe_ran = false;
+  // The caller was refused before and has no further try.
+  bool returning = false;
   bool waiting = false;
   bool finished = false;
 
--- a/packages/relay/server_attempt.cc
+++ b/packages/relay/server_attempt.cc
@@ -88,10 +88,10 @@
               "the server's bytes are no HTTP response");
     return false;
   }
-  std::string body = this->parser->TakeBody();
+  const std::string body = this->parser->TakeBody();
   if (!body.empty() && !this->stray) {
     const auto callback = this->callbacks.on_body;
-    callback(std::move(body));
+    callback(body);
     if (this->ended) {
       return false;
     }
@@ -161,7 +161,7 @@
 
 ServerAttempt::ServerAttempt(std::unique_ptr<TcpConnection> connection,
                              const RelayCodec& codec,
-                             std::string bytes,
+                             const std::string& bytes,
                              std::string request_id,
                              bool body_expected,
                              AttemptCallbacks callbacks)
--- a/packages/relay/server_attempt.h
+++ b/packages/relay/server_attempt.h
@@ -24,7 +24,7 @@
   // Called once, before any body.
   std::function<void(const ResponseHead& head, const ResponseFacts& facts)>
       on_head;
-  std::function<void(std::string bytes)> on_body;
+  std::function<void(const std::string& bytes)> on_body;
   // Called once, last. `detail` is for logs.
   std::function<void(AttemptEnd end, std::string_view detail)> on_end;
 };
@@ -37,7 +37,7 @@
   // HEAD.
   ServerAttempt(std::unique_ptr<TcpConnection> connection,
                 const RelayCodec& codec,
-                std::string bytes,
+                const std::string& bytes,
                 std::string request_id,
                 bool body_expected,
                 AttemptCallbacks callbacks);
--- a/packages/relay/server_pool.cc
+++ b/packages/relay/server_pool.cc
@@ -15,9 +15,8 @@
 
 }  // namespace
 
-ServerPool::ServerPool(EventLoop& loop, ListedServer server)
-    : loop(loop),
-      listed(std::move(server)),
+ServerPool::ServerPool(ListedServer server)
+    : listed(std::move(server)),
       key(static_cast<std::uint32_t>(HashText(this->listed.id))) {}
 
 std::unique_ptr<TcpConnection> ServerPool::TakeKept(TimePoint now) {
--- a/packages/relay/server_pool.h
+++ b/packages/relay/server_pool.h
@@ -7,7 +7,6 @@
 #include <deque>
 #include <memory>
 
-#include "event_loop/event_loop.h"
 #include "http_stream/tcp_connection.h"
 #include "traffic/place_request.h"
 #include "traffic/server_belief.h"
@@ -17,7 +16,7 @@
 
 class ServerPool {
  public:
-  ServerPool(EventLoop& loop, ListedServer server);
+  explicit ServerPool(ListedServer server);
 
   const ListedServer& server() const { return this->listed; }
   // Hash of the id, as load reports carry it.
@@ -46,7 +45,6 @@
     TimePoint use_until;
   };
 
-  EventLoop& loop;
   ListedServer listed;
   std::uint32_t key;
   std::deque<Kept> kept;
--- a/packages/traffic/place_request.h
+++ b/packages/traffic/place_request.h
@@ -44,8 +44,7 @@
 };
 
 struct PlacementRequest {
-  double prompt_tokens = 0;
-  // Prompt tokens that weigh as much as one running request.
+  // Unread prompt tokens that weigh as much as one running request.
   double tokens_per_request = 1000;
   // Breaks ties, so that hosts with the same knowledge choose differently.
   std::uint64_t draw = 0;
--- /dev/null
+++ b/standins/platform/platform_relay_test.cc
@@ -0,0 +1,490 @@
+// The whole path on the platform's protocol: callers, the relay, the store and
+// servers on one loop.
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "http_stream/message_parser.h"
+#include "platform/engine_calls.h"
+#include "platform/platform_codec.h"
+#include "relay/relay_host.h"
+#include "standins/platform/platform_store_stand_in.h"
+#include "standins/platform/sealed_server_stand_in.h"
+
+namespace toucanhollow {
+namespace {
+
+std::uint16_t FreePort() {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  auto* raw = reinterpret_cast<sockaddr*>(&address);
+  REQUIRE(bind(fd, raw, size) == 0);
+  REQUIRE(getsockname(fd, raw, &size) == 0);
+  close(fd);
+  return ntohs(address.sin_port);
+}
+
+std::string ConfigText(int version, const std::string& keys) {
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"routes":[)"
+         R"({"name":"unsafe","host":"h","path_prefix":"/u/","kind":"unsafe",)"
+         R"("timeout_ms":800,"target_latency_ms":150,"priority":2,)"
+         R"("service":"ledger","attempts":1},)"
+         R"({"name":"safe","host":"h","path_prefix":"/s/","kind":"safe",)"
+         R"("timeout_ms":800,"target_latency_ms":150,"priority":2,)"
+         R"("service":"ledger","attempts":2},)"
+         R"({"name":"stream","host":"h","path_prefix":"/m/",)"
+         R"("kind":"streaming","timeout_ms":3000,"target_latency_ms":400,)"
+         R"("priority":1,"service":"ledger","attempts":2,"resumable":true}],)"
+         R"("services":[{"name":"ledger","max_conns":96}],)"
+         R"("limits":{"max_header_bytes":4096,"max_body_bytes":1000,)"
+         R"("header_timeout_ms":300,"idle_timeout_ms":15000},)"
+         R"("tenants":[{"name":"acc","api_keys":[)" +
+         keys + "]}]}";
+}
+
+// A caller's connection that sends bytes and parses one answer after another.
+struct Caller {
+  EventLoop& loop;
+  std::unique_ptr<TcpConnection> connection;
+  ResponseParser parser{true};
+  bool ended = false;
+
+  Caller(EventLoop& loop, std::uint16_t port)
+      : loop(loop),
+        connection(
+            std::make_unique<TcpConnection>(loop, Address{"127.0.0.1", port})) {
+    this->connection->SetCallbacks(
+        {nullptr, [this](std::string_view bytes) { this->parser.Feed(bytes); },
+         nullptr,
+         [this](ConnectionEnd end) {
+           this->ended = true;
+           if (end == ConnectionEnd::kOrderly) {
+             this->parser.FeedEnd();
+           }
+         }});
+  }
+};
+
+struct Site {
+  EventLoop loop;
+  PlatformStoreStandIn store{loop};
+  SealedServerStandIn first{loop};
+  SealedServerStandIn second{loop};
+  RelaySettings settings;
+  std::unique_ptr<RelayHost> host;
+
+  Site() {
+    this->settings.process.value = "front-1";
+    this->settings.data_centre.value = "west";
+    this->settings.callers = {"127.0.0.1", FreePort()};
+    this->settings.readiness = {"127.0.0.1", FreePort()};
+    this->settings.control = {"127.0.0.1", FreePort()};
+    this->settings.report_port = FreePort();
+    this->settings.metrics_port = FreePort();
+    this->settings.store = {"127.0.0.1", this->store.Port()};
+    this->settings.retry.slack = 50;
+    this->settings.max_descriptors = 1024;
+    this->settings.grace = Milliseconds(4000);
+  }
+
+  void Start() {
+    this->host = std::make_unique<RelayHost>(
+        this->loop, this->settings, PlatformCodec(), platform::EngineCodec());
+    REQUIRE(this->host->Start());
+  }
+
+  void Configure() {
+    this->store.Put("keyed.op", "config", ConfigText(1, "\"k1\""));
+    this->List("i-1", this->first, "ready");
+  }
+
+  void List(const std::string& id,
+            const SealedServerStandIn& server,
+            const std::string& state) {
+    this->store.Put("keyed.servers", id,
+                    R"({"service":"ledger","address":"127.0.0.1:)" +
+                        std::to_string(server.Port()) +
+                        R"(","zone":"west","slots":6,"state":")" + state +
+                        R"(","born":1700000000000})");
+  }
+
+  void RunFor(Duration time) {
+    const Timer timer(this->loop, time, Duration(0),
+                      [this] { this->loop.Stop(); });
+    this->loop.Run();
+  }
+
+  // Runs the loop until the condition holds or the time has passed.
+  template <typename Condition>
+  bool RunUntil(Condition condition, Duration limit = Seconds(5)) {
+    const TimePoint end = EventLoop::Now() + limit;
+    while (!condition() && EventLoop::Now() < end) {
+      this->RunFor(Milliseconds(2));
+    }
+    return condition();
+  }
+};
+
+std::string Request(const std::string& method,
+                    const std::string& target,
+                    const std::string& id,
+                    const std::string& more = "",
+                    const std::string& body = "") {
+  return method + " " + target +
+         " HTTP/1.1\r\nHost: h\r\nX-Toucanhollow-Request-Id: " + id +
+         "\r\nX-Toucanhollow-Deadline-Ms: 1500\r\nAuthorization: Token k1\r\n" +
+         more +
+         (body.empty()
+              ? ""
+              : "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+         "\r\n" + body;
+}
+
+// Sends one request on a new connection and gives the final status, 0 for a
+// connection that ended without a whole answer.
+struct Answered {
+  int status = 0;
+  std::string body;
+  HttpHeaders headers;
+};
+
+Answered Ask(Site& site, const std::string& bytes) {
+  Caller caller(site.loop, site.settings.callers.port);
+  caller.connection->Write(bytes);
+  site.RunUntil([&] { return caller.parser.done() || caller.ended; });
+  if (!caller.parser.done()) {
+    return {};
+  }
+  return {caller.parser.head().status, caller.parser.TakeBody(),
+          caller.parser.head().headers};
+}
+
+bool Serves(Site& site) {
+  return site.RunUntil([&site] {
+    return Ask(site, Request("GET", "/s/x", "warm")).status == 200;
+  });
+}
+
+TEST_CASE("a request is relayed unchanged in both directions") {
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  site.first.script.push_back(SealedAnswer("the body"));
+  const Answered answered = Ask(
+      site, Request("POST", "/u/a%20b?q=%41", "r1", "X-Mine: 1\r\n", "fee"));
+  CHECK(answered.status == 200);
+  CHECK(answered.body == "the body");
+  CHECK(FindHeader(answered.headers, "X-Toucanhollow-Response-Seal") == "seal");
+  const RequestHead& head = site.first.heads.back();
+  CHECK(head.target == "/u/a%20b?q=%41");
+  CHECK(FindHeader(head.headers, "X-Mine") == "1");
+  CHECK(FindHeader(head.headers, "X-Toucanhollow-Tenant-Id") == "acc");
+  CHECK(FindHeader(head.headers, "Authorization").empty());
+  CHECK(site.first.bodies.back() == "fee");
+}
+
+// Guards against promises that no configuration supports.
+TEST_CASE("before its first configuration a host refuses with 503") {
+  Site site;
+  site.Start();
+  site.RunFor(Milliseconds(300));
+  const Answered answered = Ask(site, Request("GET", "/s/x", "r1"));
+  CHECK(answered.status == 503);
+  CHECK_FALSE(FindHeader(answered.headers, "Retry-After").empty());
+  site.Configure();
+  CHECK(Serves(site));
+}
+
+TEST_CASE("unknown routes and keys are refused by a confirmed configuration") {
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  CHECK(Ask(site, Request("GET", "/none/x", "r1")).status == 404);
+  const std::string other =
+      "GET /s/x HTTP/1.1\r\nHost: h\r\nX-Toucanhollow-Request-Id: r2\r\n"
+      "Authorization: Token other\r\n\r\n";
+  CHECK(Ask(site, other).status == 401);
+  // Later the store is away: what is missing may exist by now.
+  site.store.SetDown(true);
+  site.RunFor(Milliseconds(6000));
+  CHECK(Ask(site, Request("GET", "/none/x", "r3")).status == 503);
+  CHECK(Ask(site, other).status == 503);
+  CHECK(Ask(site, Request("GET", "/s/x", "r4")).status == 200);
+}
+
+// Guards against a second run of what may run once.
+TEST_CASE("an unsafe request whose answer is lost ends as unknown") {
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  const std::string whole = SealedAnswer("fee").bytes;
+  for (std::size_t cut = 0; cut < whole.size(); cut += 7) {
+    ScriptedAnswer broken;
+    broken.bytes = whole.substr(0, cut);
+    broken.close = true;
+    site.first.script.push_back(broken);
+    const std::string id = "lost" + std::to_string(cut);
+    const Answered answered = Ask(site, Request("POST", "/u/x", id, "", "b"));
+    INFO("cut after " << cut << " bytes");
+    CHECK(answered.status == 502);
+    CHECK(site.first.runs[id] == 1);
+  }
+}
+
+TEST_CASE("a safe request goes to another server after a broken answer") {
+  Site site;
+  site.Configure();
+  site.List("i-2", site.second, "ready");
+  site.Start();
+  REQUIRE(Serves(site));
+  ScriptedAnswer broken;
+  broken.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf";
+  broken.close = true;
+  for (int i = 0; i < 4; ++i) {
+    site.first.script.push_back(broken);
+  }
+  for (int i = 0; i < 4; ++i) {
+    CHECK(Ask(site, Request("GET", "/s/x", "s" + std::to_string(i))).status ==
+          200);
+  }
+}
+
+// Guards against an answer that reaches another request's caller.
+TEST_CASE("a late answer of an earlier request is skipped") {
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  ScriptedAnswer doubled = SealedAnswer("mine");
+  doubled.bytes =
+      "HTTP/1.1 200 OK\r\nX-Toucanhollow-Request-Id: other\r\n"
+      "X-Toucanhollow-Response-Seal: x\r\nContent-Length: 6\r\n\r\nothers" +
+      doubled.bytes;
+  site.first.script.push_back(doubled);
+  const Answered answered = Ask(site, Request("POST", "/u/x", "r1", "", "b"));
+  CHECK(answered.status == 200);
+  CHECK(answered.body == "mine");
+}
+
+TEST_CASE("a success without the server's seal is no answer") {
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  ScriptedAnswer unsealed;
+  unsealed.bytes =
+      "HTTP/1.1 200 OK\r\nX-Toucanhollow-Request-Id: {id}\r\n"
+      "Content-Length: 2\r\n\r\nno";
+  site.first.script.push_back(unsealed);
+  CHECK(Ask(site, Request("POST", "/u/x", "r1", "", "b")).status == 502);
+}
+
+// Guards against a promise "not run" for a request that ran.
+TEST_CASE("only a server's own statement makes a sent request not run") {
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  ScriptedAnswer full;
+  full.bytes =
+      "HTTP/1.1 503 Service Unavailable\r\nX-Toucanhollow-Request-Id: {id}\r\n"
+      "X-Toucanhollow-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  full.runs = false;
+  site.first.script.push_back(full);
+  const Answered refused = Ask(site, Request("POST", "/u/x", "r1", "", "b"));
+  CHECK(refused.status == 503);
+  CHECK_FALSE(FindHeader(refused.headers, "Retry-After").empty());
+  ScriptedAnswer failed = SealedAnswer("");
+  failed.bytes.replace(0, 15, "HTTP/1.1 503 OK");
+  site.first.script.push_back(failed);
+  const Answered ran = Ask(site, Request("POST", "/u/x", "r2", "", "b"));
+  CHECK(ran.status == 503);
+  CHECK(FindHeader(ran.headers, "X-Toucanhollow-Response-Seal") == "seal");
+}
+
+std::string StreamHead() {
+  return "HTTP/1.1 200 OK\r\nX-Toucanhollow-Request-Id: {id}\r\n"
+         "X-Toucanhollow-Response-Seal: seal\r\n"
+         "Content-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string Chunk(const std::string& text) {
+  constexpr std::string_view kHex = "0123456789abcdef";
+  std::string size;
+  size += kHex[text.size() / 16];
+  size += kHex[text.size() % 16];
+  return size + "\r\n" + text + "\r\n";
+}
+
+// Guards against events that are lost, doubled or cut when a stream goes on at
+// another server.
+TEST_CASE("a stream that breaks off goes on at another server") {
+  Site site;
+  site.Configure();
+  site.List("i-2", site.second, "ready");
+  site.Start();
+  REQUIRE(Serves(site));
+  ScriptedAnswer broken;
+  broken.bytes = StreamHead() + Chunk("id: 1\ndata: a\n\nid: 2\nda");
+  broken.close = true;
+  ScriptedAnswer rest;
+  rest.bytes = StreamHead() + Chunk("id: 2\ndata: b\n\nid: 3\ndata: c\n\n") +
+               "0\r\n\r\n";
+  // The relay chooses the server; the other one gets the second request.
+  site.first.script.push_back(broken);
+  site.second.script.push_back(broken);
+  site.first.script.push_back(rest);
+  site.second.script.push_back(rest);
+  Answered answered = Ask(site, Request("POST", "/m/x", "r1", "", "p"));
+  if (site.first.runs["r1"] + site.second.runs["r1"] == 2 &&
+      answered.status == 0) {
+    // Both servers broke off, as scripted; two attempts are the limit.
+    answered = Ask(site, Request("POST", "/m/x", "r2", "", "p"));
+  }
+  CHECK(answered.status == 200);
+  CHECK((answered.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: "
+                          "c\n\n" ||
+         answered.body == "id: 2\ndata: b\n\nid: 3\ndata: c\n\n"));
+}
+
+// Guards against work that goes on for a caller that has left.
+TEST_CASE("a caller that leaves ends the work at the server") {
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  ScriptedAnswer slow;
+  slow.bytes = StreamHead() + Chunk("id: 1\ndata: a\n\n");
+  slow.later = "0\r\n\r\n";
+  slow.delay = Seconds(5);
+  site.first.script.push_back(slow);
+  const int before = site.first.closed_by_caller;
+  {
+    Caller caller(site.loop, site.settings.callers.port);
+    caller.connection->Write(Request("POST", "/m/x", "r1", "", "p"));
+    REQUIRE(site.RunUntil([&] { return site.first.runs["r1"] == 1; }));
+  }
+  CHECK(site.RunUntil([&] { return site.first.closed_by_caller > before; },
+                      Milliseconds(500)));
+}
+
+// Guards against a caller that waits beyond the route's time.
+TEST_CASE("a silent server ends as unknown at the route's time") {
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  site.first.script.push_back({});
+  const TimePoint begin = EventLoop::Now();
+  CHECK(Ask(site, Request("POST", "/u/x", "r1", "", "b")).status == 504);
+  const Duration took = EventLoop::Now() - begin;
+  CHECK(took >= Milliseconds(790));
+  CHECK(took < Milliseconds(1050));
+}
+
+TEST_CASE("a draining server gets nothing new") {
+  Site site;
+  site.Configure();
+  site.List("i-2", site.second, "ready");
+  site.Start();
+  REQUIRE(Serves(site));
+  site.List("i-1", site.first, "draining");
+  site.RunFor(Milliseconds(1500));
+  const std::size_t before = site.first.heads.size();
+  for (int i = 0; i < 6; ++i) {
+    CHECK(Ask(site, Request("GET", "/s/x", "d" + std::to_string(i))).status ==
+          200);
+  }
+  CHECK(site.first.heads.size() == before);
+}
+
+TEST_CASE("an evacuated data centre gets nothing until it is taken back") {
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  site.store.Put("keyed.op", "evacuate/west", "{}");
+  site.RunFor(Milliseconds(400));
+  CHECK(Ask(site, Request("GET", "/s/x", "e1")).status == 503);
+  site.store.Put("keyed.op", "evacuate/west", std::nullopt);
+  CHECK(Serves(site));
+}
+
+// Guards against a host that stops following after the history is dropped.
+TEST_CASE("a key is taken away also when the history was dropped") {
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  site.store.SetDown(true);
+  site.RunFor(Milliseconds(500));
+  site.store.Put("keyed.op", "config", ConfigText(2, "\"k2\""));
+  site.store.Compact("keyed.op");
+  site.store.SetDown(false);
+  CHECK(site.RunUntil([&site] {
+    return Ask(site, Request("GET", "/s/x", "k")).status == 401;
+  }));
+}
+
+TEST_CASE("bad input is answered by its cause") {
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  CHECK(Ask(site, "GET /s/x HTTP/1.1\r\n\r\n").status == 400);
+  CHECK(Ask(site, "GET /s/x HTTP/1.1\r\nHost: h\r\n\r\n").status == 400);
+  CHECK(
+      Ask(site, Request("GET", "/s/" + std::string(5000, 'a'), "r1")).status ==
+      431);
+  CHECK(Ask(site, Request("POST", "/u/x", "r2", "", std::string(2000, 'b')))
+            .status == 413);
+  CHECK(Ask(site, "GET /s/x HTTP/1.1\r\nHost: h\r\n").status == 408);
+  CHECK(site.first.runs["r1"] + site.first.runs["r2"] == 0);
+}
+
+// Guards against an answer in flight that a stopping host cuts, and against a
+// kept connection that closes although no answer announced it.
+TEST_CASE("a stopping host finishes what it took") {
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  ScriptedAnswer slow;
+  slow.bytes = StreamHead() + Chunk("id: 1\ndata: a\n\n");
+  slow.later = Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
+  slow.delay = Milliseconds(400);
+  site.first.script.push_back(slow);
+  Caller caller(site.loop, site.settings.callers.port);
+  caller.connection->Write(Request("POST", "/m/x", "r1", "", "p"));
+  REQUIRE(site.RunUntil([&] { return caller.parser.head_done(); }));
+  bool stopped = false;
+  site.host->Shutdown([&stopped] { stopped = true; });
+  REQUIRE(site.RunUntil([&] { return caller.parser.done(); }));
+  CHECK(caller.parser.TakeBody() == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  // The head of that answer left before the stop and announced no close.
+  site.RunFor(Milliseconds(700));
+  CHECK_FALSE(caller.ended);
+  caller.parser = ResponseParser(true);
+  caller.connection->Write(Request("GET", "/s/x", "r2"));
+  REQUIRE(site.RunUntil([&] { return caller.parser.done(); }));
+  CHECK(caller.parser.head().status == 200);
+  CHECK(FindHeader(caller.parser.head().headers, "Connection") == "close");
+  CHECK(site.RunUntil([&stopped] { return stopped; }));
+}
+
+}  // namespace
+}  // namespace toucanhollow
--- /dev/null
+++ b/standins/platform/platform_store_stand_in.cc
@@ -0,0 +1,163 @@
+#include "standins/platform/platform_store_stand_in.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <nlohmann/json.hpp>
+
+#include "base/check.h"
+#include "http_message/http_message.h"
+
+namespace toucanhollow {
+namespace {
+
+using nlohmann::json;
+
+std::string Number(std::uint64_t value, int bytes) {
+  std::string text;
+  for (int i = bytes - 1; i >= 0; --i) {
+    text += static_cast<char>(value >> static_cast<unsigned>(8 * i) & 0xffU);
+  }
+  return text;
+}
+
+std::string EncodeBase64(const std::string& bytes) {
+  namespace base64 = boost::beast::detail::base64;
+  std::string text(base64::encoded_size(bytes.size()), '\0');
+  text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
+  return text;
+}
+
+std::int64_t QueryNumber(const HttpRequest& request, std::string_view name) {
+  const auto text = QueryValue(request.query, name);
+  return text ? ParseDecimal(*text).value_or(0) : 0;
+}
+
+}  // namespace
+
+PlatformStoreStandIn::PlatformStoreStandIn(EventLoop& loop) : loop(loop) {
+  auto listening = HttpServer::Listen(
+      loop, {},
+      [this](const HttpRequest& request,
+             const std::shared_ptr<HttpResponseWriter>& writer) {
+        this->Handle(request, writer);
+      });
+  InternalCheck(listening.has_value(), "the store stand-in listens");
+  this->server = std::move(listening.value());
+}
+
+std::uint16_t PlatformStoreStandIn::Port() const {
+  return this->server->Port();
+}
+
+void PlatformStoreStandIn::SetDown(bool down) {
+  this->down = down;
+}
+
+void PlatformStoreStandIn::Put(const std::string& topic,
+                               const std::string& key,
+                               const std::optional<std::string>& value) {
+  Topic& log = this->topics[topic];
+  log.records.push_back({key, value});
+  for (auto entry = this->waiting.begin(); entry != this->waiting.end();) {
+    if (entry->second.topic != topic) {
+      ++entry;
+      continue;
+    }
+    entry->second.writer->Respond(200, {}, this->Page(log, entry->second.from));
+    entry = this->waiting.erase(entry);
+  }
+}
+
+void PlatformStoreStandIn::Compact(const std::string& topic) {
+  Topic& log = this->topics[topic];
+  log.first = static_cast<std::int64_t>(log.records.size());
+}
+
+void PlatformStoreStandIn::Handle(
+    const HttpRequest& request,
+    const std::shared_ptr<HttpResponseWriter>& writer) {
+  if (this->down) {
+    writer->Respond(503, {}, "");
+    return;
+  }
+  if (request.path == "/v1/log-newest") {
+    const auto topic = QueryValue(request.query, "topic").value_or("");
+    writer->Respond(200, {}, this->Newest(this->topics[topic]));
+  } else if (request.path == "/v1/log-read") {
+    this->Read(request, writer);
+  } else if (request.path == "/v1/log-join") {
+    writer->Respond(200, {},
+                    json{{"generation", 1}, {"parts", json::array()}}.dump());
+  } else {
+    writer->Respond(200, {}, "{}");
+  }
+}
+
+void PlatformStoreStandIn::Read(
+    const HttpRequest& request,
+    const std::shared_ptr<HttpResponseWriter>& writer) {
+  const auto topic = QueryValue(request.query, "topic").value_or("");
+  const std::int64_t from = QueryNumber(request, "from");
+  const Topic& log = this->topics[topic];
+  if (from < log.first) {
+    writer->Respond(410, {}, json{{"first", log.first}}.dump());
+    return;
+  }
+  if (from < static_cast<std::int64_t>(log.records.size())) {
+    writer->Respond(200, {}, this->Page(log, from));
+    return;
+  }
+  const std::uint64_t number = this->next_read++;
+  auto timer = std::make_unique<Timer>(
+      this->loop, Milliseconds(QueryNumber(request, "wait_ms")), Duration(0),
+      [this, number] {
+        const auto found = this->waiting.find(number);
+        if (found != this->waiting.end()) {
+          const WaitingRead read = std::move(found->second);
+          this->waiting.erase(found);
+          read.writer->Respond(200, {},
+                               this->Page(this->topics[read.topic], read.from));
+        }
+      });
+  this->waiting.emplace(number,
+                        WaitingRead{topic, from, writer, std::move(timer)});
+}
+
+std::string PlatformStoreStandIn::Page(const Topic& topic,
+                                       std::int64_t from) const {
+  std::string page = Number(topic.records.size(), 8) +
+                     Number(static_cast<std::uint64_t>(topic.first), 8);
+  for (std::size_t i = static_cast<std::size_t>(from); i < topic.records.size();
+       ++i) {
+    const Record& record = topic.records[i];
+    const std::string content =
+        Number(record.key.size(), 1) + record.key + record.value.value_or("");
+    page += Number(content.size(), 4) + content;
+  }
+  return page;
+}
+
+std::string PlatformStoreStandIn::Newest(const Topic& topic) const {
+  std::map<std::string, json> items;
+  for (std::size_t i = 0; i < topic.records.size(); ++i) {
+    const Record& record = topic.records[i];
+    if (record.value) {
+      items[record.key] = {{"key", record.key},
+                           {"value", EncodeBase64(*record.value)},
+                           {"offset", i}};
+    } else {
+      items.erase(record.key);
+    }
+  }
+  json list = json::array();
+  for (const auto& [key, item] : items) {
+    list.push_back(item);
+  }
+  return json{
+      {"items", list}, {"has_more", false}, {"end", topic.records.size()}}
+      .dump();
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/standins/platform/sealed_server_stand_in.cc
@@ -0,0 +1,106 @@
+#include "standins/platform/sealed_server_stand_in.h"
+
+#include <utility>
+
+#include "base/check.h"
+#include "http_message/http_message.h"
+
+namespace toucanhollow {
+namespace {
+
+std::string FillIn(std::string text, const std::string& id) {
+  constexpr std::string_view kPlace = "{id}";
+  for (std::size_t at = text.find(kPlace); at != std::string::npos;
+       at = text.find(kPlace, at + id.size())) {
+    text.replace(at, kPlace.size(), id);
+  }
+  return text;
+}
+
+}  // namespace
+
+ScriptedAnswer SealedAnswer(const std::string& body) {
+  ScriptedAnswer answer;
+  answer.bytes =
+      "HTTP/1.1 200 OK\r\nX-Toucanhollow-Request-Id: {id}\r\n"
+      "X-Toucanhollow-Response-Seal: seal\r\nKeep-Alive: timeout=5\r\n"
+      "Content-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body;
+  return answer;
+}
+
+SealedServerStandIn::SealedServerStandIn(EventLoop& loop) : loop(loop) {
+  auto listening = TcpListener::Listen(
+      loop, {"127.0.0.1", 0}, [this](int socket) { this->Accept(socket); });
+  InternalCheck(listening.has_value(), "the server stand-in listens");
+  this->listener = std::move(listening.value());
+}
+
+std::uint16_t SealedServerStandIn::Port() const {
+  return this->listener->Port();
+}
+
+void SealedServerStandIn::Accept(int socket) {
+  const std::uint64_t number = this->next_session++;
+  Session& session = this->sessions[number];
+  session.connection = std::make_unique<TcpConnection>(this->loop, socket);
+  session.parser = std::make_unique<RequestParser>(ParserLimits{});
+  session.connection->SetCallbacks(
+      {nullptr,
+       [this, number](std::string_view bytes) { this->OnData(number, bytes); },
+       nullptr,
+       [this, number](ConnectionEnd) {
+         ++this->closed_by_caller;
+         this->Close(number);
+       }});
+}
+
+void SealedServerStandIn::Close(std::uint64_t number) {
+  Post(this->loop, [this, number] { this->sessions.erase(number); });
+}
+
+void SealedServerStandIn::OnData(std::uint64_t number, std::string_view bytes) {
+  Session& session = this->sessions.at(number);
+  session.parser->Feed(bytes);
+  if (!session.parser->done()) {
+    return;
+  }
+  const RequestHead head = session.parser->head();
+  this->bodies.push_back(session.parser->TakeBody());
+  session.parser = std::make_unique<RequestParser>(ParserLimits{});
+  this->Answer(number, head);
+}
+
+void SealedServerStandIn::Answer(std::uint64_t number,
+                                 const RequestHead& head) {
+  const std::string id(FindHeader(head.headers, "X-Toucanhollow-Request-Id"));
+  ScriptedAnswer answer = SealedAnswer("ok");
+  if (!this->script.empty()) {
+    answer = std::move(this->script.front());
+    this->script.pop_front();
+  }
+  if (answer.runs) {
+    this->heads.push_back(head);
+    ++this->runs[id];
+  }
+  Session& session = this->sessions.at(number);
+  session.connection->Write(FillIn(answer.bytes, id));
+  if (!answer.later.empty()) {
+    session.timer = std::make_unique<Timer>(
+        this->loop, answer.delay, Duration(0),
+        [this, number, text = FillIn(answer.later, id), close = answer.close] {
+          const auto found = this->sessions.find(number);
+          if (found == this->sessions.end()) {
+            return;
+          }
+          found->second.connection->Write(text);
+          if (close) {
+            this->Close(number);
+          }
+        });
+  } else if (answer.close) {
+    this->Close(number);
+  }
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/standins/platform/sealed_server_stand_in.h
@@ -0,0 +1,68 @@
+// A stand-in for a server of the platform: it answers each request by a script
+// of bytes and remembers what it ran.
+#ifndef STANDINS_PLATFORM_SEALED_SERVER_STAND_IN_H_
+#define STANDINS_PLATFORM_SEALED_SERVER_STAND_IN_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "event_loop/event_loop.h"
+#include "http_stream/message_parser.h"
+#include "http_stream/tcp_connection.h"
+
+namespace toucanhollow {
+
+// What the server does with one request. In texts, {id} stands for the id of
+// the request.
+struct ScriptedAnswer {
+  // Written at once; "close" after it ends the connection.
+  std::string bytes;
+  bool close = false;
+  // Written after a delay, if it is not empty.
+  std::string later;
+  Duration delay{0};
+  // False for a refusal that the server states.
+  bool runs = true;
+};
+
+// A whole sealed success with this body.
+ScriptedAnswer SealedAnswer(const std::string& body);
+
+class SealedServerStandIn {
+ public:
+  explicit SealedServerStandIn(EventLoop& loop);
+
+  std::uint16_t Port() const;
+  // Answers for the next requests; then a sealed "ok" each.
+  std::deque<ScriptedAnswer> script;
+  // Heads and bodies of the requests that it ran, in order.
+  std::vector<RequestHead> heads;
+  std::vector<std::string> bodies;
+  std::map<std::string, int> runs;  // by request id
+  int closed_by_caller = 0;
+
+ private:
+  struct Session {
+    std::unique_ptr<TcpConnection> connection;
+    std::unique_ptr<RequestParser> parser;
+    std::unique_ptr<Timer> timer;
+  };
+
+  void Accept(int socket);
+  void OnData(std::uint64_t number, std::string_view bytes);
+  void Answer(std::uint64_t number, const RequestHead& head);
+  void Close(std::uint64_t number);
+
+  EventLoop& loop;
+  std::unique_ptr<TcpListener> listener;
+  std::map<std::uint64_t, Session> sessions;
+  std::uint64_t next_session = 1;
+};
+
+}  // namespace toucanhollow
+
+#endif  // STANDINS_PLATFORM_SEALED_SERVER_STAND_IN_H_
