--- a/packages/expert_map/even_placement_test.cc
+++ b/packages/expert_map/even_placement_test.cc
@@ -26,6 +26,14 @@
   return load;
 }
 
+std::vector<std::vector<double>> SkewedLoads(int sets, std::mt19937& random) {
+  std::vector<std::vector<double>> loads(sets);
+  for (std::vector<double>& load : loads) {
+    load = SkewedLoad(random);
+  }
+  return loads;
+}
+
 int LoadsOf(const SetMaps& from, const SetMaps& to, int rank) {
   int loads = 0;
   for (std::size_t set = 0; set < from.size(); ++set) {
@@ -45,10 +53,7 @@
     std::mt19937 random(seed);
     SetMaps maps = StartMaps(4);
     for (int change = 0; change < 6; ++change) {
-      std::vector<std::vector<double>> load;
-      for (int set = 0; set < 4; ++set) {
-        load.push_back(SkewedLoad(random));
-      }
+      const std::vector<std::vector<double>> load = SkewedLoads(4, random);
       const SetMaps next = PlanEvenMaps(maps, load, limits);
       for (std::size_t set = 0; set < next.size(); ++set) {
         INFO("seed " << seed << " change " << change << " set " << set);
@@ -72,10 +77,7 @@
 // changes must bring the most loaded rank near the mean.
 TEST_CASE("four changes of three loads a rank even out a shifted demand") {
   std::mt19937 random(7);
-  std::vector<std::vector<double>> load;
-  for (int set = 0; set < 4; ++set) {
-    load.push_back(SkewedLoad(random));
-  }
+  const std::vector<std::vector<double>> load = SkewedLoads(4, random);
   SetMaps maps = StartMaps(4);
   CHECK(LoadRatio(maps[0], load[0]) > 2);
   for (int change = 0; change < 4; ++change) {
--- a/packages/map_task/group_map_task.cc
+++ b/packages/map_task/group_map_task.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/hash.h"
 #include "json_log/json_log.h"
 
 namespace toucanhollow {
@@ -70,14 +71,16 @@
                            HttpClient& client,
                            const EngineMapCodec& codec,
                            const Address& store,
-                           std::string member,
+                           const std::string& member,
                            GroupMapCallbacks callbacks)
     : loop(loop),
       client(client),
       codec(codec),
       callbacks(std::move(callbacks)),
-      coordinator(loop, client, codec, store, std::move(member)),
+      coordinator(loop, client, codec, store, member),
       calls(loop, client),
+      // Hosts ask different ranks, so that none of them has all the calls.
+      next_probe(HashText(member)),
       timer(std::make_unique<Timer>(loop, kTick, kTick, [this] {
         this->Tick();
       })) {}
--- a/packages/map_task/group_map_task.h
+++ b/packages/map_task/group_map_task.h
@@ -40,7 +40,7 @@
                HttpClient& client,
                const EngineMapCodec& codec,
                const Address& store,
-               std::string member,
+               const std::string& member,
                GroupMapCallbacks callbacks);
 
   // Gives coordination up; a round under way is left to the successor.
@@ -82,7 +82,7 @@
   std::int64_t deposed_generation = 0;
   bool probe_open = false;
   TimePoint probed_at;
-  std::size_t next_probe = 0;
+  std::size_t next_probe;
   bool reports_open = false;
   bool counts_open = false;
   bool present_open = false;
--- /dev/null
+++ b/packages/relay/relay_test.cc
@@ -0,0 +1,68 @@
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "relay/peer_codec.h"
+#include "relay/relay_settings.h"
+
+namespace toucanhollow {
+namespace {
+
+const std::string kSettings =
+    "[process]\nname = front-1\ndata_centre = west\n"
+    "[listen]\ncallers = 10.0.0.1:80\nreadiness = 10.0.0.1:81\n"
+    "control = 10.0.0.1:82\nreport_port = 7340\nmetrics_port = 7355\n"
+    "[store]\naddress = 10.0.0.9:90\n"
+    "[peers]\nseeds = 10.0.0.2:82,10.0.0.3:82\n"
+    "[limits]\ndescriptors = 4200\n[shutdown]\ngrace_s = 8.0\n"
+    "[retries]\nratio = 0.2\nwindow_s = 10\nslack = 88\n"
+    "[cold]\nburst_factor = 1.5\nslack = 5\nnew_field = 1\n";
+
+std::string Replaced(const std::string& from, const std::string& to) {
+  std::string text = kSettings;
+  return text.replace(text.find(from), from.size(), to);
+}
+
+TEST_CASE("settings are read, and unknown fields ignored") {
+  const Result<RelaySettings> settings = ParseRelaySettings(kSettings);
+  REQUIRE(settings);
+  CHECK(settings.value().callers == Address{"10.0.0.1", 80});
+  CHECK(settings.value().seeds.size() == 2);
+  CHECK(settings.value().grace == Seconds(8));
+  CHECK(settings.value().retry.window == Seconds(10));
+  CHECK(settings.value().cold.slack == 5);
+}
+
+// Guards against a host that starts with a field that it could not read.
+TEST_CASE("a mistake names its field and the remedy") {
+  const auto detail = [](const std::string& text) {
+    const Result<RelaySettings> settings = ParseRelaySettings(text);
+    REQUIRE_FALSE(settings);
+    CHECK(settings.error().code == ResultCode::kSettingsInvalid);
+    return settings.error().detail;
+  };
+  CHECK(detail(Replaced("name = front-1", "")) ==
+        "process.name: missing; set it");
+  CHECK(detail(Replaced("grace_s = 8.0", "grace_s = soon")) ==
+        "shutdown.grace_s: value \"soon\" refused; use a number from 0.5 to "
+        "3600");
+  CHECK(detail(Replaced("7340", "70000")).find("listen.report_port") == 0);
+  CHECK(detail(Replaced("10.0.0.9:90", "store")).find("store.address") == 0);
+  CHECK(detail(Replaced("10.0.0.2:82", "seed")).find("peers.seeds") == 0);
+}
+
+TEST_CASE("load reports and records survive their coding") {
+  const HostLoadReport report{7, 3, {{5, 2, 800}, {6, 1, 0}}};
+  CHECK(DecodeLoadReport(EncodeLoadReport(report)).value() == report);
+  CHECK_FALSE(DecodeLoadReport("\x01"));
+  BeliefReply reply;
+  reply.operator_records = {{{"config", "{}", 4}}, 6};
+  reply.server_records = {{{"i-1", std::nullopt, 9}}, 10};
+  reply.age = Milliseconds(40);
+  reply.hosts = {"10.0.0.2"};
+  CHECK(DecodeBeliefReply(EncodeBeliefReply(reply)).value() == reply);
+  CHECK_FALSE(DecodeBeliefReply("junk"));
+}
+
+}  // namespace
+}  // namespace toucanhollow
--- a/packages/traffic/server_belief.h
+++ b/packages/traffic/server_belief.h
@@ -25,7 +25,7 @@
   DataCentreName data_centre;
   int slots = 0;
   bool draining = false;
-  Duration cold_left{0};
+  Duration cold_for{0};
 
   bool operator==(const ListedServer&) const = default;
 };
