Hold a pass further ahead while orders go unanswered

A round was also given up whenever another host joined or left the coordinators' group. After an unanswered order, rounds hold 7 passes ahead for 4 s; orders wait 100 ms for an answer; a round goes on through changes of membership.

--- a/packages/map_change/advance_change.cc
+++ b/packages/map_change/advance_change.cc
@@ -142,7 +142,7 @@
   const RankReport& holder = input.reading.front();
   ChangeState next = Enter(state, ChangePhase::kHolding, now);
   next.hold_server = holder.server;
-  next.hold_step = LastStep(input.reading) + kHoldLead;
+  next.hold_step = LastStep(input.reading) + input.hold_lead;
   return {next,
           {MakeOrder(RankOrderKind::kHold, holder, 0, next.hold_step)},
           "prepared"};
@@ -171,7 +171,7 @@
     // The pass may have begun before the order came.
     ChangeState next = state;
     if (LastStep(reading) + 1 >= state.hold_step) {
-      next.hold_step = LastStep(reading) + kHoldLead;
+      next.hold_step = LastStep(reading) + input.hold_lead;
     }
     return {next,
             {MakeOrder(RankOrderKind::kHold, *holder, 0, next.hold_step)},
--- a/packages/map_change/advance_change.h
+++ b/packages/map_change/advance_change.h
@@ -49,6 +49,10 @@
 // answered. Incomplete if a rank did not answer.
 using GroupReading = std::vector<RankReport>;
 
+// Passes between the present one and the one that is held. With 2, the group
+// reached the held pass before all ranks were armed and stood.
+inline constexpr StepNumber kHoldLead = 3;
+
 struct ChangeInput {
   GroupReading reading;
   // A version that no coordinator has used, above all that this one has used.
@@ -57,6 +61,9 @@
   std::optional<GroupMap> wanted;
   // The map in use, to prepare again when a group is resolved.
   GroupMap present;
+  // More while orders go unanswered, so that they can be repeated before the
+  // group reaches the held pass.
+  StepNumber hold_lead = kHoldLead;
 };
 
 struct ChangeDecision {
@@ -67,8 +74,6 @@
   std::string note;
 };
 
-// Passes between the present one and the one that is held.
-inline constexpr StepNumber kHoldLead = 3;
 // Preparation that takes longer is given up; nothing depends on it yet.
 inline constexpr Duration kPrepareTimeout = Seconds(6);
 
--- a/packages/map_task/group_map_task.cc
+++ b/packages/map_task/group_map_task.cc
@@ -19,7 +19,12 @@
 // Each host asks one rank this often whether the group is open.
 constexpr Duration kProbePeriod = Milliseconds(100);
 constexpr Duration kReportTimeout = Milliseconds(300);
-constexpr Duration kOrderTimeout = Milliseconds(250);
+// An agent answers within some milliseconds. Whether an order without an answer
+// took effect is read from the next reports.
+constexpr Duration kOrderTimeout = Milliseconds(100);
+// After an order without an answer, rounds leave room to repeat some.
+constexpr Duration kOrderFailureMemory = Seconds(4);
+constexpr StepNumber kHoldLeadAfterFailures = 7;
 // A reading that took longer, or that this process was paused after, mixes
 // moments that are too far apart to decide on.
 constexpr Duration kMaxReadingAge = Milliseconds(500);
@@ -106,9 +111,10 @@
     return;
   }
   if (term.generation != this->versions_generation) {
+    // A round under way goes on: other members came or left, and should
+    // another one have coordinated meanwhile, the reports show it.
     this->versions_generation = term.generation;
     this->versions_used = 0;
-    this->state = ChangeState{};
   }
   if (this->group.ranks.empty()) {
     return;
@@ -208,6 +214,10 @@
   input.reading = this->reading;
   input.free_version = this->FreeVersion();
   input.present = this->present;
+  if (this->order_failed_at &&
+      now - *this->order_failed_at < kOrderFailureMemory) {
+    input.hold_lead = kHoldLeadAfterFailures;
+  }
   if (this->state.phase == ChangePhase::kIdle) {
     input.wanted = this->PlanWanted();
     if (this->present.empty()) {
@@ -232,7 +242,6 @@
     this->present = this->state.map;
     this->present_version = this->state.version;
     this->present_epoch = this->state.epoch;
-    this->changed_at = now;
   }
   this->state = decision.state;
   this->SendOrders(decision);
@@ -267,6 +276,9 @@
                 std::max(this->deposed_generation, generation);
             LogJsonNow("coordinator_deposed", {{"generation", generation}});
           } else if (answer.status >= 400 || answer.status == 0) {
+            if (answer.status == 0) {
+              this->order_failed_at = EventLoop::Now();
+            }
             LogJsonNow("rank_order_failed",
                        {{"server", std::string_view(answer.server)},
                         {"status", static_cast<std::int64_t>(answer.status)},
--- a/packages/map_task/group_map_task.h
+++ b/packages/map_task/group_map_task.h
@@ -88,7 +88,7 @@
   bool present_open = false;
   TimePoint reports_at;
   TimePoint counts_at;
-  TimePoint changed_at;
+  std::optional<TimePoint> order_failed_at;
   std::unique_ptr<Timer> timer;
 };
 
