Reset the connections of attempts that are given up

An orderly close still delivers what was sent. Ruled out: late cancelling (the attempt ended with its caller, at the same millisecond) and retries. An attempt that is given up now resets its connection. The test asks that the peer sees a reset; that bytes which its system had already taken are lost too holds only on the platform's network, not on Linux.

--- a/packages/http_stream/http_stream_test.cc
+++ b/packages/http_stream/http_stream_test.cc
@@ -1,8 +1,14 @@
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <memory>
 #include <string>
 
 #include <catch2/catch.hpp>
 
 #include "http_stream/message_parser.h"
+#include "http_stream/tcp_connection.h"
 #include "http_stream/write_message.h"
 
 namespace toucanhollow {
@@ -124,6 +130,35 @@
   CHECK(kept == HttpHeaders{{"X-Other", "2"}});
 }
 
+// Guards against an orderly end where a request is given up: what is still on
+// its way to a host that stands still must be lost with the connection.
+TEST_CASE("an attempt that is given up resets its connection") {
+  EventLoop loop;
+  int accepted = -1;
+  auto listener = TcpListener::Listen(loop, {"127.0.0.1", 0}, [&](int socket) {
+    accepted = socket;
+    loop.Stop();
+  });
+  REQUIRE(listener);
+  auto connection = std::make_unique<TcpConnection>(
+      loop, Address{"127.0.0.1", listener.value()->Port()});
+  connection->Write("a");
+  loop.Run();
+  const Timer timer(loop, Milliseconds(50), Duration(0), [&] { loop.Stop(); });
+  loop.Run();
+  REQUIRE(connection->any_sent());
+  connection->ResetOnClose();
+  connection.reset();
+  char byte = 0;
+  ssize_t got = recv(accepted, &byte, 1, 0);
+  if (got == 1) {
+    got = recv(accepted, &byte, 1, 0);
+  }
+  CHECK(got == -1);
+  CHECK(errno == ECONNRESET);
+  close(accepted);
+}
+
 TEST_CASE("chunks carry their length in hexadecimal") {
   CHECK(WriteChunk(std::string(26, 'x')) ==
         "1a\r\n" + std::string(26, 'x') + "\r\n");
--- a/packages/http_stream/tcp_connection.cc
+++ b/packages/http_stream/tcp_connection.cc
@@ -221,6 +221,14 @@
   this->state->Close();
 }
 
+void TcpConnection::ResetOnClose() {
+  const linger at_once{1, 0};
+  if (this->state->socket >= 0) {
+    setsockopt(this->state->socket, SOL_SOCKET, SO_LINGER, &at_once,
+               sizeof(at_once));
+  }
+}
+
 void TcpConnection::SetCallbacks(ConnectionCallbacks callbacks) {
   this->state->callbacks = std::move(callbacks);
 }
--- a/packages/http_stream/tcp_connection.h
+++ b/packages/http_stream/tcp_connection.h
@@ -43,6 +43,9 @@
   TcpConnection& operator=(const TcpConnection&) = delete;
 
   void SetCallbacks(ConnectionCallbacks callbacks);
+  // Makes the destruction reset the connection: bytes that the peer has not
+  // taken are lost, where an orderly end would still deliver them.
+  void ResetOnClose();
   // Queues bytes. They leave at once if the system takes them.
   void Write(std::string_view bytes);
   // Bytes that the system has not taken yet.
--- a/packages/relay/relay_test.cc
+++ b/packages/relay/relay_test.cc
@@ -8,7 +8,7 @@
 namespace toucanhollow {
 namespace {
 
-const std::string kSettings =
+constexpr const char* kSettings =
     "[process]\nname = front-1\ndata_centre = west\n"
     "[listen]\ncallers = 10.0.0.1:80\nreadiness = 10.0.0.1:81\n"
     "control = 10.0.0.1:82\nreport_port = 7340\nmetrics_port = 7355\n"
--- a/packages/relay/server_attempt.cc
+++ b/packages/relay/server_attempt.cc
@@ -53,13 +53,25 @@
   bool TakeHead();
   void Finish();
   void End(AttemptEnd end, std::string_view detail);
+  // Ends the connection of an attempt that is given up. A request that is still
+  // on its way, such as to a host that stands still, must not arrive later.
+  void DropConnection();
 };
 
+void ServerAttempt::State::DropConnection() {
+  if (this->connection != nullptr) {
+    this->connection->ResetOnClose();
+    this->connection.reset();
+  }
+}
+
 void ServerAttempt::State::End(AttemptEnd end, std::string_view detail) {
   if (std::exchange(this->ended, true)) {
     return;
   }
-  if (end != AttemptEnd::kComplete || !this->reusable) {
+  if (end != AttemptEnd::kComplete) {
+    this->DropConnection();
+  } else if (!this->reusable) {
     this->connection.reset();
   }
   const auto callback = std::move(this->callbacks.on_end);
@@ -181,7 +193,7 @@
 ServerAttempt::~ServerAttempt() {
   this->state->ended = true;
   this->state->callbacks = {};
-  this->state->connection.reset();
+  this->state->DropConnection();
 }
 
 bool ServerAttempt::any_sent() const {
