--- a/apps/toucanhollow.cc
+++ b/apps/toucanhollow.cc
@@ -128,12 +128,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   StartJsonLog(settings.value().process, LogBound{});
   EventLoop loop;
-  const EngineMapCodec& codec = platform::EngineCodec();
-  const std::string experts_path =
-      codec.experts_path.substr(0, codec.experts_path.find('?'));
-  RankAgent agent(
-      loop, settings.value(),
-      {codec.report_path, codec.counts_path, codec.order_path, experts_path});
+  RankAgent agent(loop, settings.value(), platform::EngineCodec());
   const Result<bool> started = agent.Start();
   if (!started) {
     std::cerr << FormatFailure(started.error()) << "\n";
--- a/packages/map_change/advance_change_test.cc
+++ b/packages/map_change/advance_change_test.cc
@@ -136,6 +136,8 @@
   GroupReading reading;
   std::size_t next_rank = 0;
   std::deque<RankOrder> to_send;
+  // The report of each rank right after its order, by rank.
+  std::map<int, RankReport> after_orders;
   int paused_until = 0;
   GroupMapVersion next_version = 0;
 };
@@ -165,19 +167,29 @@
   if (!coordinator.to_send.empty()) {
     const RankOrder order = coordinator.to_send.front();
     coordinator.to_send.pop_front();
+    const int index = ModelGroup::IndexOf(order.server);
     const double draw = chance(random);
     if (draw < faults.lost) {
-      return;
-    }
-    if (draw < faults.lost + faults.late) {
+      // The order is lost, the report that follows it is not.
+    } else if (draw < faults.lost + faults.late) {
       group.late.push_back(
           {group.now + 20 + static_cast<int>(random() % 300), order});
-      return;
+    } else {
+      group.Accept(order);
+      if (chance(random) < faults.doubled) {
+        group.late.push_back(
+            {group.now + static_cast<int>(random() % 100), order});
+      }
     }
-    group.Accept(order);
-    if (chance(random) < faults.doubled) {
-      group.late.push_back(
-          {group.now + static_cast<int>(random() % 100), order});
+    coordinator.after_orders.insert_or_assign(index, group.Report(index));
+    if (coordinator.to_send.empty() &&
+        coordinator.after_orders.size() == kRanks) {
+      // Reports that came with the orders are a reading of their own.
+      coordinator.reading.clear();
+      for (const auto& [rank, report] : coordinator.after_orders) {
+        coordinator.reading.push_back(report);
+      }
+      coordinator.next_rank = kRanks;
     }
     return;
   }
@@ -200,6 +212,7 @@
   }
   coordinator.state = std::move(decision.state);
   coordinator.to_send.assign(decision.orders.begin(), decision.orders.end());
+  coordinator.after_orders.clear();
 }
 
 Outcome Play(unsigned int seed, const Faults& faults, int coordinators) {
--- /dev/null
+++ b/packages/map_task/choice_growth.cc
@@ -0,0 +1,34 @@
+#include "map_task/choice_growth.h"
+
+namespace toucanhollow {
+
+bool SameShape(const ChoiceTable& left, const ChoiceTable& right) {
+  if (left.size() != right.size()) {
+    return false;
+  }
+  for (std::size_t set = 0; set < left.size(); ++set) {
+    if (left[set].size() != right[set].size()) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::optional<ChoiceTable> ChoiceGrowth(const ChoiceTable& before,
+                                        const ChoiceTable& after) {
+  if (!SameShape(before, after)) {
+    return std::nullopt;
+  }
+  ChoiceTable growth = after;
+  for (std::size_t set = 0; set < after.size(); ++set) {
+    for (std::size_t expert = 0; expert < after[set].size(); ++expert) {
+      if (after[set][expert] < before[set][expert]) {
+        return std::nullopt;
+      }
+      growth[set][expert] -= before[set][expert];
+    }
+  }
+  return growth;
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/map_task/choice_growth.h
@@ -0,0 +1,20 @@
+// What an engine's counters grew by between two readings.
+#ifndef MAP_TASK_CHOICE_GROWTH_H_
+#define MAP_TASK_CHOICE_GROWTH_H_
+
+#include <optional>
+
+#include "map_task/rank_message.h"
+
+namespace toucanhollow {
+
+bool SameShape(const ChoiceTable& left, const ChoiceTable& right);
+
+// Nothing after the first reading, and nothing if a counter fell, as it does
+// when a rank starts anew.
+std::optional<ChoiceTable> ChoiceGrowth(const ChoiceTable& before,
+                                        const ChoiceTable& after);
+
+}  // namespace toucanhollow
+
+#endif  // MAP_TASK_CHOICE_GROWTH_H_
--- a/packages/map_task/demand.cc
+++ b/packages/map_task/demand.cc
@@ -1,45 +1,20 @@
 #include "map_task/demand.h"
 
 #include <cmath>
-#include <cstddef>
+#include <utility>
+
+#include "map_task/choice_growth.h"
 
 namespace toucanhollow {
 namespace {
 
-using Table = std::vector<std::vector<double>>;
-
-bool SameShape(const Table& left, const Table& right) {
-  if (left.size() != right.size()) {
-    return false;
-  }
-  for (std::size_t set = 0; set < left.size(); ++set) {
-    if (left[set].size() != right[set].size()) {
-      return false;
-    }
-  }
-  return true;
-}
-
-// False if any counter fell, as it does when a rank starts anew.
-bool Grew(const Table& before, const Table& after) {
-  for (std::size_t set = 0; set < after.size(); ++set) {
-    for (std::size_t expert = 0; expert < after[set].size(); ++expert) {
-      if (after[set][expert] < before[set][expert]) {
-        return false;
-      }
-    }
-  }
-  return true;
-}
-
-// Adds what the counters grew by, and returns the sum.
-double AddGrowth(Table& sums, const Table& before, const Table& after) {
+// Adds the table to the sums, and returns its total.
+double AddTable(ChoiceTable& sums, const ChoiceTable& table) {
   double total = 0;
-  for (std::size_t set = 0; set < after.size(); ++set) {
-    for (std::size_t i = 0; i < after[set].size(); ++i) {
-      const double grown = after[set][i] - before[set][i];
-      sums[set][i] += grown;
-      total += grown;
+  for (std::size_t set = 0; set < table.size(); ++set) {
+    for (std::size_t expert = 0; expert < table[set].size(); ++expert) {
+      sums[set][expert] += table[set][expert];
+      total += table[set][expert];
     }
   }
   return total;
@@ -47,25 +22,20 @@
 
 }  // namespace
 
-void AddCounts(Demand& demand,
-               const std::map<std::string, RankCounts>& counts,
-               TimePoint now) {
-  Table added;
+void AddChoices(Demand& demand,
+                const std::vector<ChoiceTable>& choices,
+                TimePoint now) {
+  ChoiceTable added;
   double total = 0;
-  for (const auto& [server, present] : counts) {
-    if (!SameShape(added, present.chosen)) {
-      added = present.chosen;
+  for (const ChoiceTable& table : choices) {
+    if (!SameShape(added, table)) {
+      added = table;
       for (auto& set : added) {
         set.assign(set.size(), 0);
       }
+      total = 0;
     }
-    const auto before = demand.last.find(server);
-    if (before != demand.last.end() &&
-        SameShape(before->second.chosen, present.chosen) &&
-        Grew(before->second.chosen, present.chosen)) {
-      total += AddGrowth(added, before->second.chosen, present.chosen);
-    }
-    demand.last.insert_or_assign(server, present);
+    total += AddTable(added, table);
   }
   if (total <= 0) {
     return;
--- a/packages/map_task/demand.h
+++ b/packages/map_task/demand.h
@@ -1,22 +1,17 @@
-// Demand: how much each expert of a group is chosen, from the counters of all
-// ranks.
+// Demand: how much each expert of a group is chosen, from what its ranks count.
 #ifndef MAP_TASK_DEMAND_H_
 #define MAP_TASK_DEMAND_H_
 
-#include <map>
-#include <string>
 #include <vector>
 
 #include "base/time.h"
-#include "map_task/engine_codec.h"
+#include "map_task/rank_message.h"
 
 namespace toucanhollow {
 
 struct Demand {
-  // The last counters of each rank, by server.
-  std::map<std::string, RankCounts> last;
   // Faded sum of choices, by set and expert.
-  std::vector<std::vector<double>> chosen;
+  ChoiceTable chosen;
   // When the last choices were counted; an idle group keeps its estimate.
   TimePoint updated_at;
 };
@@ -25,11 +20,11 @@
 // older choice says little of the next one.
 inline constexpr Duration kDemandHalfLife = Milliseconds(250);
 
-// Adds what the ranks counted since their last counters. A rank that started
-// anew counts from its new start.
-void AddCounts(Demand& demand,
-               const std::map<std::string, RankCounts>& counts,
-               TimePoint now);
+// Adds what some of the ranks counted. Requests are spread over the ranks
+// without regard to their experts, so each rank's choices are a sample.
+void AddChoices(Demand& demand,
+                const std::vector<ChoiceTable>& choices,
+                TimePoint now);
 
 // Choices that the estimate rests on.
 double DemandWeight(const Demand& demand);
--- a/packages/map_task/group_map_task.cc
+++ b/packages/map_task/group_map_task.cc
@@ -11,17 +11,15 @@
 
 // The task looks at what is due this often.
 constexpr Duration kTick = Milliseconds(20);
-// Counters are read this often; demand shifts every few seconds.
-constexpr Duration kCountsPeriod = Milliseconds(120);
+// Choices are read this often, from so many ranks in turn. Demand shifts every
+// few seconds, and the choices of some ranks are a sample of all.
+constexpr Duration kChoicesPeriod = Milliseconds(100);
+constexpr std::size_t kRanksPerReading = 24;
 // Reports are read this often while no round is under way.
 constexpr Duration kIdleReportPeriod = Milliseconds(120);
-constexpr Duration kRoundReportPeriod = Milliseconds(40);
+constexpr Duration kRoundReportPeriod = Milliseconds(30);
 // Each host asks one rank this often whether the group is open.
 constexpr Duration kProbePeriod = Milliseconds(100);
-constexpr Duration kReportTimeout = Milliseconds(300);
-// An agent answers within some milliseconds. Whether an order without an answer
-// took effect is read from the next reports.
-constexpr Duration kOrderTimeout = Milliseconds(100);
 // After an order without an answer, rounds leave room to repeat some.
 constexpr Duration kOrderFailureMemory = Seconds(4);
 constexpr StepNumber kHoldLeadAfterFailures = 7;
@@ -83,13 +81,17 @@
       codec(codec),
       callbacks(std::move(callbacks)),
       coordinator(loop, client, codec, store, member),
-      calls(loop, client),
+      calls(loop, client, codec),
       // Hosts ask different ranks, so that none of them has all the calls.
       next_probe(HashText(member)),
       timer(std::make_unique<Timer>(loop, kTick, kTick, [this] {
         this->Tick();
       })) {}
 
+Result<bool> GroupMapTask::Start(const Address& local) {
+  return this->calls.Open(local);
+}
+
 void GroupMapTask::Leave() {
   this->coordinator.Leave();
 }
@@ -100,13 +102,19 @@
 }
 
 void GroupMapTask::Tick() {
+  const TimePoint now = EventLoop::Now();
   const CoordinatorTerm& term = this->coordinator.term();
-  this->group = this->callbacks.view();
-  if (!this->group.ranks.empty() && !this->probe_open &&
-      EventLoop::Now() - this->probed_at >= kProbePeriod) {
+  const bool coordinates =
+      term.is_coordinator && term.generation > this->deposed_generation;
+  const bool probes =
+      !this->probe_open && now - this->probed_at >= kProbePeriod;
+  if (coordinates || probes) {
+    this->group = this->callbacks.view();
+  }
+  if (probes && !this->group.ranks.empty()) {
     this->ProbeGroup();
   }
-  if (!term.is_coordinator || term.generation <= this->deposed_generation) {
+  if (!coordinates) {
     this->state = ChangeState{};
     return;
   }
@@ -119,23 +127,21 @@
   if (this->group.ranks.empty()) {
     return;
   }
-  const TimePoint now = EventLoop::Now();
   const bool idle = this->state.phase == ChangePhase::kIdle;
   const Duration report_period = idle ? kIdleReportPeriod : kRoundReportPeriod;
   if (!this->reports_open && now - this->reports_at >= report_period) {
-    this->reports_at = now;
     this->ReadReports();
   }
-  if (!this->counts_open && now - this->counts_at >= kCountsPeriod) {
-    this->counts_at = now;
-    this->ReadCounts();
+  if (!this->choices_open && now - this->choices_at >= kChoicesPeriod) {
+    this->choices_at = now;
+    this->ReadChoices();
   }
 }
 
-std::vector<RankCall> GroupMapTask::CallAll(const std::string& path) const {
+std::vector<RankCall> GroupMapTask::CallAll(RankRequestKind kind) const {
   std::vector<RankCall> all;
   for (const RankAddress& rank : this->group.ranks) {
-    all.push_back({rank, "GET", path, ""});
+    all.push_back({rank, {.kind = kind, .sets = this->group.sets}});
   }
   return all;
 }
@@ -145,30 +151,25 @@
   this->probed_at = EventLoop::Now();
   const RankAddress& rank =
       this->group.ranks[this->next_probe % this->group.ranks.size()];
-  this->calls.Start(
-      {{rank, "GET", this->codec.report_path, ""}}, kReportTimeout, false,
-      [this](const std::vector<RankAnswer>& answers) {
-        this->probe_open = false;
-        const RankAnswer& answer = answers.front();
-        const Result<RankReport> report =
-            answer.status == 200
-                ? this->codec.decode_report(answer.server, answer.body)
-                : Result<RankReport>(
-                      MakeFailure(ResultCode::kEngineUnreachable, "no answer"));
-        if (!report) {
-          // Another rank may answer; nothing is known of the group meanwhile.
-          ++this->next_probe;
-          return;
-        }
-        this->callbacks.on_group_state(report.value().open);
-      });
+  this->calls.Start({{rank, {.kind = RankRequestKind::kReport}}}, false,
+                    [this](const std::vector<RankAnswer>& answers) {
+                      this->probe_open = false;
+                      const RankReply& reply = answers.front().reply;
+                      if (!reply.report) {
+                        // Another rank may answer; nothing is known of the
+                        // group meanwhile.
+                        ++this->next_probe;
+                        return;
+                      }
+                      this->callbacks.on_group_state(reply.report->open);
+                    });
 }
 
 void GroupMapTask::ReadReports() {
   this->reports_open = true;
   const TimePoint asked_at = EventLoop::Now();
-  this->calls.Start(this->CallAll(this->codec.report_path), kReportTimeout,
-                    true,
+  this->reports_at = asked_at;
+  this->calls.Start(this->CallAll(RankRequestKind::kReport), true,
                     [this, asked_at](const std::vector<RankAnswer>& answers) {
                       this->reports_open = false;
                       this->OnReports(answers, asked_at);
@@ -185,18 +186,10 @@
   }
   GroupReading complete;
   for (const RankAnswer& answer : answers) {
-    if (answer.status != 200) {
-      return;
-    }
-    const Result<RankReport> report =
-        this->codec.decode_report(answer.server, answer.body);
-    if (!report) {
-      LogJsonNow("rank_report_malformed",
-                 {{"server", std::string_view(answer.server)},
-                  {"detail", std::string_view(report.error().detail)}});
+    if (!answer.reply.report) {
       return;
     }
-    complete.push_back(report.value());
+    complete.push_back(*answer.reply.report);
   }
   std::ranges::sort(complete, {}, &RankReport::rank);
   if (!IsCompleteReading(complete)) {
@@ -251,6 +244,7 @@
   if (decision.orders.empty()) {
     return;
   }
+  const auto map = std::make_shared<const GroupMap>(this->state.map);
   std::vector<RankCall> orders;
   for (const RankOrder& order : decision.orders) {
     const auto rank = std::ranges::find(this->group.ranks, order.server,
@@ -259,68 +253,90 @@
       continue;
     }
     orders.push_back(
-        {*rank, "POST", this->codec.order_path,
-         this->codec.encode_order(order, this->state.map,
-                                  this->coordinator.term().generation)});
+        {*rank,
+         {.kind = RankRequestKind::kOrder,
+          .order = order,
+          .fence = this->coordinator.term().generation,
+          .map = order.kind == RankOrderKind::kPrepare ? map : nullptr}});
   }
   // The next reading must come after the orders.
   this->reports_open = true;
   const std::int64_t generation = this->versions_generation;
+  const TimePoint asked_at = EventLoop::Now();
   this->calls.Start(
-      orders, kOrderTimeout, true,
-      [this, generation](const std::vector<RankAnswer>& answers) {
+      orders, true,
+      [this, generation, asked_at](const std::vector<RankAnswer>& answers) {
         this->reports_open = false;
-        for (const RankAnswer& answer : answers) {
-          if (answer.status == kStatusFenced) {
-            this->deposed_generation =
-                std::max(this->deposed_generation, generation);
-            LogJsonNow("coordinator_deposed", {{"generation", generation}});
-          } else if (answer.status >= 400 || answer.status == 0) {
-            if (answer.status == 0) {
-              this->order_failed_at = EventLoop::Now();
-            }
-            LogJsonNow("rank_order_failed",
-                       {{"server", std::string_view(answer.server)},
-                        {"status", static_cast<std::int64_t>(answer.status)},
-                        {"body", std::string_view(answer.body)}});
-          }
-        }
-        this->Tick();
+        this->OnOrdersAnswered(answers, generation, asked_at);
       });
 }
 
-void GroupMapTask::ReadCounts() {
-  this->counts_open = true;
-  this->calls.Start(this->CallAll(this->codec.counts_path), kReportTimeout,
-                    false, [this](const std::vector<RankAnswer>& answers) {
-                      this->counts_open = false;
-                      this->OnCounts(answers);
+void GroupMapTask::OnOrdersAnswered(const std::vector<RankAnswer>& answers,
+                                    std::int64_t generation,
+                                    TimePoint asked_at) {
+  std::int64_t failed = 0;
+  for (const RankAnswer& answer : answers) {
+    const RankReply& reply = answer.reply;
+    if (reply.status == kStatusFenced) {
+      this->deposed_generation = std::max(this->deposed_generation, generation);
+      LogJsonNow("coordinator_deposed", {{"generation", generation}});
+    } else if (reply.status >= 400 || reply.status == 0) {
+      if (reply.status == 0) {
+        this->order_failed_at = EventLoop::Now();
+      }
+      // One line for all ranks: the first tells the cause.
+      if (failed++ == 0) {
+        LogJsonNow("rank_order_failed",
+                   {{"server", std::string_view(answer.server)},
+                    {"status", static_cast<std::int64_t>(reply.status)},
+                    {"detail", std::string_view(reply.detail)}});
+      }
+    }
+  }
+  if (failed > 1) {
+    LogJsonNow("rank_orders_failed", {{"orders", failed}});
+  }
+  // Each report was made after the order to its rank; they are a reading if
+  // every rank had an order.
+  if (answers.size() == this->group.ranks.size()) {
+    this->OnReports(answers, asked_at);
+  } else if (!this->group.ranks.empty()) {
+    this->ReadReports();
+  }
+}
+
+void GroupMapTask::ReadChoices() {
+  this->choices_open = true;
+  const std::vector<RankCall> all = this->CallAll(RankRequestKind::kChoices);
+  std::vector<RankCall> some;
+  for (std::size_t i = 0; i < std::min(all.size(), kRanksPerReading); ++i) {
+    some.push_back(all[this->next_choice_rank++ % all.size()]);
+  }
+  this->calls.Start(some, false,
+                    [this](const std::vector<RankAnswer>& answers) {
+                      this->choices_open = false;
+                      this->OnChoices(answers);
                     });
 }
 
-void GroupMapTask::OnCounts(const std::vector<RankAnswer>& answers) {
-  std::map<std::string, RankCounts> counts;
+void GroupMapTask::OnChoices(const std::vector<RankAnswer>& answers) {
+  std::vector<ChoiceTable> choices;
   for (const RankAnswer& answer : answers) {
-    if (answer.status != 200) {
-      continue;
-    }
-    Result<RankCounts> decoded =
-        this->codec.decode_counts(answer.body, this->group.sets);
-    if (!decoded) {
+    if (answer.reply.choices) {
+      choices.push_back(*answer.reply.choices);
+    } else if (answer.reply.status == 200 && !answer.reply.detail.empty()) {
       LogJsonNow("rank_counts_malformed",
                  {{"server", std::string_view(answer.server)},
-                  {"detail", std::string_view(decoded.error().detail)}});
-      continue;
+                  {"detail", std::string_view(answer.reply.detail)}});
     }
-    counts.emplace(answer.server, std::move(decoded.value()));
   }
-  AddCounts(this->demand, counts, EventLoop::Now());
+  AddChoices(this->demand, choices, EventLoop::Now());
 }
 
 void GroupMapTask::ReadPresentMap() {
   this->present_open = true;
-  this->calls.Start(this->CallAll(this->codec.experts_path), kReportTimeout,
-                    false, [this](const std::vector<RankAnswer>& answers) {
+  this->calls.Start(this->CallAll(RankRequestKind::kExperts), false,
+                    [this](const std::vector<RankAnswer>& answers) {
                       this->present_open = false;
                       this->OnPresentMap(answers);
                     });
@@ -329,19 +345,14 @@
 void GroupMapTask::OnPresentMap(const std::vector<RankAnswer>& answers) {
   std::map<std::string, RankExperts> by_server;
   for (const RankAnswer& answer : answers) {
-    const Result<RankExperts> experts =
-        answer.status == 200
-            ? this->codec.decode_experts(answer.body)
-            : Result<RankExperts>(
-                  MakeFailure(ResultCode::kEngineUnreachable, "no answer"));
-    if (!experts) {
-      LogJsonNow("rank_experts_malformed",
+    if (!answer.reply.experts) {
+      LogJsonNow("rank_experts_missing",
                  {{"server", std::string_view(answer.server)},
-                  {"status", static_cast<std::int64_t>(answer.status)},
-                  {"detail", std::string_view(experts.error().detail)}});
+                  {"status", static_cast<std::int64_t>(answer.reply.status)},
+                  {"detail", std::string_view(answer.reply.detail)}});
       return;
     }
-    by_server.emplace(answer.server, experts.value());
+    by_server.emplace(answer.server, *answer.reply.experts);
   }
   if (this->reading.empty()) {
     return;
--- a/packages/map_task/group_map_task.h
+++ b/packages/map_task/group_map_task.h
@@ -43,6 +43,9 @@
                const std::string& member,
                GroupMapCallbacks callbacks);
 
+  // Opens the socket for calls to agents. Fails with kSettingsInvalid.
+  Result<bool> Start(const Address& local);
+
   // Gives coordination up; a round under way is left to the successor.
   void Leave();
 
@@ -53,12 +56,15 @@
   void ProbeGroup();
   void OnReports(const std::vector<RankAnswer>& answers, TimePoint asked_at);
   void SendOrders(const ChangeDecision& decision);
-  void ReadCounts();
-  void OnCounts(const std::vector<RankAnswer>& answers);
+  void OnOrdersAnswered(const std::vector<RankAnswer>& answers,
+                        std::int64_t generation,
+                        TimePoint asked_at);
+  void ReadChoices();
+  void OnChoices(const std::vector<RankAnswer>& answers);
   void ReadPresentMap();
   void OnPresentMap(const std::vector<RankAnswer>& answers);
   std::optional<GroupMap> PlanWanted();
-  std::vector<RankCall> CallAll(const std::string& path) const;
+  std::vector<RankCall> CallAll(RankRequestKind kind) const;
   GroupMapVersion FreeVersion() const;
 
   EventLoop& loop;
@@ -84,10 +90,12 @@
   TimePoint probed_at;
   std::size_t next_probe;
   bool reports_open = false;
-  bool counts_open = false;
+  bool choices_open = false;
   bool present_open = false;
   TimePoint reports_at;
-  TimePoint counts_at;
+  TimePoint choices_at;
+  // Where the next reading of choices begins among the ranks.
+  std::size_t next_choice_rank = 0;
   std::optional<TimePoint> order_failed_at;
   std::unique_ptr<Timer> timer;
 };
--- a/packages/map_task/rank_agent.cc
+++ b/packages/map_task/rank_agent.cc
@@ -7,17 +7,20 @@
 #include <boost/property_tree/ptree.hpp>
 
 #include "json_log/json_log.h"
+#include "map_task/rank_message_codec.h"
 #include "settings/parse_address.h"
 
 namespace toucanhollow {
 namespace {
 
-// The engine is on the same machine and answers at once or not at all.
-constexpr Duration kEngineTimeout = Milliseconds(400);
-constexpr int kStatusBadGateway = 502;
-constexpr int kStatusNotFound = 404;
-// A map of all sets of a large group is some tens of kilobytes.
-constexpr std::size_t kMaxOrderBytes = std::size_t{1024} * 1024;
+// The engine is on the same machine: it answers within some milliseconds or
+// not at all.
+constexpr Duration kEngineTimeout = Milliseconds(60);
+// Replies that are kept for requests that come twice, for each requester. A
+// coordinator has two requests to one agent under way at most.
+constexpr std::size_t kRepliesKept = 4;
+// Requesters that are remembered: entry hosts that probe, and coordinators.
+constexpr std::size_t kMaxRequesters = 64;
 
 Result<Address> ReadAddress(const boost::property_tree::ptree& tree,
                             const std::string& field) {
@@ -48,66 +51,93 @@
                        "process.name: missing; set it");
   }
   BOOST_OUTCOME_TRY(listen, ReadAddress(tree, "listen.agent"));
+  BOOST_OUTCOME_TRY(metrics, ReadAddress(tree, "listen.metrics"));
   BOOST_OUTCOME_TRY(engine, ReadAddress(tree, "engine.address"));
   settings.listen = listen;
+  settings.metrics = metrics;
   settings.engine = engine;
   return settings;
 }
 
 RankAgent::RankAgent(EventLoop& loop,
                      RankAgentSettings settings,
-                     std::set<std::string> paths)
+                     const EngineMapCodec& codec)
     : loop(loop),
       settings(std::move(settings)),
-      paths(std::move(paths)),
-      client(loop) {}
+      client(loop),
+      engine(this->client, codec) {}
 
 Result<bool> RankAgent::Start() {
+  auto opened =
+      DatagramSocket::Bind(this->loop, this->settings.listen,
+                           [this](const Address& from, std::string_view bytes) {
+                             this->OnDatagram(from, bytes);
+                           });
+  BOOST_OUTCOME_TRY(bound, std::move(opened));
+  this->socket = std::move(bound);
   HttpServerOptions options;
-  options.address = this->settings.listen.ip;
-  options.port = this->settings.listen.port;
-  options.max_connections = 32;
-  options.max_body_bytes = kMaxOrderBytes;
-  auto opened = HttpServer::Listen(
+  options.address = this->settings.metrics.ip;
+  options.port = this->settings.metrics.port;
+  options.max_connections = 8;
+  auto listening = HttpServer::Listen(
       this->loop, options,
-      [this](const HttpRequest& request,
+      [this](const HttpRequest&,
              const std::shared_ptr<HttpResponseWriter>& writer) {
-        this->Pass(request, writer);
+        writer->Respond(200, {{"Content-Type", "text/plain"}},
+                        this->metrics.Print());
       });
-  BOOST_OUTCOME_TRY(listening, std::move(opened));
-  this->server = std::move(listening);
+  BOOST_OUTCOME_TRY(metrics_server, std::move(listening));
+  this->metrics_server = std::move(metrics_server);
   LogJsonNow("started", {});
   return true;
 }
 
-void RankAgent::Pass(const HttpRequest& request,
-                     const std::shared_ptr<HttpResponseWriter>& writer) {
-  if (!this->paths.contains(request.path)) {
-    writer->Respond(kStatusNotFound, {}, "");
+void RankAgent::OnDatagram(const Address& from, std::string_view bytes) {
+  const Result<NumberedRankRequest> message = DecodeRankRequest(bytes);
+  if (!message) {
+    LogJsonNow("rank_request_malformed",
+               {{"from", std::string_view(from.ip)},
+                {"detail", std::string_view(message.error().detail)}});
     return;
   }
-  HttpCall call;
-  call.method = request.method;
-  call.url = "http://" + this->settings.engine.ip + ":" +
-             std::to_string(this->settings.engine.port) + request.path;
-  if (!request.query.empty()) {
-    call.url += "?" + request.query;
+  if (this->requesters.size() >= kMaxRequesters &&
+      !this->requesters.contains(from)) {
+    this->requesters.clear();
   }
-  if (!request.body.empty()) {
-    call.headers.push_back({"Content-Type", "application/json"});
+  Requester& requester = this->requesters[from];
+  const std::uint64_t serial = message.value().serial;
+  const auto [reply, is_new] = requester.replies.try_emplace(serial);
+  if (!is_new) {
+    if (!reply->second.empty()) {
+      this->socket->Send(from, reply->second);
+    }
+    return;
+  }
+  while (requester.replies.size() > kRepliesKept) {
+    requester.replies.erase(requester.replies.begin());
+  }
+  const TimePoint asked_at = EventLoop::Now();
+  this->engine.Ask(
+      this->settings.engine, message.value().request, kEngineTimeout,
+      [this, from, serial, asked_at](RankReply reply) {
+        this->metrics.Observe("engine_answer_ms",
+                              ToMilliseconds(EventLoop::Now() - asked_at));
+        this->Reply(from, serial, std::move(reply));
+      });
+}
+
+void RankAgent::Reply(const Address& from,
+                      std::uint64_t serial,
+                      RankReply reply) {
+  this->metrics.Count("rank_requests_total",
+                      "status=\"" + std::to_string(reply.status) + "\"");
+  std::string bytes = EncodeRankReply({serial, std::move(reply)});
+  this->socket->Send(from, bytes);
+  Requester& requester = this->requesters[from];
+  const auto kept = requester.replies.find(serial);
+  if (kept != requester.replies.end()) {
+    kept->second = std::move(bytes);
   }
-  call.body = request.body;
-  call.connect_timeout = kEngineTimeout;
-  call.total_timeout = kEngineTimeout;
-  // Orders are numbered by what they expect, so a second copy is refused.
-  call.repeatable = true;
-  this->client.Start(std::move(call),
-                     {nullptr, nullptr, [writer](const HttpOutcome& outcome) {
-                        const bool answered = outcome.end == HttpEnd::kComplete;
-                        writer->Respond(
-                            answered ? outcome.status : kStatusBadGateway, {},
-                            outcome.body);
-                      }});
 }
 
 }  // namespace toucanhollow
--- a/packages/map_task/rank_agent.h
+++ b/packages/map_task/rank_agent.h
@@ -1,24 +1,29 @@
-// RankAgent: the process beside a model engine. It passes calls of the
-// coordinator on to the engine, which answers them freshly and free of charge
-// when they come from its own machine.
+// RankAgent: the process beside a model engine. It carries out a coordinator's
+// requests at the engine, which answers freshly and free of charge when asked
+// from its own machine.
 #ifndef MAP_TASK_RANK_AGENT_H_
 #define MAP_TASK_RANK_AGENT_H_
 
+#include <map>
 #include <memory>
-#include <set>
 #include <string>
+#include <string_view>
 
 #include "base/address.h"
 #include "base/result.h"
+#include "datagram/datagram_socket.h"
 #include "event_loop/event_loop.h"
 #include "http_client/http_client.h"
 #include "http_server/http_server.h"
+#include "map_task/rank_engine.h"
+#include "metrics/metrics.h"
 
 namespace toucanhollow {
 
 struct RankAgentSettings {
   std::string process;
-  Address listen;
+  Address listen;  // UDP
+  Address metrics;
   Address engine;
 
   bool operator==(const RankAgentSettings&) const = default;
@@ -29,23 +34,32 @@
 
 class RankAgent {
  public:
-  // Only these paths are passed on.
   RankAgent(EventLoop& loop,
             RankAgentSettings settings,
-            std::set<std::string> paths);
+            const EngineMapCodec& codec);
 
-  // Opens the socket. Fails with kSettingsInvalid.
+  // Opens the sockets. Fails with kSettingsInvalid.
   Result<bool> Start();
 
  private:
-  void Pass(const HttpRequest& request,
-            const std::shared_ptr<HttpResponseWriter>& writer);
+  // The last requests of one coordinator's socket. A datagram that comes twice
+  // is carried out once.
+  struct Requester {
+    // Replies by serial; empty while the engine is asked.
+    std::map<std::uint64_t, std::string> replies;
+  };
+
+  void OnDatagram(const Address& from, std::string_view bytes);
+  void Reply(const Address& from, std::uint64_t serial, RankReply reply);
 
   EventLoop& loop;
   RankAgentSettings settings;
-  std::set<std::string> paths;
   HttpClient client;
-  std::unique_ptr<HttpServer> server;
+  RankEngine engine;
+  Metrics metrics;
+  std::map<Address, Requester> requesters;
+  std::unique_ptr<DatagramSocket> socket;
+  std::unique_ptr<HttpServer> metrics_server;
 };
 
 }  // namespace toucanhollow
--- a/packages/map_task/rank_calls.cc
+++ b/packages/map_task/rank_calls.cc
@@ -2,34 +2,67 @@
 
 #include <utility>
 
+#include "json_log/json_log.h"
+#include "map_task/rank_message_codec.h"
+
 namespace toucanhollow {
+namespace {
+
+// An agent answers within some milliseconds; a map for a hundred ranks takes
+// tens of milliseconds to leave a link of 40 Mbit/s.
+constexpr Duration kResendAfter = Milliseconds(70);
+// Requests to one agent, the first one included.
+constexpr int kMaxSends = 3;
+// An agent that did not answer is passed over this long; processes start again
+// within about a second.
+constexpr Duration kAwayFor = Seconds(1);
+// An engine answers within some milliseconds or not at all.
+constexpr Duration kEngineTimeout = Milliseconds(80);
+
+}  // namespace
 
 struct RankCalls::Batch {
   std::vector<RankCall> calls;
-  Duration timeout{0};
   bool direct = false;
-  std::function<void(std::vector<RankAnswer>)> done;
+  Done done;
   std::vector<RankAnswer> answers;
   std::size_t open = 0;
+  int sends = 1;
+  std::unique_ptr<Timer> timer;
 };
 
-RankCalls::RankCalls(EventLoop& loop, HttpClient& client)
-    : loop(loop), client(client) {}
+RankCalls::RankCalls(EventLoop& loop,
+                     HttpClient& client,
+                     const EngineMapCodec& codec)
+    : loop(loop),
+      engine(client, codec),
+      // A process that starts again on the same address does not repeat the
+      // serials of the one before it.
+      next_serial(static_cast<std::uint64_t>(
+          EventLoop::WallNow().time_since_epoch().count())) {}
 
 RankCalls::~RankCalls() = default;
 
+Result<bool> RankCalls::Open(const Address& local) {
+  auto opened = DatagramSocket::Bind(
+      this->loop, local, [this](const Address& from, std::string_view bytes) {
+        this->OnDatagram(from, bytes);
+      });
+  BOOST_OUTCOME_TRY(bound, std::move(opened));
+  this->socket = std::move(bound);
+  return true;
+}
+
 void RankCalls::Start(const std::vector<RankCall>& calls,
-                      Duration timeout,
                       bool direct,
-                      std::function<void(std::vector<RankAnswer>)> done) {
+                      Done done) {
   auto batch = std::make_shared<Batch>();
   batch->calls = calls;
-  batch->timeout = timeout;
   batch->direct = direct;
   batch->done = std::move(done);
   batch->open = calls.size();
   for (const RankCall& call : calls) {
-    batch->answers.push_back({call.rank.server, 0, ""});
+    batch->answers.push_back({call.rank.server, {}});
   }
   if (calls.empty()) {
     Post(this->loop, [batch, token = std::weak_ptr<int>(this->alive)] {
@@ -39,50 +72,106 @@
     });
     return;
   }
+  const TimePoint now = EventLoop::Now();
   for (std::size_t i = 0; i < calls.size(); ++i) {
-    this->Call(batch, i, true);
+    const Address& agent = calls[i].rank.agent;
+    const auto passed_over = this->away.find(agent);
+    if (direct && passed_over != this->away.end() &&
+        now < passed_over->second) {
+      this->AskEngine(batch, i);
+      continue;
+    }
+    const std::uint64_t serial = this->next_serial++;
+    Pending request{batch, i, agent,
+                    EncodeRankRequest({serial, calls[i].request})};
+    this->socket->Send(agent, request.bytes);
+    this->pending.emplace(serial, std::move(request));
+  }
+  batch->timer =
+      std::make_unique<Timer>(this->loop, kResendAfter, kResendAfter,
+                              [this, weak = std::weak_ptr<Batch>(batch)] {
+                                if (const auto held = weak.lock()) {
+                                  this->OnTimer(held);
+                                }
+                              });
+}
+
+void RankCalls::OnDatagram(const Address& from, std::string_view bytes) {
+  Result<NumberedRankReply> message = DecodeRankReply(bytes);
+  if (!message) {
+    LogJsonNow("rank_reply_malformed",
+               {{"agent", std::string_view(from.ip)},
+                {"detail", std::string_view(message.error().detail)}});
+    return;
+  }
+  this->away.erase(from);
+  const auto request = this->pending.find(message.value().serial);
+  if (request == this->pending.end() || request->second.agent != from) {
+    // A reply to a request that was given up or answered.
+    return;
   }
+  const Pending answered = std::move(request->second);
+  this->pending.erase(request);
+  this->Finish(answered.batch, answered.index,
+               std::move(message.value().reply));
 }
 
-void RankCalls::Call(const std::shared_ptr<Batch>& batch,
-                     std::size_t index,
-                     bool through_agent) {
+void RankCalls::OnTimer(const std::shared_ptr<Batch>& batch) {
+  if (batch->sends >= kMaxSends) {
+    batch->timer.reset();
+    this->GiveUp(batch);
+    return;
+  }
+  ++batch->sends;
+  for (const auto& [serial, request] : this->pending) {
+    if (request.batch == batch) {
+      this->socket->Send(request.agent, request.bytes);
+    }
+  }
+}
+
+void RankCalls::GiveUp(const std::shared_ptr<Batch>& batch) {
+  std::vector<Pending> unanswered;
+  std::erase_if(this->pending, [&](auto& entry) {
+    if (entry.second.batch != batch) {
+      return false;
+    }
+    unanswered.push_back(std::move(entry.second));
+    return true;
+  });
+  const TimePoint now = EventLoop::Now();
+  for (const Pending& request : unanswered) {
+    this->away[request.agent] = now + kAwayFor;
+    if (batch->direct) {
+      this->AskEngine(batch, request.index);
+    } else {
+      this->Finish(batch, request.index,
+                   {.status = 0, .detail = "the agent did not answer"});
+    }
+  }
+}
+
+void RankCalls::AskEngine(const std::shared_ptr<Batch>& batch,
+                          std::size_t index) {
   const RankCall& call = batch->calls[index];
-  const Address& address = through_agent ? call.rank.agent : call.rank.engine;
-  HttpCall request;
-  request.method = call.method;
-  request.url =
-      "http://" + address.ip + ":" + std::to_string(address.port) + call.path;
-  if (!call.body.empty()) {
-    request.headers.push_back({"Content-Type", "application/json"});
+  this->engine.Ask(call.rank.engine, call.request, kEngineTimeout,
+                   [this, batch, index](RankReply reply) {
+                     this->Finish(batch, index, std::move(reply));
+                   });
+}
+
+void RankCalls::Finish(const std::shared_ptr<Batch>& batch,
+                       std::size_t index,
+                       RankReply reply) {
+  RankAnswer& answer = batch->answers[index];
+  answer.reply = std::move(reply);
+  if (answer.reply.report) {
+    answer.reply.report->server = answer.server;
+  }
+  if (--batch->open == 0) {
+    batch->timer.reset();
+    batch->done(std::move(batch->answers));
   }
-  request.body = call.body;
-  request.connect_timeout = batch->timeout;
-  request.total_timeout = batch->timeout;
-  request.repeatable = true;
-  this->client.Start(
-      std::move(request),
-      {nullptr, nullptr,
-       [this, batch, index, through_agent,
-        token = std::weak_ptr<int>(this->alive)](const HttpOutcome& outcome) {
-         if (token.expired()) {
-           return;
-         }
-         const bool answered = outcome.end == HttpEnd::kComplete;
-         // An agent that is not there refuses the connection at once.
-         if (through_agent && batch->direct &&
-             outcome.end == HttpEnd::kNotConnected) {
-           this->Call(batch, index, false);
-           return;
-         }
-         if (answered) {
-           batch->answers[index].status = outcome.status;
-           batch->answers[index].body = outcome.body;
-         }
-         if (--batch->open == 0) {
-           batch->done(std::move(batch->answers));
-         }
-       }});
 }
 
 }  // namespace toucanhollow
--- a/packages/map_task/rank_calls.h
+++ b/packages/map_task/rank_calls.h
@@ -1,5 +1,9 @@
-// RankCalls: asks all ranks of a group the same thing, or sends them orders,
-// and collects what comes back within a short time.
+// RankCalls: asks ranks of a group something, or gives them orders, and
+// collects what comes back within a short time.
+//
+// Requests go to the agents as datagrams: one exchange costs the coordinator a
+// tenth of an HTTP call, and a group has up to a hundred ranks. A lost datagram
+// is sent again; an agent carries out a request once.
 #ifndef MAP_TASK_RANK_CALLS_H_
 #define MAP_TASK_RANK_CALLS_H_
 
@@ -8,11 +12,17 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/address.h"
+#include "base/result.h"
+#include "datagram/datagram_socket.h"
 #include "event_loop/event_loop.h"
 #include "http_client/http_client.h"
+#include "map_task/engine_codec.h"
+#include "map_task/rank_engine.h"
+#include "map_task/rank_message.h"
 
 namespace toucanhollow {
 
@@ -27,37 +37,55 @@
 
 struct RankCall {
   RankAddress rank;
-  std::string method = "GET";
-  std::string path;  // with the query
-  std::string body;
+  RankRequest request;
 };
 
 struct RankAnswer {
   std::string server;
-  int status = 0;  // 0 if none came
-  std::string body;
+  // Status 0 if no answer came.
+  RankReply reply;
 };
 
 class RankCalls {
  public:
-  RankCalls(EventLoop& loop, HttpClient& client);
+  using Done = std::function<void(std::vector<RankAnswer>)>;
+
+  RankCalls(EventLoop& loop, HttpClient& client, const EngineMapCodec& codec);
   ~RankCalls();
 
-  // Calls all ranks through their agents, and directly where the agent did not
-  // answer and `direct` is true. `done` gets one answer a call.
-  void Start(const std::vector<RankCall>& calls,
-             Duration timeout,
-             bool direct,
-             std::function<void(std::vector<RankAnswer>)> done);
+  // Opens the socket. Fails with kSettingsInvalid.
+  Result<bool> Open(const Address& local);
+
+  // `direct`: engines whose agents do not answer are asked themselves. `done`
+  // gets one answer a call, in the order of the calls, and is called once.
+  void Start(const std::vector<RankCall>& calls, bool direct, Done done);
 
  private:
   struct Batch;
-  void Call(const std::shared_ptr<Batch>& batch,
-            std::size_t index,
-            bool through_agent);
+  // A request to an agent that has not been answered.
+  struct Pending {
+    std::shared_ptr<Batch> batch;
+    std::size_t index = 0;
+    Address agent;
+    std::string bytes;
+  };
+
+  void OnDatagram(const Address& from, std::string_view bytes);
+  void OnTimer(const std::shared_ptr<Batch>& batch);
+  void GiveUp(const std::shared_ptr<Batch>& batch);
+  void AskEngine(const std::shared_ptr<Batch>& batch, std::size_t index);
+  void Finish(const std::shared_ptr<Batch>& batch,
+              std::size_t index,
+              RankReply reply);
 
   EventLoop& loop;
-  HttpClient& client;
+  RankEngine engine;
+  std::uint64_t next_serial;
+  std::unique_ptr<DatagramSocket> socket;
+  // By serial.
+  std::map<std::uint64_t, Pending> pending;
+  // Agents that did not answer, until when they are passed over.
+  std::map<Address, TimePoint> away;
   std::shared_ptr<int> alive = std::make_shared<int>(0);
 };
 
--- /dev/null
+++ b/packages/map_task/rank_engine.cc
@@ -0,0 +1,148 @@
+#include "map_task/rank_engine.h"
+
+#include <utility>
+
+#include "map_task/choice_growth.h"
+
+namespace toucanhollow {
+namespace {
+
+std::string UrlOf(const Address& engine, const std::string& path) {
+  return "http://" + engine.ip + ":" + std::to_string(engine.port) + path;
+}
+
+// The status, and what is wrong if there is anything.
+RankReply ReplyOf(const HttpOutcome& outcome) {
+  RankReply reply;
+  if (outcome.end != HttpEnd::kComplete) {
+    reply.detail = outcome.error;
+    return reply;
+  }
+  reply.status = outcome.status;
+  if (outcome.status >= 400) {
+    reply.detail = outcome.body;
+  }
+  return reply;
+}
+
+}  // namespace
+
+RankEngine::RankEngine(HttpClient& client, const EngineMapCodec& codec)
+    : client(client), codec(codec) {}
+
+void RankEngine::Start(HttpCall call, Answered answered) {
+  this->client.Start(
+      std::move(call),
+      {nullptr, nullptr,
+       [answered = std::move(answered),
+        token = std::weak_ptr<int>(this->alive)](const HttpOutcome& outcome) {
+         if (!token.expired()) {
+           answered(outcome);
+         }
+       }});
+}
+
+void RankEngine::Get(const Address& engine,
+                     const std::string& path,
+                     Duration timeout,
+                     Answered answered) {
+  HttpCall call;
+  call.url = UrlOf(engine, path);
+  call.connect_timeout = timeout;
+  call.total_timeout = timeout;
+  call.repeatable = true;
+  this->Start(std::move(call), std::move(answered));
+}
+
+void RankEngine::ReadReport(const Address& engine,
+                            Duration timeout,
+                            RankReply reply,
+                            std::function<void(RankReply)> done) {
+  this->Get(engine, this->codec.report_path, timeout,
+            [this, reply = std::move(reply),
+             done = std::move(done)](const HttpOutcome& outcome) mutable {
+              if (outcome.end == HttpEnd::kComplete && outcome.status == 200) {
+                const Result<RankReport> report =
+                    this->codec.decode_report("", outcome.body);
+                if (report) {
+                  reply.report = report.value();
+                } else {
+                  reply.detail = report.error().detail;
+                }
+              }
+              done(std::move(reply));
+            });
+}
+
+void RankEngine::TakeCounts(const Address& engine,
+                            const HttpOutcome& outcome,
+                            int sets,
+                            RankReply& reply) {
+  Result<RankCounts> counts = this->codec.decode_counts(outcome.body, sets);
+  if (!counts) {
+    reply.detail = counts.error().detail;
+    return;
+  }
+  RankCounts& last = this->last_counts[engine];
+  reply.choices = ChoiceGrowth(last.chosen, counts.value().chosen);
+  last = std::move(counts.value());
+}
+
+void RankEngine::Ask(const Address& engine,
+                     const RankRequest& request,
+                     Duration timeout,
+                     std::function<void(RankReply)> done) {
+  switch (request.kind) {
+    case RankRequestKind::kReport:
+      this->ReadReport(engine, timeout, {.status = 200}, std::move(done));
+      return;
+    case RankRequestKind::kChoices:
+      this->Get(engine, this->codec.counts_path, timeout,
+                [this, engine, sets = request.sets,
+                 done = std::move(done)](const HttpOutcome& outcome) {
+                  RankReply reply = ReplyOf(outcome);
+                  if (reply.status == 200) {
+                    this->TakeCounts(engine, outcome, sets, reply);
+                  }
+                  done(std::move(reply));
+                });
+      return;
+    case RankRequestKind::kExperts:
+      this->Get(engine, this->codec.experts_path, timeout,
+                [this, done = std::move(done)](const HttpOutcome& outcome) {
+                  RankReply reply = ReplyOf(outcome);
+                  if (reply.status == 200) {
+                    const Result<RankExperts> experts =
+                        this->codec.decode_experts(outcome.body);
+                    if (experts) {
+                      reply.experts = experts.value();
+                    } else {
+                      reply.detail = experts.error().detail;
+                    }
+                  }
+                  done(std::move(reply));
+                });
+      return;
+    case RankRequestKind::kOrder: {
+      HttpCall call;
+      call.method = "POST";
+      call.url = UrlOf(engine, this->codec.order_path);
+      call.headers.push_back({"Content-Type", "application/json"});
+      call.body = this->codec.encode_order(
+          request.order, request.map == nullptr ? GroupMap{} : *request.map,
+          request.fence);
+      call.connect_timeout = timeout;
+      call.total_timeout = timeout;
+      // Orders are numbered by what they expect, so a second copy is refused.
+      call.repeatable = true;
+      this->Start(std::move(call), [this, engine, timeout,
+                                    done = std::move(done)](
+                                       const HttpOutcome& outcome) mutable {
+        this->ReadReport(engine, timeout, ReplyOf(outcome), std::move(done));
+      });
+      return;
+    }
+  }
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/map_task/rank_engine.h
@@ -0,0 +1,56 @@
+// RankEngine: carries out a coordinator's requests at engines, over HTTP.
+#ifndef MAP_TASK_RANK_ENGINE_H_
+#define MAP_TASK_RANK_ENGINE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/address.h"
+#include "event_loop/event_loop.h"
+#include "http_client/http_client.h"
+#include "map_task/engine_codec.h"
+#include "map_task/rank_message.h"
+
+namespace toucanhollow {
+
+class RankEngine {
+ public:
+  RankEngine(HttpClient& client, const EngineMapCodec& codec);
+
+  // `done` is called once, within twice the timeout, and not after this object
+  // is destroyed. An order that is not answered within the timeout has the
+  // status 0 and may have been taken; the report shows it.
+  void Ask(const Address& engine,
+           const RankRequest& request,
+           Duration timeout,
+           std::function<void(RankReply)> done);
+
+ private:
+  using Answered = std::function<void(const HttpOutcome&)>;
+
+  void Get(const Address& engine,
+           const std::string& path,
+           Duration timeout,
+           Answered answered);
+  void Start(HttpCall call, Answered answered);
+  void ReadReport(const Address& engine,
+                  Duration timeout,
+                  RankReply reply,
+                  std::function<void(RankReply)> done);
+  void TakeCounts(const Address& engine,
+                  const HttpOutcome& outcome,
+                  int sets,
+                  RankReply& reply);
+
+  HttpClient& client;
+  const EngineMapCodec& codec;
+  // The last counters of each engine.
+  std::map<Address, RankCounts> last_counts;
+  std::shared_ptr<int> alive = std::make_shared<int>(0);
+};
+
+}  // namespace toucanhollow
+
+#endif  // MAP_TASK_RANK_ENGINE_H_
--- /dev/null
+++ b/packages/map_task/rank_message.h
@@ -0,0 +1,50 @@
+// What a coordinator asks of a rank through the agent beside its engine, and
+// what comes back.
+#ifndef MAP_TASK_RANK_MESSAGE_H_
+#define MAP_TASK_RANK_MESSAGE_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "map_change/rank_report.h"
+#include "map_task/engine_codec.h"
+
+namespace toucanhollow {
+
+enum class RankRequestKind {
+  kReport,
+  kChoices,  // what requests chose since the agent's last reading
+  kExperts,  // the experts that the rank holds
+  kOrder,    // an order, then the report that shows its effect
+};
+
+struct RankRequest {
+  RankRequestKind kind = RankRequestKind::kReport;
+  // Sets of layers, for kChoices.
+  int sets = 0;
+  // Of kOrder.
+  RankOrder order = {};
+  std::int64_t fence = 0;
+  // Of orders that prepare a map; shared by the requests to all ranks.
+  std::shared_ptr<const GroupMap> map = nullptr;
+};
+
+// How often each expert was chosen, by set of layers.
+using ChoiceTable = std::vector<std::vector<double>>;
+
+struct RankReply {
+  // The engine's HTTP status; 0 if it did not answer.
+  int status = 0;
+  // Why it failed, for logs.
+  std::string detail = {};
+  std::optional<RankReport> report = std::nullopt;
+  std::optional<ChoiceTable> choices = std::nullopt;
+  std::optional<RankExperts> experts = std::nullopt;
+};
+
+}  // namespace toucanhollow
+
+#endif  // MAP_TASK_RANK_MESSAGE_H_
--- /dev/null
+++ b/packages/map_task/rank_message_test.cc
@@ -0,0 +1,58 @@
+#include "map_task/rank_message_codec.h"
+
+#include <catch2/catch.hpp>
+
+namespace toucanhollow {
+namespace {
+
+TEST_CASE("an order and its map come back from their bytes") {
+  NumberedRankRequest sent;
+  sent.serial = 77;
+  sent.request.kind = RankRequestKind::kOrder;
+  sent.request.fence = 9;
+  sent.request.order = {RankOrderKind::kPrepare, "", 3, 12, 65537, 0};
+  sent.request.map = std::make_shared<const GroupMap>(
+      GroupMap{{{{0, 143}, {1}}}, {{{300}, {0, 1, 2}}}});
+  const auto got = DecodeRankRequest(EncodeRankRequest(sent));
+  REQUIRE(got);
+  CHECK(got.value().serial == 77);
+  CHECK(got.value().request.kind == RankRequestKind::kOrder);
+  CHECK(got.value().request.order == sent.request.order);
+  CHECK(got.value().request.fence == 9);
+  REQUIRE(got.value().request.map != nullptr);
+  CHECK(*got.value().request.map == *sent.request.map);
+}
+
+TEST_CASE("a reply comes back from its bytes") {
+  NumberedRankReply sent;
+  sent.serial = 5;
+  sent.reply.status = 409;
+  sent.reply.detail = "busy";
+  sent.reply.report = RankReport{
+      "", "g", 2, 1, 4, true, true, 6, 8, 70000, std::nullopt, 70001, 9};
+  sent.reply.choices = ChoiceTable{{1, 2}, {3, 65535}};
+  sent.reply.experts = RankExperts{3, {{1, 2}, {0}}};
+  const auto got = DecodeRankReply(EncodeRankReply(sent));
+  REQUIRE(got);
+  CHECK(got.value().serial == 5);
+  CHECK(got.value().reply.status == 409);
+  CHECK(got.value().reply.detail == "busy");
+  CHECK(got.value().reply.report == sent.reply.report);
+  CHECK(got.value().reply.choices == sent.reply.choices);
+  REQUIRE(got.value().reply.experts);
+  CHECK(got.value().reply.experts->by_set == sent.reply.experts->by_set);
+}
+
+// Guards against a process that ends because of bytes that another one sent.
+TEST_CASE("bytes that are no message are refused") {
+  const std::string good = EncodeRankRequest({1, {}});
+  CHECK_FALSE(DecodeRankRequest(""));
+  CHECK_FALSE(DecodeRankRequest("\xff\xff\xff"));
+  CHECK_FALSE(DecodeRankRequest(good.substr(0, good.size() - 1)));
+  // Kind 9 does not exist.
+  CHECK_FALSE(DecodeRankRequest(std::string("\x83\x01\x09\x00", 4)));
+  CHECK_FALSE(DecodeRankReply(good));
+}
+
+}  // namespace
+}  // namespace toucanhollow
--- a/packages/relay/peer_task.cc
+++ b/packages/relay/peer_task.cc
@@ -1,14 +1,6 @@
 #include "relay/peer_task.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <algorithm>
-#include <array>
-#include <cerrno>
-#include <cstring>
 #include <utility>
 
 #include "http_message/http_message.h"
@@ -31,15 +23,6 @@
 // Otherwise the exchange only spreads the hosts' addresses.
 constexpr Duration kCalmFetchPeriod = Seconds(5);
 constexpr Duration kFetchTimeout = Milliseconds(800);
-constexpr std::size_t kMaxDatagram = 8 * 1024;
-
-sockaddr_in ToRaw(const std::string& ip, std::uint16_t port) {
-  sockaddr_in raw{};
-  raw.sin_family = AF_INET;
-  raw.sin_port = htons(port);
-  inet_pton(AF_INET, ip.c_str(), &raw.sin_addr);
-  return raw;
-}
 
 std::string FormatUrl(const std::string& ip,
                       std::uint16_t port,
@@ -84,10 +67,6 @@
   for (const auto& [serial, call] : this->fetches) {
     this->client.Cancel(call);
   }
-  this->watcher.reset();
-  if (this->socket >= 0) {
-    close(this->socket);
-  }
 }
 
 Result<bool> PeerTask::Start() {
@@ -103,20 +82,13 @@
       });
   BOOST_OUTCOME_TRY(opened, std::move(listening));
   this->server = std::move(opened);
-  this->socket =
-      ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const sockaddr_in raw =
-      ToRaw(this->settings.control.ip, this->settings.report_port);
-  if (this->socket < 0 ||
-      bind(this->socket, reinterpret_cast<const sockaddr*>(&raw),
-           sizeof(raw)) != 0) {
-    return MakeFailure(ResultCode::kSettingsInvalid,
-                       std::string("cannot bind the port of load reports: ") +
-                           std::strerror(errno));
-  }
-  this->watcher = std::make_unique<IoWatcher>(
-      this->loop, this->socket, IoWatcher::kRead,
-      [this](IoWatcher::Interest) { this->OnDatagram(); });
+  auto bound = DatagramSocket::Bind(
+      this->loop, {this->settings.control.ip, this->settings.report_port},
+      [this](const Address& from, std::string_view bytes) {
+        this->OnDatagram(from, bytes);
+      });
+  BOOST_OUTCOME_TRY(socket, std::move(bound));
+  this->socket = std::move(socket);
   this->report_timer =
       std::make_unique<Timer>(this->loop, kReportPeriod, kReportPeriod,
                               [this] { this->SendReports(); });
@@ -143,28 +115,14 @@
   return hosts;
 }
 
-void PeerTask::OnDatagram() {
-  std::array<char, kMaxDatagram> buffer;
-  for (;;) {
-    sockaddr_in from{};
-    socklen_t size = sizeof(from);
-    const ssize_t got = recvfrom(this->socket, buffer.data(), buffer.size(), 0,
-                                 reinterpret_cast<sockaddr*>(&from), &size);
-    if (got < 0) {
-      return;
-    }
-    std::array<char, INET_ADDRSTRLEN> text{};
-    inet_ntop(AF_INET, &from.sin_addr, text.data(), text.size());
-    const std::string ip(text.data());
-    const Result<HostLoadReport> report =
-        DecodeLoadReport({buffer.data(), static_cast<std::size_t>(got)});
-    if (!report) {
-      LogJsonNow("load_report_malformed", {{"peer", std::string_view(ip)}});
-      continue;
-    }
-    this->Hear(ip);
-    this->dispatcher.TakeLoadReport(ip, report.value());
+void PeerTask::OnDatagram(const Address& from, std::string_view bytes) {
+  const Result<HostLoadReport> report = DecodeLoadReport(bytes);
+  if (!report) {
+    LogJsonNow("load_report_malformed", {{"peer", std::string_view(from.ip)}});
+    return;
   }
+  this->Hear(from.ip);
+  this->dispatcher.TakeLoadReport(from.ip, report.value());
 }
 
 void PeerTask::SendReports() {
@@ -192,10 +150,8 @@
     if (peer.heard && now - peer.heard_at > kPeerLifetime) {
       continue;
     }
-    const sockaddr_in raw = ToRaw(ip, this->settings.report_port);
     // A lost report is replaced by the next one.
-    sendto(this->socket, bytes.data(), bytes.size(), 0,
-           reinterpret_cast<const sockaddr*>(&raw), sizeof(raw));
+    this->socket->Send({ip, this->settings.report_port}, bytes);
   }
 }
 
--- a/packages/relay/peer_task.h
+++ b/packages/relay/peer_task.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "datagram/datagram_socket.h"
 #include "event_loop/event_loop.h"
 #include "http_client/http_client.h"
 #include "http_server/http_server.h"
@@ -38,7 +39,7 @@
     bool heard = false;
   };
 
-  void OnDatagram();
+  void OnDatagram(const Address& from, std::string_view bytes);
   void SendReports();
   void Fetch();
   void FetchFrom(const std::string& ip);
@@ -58,8 +59,7 @@
   Dispatcher& dispatcher;
   std::map<std::string, Peer> peers;
   std::unique_ptr<HttpServer> server;
-  int socket = -1;
-  std::unique_ptr<IoWatcher> watcher;
+  std::unique_ptr<DatagramSocket> socket;
   std::unique_ptr<Timer> report_timer;
   std::unique_ptr<Timer> fetch_timer;
   std::uint64_t incarnation;
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -119,6 +119,8 @@
       member,
       GroupMapCallbacks{[this] { return this->ViewGroup(); },
                         [this](bool open) { this->OnGroupState(open); }});
+  BOOST_OUTCOME_TRYV(this->maps->Start(
+      {this->settings.control.ip, this->settings.rank_call_port}));
   this->sweep_timer = std::make_unique<Timer>(
       this->loop, kSweepPeriod, kSweepPeriod, [this] { this->Sweep(); });
   LogJsonNow("started", {{"data_centre",
--- a/packages/relay/relay_settings.cc
+++ b/packages/relay/relay_settings.cc
@@ -98,8 +98,11 @@
                     ReadNumber(tree, "listen.report_port", 1, kMaxPort));
   BOOST_OUTCOME_TRY(metrics_port,
                     ReadNumber(tree, "listen.metrics_port", 1, kMaxPort));
+  BOOST_OUTCOME_TRY(rank_call_port,
+                    ReadNumber(tree, "listen.rank_call_port", 1, kMaxPort));
   settings.report_port = static_cast<std::uint16_t>(report_port);
   settings.metrics_port = static_cast<std::uint16_t>(metrics_port);
+  settings.rank_call_port = static_cast<std::uint16_t>(rank_call_port);
   BOOST_OUTCOME_TRY(store, ReadAddress(tree, "store.address"));
   settings.store = store;
   BOOST_OUTCOME_TRY(seeds, ReadAddresses(tree, "peers.seeds"));
--- a/packages/relay/relay_settings.h
+++ b/packages/relay/relay_settings.h
@@ -23,6 +23,8 @@
   Address control;                 // other entry hosts
   std::uint16_t report_port = 0;   // UDP, load reports of entry hosts
   std::uint16_t metrics_port = 0;  // TCP, counters as text
+  // UDP, requests to the agents of a model group.
+  std::uint16_t rank_call_port = 0;
   Address store;
   std::vector<Address> seeds;  // control addresses of some entry hosts
   std::size_t max_descriptors = 1024;
--- a/packages/relay/relay_test.cc
+++ b/packages/relay/relay_test.cc
@@ -12,6 +12,7 @@
     "[process]\nname = front-1\ndata_centre = west\n"
     "[listen]\ncallers = 10.0.0.1:80\nreadiness = 10.0.0.1:81\n"
     "control = 10.0.0.1:82\nreport_port = 7340\nmetrics_port = 7355\n"
+    "rank_call_port = 7355\n"
     "[store]\naddress = 10.0.0.9:90\n"
     "[peers]\nseeds = 10.0.0.2:82,10.0.0.3:82\n"
     "[limits]\ndescriptors = 4200\n[shutdown]\ngrace_s = 8.0\n"
