Take the entry that was written last as the server at an address

Cause: after a loss of power of all machines, the entries of the old servers lapse 3.6 s later than the new ones register at the same addresses. A host that starts meanwhile reads both. The coordinator then took 2 x 72 ranks for a group of 72, found no reading complete and did not balance the group for 2 s; requests to the old entries were turned away with 421.

Ruled out: the election (1.5 s, done at 43.2 s) and the group itself (open at 43.4 s). Start times were not used, because the clocks of servers may step.

--- a/packages/relay/belief_task.cc
+++ b/packages/relay/belief_task.cc
@@ -146,8 +146,8 @@
                       known->second.listed.born_ms == listed->born_ms &&
                       known->second.listed.draining == listed->draining &&
                       known->second.listed.address == listed->address;
-    UpdateServer(this->current.servers, key, listed, this->current.contact,
-                 now);
+    UpdateServer(this->current.servers, key, listed, record.offset,
+                 this->current.contact, now);
     if (!same) {
       changed = true;
       LogJsonNow("server_changed", {{"server", std::string_view(key)},
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -51,8 +51,9 @@
   }
   for (const auto& [id, server] : belief.servers) {
     const auto service = belief.traffic->services.find(server.listed.service);
-    if (server.missing_since || service == belief.traffic->services.end() ||
-        !service->second.engine || service->second.engine->expert_sets == 0) {
+    if (server.missing_since || server.replaced ||
+        service == belief.traffic->services.end() || !service->second.engine ||
+        service->second.engine->expert_sets == 0) {
       continue;
     }
     view.limits = {service->second.engine->expert_places,
--- a/packages/traffic/server_belief.cc
+++ b/packages/traffic/server_belief.cc
@@ -1,10 +1,32 @@
 #include "traffic/server_belief.h"
 
+#include <algorithm>
+
 namespace toucanhollow {
+namespace {
+
+// Of the entries with one address, only the one written last names a server
+// that can be alive: a server writes nothing after its end.
+void MarkReplaced(ServerBeliefs& servers, const Address& address) {
+  LogOffset newest = 0;
+  for (const auto& [id, server] : servers) {
+    if (server.listed.address == address && !server.missing_since) {
+      newest = std::max(newest, server.offset);
+    }
+  }
+  for (auto& [id, server] : servers) {
+    if (server.listed.address == address) {
+      server.replaced = server.offset < newest;
+    }
+  }
+}
+
+}  // namespace
 
 void UpdateServer(ServerBeliefs& servers,
                   const std::string& id,
                   const std::optional<ListedServer>& listed,
+                  LogOffset offset,
                   const StoreContact& contact,
                   TimePoint now) {
   std::erase_if(servers, [now](const auto& entry) {
@@ -12,7 +34,8 @@
            now - *entry.second.missing_since > kForgetMissing;
   });
   if (listed) {
-    servers.insert_or_assign(id, ServerBelief{*listed, {}, {}});
+    servers.insert_or_assign(id, ServerBelief{*listed, {}, {}, offset});
+    MarkReplaced(servers, listed->address);
     return;
   }
   const auto found = servers.find(id);
@@ -30,7 +53,8 @@
 bool IsUsable(const ServerBelief& server,
               const std::set<DataCentreName>& evacuated,
               TimePoint now) {
-  if (server.listed.draining || evacuated.contains(server.listed.data_centre)) {
+  if (server.listed.draining || server.replaced ||
+      evacuated.contains(server.listed.data_centre)) {
     return false;
   }
   return !server.missing_since || now < server.keep_until;
--- a/packages/traffic/server_belief.h
+++ b/packages/traffic/server_belief.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "base/address.h"
+#include "base/log_entry.h"
 #include "base/name.h"
 #include "base/time.h"
 
@@ -37,6 +38,11 @@
   // Until then a missing server is still used: entries lapse while the store
   // is away and are back soon after its return.
   TimePoint keep_until;
+  // The record that the entry was read from.
+  LogOffset offset = 0;
+  // A later entry has the same address: this server has ended, though its entry
+  // has not lapsed yet.
+  bool replaced = false;
 
   bool operator==(const ServerBelief&) const = default;
 };
@@ -61,10 +67,11 @@
 using ServerBeliefs = std::map<std::string, ServerBelief>;
 
 // Takes a new entry; `listed` is empty if the entry was removed or names no
-// server any more.
+// server any more. `offset` is that of its record.
 void UpdateServer(ServerBeliefs& servers,
                   const std::string& id,
                   const std::optional<ListedServer>& listed,
+                  LogOffset offset,
                   const StoreContact& contact,
                   TimePoint now);
 
--- a/packages/traffic/traffic_test.cc
+++ b/packages/traffic/traffic_test.cc
@@ -79,21 +79,41 @@
 // against servers that are kept although their removal was real.
 TEST_CASE("a removal counts at once only while the store is well") {
   ServerBeliefs servers;
-  UpdateServer(servers, "s", MakeServer(), {}, At(0));
+  UpdateServer(servers, "s", MakeServer(), 1, {}, At(0));
   StoreContact well{At(900), At(-5000)};
   ServerBeliefs after_well = servers;
-  UpdateServer(after_well, "s", std::nullopt, well, At(1000));
+  UpdateServer(after_well, "s", std::nullopt, 2, well, At(1000));
   CHECK_FALSE(IsUsable(after_well.at("s"), {}, At(1000)));
   StoreContact away{At(900), At(800)};
-  UpdateServer(servers, "s", std::nullopt, away, At(1000));
+  UpdateServer(servers, "s", std::nullopt, 2, away, At(1000));
   CHECK(IsUsable(servers.at("s"), {}, At(2000)));
   CHECK_FALSE(IsUsable(servers.at("s"), {}, At(800 + 2500)));
-  UpdateServer(servers, "s", MakeServer(), away, At(2600));
+  UpdateServer(servers, "s", MakeServer(), 3, away, At(2600));
   CHECK(IsUsable(servers.at("s"), {}, At(9000)));
 }
 
+// Guards against requests, and a model group's ranks, at servers that crashed
+// and whose entries lapse seconds after their successors have registered.
+TEST_CASE("the entry written last holds an address") {
+  ServerBeliefs servers;
+  UpdateServer(servers, "old", MakeServer(), 10, {}, At(0));
+  UpdateServer(servers, "new", MakeServer(), 12, {}, At(100));
+  CHECK_FALSE(IsUsable(servers.at("old"), {}, At(100)));
+  CHECK(IsUsable(servers.at("new"), {}, At(100)));
+  // A fresh host reads the entries in order of their keys.
+  ServerBeliefs read_again;
+  UpdateServer(read_again, "new", MakeServer(), 12, {}, At(100));
+  UpdateServer(read_again, "old", MakeServer(), 10, {}, At(100));
+  CHECK_FALSE(IsUsable(read_again.at("old"), {}, At(100)));
+  CHECK(IsUsable(read_again.at("new"), {}, At(100)));
+  // The server still lives if it writes again.
+  UpdateServer(servers, "old", MakeServer(), 15, {}, At(200));
+  CHECK(IsUsable(servers.at("old"), {}, At(200)));
+  CHECK_FALSE(IsUsable(servers.at("new"), {}, At(200)));
+}
+
 TEST_CASE("draining and evacuated servers get nothing new") {
-  ServerBelief belief{MakeServer(), {}, {}};
+  ServerBelief belief{MakeServer(), {}, {}, 1};
   CHECK(IsUsable(belief, {}, At(0)));
   CHECK_FALSE(IsUsable(belief, {{"west"}}, At(0)));
   belief.listed.draining = true;
