Read the store at the pace that the bounds require

Each host read the servers every 0.7 s, as their heartbeats end every long poll, and held reads for 2 s on all sites.

Ruled out: reading through a peer, which would leave hosts without news within the drain bound when that peer dies.

Change: the servers are read at half of the drain bound (1 s and 1.5 s), and a read waits 1 s less than the time after which a host is held to the bounds. Both come from the settings.

--- a/packages/relay/belief_task.cc
+++ b/packages/relay/belief_task.cc
@@ -10,15 +10,24 @@
 
 // Configurations that follow each other faster are read together.
 constexpr Duration kOperatorPause = Milliseconds(100);
-// Servers write a heartbeat about every second; a leaving server must be left
-// alone 2 s after its notice at the latest.
-constexpr Duration kServerPause = Milliseconds(700);
+// Part of the drain bound that passes between two reads of the servers, which
+// write heartbeats all the time; the rest is for the reads themselves.
+constexpr int kDrainBoundParts = 2;
+// A silent connection is noticed this much before the bounds hold again for a
+// host whose connections were reset.
+constexpr Duration kContactMargin = Seconds(1);
+// Covers the pause after a read that waited.
+constexpr Duration kFreshMargin = Milliseconds(600);
+
+Duration ReadWait(const RelaySettings& settings) {
+  return std::max(settings.contact_bound - kContactMargin, kContactMargin);
+}
 
 }  // namespace
 
 bool IsFresh(const Belief& belief, TimePoint now) {
   return belief.traffic_confirmed_at &&
-         now - *belief.traffic_confirmed_at <= kBeliefFresh;
+         now - *belief.traffic_confirmed_at <= belief.fresh_for;
 }
 
 BeliefTask::BeliefTask(EventLoop& loop,
@@ -27,16 +36,19 @@
                        const RelaySettings& settings,
                        std::function<void()> on_change)
     : codec(codec), on_change(std::move(on_change)) {
+  const Duration wait = ReadWait(settings);
+  this->current.fresh_for = wait + kFreshMargin;
   this->operator_topic = std::make_unique<KeyedTopicTask>(
       loop, client, codec, settings.store, KeyedTopic::kOperator,
-      kOperatorPause,
+      ReadPace{kOperatorPause, wait},
       KeyedTopicCallbacks{
           [this](const auto& keys) { this->OnOperatorKeys(keys); },
           [this](bool answered) {
             this->OnContact(KeyedTopic::kOperator, answered);
           }});
   this->server_topic = std::make_unique<KeyedTopicTask>(
-      loop, client, codec, settings.store, KeyedTopic::kServers, kServerPause,
+      loop, client, codec, settings.store, KeyedTopic::kServers,
+      ReadPace{settings.drain_bound / kDrainBoundParts, wait},
       KeyedTopicCallbacks{
           [this](const auto& keys) { this->OnServerKeys(keys); },
           [this](bool answered) {
--- a/packages/relay/belief_task.h
+++ b/packages/relay/belief_task.h
@@ -25,13 +25,12 @@
   StoreContact contact;
   // When the configuration was last known to be the newest.
   std::optional<TimePoint> traffic_confirmed_at;
+  // A configuration that has not been confirmed for longer may be out of date,
+  // so a route or key that it lacks may exist.
+  Duration fresh_for{0};
 };
 
-// A configuration that has not been confirmed for longer may be out of date,
-// so a route or key that it lacks may exist. Covers one read that waits and
-// the pause after it.
-inline constexpr Duration kBeliefFresh = Milliseconds(2600);
-
+// True if the configuration is known to be the newest.
 bool IsFresh(const Belief& belief, TimePoint now);
 
 class BeliefTask {
--- a/packages/relay/keyed_topic_task.cc
+++ b/packages/relay/keyed_topic_task.cc
@@ -9,9 +9,6 @@
 namespace toucanhollow {
 namespace {
 
-// How long the store holds a read without news. A connection that has fallen
-// silent is noticed this much later, plus kAnswerTime.
-constexpr Duration kReadWait = Milliseconds(2000);
 // Time for an answer beyond the wait; slow days of the store take 250 ms.
 constexpr Duration kAnswerTime = Milliseconds(900);
 constexpr Duration kConnectTimeout = Milliseconds(600);
@@ -32,14 +29,14 @@
                                const RelayCodec& codec,
                                Address store,
                                KeyedTopic topic,
-                               Duration pause,
+                               ReadPace pace,
                                KeyedTopicCallbacks callbacks)
     : loop(loop),
       client(client),
       codec(codec),
       store(std::move(store)),
       topic(topic),
-      pause(pause),
+      pace(pace),
       callbacks(std::move(callbacks)) {
   this->ReadNewest("");
 }
@@ -108,9 +105,9 @@
 void KeyedTopicTask::ReadLog() {
   const LogOffset from = this->records.end;
   HttpCall request =
-      this->codec.read_call(this->store, this->topic, from, kReadWait);
+      this->codec.read_call(this->store, this->topic, from, this->pace.wait);
   request.connect_timeout = kConnectTimeout;
-  request.total_timeout = kReadWait + kAnswerTime;
+  request.total_timeout = this->pace.wait + kAnswerTime;
   request.repeatable = !this->failing;
   this->call = this->client.Start(
       std::move(request),
@@ -143,7 +140,7 @@
   this->OnAnswered();
   this->records.end = std::max(this->records.end, page.value().next);
   this->Report(MergeRecords(this->records, page.value().records));
-  this->Schedule(this->pause);
+  this->Schedule(this->pace.pause);
 }
 
 void KeyedTopicTask::OnAnswered() {
--- a/packages/relay/keyed_topic_task.h
+++ b/packages/relay/keyed_topic_task.h
@@ -22,6 +22,15 @@
   std::function<void(bool answered)> on_contact;
 };
 
+// How often the store is asked; each call has a price.
+struct ReadPace {
+  // After an answer, so that records that follow each other are read together.
+  Duration pause{0};
+  // How long the store holds a read without news. A connection that has fallen
+  // silent is noticed this much later.
+  Duration wait{0};
+};
+
 class KeyedTopicTask {
  public:
   // `pause` is the time between an answer and the next read; news that come
@@ -31,7 +40,7 @@
                  const RelayCodec& codec,
                  Address store,
                  KeyedTopic topic,
-                 Duration pause,
+                 ReadPace pace,
                  KeyedTopicCallbacks callbacks);
   ~KeyedTopicTask();
 
@@ -58,7 +67,7 @@
   const RelayCodec& codec;
   Address store;
   KeyedTopic topic;
-  Duration pause;
+  ReadPace pace;
   KeyedTopicCallbacks callbacks;
   KeyedMirror records;
   bool following = false;
--- a/packages/relay/relay_settings.cc
+++ b/packages/relay/relay_settings.cc
@@ -113,6 +113,11 @@
   BOOST_OUTCOME_TRY(grace_s,
                     ReadNumber(tree, "shutdown.grace_s", 0.5, kMaxSeconds));
   settings.grace = ToDuration(grace_s);
+  BOOST_OUTCOME_TRY(drain_ms, ReadNumber(tree, "bounds.drain_ms", 100, 3.6e6));
+  settings.drain_bound = ToDuration(drain_ms / 1000);
+  BOOST_OUTCOME_TRY(contact_ms,
+                    ReadNumber(tree, "bounds.contact_ms", 1000, 3.6e6));
+  settings.contact_bound = ToDuration(contact_ms / 1000);
   BOOST_OUTCOME_TRY(retry_ratio, ReadNumber(tree, "retries.ratio", 0, 1));
   settings.retry.ratio = retry_ratio;
   BOOST_OUTCOME_TRY(window_s,
--- a/packages/relay/relay_settings.h
+++ b/packages/relay/relay_settings.h
@@ -27,6 +27,10 @@
   std::uint16_t rank_call_port = 0;
   Address store;
   std::vector<Address> seeds;  // control addresses of some entry hosts
+  // A leaving server must get nothing new this long after its notice.
+  Duration drain_bound = Seconds(2);
+  // A host that had contact this long is held to the bounds again.
+  Duration contact_bound = Seconds(3);
   std::size_t max_descriptors = 1024;
   Duration grace = Seconds(8);  // SIGTERM to SIGKILL
   RetryBound retry;
--- a/packages/relay/relay_test.cc
+++ b/packages/relay/relay_test.cc
@@ -17,7 +17,8 @@
     "[peers]\nseeds = 10.0.0.2:82,10.0.0.3:82\n"
     "[limits]\ndescriptors = 4200\n[shutdown]\ngrace_s = 8.0\n"
     "[retries]\nratio = 0.2\nwindow_s = 10\nslack = 88\n"
-    "[cold]\nburst_factor = 1.5\nslack = 5\nnew_field = 1\n";
+    "[cold]\nburst_factor = 1.5\nslack = 5\nnew_field = 1\n"
+    "[bounds]\ndrain_ms = 2000\ncontact_ms = 3000\n";
 
 std::string Replaced(const std::string& from, const std::string& to) {
   std::string text = kSettings;
