Send requests to the best of four drawn servers

Cause: on the grown sites streams were late at calm moments. Hosts hear each other's loads every 240 ms, 58 requests come meanwhile, and every host chose the server that was least loaded then.

Ruled out: the length of passes (streams ran at the usual pace once begun) and waiting at the hosts (0.3 ms).

Change: a host draws four servers that have room and takes the best.

--- a/packages/traffic/place_request.cc
+++ b/packages/traffic/place_request.cc
@@ -1,6 +1,7 @@
 #include "traffic/place_request.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace toucanhollow {
 namespace {
@@ -15,6 +16,29 @@
 // A remote server must have less work than a local one by this much.
 constexpr double kRemoteWeight = 0.1;
 
+// Candidates below their limit, without those to be avoided unless all are.
+std::vector<std::size_t> WithRoom(
+    const std::vector<ServerCandidate>& candidates,
+    TimePoint now) {
+  std::vector<std::size_t> open;
+  std::vector<std::size_t> avoided;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (candidates[i].outstanding < candidates[i].limit) {
+      const bool avoid = now < candidates[i].health.avoid_until;
+      (avoid ? avoided : open).push_back(i);
+    }
+  }
+  return open.empty() ? avoided : open;
+}
+
+// The next number of a pseudo-random sequence (splitmix64).
+std::uint64_t Mix(std::uint64_t state) {
+  state += 0x9e3779b97f4a7c15;
+  state = (state ^ (state >> 30)) * 0xbf58476d1ce4e5b9;
+  state = (state ^ (state >> 27)) * 0x94d049bb133111eb;
+  return state ^ (state >> 31);
+}
+
 }  // namespace
 
 ServerHealth RecordSuccess(const ServerHealth& health) {
@@ -34,28 +58,25 @@
     const std::vector<ServerCandidate>& candidates,
     const PlacementRequest& request,
     TimePoint now) {
+  std::vector<std::size_t> open = WithRoom(candidates, now);
+  if (open.empty()) {
+    return std::nullopt;
+  }
   std::optional<std::size_t> best;
   double best_cost = 0;
-  bool best_avoided = false;
-  const std::size_t count = candidates.size();
-  for (std::size_t i = 0; i < count; ++i) {
-    // Starting at the draw spreads equal candidates.
-    const std::size_t index = (i + request.draw) % count;
-    const ServerCandidate& candidate = candidates[index];
-    if (candidate.outstanding >= candidate.limit) {
-      continue;
-    }
-    const bool avoided = now < candidate.health.avoid_until;
+  const std::size_t sample = std::min(request.choices, open.size());
+  std::uint64_t draw = request.draw;
+  for (std::size_t i = 0; i < sample; ++i) {
+    draw = Mix(draw);
+    std::swap(open[i], open[i + draw % (open.size() - i)]);
+    const ServerCandidate& candidate = candidates[open[i]];
     const double cost = candidate.outstanding +
                         candidate.unread_tokens / request.tokens_per_request +
                         candidate.health.failure_rate * kFailureWeight +
                         (candidate.local ? 0 : kRemoteWeight);
-    const bool better = !best || (best_avoided && !avoided) ||
-                        (best_avoided == avoided && cost < best_cost);
-    if (better) {
-      best = index;
+    if (!best || cost < best_cost) {
+      best = open[i];
       best_cost = cost;
-      best_avoided = avoided;
     }
   }
   return best;
--- a/packages/traffic/place_request.h
+++ b/packages/traffic/place_request.h
@@ -1,8 +1,10 @@
 // Chooses the server of a request among those of its service.
 //
 // All ranks of a group execute each pass together, and the slowest one sets
-// its length. So requests go to the server with the least work, counted over
-// all entry hosts.
+// its length. So requests go to a server with little work, counted over all
+// entry hosts. Counts of other hosts are some 100 ms old: if each host took the
+// server with the least, all would take the same one at once. So each takes the
+// best of a few drawn servers.
 #ifndef TRAFFIC_PLACE_REQUEST_H_
 #define TRAFFIC_PLACE_REQUEST_H_
 
@@ -43,11 +45,15 @@
   bool operator==(const ServerCandidate&) const = default;
 };
 
+inline constexpr std::size_t kDrawnServers = 4;
+
 struct PlacementRequest {
   // Unread prompt tokens that weigh as much as one running request.
   double tokens_per_request = 1000;
-  // Breaks ties, so that hosts with the same knowledge choose differently.
+  // Seed of the draw; differs from host to host and from request to request.
   std::uint64_t draw = 0;
+  // Servers that are drawn.
+  std::size_t choices = kDrawnServers;
 };
 
 // The index of the chosen candidate, or nothing if all are at their limit.
