Let hosts learn of each other faster after a start

Cause: after all hosts had started at once, each knew the few that its first fetch named and the next fetch was 5 s later. Until then loads of the others were missing, so servers got twice their slots, and shares of the bounds on retries and cold servers were too large.

Change: for 3 s after its start a host fetches every 350 ms and takes the bounds to be shared by 40 hosts.

--- a/packages/relay/peer_task.cc
+++ b/packages/relay/peer_task.cc
@@ -22,6 +22,11 @@
 constexpr Duration kFetchPeriod = Milliseconds(350);
 // Otherwise the exchange only spreads the hosts' addresses.
 constexpr Duration kCalmFetchPeriod = Seconds(5);
+// After its start a host learns of the others within this time, at the faster
+// pace. All may have started at once, so the first answers name few.
+constexpr Duration kSettlingTime = Seconds(3);
+// Hosts that share the bounds are taken to be this many meanwhile.
+constexpr int kHostsWhileSettling = 40;
 constexpr Duration kFetchTimeout = Milliseconds(800);
 
 std::string FormatUrl(const std::string& ip,
@@ -89,6 +94,8 @@
       });
   BOOST_OUTCOME_TRY(socket, std::move(bound));
   this->socket = std::move(socket);
+  this->started_at = EventLoop::Now();
+  this->dispatcher.SetHostCount(kHostsWhileSettling);
   this->report_timer =
       std::make_unique<Timer>(this->loop, kReportPeriod, kReportPeriod,
                               [this] { this->SendReports(); });
@@ -105,6 +112,10 @@
   }
 }
 
+bool PeerTask::IsSettling(TimePoint now) const {
+  return now - this->started_at < kSettlingTime;
+}
+
 std::vector<std::string> PeerTask::HeardHosts(TimePoint now) const {
   std::vector<std::string> hosts;
   for (const auto& [ip, peer] : this->peers) {
@@ -128,7 +139,9 @@
 void PeerTask::SendReports() {
   const TimePoint now = EventLoop::Now();
   const std::vector<std::string> hosts = this->HeardHosts(now);
-  this->dispatcher.SetHostCount(static_cast<int>(hosts.size()) + 1);
+  const int heard = static_cast<int>(hosts.size()) + 1;
+  this->dispatcher.SetHostCount(
+      this->IsSettling(now) ? std::max(heard, kHostsWhileSettling) : heard);
   const auto crowd = std::max<std::size_t>(hosts.size() / kPeersAtFullRate, 1);
   HostLoadReport report = this->dispatcher.MakeLoadReport();
   report.incarnation = this->incarnation;
@@ -161,7 +174,8 @@
   const bool failing =
       !contact.answered_at ||
       (contact.failed_at && *contact.failed_at > *contact.answered_at);
-  const Duration period = failing ? kFetchPeriod : kCalmFetchPeriod;
+  const bool often = failing || this->IsSettling(now);
+  const Duration period = often ? kFetchPeriod : kCalmFetchPeriod;
   const bool first = this->last_fetch_at == TimePoint();
   if (!first && now - this->last_fetch_at < period) {
     return;
--- a/packages/relay/peer_task.h
+++ b/packages/relay/peer_task.h
@@ -51,6 +51,8 @@
   void Answer(const HttpRequest& request, HttpResponseWriter& writer);
   void Hear(const std::string& ip);
   std::vector<std::string> HeardHosts(TimePoint now) const;
+  // True while this host may not know most of the others yet.
+  bool IsSettling(TimePoint now) const;
 
   EventLoop& loop;
   HttpClient& client;
@@ -62,6 +64,7 @@
   std::unique_ptr<DatagramSocket> socket;
   std::unique_ptr<Timer> report_timer;
   std::unique_ptr<Timer> fetch_timer;
+  TimePoint started_at;
   std::uint64_t incarnation;
   std::uint64_t sequence = 0;
   std::string last_loads;
