Accept responses whose head comes before their body

Cause: Boost 1.74 compares an announced length with an absent body limit as if the limit were 0. A response with a length whose head came in a piece of its own, or whose length was 0, was taken for broken: a caller got 502 though the server had answered, and a server's refusal was not tried elsewhere.

Change: the limit is the largest number instead of none.

Ruled out: the relay's answers (the bytes came, head and body apart).

--- a/packages/http_stream/http_stream_test.cc
+++ b/packages/http_stream/http_stream_test.cc
@@ -165,5 +165,24 @@
   CHECK(WriteChunk("").empty());
 }
 
+// Guards against a response that is taken for a broken one when its head comes
+// alone: the fault soak saw answers that never ended.
+TEST_CASE("a response may come head first, or without a body") {
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n";
+  ResponseParser split(true);
+  split.Feed(head);
+  CHECK(split.head_done());
+  CHECK_FALSE(split.done());
+  CHECK(split.problem() == ParseProblem::kNone);
+  split.Feed("ans");
+  split.Feed("wer");
+  CHECK(split.done());
+  CHECK(split.TakeBody() == "answer");
+  ResponseParser empty(true);
+  empty.Feed("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+  CHECK(empty.done());
+  CHECK(empty.problem() == ParseProblem::kNone);
+}
+
 }  // namespace
 }  // namespace toucanhollow
--- a/packages/http_stream/message_parser.cc
+++ b/packages/http_stream/message_parser.cc
@@ -1,6 +1,7 @@
 #include "http_stream/message_parser.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
@@ -216,7 +217,8 @@
     this->parser = std::make_unique<Parser>();
     this->parser->eager(true);
     this->parser->header_limit(kMaxResponseHeaderBytes);
-    this->parser->body_limit(boost::none);
+    // Boost 1.74 takes an absent limit for 0 if a length is announced.
+    this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     this->parser->skip(!this->body_expected);
   }
 
