Let the coordinator read the servers often

Cause: after a zone cut the group was open at 40.5 s and first balanced at 41.7 s. The cut ranks' entries had lapsed and were back by 40.7 s, but with reads every 1.5 s the coordinator saw them at 41.5 s, and without all ranks no reading is complete. A new coordinator also needed four readings of 24 ranks before it had an estimate.

Change: while a host coordinates, it reads the servers every 200 ms; a coordinator without an estimate asks all ranks for their choices; reports are read every 80 ms between rounds.

--- a/packages/map_task/group_map_task.cc
+++ b/packages/map_task/group_map_task.cc
@@ -17,7 +17,7 @@
 constexpr Duration kChoicesPeriod = Milliseconds(100);
 constexpr std::size_t kRanksPerReading = 24;
 // Reports are read this often while no round is under way.
-constexpr Duration kIdleReportPeriod = Milliseconds(120);
+constexpr Duration kIdleReportPeriod = Milliseconds(80);
 constexpr Duration kRoundReportPeriod = Milliseconds(30);
 // Each host asks one rank this often whether the group is open.
 constexpr Duration kProbePeriod = Milliseconds(100);
@@ -89,6 +89,11 @@
   return this->calls.Open(local);
 }
 
+bool GroupMapTask::coordinates() const {
+  const CoordinatorTerm& term = this->coordinator.term();
+  return term.is_coordinator && term.generation > this->deposed_generation;
+}
+
 void GroupMapTask::Leave() {
   this->coordinator.Leave();
 }
@@ -100,9 +105,7 @@
 
 void GroupMapTask::Tick() {
   const TimePoint now = EventLoop::Now();
-  const CoordinatorTerm& term = this->coordinator.term();
-  const bool coordinates =
-      term.is_coordinator && term.generation > this->deposed_generation;
+  const bool coordinates = this->coordinates();
   const bool probes =
       !this->probe_open && now - this->probed_at >= kProbePeriod;
   if (coordinates || probes) {
@@ -115,6 +118,7 @@
     this->state = ChangeState{};
     return;
   }
+  const CoordinatorTerm& term = this->coordinator.term();
   if (term.generation != this->versions_generation) {
     // A round under way goes on: other members came or left, and should
     // another one have coordinated meanwhile, the reports show it.
@@ -158,7 +162,7 @@
                         ++this->next_probe;
                         return;
                       }
-                      this->callbacks.on_group_state(reply.report->open);
+                      this->callbacks.on_report(*reply.report);
                     });
 }
 
@@ -320,7 +324,11 @@
   this->choices_open = true;
   const std::vector<RankCall> all = this->CallAll(RankRequestKind::kChoices);
   std::vector<RankCall> some;
-  for (std::size_t i = 0; i < std::min(all.size(), kRanksPerReading); ++i) {
+  // A coordinator that knows no demand yet asks all ranks.
+  const std::size_t asked = DemandWeight(this->demand) < kLeastDemand
+                                ? all.size()
+                                : std::min(all.size(), kRanksPerReading);
+  for (std::size_t i = 0; i < asked; ++i) {
     some.push_back(all[this->next_choice_rank++ % all.size()]);
   }
   this->calls.Start(some, false,
--- a/packages/map_task/group_map_task.h
+++ b/packages/map_task/group_map_task.h
@@ -31,8 +31,8 @@
 
 struct GroupMapCallbacks {
   std::function<GroupView()> view;
-  // Whether the group executes passes, as a rank reported last.
-  std::function<void(bool open)> on_group_state;
+  // What some rank reported last.
+  std::function<void(const RankReport& report)> on_report;
 };
 
 class GroupMapTask {
@@ -47,6 +47,8 @@
   // Opens the socket for calls to agents. Fails with kSettingsInvalid.
   Result<bool> Start(const Address& local);
 
+  // True while this host coordinates the group's maps.
+  bool coordinates() const;
   // Gives coordination up; a round under way is left to the successor.
   void Leave();
 
--- a/packages/relay/belief_task.cc
+++ b/packages/relay/belief_task.cc
@@ -13,6 +13,8 @@
 // Part of the drain bound that passes between two reads of the servers, which
 // write heartbeats all the time; the rest is for the reads themselves.
 constexpr int kDrainBoundParts = 2;
+// One host at a time coordinates, so that its reads cost little.
+constexpr Duration kCoordinatorPause = Milliseconds(200);
 // A silent connection is noticed this much before the bounds hold again for a
 // host whose connections were reset.
 constexpr Duration kContactMargin = Seconds(1);
@@ -35,7 +37,9 @@
                        const RelayCodec& codec,
                        const RelaySettings& settings,
                        std::function<void()> on_change)
-    : codec(codec), on_change(std::move(on_change)) {
+    : codec(codec),
+      server_pause(settings.drain_bound / kDrainBoundParts),
+      on_change(std::move(on_change)) {
   const Duration wait = ReadWait(settings);
   this->current.fresh_for = wait + kFreshMargin;
   this->operator_topic = std::make_unique<KeyedTopicTask>(
@@ -48,7 +52,7 @@
           }});
   this->server_topic = std::make_unique<KeyedTopicTask>(
       loop, client, codec, settings.store, KeyedTopic::kServers,
-      ReadPace{settings.drain_bound / kDrainBoundParts, wait},
+      ReadPace{this->server_pause, wait},
       KeyedTopicCallbacks{
           [this](const auto& keys) { this->OnServerKeys(keys); },
           [this](bool answered) {
@@ -56,6 +60,11 @@
           }});
 }
 
+void BeliefTask::SetCoordinating(bool coordinating) {
+  this->server_topic->SetPause(coordinating ? kCoordinatorPause
+                                            : this->server_pause);
+}
+
 const KeyedMirror& BeliefTask::mirror(KeyedTopic topic) const {
   return topic == KeyedTopic::kOperator ? this->operator_topic->mirror()
                                         : this->server_topic->mirror();
--- a/packages/relay/belief_task.h
+++ b/packages/relay/belief_task.h
@@ -43,6 +43,8 @@
 
   const Belief& belief() const { return this->current; }
   const KeyedMirror& mirror(KeyedTopic topic) const;
+  // A coordinator of expert maps needs to know soon which ranks there are.
+  void SetCoordinating(bool coordinating);
   // Merges what a peer sent; `confirmed_at` is when it last heard the store.
   void TakeFromPeer(KeyedTopic topic,
                     const std::vector<KeyedRecord>& records,
@@ -57,6 +59,7 @@
   void TakeTraffic(const KeyedRecord& record);
 
   const RelayCodec& codec;
+  Duration server_pause;
   std::function<void()> on_change;
   Belief current;
   std::unique_ptr<KeyedTopicTask> operator_topic;
--- a/packages/relay/keyed_topic_task.h
+++ b/packages/relay/keyed_topic_task.h
@@ -44,6 +44,8 @@
                  KeyedTopicCallbacks callbacks);
   ~KeyedTopicTask();
 
+  // From the next answer on.
+  void SetPause(Duration pause) { this->pace.pause = pause; }
   const KeyedMirror& mirror() const { return this->records; }
   // Merges records that another entry host read. `end` is the host's end of
   // the topic.
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -119,8 +119,9 @@
   this->maps = std::make_unique<GroupMapTask>(
       this->loop, this->client, this->engine_codec, this->settings.store,
       member,
-      GroupMapCallbacks{[this] { return this->ViewGroup(); },
-                        [this](bool open) { this->OnGroupState(open); }});
+      GroupMapCallbacks{
+          [this] { return this->ViewGroup(); },
+          [this](const RankReport& report) { this->OnGroupReport(report); }});
   BOOST_OUTCOME_TRYV(this->maps->Start(
       {this->settings.control.ip, this->settings.rank_call_port}));
   this->sweep_timer = std::make_unique<Timer>(
@@ -137,10 +138,10 @@
   }
 }
 
-void RelayHost::OnGroupState(bool open) {
+void RelayHost::OnGroupReport(const RankReport& report) {
   std::set<ServiceName> standing;
   const auto& traffic = this->beliefs->belief().traffic;
-  if (!open && traffic != nullptr) {
+  if (!report.open && traffic != nullptr) {
     for (const auto& [name, service] : traffic->services) {
       if (service.engine && service.engine->expert_sets > 0) {
         standing.insert(name);
@@ -176,6 +177,7 @@
 
 void RelayHost::Sweep() {
   const TimePoint now = EventLoop::Now();
+  this->beliefs->SetCoordinating(this->maps->coordinates());
   for (const auto& [number, session] : this->sessions) {
     session->Sweep(now);
   }
--- a/packages/relay/relay_host.h
+++ b/packages/relay/relay_host.h
@@ -40,7 +40,7 @@
  private:
   void OnAccept(int socket);
   void OnBeliefChange();
-  void OnGroupState(bool open);
+  void OnGroupReport(const RankReport& report);
   void Sweep();
   void EndShutdownIfDue(TimePoint now);
   bool IsReady() const;
