Add a fault soak that runs relays as separate processes

The soak plays callers, servers and the store around three processes of the real program, with a loopback proxy on each link. Faults are drawn from a seed and overlap: processes killed, stopped, paused and started again; links delayed, silenced, cut one way, reset; the store down or without its history; servers restarted, drained, with broken answers; configurations. It checks one run at most, true refusals, whole answers to their own callers, streams in order, unchanged requests, attempts, drains, an answer after each timeout and service after the last fault. Model groups are not part of it; their protocol is played in advance_change_test.

--- /dev/null
+++ b/soak/check_promises.cc
@@ -0,0 +1,134 @@
+#include "soak/check_promises.h"
+
+#include <algorithm>
+
+#include "http_message/http_message.h"
+
+namespace toucanhollow {
+namespace {
+
+constexpr std::size_t kMaxAttempts = 2;
+
+std::string Header(const HttpHeaders& headers, std::string_view name) {
+  return std::string(FindHeader(headers, name));
+}
+
+bool PromisesNoRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+void Break(Ledger& ledger, const std::string& id, const std::string& what) {
+  ledger.broken.push_back("request " + id + ": " + what);
+}
+
+std::string WholeStream(const std::string& id) {
+  std::string text;
+  for (int number = 1; number <= kStreamEvents; ++number) {
+    text += EventText(id, number);
+  }
+  return text;
+}
+
+// An answer has the seal of the last server that ran the request. A stream
+// keeps that of the first server that began to answer, and one that ended
+// before it answered may have run the request first.
+bool IsSealOf(const SentRequest& request, const std::string& seal) {
+  if (request.ran_at.empty()) {
+    return false;
+  }
+  return request.kind == RequestKind::kStream
+             ? std::ranges::find(request.ran_at, seal) != request.ran_at.end()
+             : request.ran_at.back() == seal;
+}
+
+}  // namespace
+
+std::string AnswerBody(const std::string& id) {
+  return "answer of " + id;
+}
+
+std::string EventText(const std::string& id, int number) {
+  return "id: " + std::to_string(number) + "\ndata: " + id + "\n\n";
+}
+
+void NoteRun(Ledger& ledger,
+             const std::string& server,
+             const RequestHead& head,
+             const std::string& body) {
+  const std::string id = Header(head.headers, "X-Toucanhollow-Request-Id");
+  const auto found = ledger.requests.find(id);
+  if (found == ledger.requests.end()) {
+    Break(ledger, id, "a server ran it, and no caller sent it");
+    return;
+  }
+  SentRequest& request = found->second;
+  if (head.target != request.target || body != request.body) {
+    Break(ledger, id, "a server ran it with another target or body");
+  }
+  if (Header(head.headers, "X-Toucanhollow-Tenant-Id") != "acc" ||
+      !Header(head.headers, "Authorization").empty()) {
+    Break(ledger, id, "the server saw another account, or the key");
+  }
+  if (Header(head.headers, "X-Toucanhollow-Deadline-Ms").empty()) {
+    Break(ledger, id, "the server got no deadline");
+  }
+  if (request.refused_with != 0) {
+    Break(ledger, id,
+          "ran after status " + std::to_string(request.refused_with));
+  }
+  request.ran_at.push_back(server);
+  if (request.kind == RequestKind::kUnsafe && request.ran_at.size() > 1) {
+    Break(ledger, id, "is not idempotent and ran twice");
+  }
+  if (request.ran_at.size() > kMaxAttempts) {
+    Break(ledger, id, "ran on more servers than its route allows");
+  }
+}
+
+void NoteAnswer(Ledger& ledger,
+                const std::string& id,
+                const ResponseHead& head,
+                const std::string& body) {
+  SentRequest& request = ledger.requests.at(id);
+  const bool success = head.status >= 200 && head.status < 300;
+  if (Header(head.headers, "X-Toucanhollow-Request-Id") != id) {
+    Break(ledger, id, "got an answer with another id");
+  }
+  if (success) {
+    ++ledger.answered;
+    const std::string expected =
+        request.kind == RequestKind::kStream ? WholeStream(id) : AnswerBody(id);
+    if (body != expected) {
+      Break(ledger, id, "got another body: " + body);
+    }
+    const std::string seal =
+        Header(head.headers, "X-Toucanhollow-Response-Seal");
+    if (!IsSealOf(request, seal)) {
+      Break(ledger, id, "has the seal \"" + seal + "\"");
+    }
+    return;
+  }
+  if (PromisesNoRun(head.status)) {
+    ++ledger.refused;
+    request.refused_with = head.status;
+    if (request.kind == RequestKind::kUnsafe && !request.ran_at.empty()) {
+      Break(ledger, id, "ran and got status " + std::to_string(head.status));
+    }
+    if (request.kind != RequestKind::kUnsafe) {
+      // Idempotent requests may have run before they are refused.
+      request.refused_with = 0;
+    }
+    return;
+  }
+  ++ledger.failed;
+  if (head.status >= 300 && head.status < 500) {
+    Break(ledger, id,
+          "is proper and got status " + std::to_string(head.status));
+  }
+}
+
+void NoteNoAnswer(Ledger& ledger) {
+  ++ledger.failed;
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/soak/child_process.cc
@@ -0,0 +1,68 @@
+#include "soak/child_process.h"
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <utility>
+
+#include "base/check.h"
+
+namespace toucanhollow {
+
+ChildProcess::ChildProcess(std::vector<std::string> arguments,
+                           std::string log_file)
+    : arguments(std::move(arguments)), log_file(std::move(log_file)) {}
+
+ChildProcess::~ChildProcess() {
+  if (this->IsRunning()) {
+    kill(this->pid, SIGKILL);
+    waitpid(this->pid, &this->wait_status, 0);
+  }
+}
+
+void ChildProcess::Start() {
+  InternalCheck(!this->IsRunning(), "a process is started once at a time");
+  std::vector<char*> raw;
+  for (std::string& argument : this->arguments) {
+    raw.push_back(argument.data());
+  }
+  raw.push_back(nullptr);
+  this->pid = fork();
+  InternalCheck(this->pid >= 0, "the soak can start a process");
+  if (this->pid == 0) {
+    constexpr mode_t kReadable = 0644;
+    const int log = open(this->log_file.c_str(),
+                         O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kReadable);
+    dup2(log, STDOUT_FILENO);
+    dup2(log, STDERR_FILENO);
+    // Sockets of the soak must not stay open in its children.
+    constexpr int kMostDescriptors = 4096;
+    for (int fd = STDERR_FILENO + 1; fd < kMostDescriptors; ++fd) {
+      close(fd);
+    }
+    execv(raw[0], raw.data());
+    constexpr int kNotStarted = 127;
+    _exit(kNotStarted);
+  }
+}
+
+void ChildProcess::Signal(int signal) {
+  if (this->IsRunning()) {
+    kill(this->pid, signal);
+  }
+}
+
+bool ChildProcess::IsRunning() {
+  if (this->pid <= 0) {
+    return false;
+  }
+  if (waitpid(this->pid, &this->wait_status, WNOHANG) == this->pid) {
+    this->pid = -1;
+    return false;
+  }
+  return true;
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/soak/child_process.h
@@ -0,0 +1,37 @@
+// ChildProcess: one process of the system under test, controlled by signals.
+#ifndef SOAK_CHILD_PROCESS_H_
+#define SOAK_CHILD_PROCESS_H_
+
+#include <sys/types.h>
+
+#include <string>
+#include <vector>
+
+namespace toucanhollow {
+
+class ChildProcess {
+ public:
+  // `log_file` gets what the process writes.
+  ChildProcess(std::vector<std::string> arguments, std::string log_file);
+  // Kills the process if it still runs.
+  ~ChildProcess();
+  ChildProcess(const ChildProcess&) = delete;
+  ChildProcess& operator=(const ChildProcess&) = delete;
+
+  void Start();
+  void Signal(int signal);
+  // True until the process has ended; collects its status then.
+  bool IsRunning();
+  // How it ended, as waitpid gives it.
+  int status() const { return this->wait_status; }
+
+ private:
+  std::vector<std::string> arguments;
+  std::string log_file;
+  pid_t pid = -1;
+  int wait_status = 0;
+};
+
+}  // namespace toucanhollow
+
+#endif  // SOAK_CHILD_PROCESS_H_
--- /dev/null
+++ b/soak/soak_server.h
@@ -0,0 +1,59 @@
+// SoakServer: a server on the platform's protocol that answers whatever it is
+// asked, and tells the ledger what it runs.
+#ifndef SOAK_SOAK_SERVER_H_
+#define SOAK_SOAK_SERVER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "event_loop/event_loop.h"
+#include "http_stream/message_parser.h"
+#include "http_stream/tcp_connection.h"
+#include "soak/check_promises.h"
+
+namespace toucanhollow {
+
+class SoakServer {
+ public:
+  SoakServer(EventLoop& loop, Ledger& ledger, std::string id);
+
+  std::uint16_t Port() const { return this->listener->Port(); }
+  // Starts again as another server; connections are reset.
+  void Restart(std::string id);
+  const std::string& id() const { return this->own_id; }
+  // Breaks off the next answers in the middle.
+  void BreakAnswers(int count) { this->to_break = count; }
+  // No request may come after this time.
+  void ForbidAfter(std::optional<TimePoint> time) { this->forbidden_at = time; }
+
+ private:
+  struct Session {
+    std::unique_ptr<TcpConnection> connection;
+    std::unique_ptr<RequestParser> parser;
+    std::unique_ptr<Timer> work;
+  };
+
+  void Accept(int socket);
+  void OnData(std::uint64_t number, std::string_view bytes);
+  void Run(std::uint64_t number, const RequestHead& head);
+  void SendAnswer(std::uint64_t number, const std::string& id);
+  void SendEvent(std::uint64_t number, const std::string& id, int event);
+  void Close(std::uint64_t number, bool reset);
+  bool BreaksNow();
+
+  EventLoop& loop;
+  Ledger& ledger;
+  std::string own_id;
+  std::optional<TimePoint> forbidden_at;
+  int to_break = 0;
+  std::unique_ptr<TcpListener> listener;
+  std::map<std::uint64_t, Session> sessions;
+  std::uint64_t next_session = 1;
+};
+
+}  // namespace toucanhollow
+
+#endif  // SOAK_SOAK_SERVER_H_
