Log why the coordinator has no complete reading of its group

Cause: the log did not say why a group was not balanced for seconds.

Ruled out as the cause of GONE: held passes, and orders that are given late.

--- a/packages/map_task/group_map_task.cc
+++ b/packages/map_task/group_map_task.cc
@@ -181,21 +181,27 @@
                              TimePoint asked_at) {
   const TimePoint now = EventLoop::Now();
   const CoordinatorTerm& term = this->coordinator.term();
-  if (!term.is_coordinator || term.generation != this->versions_generation ||
-      now - asked_at > kMaxReadingAge) {
+  if (!term.is_coordinator || term.generation != this->versions_generation) {
+    return;
+  }
+  if (now - asked_at > kMaxReadingAge) {
+    this->NoteReading("took too long", "", now - asked_at);
     return;
   }
   GroupReading complete;
   for (const RankAnswer& answer : answers) {
     if (!answer.reply.report) {
+      this->NoteReading(answer.reply.detail, answer.server, now - asked_at);
       return;
     }
     complete.push_back(*answer.reply.report);
   }
   std::ranges::sort(complete, {}, &RankReport::rank);
   if (!IsCompleteReading(complete)) {
+    this->NoteReading("not one open group", "", now - asked_at);
     return;
   }
+  this->NoteReading("", "", now - asked_at);
   this->reading = std::move(complete);
   const RankReport& first = this->reading.front();
   this->exchange = now - asked_at;
@@ -243,6 +249,19 @@
   this->SendOrders(decision);
 }
 
+void GroupMapTask::NoteReading(std::string_view problem,
+                               std::string_view server,
+                               Duration took) {
+  if (problem == this->reading_problem) {
+    return;
+  }
+  this->reading_problem = problem;
+  LogJsonNow("group_reading", {{"complete", problem.empty()},
+                               {"problem", problem},
+                               {"server", server},
+                               {"reading_ms", ToMilliseconds(took)}});
+}
+
 void GroupMapTask::MeasurePasses(const RankReport& rank, TimePoint now) {
   const StepNumber passes = rank.step - this->measured_step;
   if (rank.epoch == this->measured_epoch && passes > 0) {
--- a/packages/map_task/group_map_task.h
+++ b/packages/map_task/group_map_task.h
@@ -58,6 +58,11 @@
   // Asks one rank whether the group is open.
   void ProbeGroup();
   void OnReports(const std::vector<RankAnswer>& answers, TimePoint asked_at);
+  // Logs when readings become complete or stop being so; no problem means that
+  // this one is.
+  void NoteReading(std::string_view problem,
+                   std::string_view server,
+                   Duration took);
   // Takes how long passes last from two readings of one rank.
   void MeasurePasses(const RankReport& rank, TimePoint now);
   void SendOrders(const ChangeDecision& decision);
@@ -81,6 +86,8 @@
   GroupView group;
   ChangeState state;
   GroupReading reading;
+  // Of the last reading; empty if it was complete.
+  std::string reading_problem;
   // How long a pass and a reading of all ranks took last.
   Duration pass_time{0};
   Duration exchange{0};
--- a/packages/map_task/rank_engine.cc
+++ b/packages/map_task/rank_engine.cc
@@ -69,6 +69,8 @@
                 } else {
                   reply.detail = report.error().detail;
                 }
+              } else if (reply.detail.empty()) {
+                reply.detail = "no report: " + outcome.error;
               }
               done(std::move(reply));
             });
