Take the caller's check, the server's request and log lines out of RelayRun

The check is a free function in traffic with a test of its own: only a fresh configuration denies. No behaviour changes.

--- a/packages/relay/relay_run.cc
+++ b/packages/relay/relay_run.cc
@@ -6,6 +6,9 @@
 #include "base/hash.h"
 #include "http_stream/write_message.h"
 #include "json_log/json_log.h"
+#include "relay/run_log.h"
+#include "relay/server_request.h"
+#include "traffic/check_caller.h"
 #include "traffic/find_route.h"
 
 namespace toucanhollow {
@@ -34,20 +37,6 @@
       .starts_with("text/event-stream");
 }
 
-std::string_view AttemptEndName(AttemptEnd end) {
-  switch (end) {
-    case AttemptEnd::kComplete:
-      return "complete";
-    case AttemptEnd::kNotSent:
-      return "not_sent";
-    case AttemptEnd::kBroken:
-      return "broken";
-    case AttemptEnd::kTruncated:
-      return "truncated";
-  }
-  return "";
-}
-
 }  // namespace
 
 RelayRun::RelayRun(RelayContext context,
@@ -73,36 +62,24 @@
   }
   this->facts = read.value();
   this->traffic = this->context.belief.traffic;
-  if (this->traffic == nullptr) {
-    this->Refuse(503, "no configuration yet", kShortRetryAfter);
-    return;
-  }
-  // What an old configuration lacks may exist by now.
-  const bool fresh = IsFresh(this->context.belief, now);
-  this->route =
-      FindRoute(*this->traffic, FindHeader(this->head.headers, "Host"),
-                this->head.target);
-  if (this->route == nullptr) {
-    if (fresh) {
-      this->Fail(404, "no route");
-    } else {
-      this->Refuse(503, "no route in an unconfirmed configuration",
-                   kShortRetryAfter);
-    }
-    return;
-  }
-  const auto found =
-      this->traffic->account_of_key.find(this->facts.account_key);
-  if (found != this->traffic->account_of_key.end()) {
-    this->account = &found->second;
-  } else if (this->traffic->has_accounts && !this->route->anonymous) {
-    if (fresh || this->facts.account_key.empty()) {
-      this->Fail(401, "unknown key");
-    } else {
-      this->Refuse(503, "unknown key in an unconfirmed configuration",
-                   kShortRetryAfter);
-    }
-    return;
+  const CallerCheck check =
+      CheckCaller(this->traffic.get(), IsFresh(this->context.belief, now),
+                  {FindHeader(this->head.headers, "Host"), this->head.target,
+                   this->facts.account_key});
+  this->route = check.route;
+  this->account = check.account;
+  switch (check.verdict) {
+    case CallerVerdict::kServed:
+      break;
+    case CallerVerdict::kRefused:
+      this->Refuse(503, check.why, kShortRetryAfter);
+      return;
+    case CallerVerdict::kNoRoute:
+      this->Fail(404, check.why);
+      return;
+    case CallerVerdict::kUnknownKey:
+      this->Fail(401, check.why);
+      return;
   }
   this->service = ChooseService(*this->route, HashText(this->facts.request_id));
   Duration time_left = this->route->timeout;
@@ -168,34 +145,20 @@
                          }});
 }
 
-std::string RelayRun::ServerRequest(const ServerPool& pool,
-                                    TimePoint now) const {
-  ServerRequestFacts server_facts;
-  server_facts.server_id = pool.server().id;
-  server_facts.deadline = this->deadline - now;
+ServerRequestFacts RelayRun::FactsFor(const ServerPool& pool,
+                                      TimePoint now) const {
+  ServerRequestFacts facts;
+  facts.server_id = pool.server().id;
+  facts.deadline = this->deadline - now;
+  int priority = this->route->priority;
   if (this->account != nullptr) {
-    server_facts.account = this->account->name;
+    facts.account = this->account->name;
+    priority = this->account->priority.value_or(priority);
   }
-  server_facts.resume_after =
+  facts.resume_after =
       this->begun ? this->events.last_id : this->facts.last_event_id;
-  int priority = this->route->priority;
-  if (this->account != nullptr && this->account->priority) {
-    priority = *this->account->priority;
-  }
-  server_facts.priority = std::clamp(priority, 0, kLowestPriority);
-  HttpHeaders headers = this->context.codec.server_headers(
-      WithoutConnectionHeaders(this->head.headers), server_facts);
-  const bool had_body =
-      !FindHeader(this->head.headers, "Content-Length").empty() ||
-      !FindHeader(this->head.headers, "Transfer-Encoding").empty();
-  std::erase_if(headers, [](const HttpHeader& header) {
-    return SameHeaderName(header.name, "Content-Length");
-  });
-  if (had_body) {
-    headers.push_back({"Content-Length", std::to_string(this->body.size())});
-  }
-  return WriteRequestHead(this->head.method, this->head.target, headers) +
-         this->body;
+  facts.priority = std::clamp(priority, 0, kLowestPriority);
+  return facts;
 }
 
 void RelayRun::Send(const std::shared_ptr<ServerPool>& placed) {
@@ -218,21 +181,15 @@
                                                  placed->server().address);
     this->context.metrics.Count("server_connections_total");
   }
-  LogJsonNow("request_sent",
-             {{"request", std::string_view(this->facts.request_id)},
-              {"route", std::string_view(this->route->name)},
-              {"server", std::string_view(placed->server().id)},
-              {"attempt", static_cast<std::int64_t>(this->sends)},
-              {"waited_ms", ToMilliseconds(now - this->arrived_at)},
-              {"left_ms", ToMilliseconds(this->deadline - now)},
-              {"outstanding", static_cast<std::int64_t>(placed->outstanding)},
-              {"kept_connection", kept},
-              {"config_version", this->traffic->version}});
+  LogSent({this->facts.request_id, this->route->name, placed->server().id,
+           this->sends, now - this->arrived_at, this->deadline - now,
+           placed->outstanding, kept, this->traffic->version});
   RelayRun* raw = this;
   this->attempt = std::make_unique<ServerAttempt>(
       std::move(connection), this->context.codec,
-      this->ServerRequest(*placed, now), this->facts.request_id,
-      this->head.method != "HEAD",
+      WriteServerRequest(this->context.codec, this->head, this->body,
+                         this->FactsFor(*placed, now)),
+      this->facts.request_id, this->head.method != "HEAD",
       AttemptCallbacks{
           [raw](const ResponseHead& answer, const ResponseFacts& facts) {
             const auto keep = raw->shared_from_this();
@@ -359,14 +316,8 @@
     this->OnComplete();
     return;
   }
-  LogJsonNow("attempt_failed",
-             {{"request", std::string_view(this->facts.request_id)},
-              {"server", std::string_view(server->server().id)},
-              {"attempt", static_cast<std::int64_t>(this->sends)},
-              {"end", AttemptEndName(end)},
-              {"status", static_cast<std::int64_t>(this->answer.status)},
-              {"not_run", this->answer_not_run},
-              {"detail", detail}});
+  LogAttemptFailed({this->facts.request_id, server->server().id, this->sends,
+                    end, this->answer.status, this->answer_not_run, detail});
   const bool not_run = end == AttemptEnd::kNotSent ||
                        (end == AttemptEnd::kComplete && this->answer_not_run);
   this->buffered.clear();
@@ -488,25 +439,25 @@
         "first_byte_ms",
         ToMilliseconds(this->first_byte_at - this->arrived_at));
   }
-  LogJsonNow(
-      "request_ended",
-      {{"request", std::string_view(this->facts.request_id)},
-       {"route", this->route == nullptr ? std::string_view()
-                                        : std::string_view(this->route->name)},
-       {"account", this->account == nullptr
-                       ? std::string_view()
-                       : std::string_view(this->account->name.value)},
-       {"outcome", outcome},
-       {"status", static_cast<std::int64_t>(status)},
-       {"why", why},
-       {"returning", this->returning},
-       {"attempts", static_cast<std::int64_t>(this->sends)},
-       {"maybe_ran", this->maybe_ran},
-       {"first_byte_ms",
-        this->begun || outcome == "answered"
-            ? ToMilliseconds(this->first_byte_at - this->arrived_at)
-            : -1.0},
-       {"ms", ToMilliseconds(now - this->arrived_at)}});
+  EndedLine line;
+  line.request = this->facts.request_id;
+  if (this->route != nullptr) {
+    line.route = this->route->name;
+  }
+  if (this->account != nullptr) {
+    line.account = this->account->name.value;
+  }
+  line.outcome = outcome;
+  line.status = status;
+  line.why = why;
+  line.returning = this->returning;
+  line.attempts = this->sends;
+  line.maybe_ran = this->maybe_ran;
+  if (this->begun || outcome == "answered") {
+    line.first_byte = this->first_byte_at - this->arrived_at;
+  }
+  line.took = now - this->arrived_at;
+  LogEnded(line);
 }
 
 void RelayRun::Cancel(std::string_view reason) {
--- a/packages/relay/relay_run.h
+++ b/packages/relay/relay_run.h
@@ -73,7 +73,7 @@
 
   void Place();
   void Send(const std::shared_ptr<ServerPool>& pool);
-  std::string ServerRequest(const ServerPool& pool, TimePoint now) const;
+  ServerRequestFacts FactsFor(const ServerPool& pool, TimePoint now) const;
   void OnHead(const ResponseHead& head, const ResponseFacts& facts);
   void OnBody(const std::string& bytes);
   void OnEnd(AttemptEnd end, std::string_view detail);
--- /dev/null
+++ b/packages/relay/run_log.cc
@@ -0,0 +1,66 @@
+#include "relay/run_log.h"
+
+#include "json_log/json_log.h"
+
+namespace toucanhollow {
+namespace {
+
+std::string_view AttemptEndName(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kComplete:
+      return "complete";
+    case AttemptEnd::kNotSent:
+      return "not_sent";
+    case AttemptEnd::kBroken:
+      return "broken";
+    case AttemptEnd::kTruncated:
+      return "truncated";
+  }
+  return "";
+}
+
+}  // namespace
+
+void LogSent(const SentLine& line) {
+  LogJsonNow("request_sent",
+             {{"request", line.request},
+              {"route", line.route},
+              {"server", line.server},
+              {"attempt", static_cast<std::int64_t>(line.attempt)},
+              {"waited_ms", ToMilliseconds(line.waited)},
+              {"left_ms", ToMilliseconds(line.left)},
+              {"outstanding", static_cast<std::int64_t>(line.outstanding)},
+              {"kept_connection", line.kept_connection},
+              {"config_version", line.config_version}});
+}
+
+void LogAttemptFailed(const AttemptFailedLine& line) {
+  LogJsonNow("attempt_failed",
+             {{"request", line.request},
+              {"server", line.server},
+              {"attempt", static_cast<std::int64_t>(line.attempt)},
+              {"end", AttemptEndName(line.end)},
+              {"status", static_cast<std::int64_t>(line.status)},
+              {"not_run", line.not_run},
+              {"detail", line.detail}});
+}
+
+void LogEnded(const EndedLine& line) {
+  constexpr double kNoFirstByte = -1;
+  LogJsonNow(
+      "request_ended",
+      {{"request", line.request},
+       {"route", line.route},
+       {"account", line.account},
+       {"outcome", line.outcome},
+       {"status", static_cast<std::int64_t>(line.status)},
+       {"why", line.why},
+       {"returning", line.returning},
+       {"attempts", static_cast<std::int64_t>(line.attempts)},
+       {"maybe_ran", line.maybe_ran},
+       {"first_byte_ms",
+        line.first_byte ? ToMilliseconds(*line.first_byte) : kNoFirstByte},
+       {"ms", ToMilliseconds(line.took)}});
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/relay/server_request.cc
@@ -0,0 +1,24 @@
+#include "relay/server_request.h"
+
+#include "http_stream/write_message.h"
+
+namespace toucanhollow {
+
+std::string WriteServerRequest(const RelayCodec& codec,
+                               const RequestHead& head,
+                               const std::string& body,
+                               const ServerRequestFacts& facts) {
+  HttpHeaders headers =
+      codec.server_headers(WithoutConnectionHeaders(head.headers), facts);
+  const bool had_body = !FindHeader(head.headers, "Content-Length").empty() ||
+                        !FindHeader(head.headers, "Transfer-Encoding").empty();
+  std::erase_if(headers, [](const HttpHeader& header) {
+    return SameHeaderName(header.name, "Content-Length");
+  });
+  if (had_body) {
+    headers.push_back({"Content-Length", std::to_string(body.size())});
+  }
+  return WriteRequestHead(head.method, head.target, headers) + body;
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/traffic/check_caller_test.cc
@@ -0,0 +1,56 @@
+#include "traffic/check_caller.h"
+
+#include <catch2/catch.hpp>
+
+namespace toucanhollow {
+namespace {
+
+TrafficConfig MakeConfig() {
+  TrafficConfig config;
+  Route keyed;
+  keyed.name = "keyed";
+  keyed.host = "h";
+  keyed.path_prefix = "/a/";
+  Route open = keyed;
+  open.name = "open";
+  open.path_prefix = "/b/";
+  open.anonymous = true;
+  config.routes = {keyed, open};
+  config.has_accounts = true;
+  config.account_of_key.emplace("k", ClientAccount{{"acc"}, std::nullopt});
+  return config;
+}
+
+TEST_CASE("a request with a route and a key is served") {
+  const TrafficConfig config = MakeConfig();
+  const CallerCheck check = CheckCaller(&config, false, {"h", "/a/x", "k"});
+  CHECK(check.verdict == CallerVerdict::kServed);
+  REQUIRE(check.route != nullptr);
+  CHECK(check.route->name == "keyed");
+  REQUIRE(check.account != nullptr);
+  CHECK(check.account->name.value == "acc");
+  const CallerCheck open = CheckCaller(&config, true, {"h", "/b/x", ""});
+  CHECK(open.verdict == CallerVerdict::kServed);
+  CHECK(open.account == nullptr);
+}
+
+// Guards against a denial that a newer configuration would not give: callers do
+// not try again after it.
+TEST_CASE("only a fresh configuration denies") {
+  const TrafficConfig config = MakeConfig();
+  CHECK(CheckCaller(nullptr, true, {"h", "/a/x", "k"}).verdict ==
+        CallerVerdict::kRefused);
+  CHECK(CheckCaller(&config, true, {"h", "/c/x", "k"}).verdict ==
+        CallerVerdict::kNoRoute);
+  CHECK(CheckCaller(&config, false, {"h", "/c/x", "k"}).verdict ==
+        CallerVerdict::kRefused);
+  CHECK(CheckCaller(&config, true, {"h", "/a/x", "other"}).verdict ==
+        CallerVerdict::kUnknownKey);
+  CHECK(CheckCaller(&config, false, {"h", "/a/x", "other"}).verdict ==
+        CallerVerdict::kRefused);
+  CHECK(CheckCaller(&config, false, {"h", "/a/x", ""}).verdict ==
+        CallerVerdict::kUnknownKey);
+}
+
+}  // namespace
+}  // namespace toucanhollow
