Leave slow ranks with few experts and the last requests

Cause: a pass lasts as long as the slowest rank's part, and one slow engine makes the whole group late. The coordinator saw the pace that engines report and did not use it: the expert plan counted all ranks alike, and hosts gave a slow rank as many requests as the others.

Change: a rank's load counts times its pace in the plan; the coordinator names slow ranks in its load reports, and hosts choose them when no other has room. The new tests fail without it (ratio above 4 with a rank of pace 8).

Failed trials, not kept: (1) 400 ms for engines that are asked directly; in the machine that stands still the engine does not answer either.

--- a/packages/expert_map/even_placement.cc
+++ b/packages/expert_map/even_placement.cc
@@ -34,9 +34,10 @@
   std::vector<int> added;                 // by rank, against the current map
   std::vector<int>* loads = nullptr;      // by rank, of all sets
   const ExpertMap* current = nullptr;
-  std::vector<double> load;    // by rank
+  RankPaces paces;             // by rank
+  std::vector<double> load;    // by rank, times its pace
   std::vector<double> weight;  // by rank, as Weigh gives it
-  double mean = 0;
+  double mean = 0;             // of the loads at a usual pace
   // Scratch: what moves add to the load of the touched ranks.
   std::vector<double> shift;
   std::vector<int> touched;
@@ -78,7 +79,7 @@
   if (!Contains(draft.touched, rank)) {
     draft.touched.push_back(rank);
   }
-  draft.shift[rank] += load;
+  draft.shift[rank] += load * draft.paces[rank];
 }
 
 // Adds what the moves change to the scratch.
@@ -202,8 +203,11 @@
 Draft MakeDraft(const ExpertMap& current,
                 std::span<const double> tokens,
                 const EvenPlacementLimits& limits,
+                const RankPaces& paces,
                 std::vector<int>& loads) {
   Draft draft;
+  draft.paces = paces;
+  draft.paces.resize(current.experts_by_rank.size(), 1);
   draft.tokens = tokens;
   draft.limits = limits;
   draft.held = current.experts_by_rank;
@@ -220,8 +224,9 @@
   draft.load = RankLoads(current, tokens);
   draft.mean = std::accumulate(draft.load.begin(), draft.load.end(), 0.0) /
                static_cast<double>(std::max<std::size_t>(draft.load.size(), 1));
-  for (const double load : draft.load) {
-    draft.weight.push_back(Weigh(load, draft.mean));
+  for (std::size_t rank = 0; rank < draft.load.size(); ++rank) {
+    draft.load[rank] *= draft.paces[rank];
+    draft.weight.push_back(Weigh(draft.load[rank], draft.mean));
   }
   return draft;
 }
@@ -247,23 +252,31 @@
 
 }  // namespace
 
-double LoadRatio(const ExpertMap& map, std::span<const double> expert_load) {
-  const std::vector<double> loads = RankLoads(map, expert_load);
+double LoadRatio(const ExpertMap& map,
+                 std::span<const double> expert_load,
+                 const RankPaces& paces) {
+  std::vector<double> loads = RankLoads(map, expert_load);
   const double sum = std::accumulate(loads.begin(), loads.end(), 0.0);
   if (loads.empty() || sum <= 0) {
     return 1;
   }
+  for (std::size_t rank = 0; rank < std::min(loads.size(), paces.size());
+       ++rank) {
+    loads[rank] *= paces[rank];
+  }
   return std::ranges::max(loads) * static_cast<double>(loads.size()) / sum;
 }
 
 SetMaps PlanEvenMaps(const SetMaps& current,
                      const std::vector<std::vector<double>>& expert_load,
-                     const EvenPlacementLimits& limits) {
+                     const EvenPlacementLimits& limits,
+                     const RankPaces& paces) {
   std::vector<int> loads(
       current.empty() ? 0 : current.front().experts_by_rank.size(), 0);
   std::vector<Draft> drafts;
   for (std::size_t set = 0; set < current.size(); ++set) {
-    drafts.push_back(MakeDraft(current[set], expert_load[set], limits, loads));
+    drafts.push_back(
+        MakeDraft(current[set], expert_load[set], limits, paces, loads));
   }
   std::vector<bool> done(drafts.size(), false);
   const std::size_t most_moves = kMovesPerRank * loads.size() * drafts.size();
--- a/packages/expert_map/even_placement.h
+++ b/packages/expert_map/even_placement.h
@@ -29,16 +29,22 @@
 // One map for each set of layers.
 using SetMaps = std::vector<ExpertMap>;
 
-// Load of the most loaded rank against the mean; 1 is perfect. 1 if there is
-// no load.
-double LoadRatio(const ExpertMap& map, std::span<const double> expert_load);
+// How many times as long as usual each rank's work takes. Empty: all are sound.
+using RankPaces = std::vector<double>;
+
+// Time of the slowest rank against that of a sound rank with the mean load; 1
+// is perfect. 1 if there is no load.
+double LoadRatio(const ExpertMap& map,
+                 std::span<const double> expert_load,
+                 const RankPaces& paces = {});
 
 // Lowers the load of the most loaded ranks by copies and exchanges of experts,
-// the most uneven set first. Every expert stays on at least one rank. The load
-// is by set and expert.
+// the most uneven set first. Every expert stays on at least one rank. A slow
+// rank counts as loaded by as much more. The load is by set and expert.
 SetMaps PlanEvenMaps(const SetMaps& current,
                      const std::vector<std::vector<double>>& expert_load,
-                     const EvenPlacementLimits& limits);
+                     const EvenPlacementLimits& limits,
+                     const RankPaces& paces = {});
 
 }  // namespace toucanhollow
 
--- a/packages/expert_map/even_placement_test.cc
+++ b/packages/expert_map/even_placement_test.cc
@@ -94,6 +94,25 @@
   CHECK(PlanEvenMaps(StartMaps(2), load, {5, 2, 3, 1.1}) == StartMaps(2));
 }
 
+// Guards against a group whose passes all wait for one slow rank.
+TEST_CASE("a slow rank is left with little") {
+  std::mt19937 random(5);
+  SetMaps maps(2, InitialMap(16, 64, 5));
+  const std::vector<std::vector<double>> load = SkewedLoads(2, random);
+  RankPaces paces(16, 1);
+  paces[3] = 8;
+  const double blind =
+      LoadRatio(PlanEvenMaps(maps, load, {5, 2, 4, 1.18})[0], load[0], paces);
+  for (int change = 0; change < 4; ++change) {
+    maps = PlanEvenMaps(maps, load, {5, 2, 4, 1.18}, paces);
+  }
+  for (std::size_t set = 0; set < maps.size(); ++set) {
+    CHECK(IsCompleteMap(maps[set], kExperts));
+    CHECK(LoadRatio(maps[set], load[set], paces) < 2);
+  }
+  CHECK(blind > 4);
+}
+
 // Guards against a large group that needs several changes, each of which costs
 // an exchange with all ranks.
 TEST_CASE("a plan for 72 ranks evens out a shifted demand in one change") {
--- a/packages/map_change/rank_report.h
+++ b/packages/map_change/rank_report.h
@@ -30,6 +30,8 @@
   std::int64_t sequence = 0;
   StepNumber step = 0;      // the last pass that began
   GroupMapVersion map = 0;  // in use
+  // How many times as long as usual the rank's work takes; 1 for a sound one.
+  double pace = 1;
   // A map whose experts are all loaded.
   std::optional<GroupMapVersion> prepared;
   // A map that a coming pass switches to.
--- a/packages/map_task/group_map_task.cc
+++ b/packages/map_task/group_map_task.cc
@@ -32,6 +32,8 @@
 constexpr double kLeastImprovement = 0.06;
 // Sets that are closer to even are left alone; each load has a price.
 constexpr double kGoodRatio = 1.18;
+// Ranks that are this much slower are left alone by new requests.
+constexpr double kSlowPace = 1.3;
 // Choices below which the estimate is noise.
 constexpr double kLeastDemand = 2000;
 constexpr GroupMapVersion kVersionsPerTerm = 1 << 16;
@@ -55,12 +57,13 @@
   return "";
 }
 
-// Mean over the sets of the most loaded rank's load against the mean rank's.
+// Mean over the sets of the slowest rank's time against a sound mean rank's.
 double MeanRatio(const GroupMap& map,
-                 const std::vector<std::vector<double>>& chosen) {
+                 const std::vector<std::vector<double>>& chosen,
+                 const RankPaces& paces) {
   double sum = 0;
   for (std::size_t set = 0; set < map.size(); ++set) {
-    sum += LoadRatio(map[set], chosen[set]);
+    sum += LoadRatio(map[set], chosen[set], paces);
   }
   return map.empty() ? 1 : sum / static_cast<double>(map.size());
 }
@@ -115,6 +118,7 @@
     this->ProbeGroup();
   }
   if (!coordinates) {
+    this->NoteSlowRanks({});
     this->state = ChangeState{};
     return;
   }
@@ -202,6 +206,13 @@
     return;
   }
   this->NoteReading("", "", now - asked_at);
+  std::set<std::string> slow;
+  for (const RankReport& rank : complete) {
+    if (rank.pace >= kSlowPace) {
+      slow.insert(rank.server);
+    }
+  }
+  this->NoteSlowRanks(std::move(slow));
   this->reading = std::move(complete);
   const RankReport& first = this->reading.front();
   this->exchange = now - asked_at;
@@ -249,6 +260,19 @@
   this->SendOrders(decision);
 }
 
+void GroupMapTask::NoteSlowRanks(std::set<std::string> slow) {
+  if (slow == this->slow_ranks) {
+    return;
+  }
+  this->slow_ranks = std::move(slow);
+  std::string servers;
+  for (const std::string& server : this->slow_ranks) {
+    servers += (servers.empty() ? "" : ",") + server;
+  }
+  LogJsonNow("slow_ranks", {{"servers", std::string_view(servers)}});
+  this->callbacks.on_slow_ranks(this->slow_ranks);
+}
+
 void GroupMapTask::NoteReading(std::string_view problem,
                                std::string_view server,
                                Duration took) {
@@ -423,9 +447,14 @@
   EvenPlacementLimits limits = this->group.limits;
   limits.loads_per_rank = LoadsPerChange(this->group.expert_load_time);
   limits.good_ratio = kGoodRatio;
-  GroupMap wanted = PlanEvenMaps(this->present, this->demand.chosen, limits);
-  const double before = MeanRatio(this->present, this->demand.chosen);
-  const double after = MeanRatio(wanted, this->demand.chosen);
+  RankPaces paces;
+  for (const RankReport& rank : this->reading) {
+    paces.push_back(rank.pace);
+  }
+  GroupMap wanted =
+      PlanEvenMaps(this->present, this->demand.chosen, limits, paces);
+  const double before = MeanRatio(this->present, this->demand.chosen, paces);
+  const double after = MeanRatio(wanted, this->demand.chosen, paces);
   if (after > before * (1 - kLeastImprovement)) {
     return std::nullopt;
   }
--- a/packages/map_task/group_map_task.h
+++ b/packages/map_task/group_map_task.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,8 @@
   std::function<GroupView()> view;
   // What some rank reported last.
   std::function<void(const RankReport& report)> on_report;
+  // The servers of slow ranks; none while this host does not coordinate.
+  std::function<void(const std::set<std::string>& servers)> on_slow_ranks;
 };
 
 class GroupMapTask {
@@ -58,6 +61,7 @@
   // Asks one rank whether the group is open.
   void ProbeGroup();
   void OnReports(const std::vector<RankAnswer>& answers, TimePoint asked_at);
+  void NoteSlowRanks(std::set<std::string> slow);
   // Logs when readings become complete or stop being so; no problem means that
   // this one is.
   void NoteReading(std::string_view problem,
@@ -88,6 +92,7 @@
   GroupReading reading;
   // Of the last reading; empty if it was complete.
   std::string reading_problem;
+  std::set<std::string> slow_ranks;
   // How long a pass and a reading of all ranks took last.
   Duration pass_time{0};
   Duration exchange{0};
--- a/packages/map_task/rank_message_codec.cc
+++ b/packages/map_task/rank_message_codec.cc
@@ -140,8 +140,8 @@
 json ToJson(const RankReport& report) {
   return json::array({report.group, report.epoch, report.rank, report.size,
                       report.open, report.busy, report.sequence, report.step,
-                      report.map, ToJson(report.prepared), ToJson(report.armed),
-                      ToJson(report.held)});
+                      report.map, report.pace, ToJson(report.prepared),
+                      ToJson(report.armed), ToJson(report.held)});
 }
 
 RankReport ToReport(const json& document) {
@@ -156,6 +156,7 @@
   report.sequence = document.at(next++).get<std::int64_t>();
   report.step = document.at(next++).get<StepNumber>();
   report.map = document.at(next++).get<GroupMapVersion>();
+  report.pace = document.at(next++).get<double>();
   report.prepared = ToOptional<GroupMapVersion>(document.at(next++));
   report.armed = ToOptional<GroupMapVersion>(document.at(next++));
   report.held = ToOptional<StepNumber>(document.at(next++));
--- a/packages/map_task/rank_message_test.cc
+++ b/packages/map_task/rank_message_test.cc
@@ -28,8 +28,19 @@
   sent.serial = 5;
   sent.reply.status = 409;
   sent.reply.detail = "busy";
-  sent.reply.report = RankReport{
-      "", "g", 2, 1, 4, true, true, 6, 8, 70000, std::nullopt, 70001, 9};
+  sent.reply.report = RankReport{};
+  sent.reply.report->group = "g";
+  sent.reply.report->epoch = 2;
+  sent.reply.report->rank = 1;
+  sent.reply.report->size = 4;
+  sent.reply.report->open = true;
+  sent.reply.report->busy = true;
+  sent.reply.report->sequence = 6;
+  sent.reply.report->step = 8;
+  sent.reply.report->map = 70000;
+  sent.reply.report->pace = 4.5;
+  sent.reply.report->armed = 70001;
+  sent.reply.report->held = 9;
   sent.reply.choices = ChoiceTable{{1, 2}, {3, 65535}};
   sent.reply.experts = RankExperts{3, {{1, 2}, {0}}};
   const auto got = DecodeRankReply(EncodeRankReply(sent));
--- a/packages/relay/dispatcher.cc
+++ b/packages/relay/dispatcher.cc
@@ -87,6 +87,8 @@
   }
   DropSilentHosts(this->board, now);
   std::vector<std::shared_ptr<ServerPool>> pools;
+  std::set<std::uint32_t> slow = SlowServers(this->board, now);
+  slow.insert(this->slow_servers.begin(), this->slow_servers.end());
   std::vector<ServerCandidate> fresh;
   std::vector<ServerCandidate> tried;
   for (const auto& pool : this->PoolsOf(order.service, now)) {
@@ -101,6 +103,7 @@
     candidate.unread_tokens = pool->unread_tokens + others.unread_tokens;
     candidate.limit = ServerLimit(service->second, pool->server());
     candidate.local = pool->server().data_centre == this->settings.data_centre;
+    candidate.slow = slow.contains(pool->load_key());
     candidate.health = pool->health;
     (order.tried.contains(candidate.id) ? tried : fresh).push_back(candidate);
   }
@@ -291,6 +294,16 @@
   return this->standing_services.contains(service);
 }
 
+void Dispatcher::SetSlowServers(const std::set<std::string>& servers) {
+  this->slow_servers.clear();
+  for (const std::string& id : servers) {
+    const auto pool = this->pools.find(id);
+    if (pool != this->pools.end()) {
+      this->slow_servers.insert(pool->second->load_key());
+    }
+  }
+}
+
 void Dispatcher::NoteRequestFor(const ServiceName& service) {
   NoteRequest(this->services[service].retries, this->settings.retry,
               EventLoop::Now());
@@ -308,6 +321,8 @@
 
 HostLoadReport Dispatcher::MakeLoadReport() const {
   HostLoadReport report;
+  report.slow_servers.assign(this->slow_servers.begin(),
+                             this->slow_servers.end());
   for (const auto& [id, pool] : this->pools) {
     if (pool->outstanding > 0) {
       report.loads.push_back(
--- a/packages/relay/dispatcher.h
+++ b/packages/relay/dispatcher.h
@@ -59,6 +59,9 @@
   void SetStanding(const std::set<ServiceName>& standing);
   bool IsStanding(const ServiceName& service) const;
 
+  // The ranks that this host, as coordinator, sees hold up their group; ids.
+  void SetSlowServers(const std::set<std::string>& servers);
+
   void NoteRequestFor(const ServiceName& service);
   // True if one more attempt fits the shared bound on retries.
   bool SpendRetryFor(const ServiceName& service);
@@ -100,6 +103,7 @@
   std::map<RequestId, Waiting> waiting;
   std::set<ServiceName> standing_services;
   LoadBoard board;
+  std::set<std::uint32_t> slow_servers;
   int host_count = 1;
   std::uint64_t draws = 0;
   std::unique_ptr<Timer> timer;
--- a/packages/relay/peer_codec.cc
+++ b/packages/relay/peer_codec.cc
@@ -56,8 +56,8 @@
   for (const ServerLoad& load : report.loads) {
     loads.push_back({load.server, load.outstanding, load.unread_tokens});
   }
-  return ToBytes(
-      json::array({report.incarnation, report.sequence, std::move(loads)}));
+  return ToBytes(json::array({report.incarnation, report.sequence,
+                              std::move(loads), report.slow_servers}));
 }
 
 Result<HostLoadReport> DecodeLoadReport(std::string_view bytes) {
@@ -69,6 +69,7 @@
       report.loads.push_back({load.at(0).get<std::uint32_t>(),
                               load.at(1).get<int>(), load.at(2).get<int>()});
     }
+    report.slow_servers = document.at(3).get<std::vector<std::uint32_t>>();
     return report;
   });
 }
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -121,7 +121,10 @@
       member,
       GroupMapCallbacks{
           [this] { return this->ViewGroup(); },
-          [this](const RankReport& report) { this->OnGroupReport(report); }});
+          [this](const RankReport& report) { this->OnGroupReport(report); },
+          [this](const std::set<std::string>& servers) {
+            this->dispatcher.SetSlowServers(servers);
+          }});
   BOOST_OUTCOME_TRYV(this->maps->Start(
       {this->settings.control.ip, this->settings.rank_call_port}));
   this->sweep_timer = std::make_unique<Timer>(
--- a/packages/traffic/load_board.cc
+++ b/packages/traffic/load_board.cc
@@ -43,6 +43,17 @@
   }
 }
 
+std::set<std::uint32_t> SlowServers(const LoadBoard& board, TimePoint now) {
+  std::set<std::uint32_t> slow;
+  for (const auto& [host, entry] : board.hosts) {
+    if (now - entry.received_at <= kReportLifetime) {
+      slow.insert(entry.report.slow_servers.begin(),
+                  entry.report.slow_servers.end());
+    }
+  }
+  return slow;
+}
+
 ServerLoad LoadOf(const LoadBoard& board, std::uint32_t server) {
   const auto found = board.sums.find(server);
   return found == board.sums.end() ? ServerLoad{server, 0, 0} : found->second;
--- a/packages/traffic/load_board.h
+++ b/packages/traffic/load_board.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,9 @@
   std::uint64_t incarnation = 0;
   std::uint64_t sequence = 0;
   std::vector<ServerLoad> loads;
+  // Ranks that hold up their model group, as a coordinator sees them; hashes of
+  // the servers' ids.
+  std::vector<std::uint32_t> slow_servers = {};
 
   bool operator==(const HostLoadReport&) const = default;
 };
@@ -57,6 +61,9 @@
 // Drops silent hosts.
 void DropSilentHosts(LoadBoard& board, TimePoint now);
 
+// Servers that some host says are slow.
+std::set<std::uint32_t> SlowServers(const LoadBoard& board, TimePoint now);
+
 // The work that other hosts have at the server.
 ServerLoad LoadOf(const LoadBoard& board, std::uint32_t server);
 
--- a/packages/traffic/place_request.cc
+++ b/packages/traffic/place_request.cc
@@ -24,7 +24,8 @@
   std::vector<std::size_t> avoided;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     if (candidates[i].outstanding < candidates[i].limit) {
-      const bool avoid = now < candidates[i].health.avoid_until;
+      const bool avoid =
+          candidates[i].slow || now < candidates[i].health.avoid_until;
       (avoid ? avoided : open).push_back(i);
     }
   }
--- a/packages/traffic/place_request.h
+++ b/packages/traffic/place_request.h
@@ -40,6 +40,8 @@
   double unread_tokens = 0;
   int limit = 1;       // requests that it may be given at once
   bool local = false;  // in this host's data centre
+  // The server holds up its model group; it is chosen last.
+  bool slow = false;
   ServerHealth health;
 
   bool operator==(const ServerCandidate&) const = default;
--- a/packages/traffic/traffic_test.cc
+++ b/packages/traffic/traffic_test.cc
@@ -249,5 +249,32 @@
   CHECK(ReturnAfter(Seconds(5), Milliseconds(-3)) == Duration(0));
 }
 
+// Guards against requests that make the slowest rank of a group slower yet.
+TEST_CASE("a slow server is chosen when no other has room") {
+  std::vector<ServerCandidate> candidates = {MakeCandidate("a", 0),
+                                             MakeCandidate("b", 9)};
+  candidates[0].slow = true;
+  for (std::uint64_t draw = 0; draw < 20; ++draw) {
+    CHECK(PlaceRequest(candidates, {.draw = draw}, At(0)) == 1U);
+  }
+  candidates[1].outstanding = candidates[1].limit;
+  CHECK(PlaceRequest(candidates, {}, At(0)) == 0U);
+}
+
+TEST_CASE("slow servers are known while their reporter is heard") {
+  LoadBoard board;
+  HostLoadReport report;
+  report.incarnation = 1;
+  report.sequence = 1;
+  report.slow_servers = {7};
+  TakeReport(board, "h", report, At(0));
+  CHECK(SlowServers(board, At(1000)) == std::set<std::uint32_t>{7});
+  CHECK(SlowServers(board, At(2000)).empty());
+  report.sequence = 2;
+  report.slow_servers.clear();
+  TakeReport(board, "h", report, At(1000));
+  CHECK(SlowServers(board, At(1000)).empty());
+}
+
 }  // namespace
 }  // namespace toucanhollow
