--- /dev/null
+++ b/standins/platform/engine_group_stand_in.cc
@@ -0,0 +1,187 @@
+#include "standins/platform/engine_group_stand_in.h"
+
+#include <algorithm>
+
+#include "base/check.h"
+
+namespace toucanhollow {
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration kPass = Milliseconds(20);
+constexpr Duration kLateBy = Milliseconds(300);
+constexpr int kBegun = 202;
+constexpr int kConflict = 409;
+
+}  // namespace
+
+EngineGroupStandIn::EngineGroupStandIn(EventLoop& loop,
+                                       const EngineGroupShape& shape)
+    : loop(loop), shape(shape), ranks(shape.ranks) {
+  const SetMaps first(shape.sets,
+                      InitialMap(shape.ranks, shape.experts, shape.places));
+  for (int i = 0; i < shape.ranks; ++i) {
+    this->ranks[i].map = first;
+    auto listening = HttpServer::Listen(
+        loop, {},
+        [this, i](const HttpRequest& request,
+                  const std::shared_ptr<HttpResponseWriter>& writer) {
+          this->Handle(i, request, writer);
+        });
+    InternalCheck(listening.has_value(), "the engine stand-in listens");
+    this->ranks[i].server = std::move(listening.value());
+  }
+  this->passes = std::make_unique<Timer>(loop, kPass, kPass,
+                                         [this] { this->BeginPass(); });
+}
+
+void EngineGroupStandIn::Handle(
+    int rank,
+    const HttpRequest& request,
+    const std::shared_ptr<HttpResponseWriter>& writer) {
+  if (request.path == "/v1/report") {
+    writer->Respond(200, {}, this->Report(rank));
+  } else if (request.path == "/v1/picked") {
+    writer->Respond(
+        200, {}, request.query.empty() ? this->Counts() : this->Experts(rank));
+  } else if (request.path == "/v1/order") {
+    const json order = json::parse(request.body);
+    ++this->orders;
+    if (this->late_every > 0 && this->orders % this->late_every == 0) {
+      this->late.push_back(std::make_unique<Timer>(
+          this->loop, kLateBy, Duration(0),
+          [this, rank, order, writer] { this->Accept(rank, order); }));
+      return;
+    }
+    writer->Respond(this->Accept(rank, order), {}, "");
+  } else {
+    writer->Respond(404, {}, "");
+  }
+}
+
+std::string EngineGroupStandIn::Report(int rank) const {
+  const Rank& self = this->ranks[rank];
+  json report = {
+      {"group",
+       {{"name", "g"}, {"epoch", 1}, {"rank", rank}, {"state", "open"}}},
+      {"size", this->shape.ranks},
+      {"busy", false},
+      {"sequence", self.sequence},
+      {"step", this->last_step},
+      {"map", self.version},
+      {"pace", rank == this->slow_rank ? this->slow_pace : 1.0}};
+  if (self.prepared) {
+    report["prepared"] = self.prepared->first;
+  }
+  if (self.armed) {
+    report["armed"] = self.armed->first;
+  }
+  if (self.held) {
+    report["held"] = *self.held;
+  }
+  return report.dump();
+}
+
+std::string EngineGroupStandIn::Counts() const {
+  json counts = json::array();
+  for (const auto& set : this->chosen) {
+    for (const double sum : set) {
+      counts.push_back(sum);
+    }
+  }
+  return json{{"step", this->last_step}, {"epoch", 1}, {"counts", counts}}
+      .dump();
+}
+
+std::string EngineGroupStandIn::Experts(int rank) const {
+  const Rank& self = this->ranks[rank];
+  json experts = json::array();
+  for (const ExpertMap& set : self.map) {
+    experts.push_back(set.experts_by_rank[rank]);
+  }
+  return json{{"map", {{"version", self.version}, {"experts", experts}}}}
+      .dump();
+}
+
+int EngineGroupStandIn::Accept(int rank, const json& order) {
+  Rank& self = this->ranks[rank];
+  const auto operation = order.at("operation").get<std::string>();
+  const std::int64_t version = order.value("version", std::int64_t{0});
+  const std::int64_t step = order.value("step", std::int64_t{0});
+  if (order.at("expected").get<std::int64_t>() != self.sequence) {
+    return kConflict;
+  }
+  bool fits = false;
+  if (operation == "prepare") {
+    fits = version > self.highest && !self.armed;
+    if (fits) {
+      SetMaps map;
+      for (const json& set : order.at("map")) {
+        map.push_back({set.get<std::vector<std::vector<int>>>()});
+      }
+      self.highest = version;
+      self.prepared = {version, std::move(map)};
+    }
+  } else if (operation == "arm") {
+    fits = self.prepared && self.prepared->first == version &&
+           step > this->last_step;
+    if (fits) {
+      self.armed = {version, step};
+    }
+  } else if (operation == "disarm") {
+    fits = self.armed && self.armed->first == version;
+    if (fits) {
+      self.armed.reset();
+    }
+  } else if (operation == "hold") {
+    fits = step > this->last_step && !self.held;
+    if (fits) {
+      self.held = step;
+    }
+  } else if (operation == "go") {
+    fits = self.held == step;
+    if (fits) {
+      self.held.reset();
+    }
+  }
+  self.sequence += fits ? 1 : 0;
+  return fits ? kBegun : kConflict;
+}
+
+void EngineGroupStandIn::BeginPass() {
+  const std::int64_t next = this->last_step + 1;
+  if (std::ranges::any_of(this->ranks, [next](const Rank& rank) {
+        return rank.held == next;
+      })) {
+    return;
+  }
+  this->last_step = next;
+  this->chosen.resize(this->demand.size());
+  for (std::size_t set = 0; set < this->demand.size(); ++set) {
+    this->chosen[set].resize(this->demand[set].size());
+    for (std::size_t i = 0; i < this->demand[set].size(); ++i) {
+      this->chosen[set][i] += this->demand[set][i];
+    }
+  }
+  bool changed = false;
+  for (Rank& rank : this->ranks) {
+    if (rank.armed && rank.armed->second == next) {
+      rank.version = rank.armed->first;
+      rank.map = rank.prepared->second;
+      rank.armed.reset();
+      changed = true;
+    }
+  }
+  this->switched += changed ? 1 : 0;
+  const Rank& first = this->ranks.front();
+  this->mixed += std::ranges::any_of(this->ranks,
+                                     [&first](const Rank& rank) {
+                                       return rank.version != first.version ||
+                                              rank.map != first.map;
+                                     })
+                     ? 1
+                     : 0;
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/standins/platform/engine_group_stand_in.h
@@ -0,0 +1,89 @@
+// A stand-in for a model group of the platform: engines in lock-step that take
+// orders to change their expert map and count what is chosen.
+#ifndef STANDINS_PLATFORM_ENGINE_GROUP_STAND_IN_H_
+#define STANDINS_PLATFORM_ENGINE_GROUP_STAND_IN_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "event_loop/event_loop.h"
+#include "expert_map/even_placement.h"
+#include "http_server/http_server.h"
+
+namespace toucanhollow {
+
+struct EngineGroupShape {
+  int ranks = 4;
+  int sets = 2;
+  int experts = 16;
+  int places = 5;
+};
+
+class EngineGroupStandIn {
+ public:
+  EngineGroupStandIn(EventLoop& loop, const EngineGroupShape& shape);
+
+  std::uint16_t Port(int rank) const {
+    return this->ranks.at(rank).server->Port();
+  }
+  // How often each expert is chosen in a pass, by set.
+  std::vector<std::vector<double>> demand;
+  // Each so many-th order is not answered and carried out 300 ms later.
+  int late_every = 0;
+  // The work of this rank takes so many times as long.
+  int slow_rank = -1;
+  double slow_pace = 1;
+
+  // The map of the first rank.
+  const SetMaps& map() const { return this->ranks.front().map; }
+  std::int64_t version() const { return this->ranks.front().version; }
+  // Passes that began while ranks had different maps.
+  int mixed_passes() const { return this->mixed; }
+  int switches() const { return this->switched; }
+  std::int64_t step() const { return this->last_step; }
+
+ private:
+  struct Rank {
+    std::unique_ptr<HttpServer> server;
+    std::int64_t sequence = 0;
+    std::int64_t version = 0;
+    std::int64_t highest = 0;
+    SetMaps map;
+    std::optional<std::pair<std::int64_t, SetMaps>> prepared;
+    // Version and step.
+    std::optional<std::pair<std::int64_t, std::int64_t>> armed;
+    std::optional<std::int64_t> held;
+  };
+
+  void Handle(int rank,
+              const HttpRequest& request,
+              const std::shared_ptr<HttpResponseWriter>& writer);
+  std::string Report(int rank) const;
+  std::string Counts() const;
+  std::string Experts(int rank) const;
+  // The HTTP status of the order.
+  int Accept(int rank, const nlohmann::json& order);
+  void BeginPass();
+
+  EventLoop& loop;
+  EngineGroupShape shape;
+  std::vector<Rank> ranks;
+  // Sums of demand since the start.
+  std::vector<std::vector<double>> chosen;
+  std::int64_t last_step = 0;
+  int mixed = 0;
+  int switched = 0;
+  int orders = 0;
+  std::vector<std::unique_ptr<Timer>> late;
+  std::unique_ptr<Timer> passes;
+};
+
+}  // namespace toucanhollow
+
+#endif  // STANDINS_PLATFORM_ENGINE_GROUP_STAND_IN_H_
--- a/standins/platform/platform_store_stand_in.cc
+++ b/standins/platform/platform_store_stand_in.cc
@@ -88,8 +88,11 @@
   } else if (request.path == "/v1/log-read") {
     this->Read(request, writer);
   } else if (request.path == "/v1/log-join") {
-    writer->Respond(200, {},
-                    json{{"generation", 1}, {"parts", json::array()}}.dump());
+    json parts = json::array();
+    if (this->coordinator) {
+      parts.push_back({"coordinator", 0, 0});
+    }
+    writer->Respond(200, {}, json{{"generation", 1}, {"parts", parts}}.dump());
   } else {
     writer->Respond(200, {}, "{}");
   }
--- a/standins/platform/platform_store_stand_in.h
+++ b/standins/platform/platform_store_stand_in.h
@@ -27,6 +27,8 @@
            const std::optional<std::string>& value);
   // While down, every call is answered 503.
   void SetDown(bool down);
+  // Whether members of groups are given the partition that coordinates.
+  void SetCoordinator(bool gives) { this->coordinator = gives; }
   // Drops the history of a topic; the newest records stay.
   void Compact(const std::string& topic);
 
@@ -56,6 +58,7 @@
   EventLoop& loop;
   std::unique_ptr<HttpServer> server;
   bool down = false;
+  bool coordinator = false;
   std::map<std::string, Topic> topics;
   std::map<std::uint64_t, WaitingRead> waiting;
   std::uint64_t next_read = 1;
