Split the coordinator's reading from its rounds

GroupMapTask::OnReports checked a reading, kept time of passes, looked for slow ranks and advanced the round in one function of 80 lines. No behaviour changes.

--- a/packages/map_change/change_pace.cc
+++ b/packages/map_change/change_pace.cc
@@ -10,6 +10,20 @@
 
 }  // namespace
 
+PassClock TakeStep(const PassClock& clock,
+                   std::int64_t epoch,
+                   StepNumber step,
+                   TimePoint now) {
+  if (epoch != clock.epoch) {
+    return {epoch, step, now, clock.pass};
+  }
+  const StepNumber passes = step - clock.step;
+  if (passes <= 0) {
+    return clock;
+  }
+  return {epoch, step, now, (now - clock.reported_at) / passes};
+}
+
 int LoadsPerChange(Duration expert_load_time) {
   if (expert_load_time <= Duration(0)) {
     return 1;
--- a/packages/map_change/change_pace.h
+++ b/packages/map_change/change_pace.h
@@ -12,6 +12,23 @@
 // an early small change is worth more than a late large one.
 inline constexpr Duration kLoadBudget = Milliseconds(230);
 
+// How long a group's passes take, from reports of its ranks.
+struct PassClock {
+  std::int64_t epoch = -1;
+  StepNumber step = 0;
+  // When `step` was reported first.
+  TimePoint reported_at;
+  // Of the last passes; 0 until two steps were reported.
+  Duration pass{0};
+
+  bool operator==(const PassClock&) const = default;
+};
+
+PassClock TakeStep(const PassClock& clock,
+                   std::int64_t epoch,
+                   StepNumber step,
+                   TimePoint now);
+
 // Experts that one change may add to a rank; at least 1. An unknown load time
 // of 0 gives 1.
 int LoadsPerChange(Duration expert_load_time);
--- a/packages/map_task/group_map_task.cc
+++ b/packages/map_task/group_map_task.cc
@@ -118,7 +118,7 @@
     this->ProbeGroup();
   }
   if (!coordinates) {
-    this->NoteSlowRanks({});
+    this->TellSlowRanks({});
     this->state = ChangeState{};
     return;
   }
@@ -181,6 +181,30 @@
                     });
 }
 
+std::optional<GroupReading> GroupMapTask::ToReading(
+    const std::vector<RankAnswer>& answers,
+    Duration took) {
+  if (took > kMaxReadingAge) {
+    this->NoteReading("took too long", "", took);
+    return std::nullopt;
+  }
+  GroupReading reading;
+  for (const RankAnswer& answer : answers) {
+    if (!answer.reply.report) {
+      this->NoteReading(answer.reply.detail, answer.server, took);
+      return std::nullopt;
+    }
+    reading.push_back(*answer.reply.report);
+  }
+  std::ranges::sort(reading, {}, &RankReport::rank);
+  if (!IsCompleteReading(reading)) {
+    this->NoteReading("not one open group", "", took);
+    return std::nullopt;
+  }
+  this->NoteReading("", "", took);
+  return reading;
+}
+
 void GroupMapTask::OnReports(const std::vector<RankAnswer>& answers,
                              TimePoint asked_at) {
   const TimePoint now = EventLoop::Now();
@@ -188,41 +212,29 @@
   if (!term.is_coordinator || term.generation != this->versions_generation) {
     return;
   }
-  if (now - asked_at > kMaxReadingAge) {
-    this->NoteReading("took too long", "", now - asked_at);
+  std::optional<GroupReading> reading =
+      this->ToReading(answers, now - asked_at);
+  if (!reading) {
     return;
   }
-  GroupReading complete;
-  for (const RankAnswer& answer : answers) {
-    if (!answer.reply.report) {
-      this->NoteReading(answer.reply.detail, answer.server, now - asked_at);
-      return;
-    }
-    complete.push_back(*answer.reply.report);
-  }
-  std::ranges::sort(complete, {}, &RankReport::rank);
-  if (!IsCompleteReading(complete)) {
-    this->NoteReading("not one open group", "", now - asked_at);
-    return;
-  }
-  this->NoteReading("", "", now - asked_at);
-  std::set<std::string> slow;
-  for (const RankReport& rank : complete) {
-    if (rank.pace >= kSlowPace) {
-      slow.insert(rank.server);
-    }
-  }
-  this->NoteSlowRanks(std::move(slow));
-  this->reading = std::move(complete);
+  this->reading = std::move(*reading);
+  this->NoteSlowRanks();
   const RankReport& first = this->reading.front();
   this->exchange = now - asked_at;
-  this->MeasurePasses(first, now);
-  if (first.epoch != this->present_epoch ||
-      first.map != this->present_version) {
-    if (!this->present_open) {
-      this->ReadPresentMap();
-    }
+  this->passes = TakeStep(this->passes, first.epoch, first.step, now);
+  const bool knows_map =
+      first.epoch == this->present_epoch && first.map == this->present_version;
+  if (!knows_map && !this->present_open) {
+    this->ReadPresentMap();
+  }
+  // Nothing may be prepared before the present map is known.
+  if (this->state.phase != ChangePhase::kIdle || !this->present.empty()) {
+    this->AdvanceRound(now);
   }
+}
+
+void GroupMapTask::AdvanceRound(TimePoint now) {
+  const RankReport& first = this->reading.front();
   ChangeInput input;
   input.reading = this->reading;
   input.free_version = this->FreeVersion();
@@ -230,13 +242,9 @@
   const bool orders_fail = this->order_failed_at &&
                            now - *this->order_failed_at < kOrderFailureMemory;
   input.hold_lead =
-      orders_fail ? kMaxHoldLead : HoldLead(this->pass_time, this->exchange);
+      orders_fail ? kMaxHoldLead : HoldLead(this->passes.pass, this->exchange);
   if (this->state.phase == ChangePhase::kIdle) {
     input.wanted = this->PlanWanted();
-    if (this->present.empty()) {
-      // Nothing may be prepared before the present map is known.
-      return;
-    }
   }
   ChangeDecision decision = AdvanceChange(this->state, input, now);
   if (decision.state.version == input.free_version) {
@@ -249,7 +257,7 @@
                              {"epoch", first.epoch},
                              {"step", first.step},
                              {"hold_step", decision.state.hold_step},
-                             {"reading_ms", ToMilliseconds(now - asked_at)}});
+                             {"reading_ms", ToMilliseconds(this->exchange)}});
   }
   if (decision.note == "switched") {
     this->present = this->state.map;
@@ -260,7 +268,17 @@
   this->SendOrders(decision);
 }
 
-void GroupMapTask::NoteSlowRanks(std::set<std::string> slow) {
+void GroupMapTask::NoteSlowRanks() {
+  std::set<std::string> slow;
+  for (const RankReport& rank : this->reading) {
+    if (rank.pace >= kSlowPace) {
+      slow.insert(rank.server);
+    }
+  }
+  this->TellSlowRanks(std::move(slow));
+}
+
+void GroupMapTask::TellSlowRanks(std::set<std::string> slow) {
   if (slow == this->slow_ranks) {
     return;
   }
@@ -286,18 +304,6 @@
                                {"reading_ms", ToMilliseconds(took)}});
 }
 
-void GroupMapTask::MeasurePasses(const RankReport& rank, TimePoint now) {
-  const StepNumber passes = rank.step - this->measured_step;
-  if (rank.epoch == this->measured_epoch && passes > 0) {
-    this->pass_time = (now - this->measured_at) / passes;
-  }
-  if (rank.epoch != this->measured_epoch || passes > 0) {
-    this->measured_epoch = rank.epoch;
-    this->measured_step = rank.step;
-    this->measured_at = now;
-  }
-}
-
 void GroupMapTask::SendOrders(const ChangeDecision& decision) {
   if (decision.orders.empty()) {
     return;
--- a/packages/map_task/group_map_task.h
+++ b/packages/map_task/group_map_task.h
@@ -16,6 +16,7 @@
 #include "expert_map/even_placement.h"
 #include "http_client/http_client.h"
 #include "map_change/advance_change.h"
+#include "map_change/change_pace.h"
 #include "map_task/coordinator_task.h"
 #include "map_task/demand.h"
 #include "map_task/rank_calls.h"
@@ -61,14 +62,20 @@
   // Asks one rank whether the group is open.
   void ProbeGroup();
   void OnReports(const std::vector<RankAnswer>& answers, TimePoint asked_at);
-  void NoteSlowRanks(std::set<std::string> slow);
+  // The reading, if it is complete and recent enough to decide on.
+  std::optional<GroupReading> ToReading(const std::vector<RankAnswer>& answers,
+                                        Duration took);
+  // Takes the next step of a round, or begins one, by the last reading.
+  void AdvanceRound(TimePoint now);
+  // Finds the slow ranks of the last reading.
+  void NoteSlowRanks();
+  // Tells the host of slow ranks if they changed.
+  void TellSlowRanks(std::set<std::string> slow);
   // Logs when readings become complete or stop being so; no problem means that
   // this one is.
   void NoteReading(std::string_view problem,
                    std::string_view server,
                    Duration took);
-  // Takes how long passes last from two readings of one rank.
-  void MeasurePasses(const RankReport& rank, TimePoint now);
   void SendOrders(const ChangeDecision& decision);
   void OnOrdersAnswered(const std::vector<RankAnswer>& answers,
                         std::int64_t generation,
@@ -93,12 +100,9 @@
   // Of the last reading; empty if it was complete.
   std::string reading_problem;
   std::set<std::string> slow_ranks;
-  // How long a pass and a reading of all ranks took last.
-  Duration pass_time{0};
+  PassClock passes;
+  // How long the last reading of all ranks took.
   Duration exchange{0};
-  std::int64_t measured_epoch = -1;
-  StepNumber measured_step = 0;
-  TimePoint measured_at;
   Demand demand;
   // The map in use, known for this epoch and version.
   GroupMap present;
