End silent requests of a model group that stands

Change: a request whose server has been silent for 1.6 s while its group stands is ended (502, or the connection of a stream), so that its caller can come back before it would leave. The new test fails without it (3.0 s instead of less than 2 s).

Ruled out: sending fewer requests to the still machine; most of the runs were there before. Not all is explained: while a group is held at a pass it does not say that it stands.

--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -255,7 +255,12 @@
         this->Close();
       }
       return;
-    case Phase::kAnswering:
+    case Phase::kAnswering: {
+      // The run may end, and with it this session's phase.
+      const auto keep = this->run;
+      keep->EndIfGroupStands(now);
+      return;
+    }
     case Phase::kClosed:
       return;
   }
--- a/packages/relay/relay_run.cc
+++ b/packages/relay/relay_run.cc
@@ -30,6 +30,9 @@
 constexpr Duration kShortRetryAfter = Milliseconds(500);
 // A broken model group needs seconds to come back.
 constexpr Duration kStandingRetryAfter = Seconds(5);
+// Servers of a group that stands cut their work after 1.5 s. One that has not
+// done so by then does not answer at all, and callers leave after 2 s.
+constexpr Duration kSilenceOfStandingGroup = Milliseconds(1600);
 constexpr int kLowestPriority = 9;
 
 bool IsEventStream(const ResponseHead& head) {
@@ -168,6 +171,7 @@
   this->unread_tokens = this->facts.prompt_tokens;
   this->tried.insert(placed->server().id);
   this->mode = AnswerMode::kUndecided;
+  this->heard_at = now;
   ++this->sends;
   // A server may close a kept connection just as a request arrives, and then
   // nobody knows whether it ran; only repeatable requests take that chance.
@@ -236,6 +240,7 @@
 }
 
 void RelayRun::OnBody(const std::string& bytes) {
+  this->heard_at = EventLoop::Now();
   switch (this->mode) {
     case AnswerMode::kUndecided:
     case AnswerMode::kDiscard:
@@ -276,6 +281,19 @@
   }
 }
 
+void RelayRun::EndIfGroupStands(TimePoint now) {
+  if (this->attempt == nullptr ||
+      now - this->heard_at < kSilenceOfStandingGroup ||
+      !this->context.dispatcher.IsStanding(this->service)) {
+    return;
+  }
+  this->maybe_ran = this->maybe_ran || this->attempt->any_sent();
+  this->attempt.reset();
+  this->pool->health = RecordFailure(this->pool->health, now);
+  this->ReleaseServer();
+  this->Fail(502, "the model group stands and the server is silent");
+}
+
 void RelayRun::OnCallerDrained() {
   if (this->attempt != nullptr) {
     this->attempt->SetReading(true);
--- a/packages/relay/relay_run.h
+++ b/packages/relay/relay_run.h
@@ -67,6 +67,8 @@
   void Cancel(std::string_view reason);
   // The caller has taken what was queued for it.
   void OnCallerDrained();
+  // Ends a request whose server has been silent while its model group stands.
+  void EndIfGroupStands(TimePoint now);
 
  private:
   enum class AnswerMode { kUndecided, kDiscard, kBuffer, kEvents, kRaw };
@@ -125,6 +127,8 @@
   EventSplitter events;
   bool begun = false;
   TimePoint first_byte_at;
+  // When the request was sent, or the last bytes came.
+  TimePoint heard_at;
 };
 
 }  // namespace toucanhollow
--- a/standins/platform/engine_group_stand_in.cc
+++ b/standins/platform/engine_group_stand_in.cc
@@ -62,15 +62,17 @@
 
 std::string EngineGroupStandIn::Report(int rank) const {
   const Rank& self = this->ranks[rank];
-  json report = {
-      {"group",
-       {{"name", "g"}, {"epoch", 1}, {"rank", rank}, {"state", "open"}}},
-      {"size", this->shape.ranks},
-      {"busy", false},
-      {"sequence", self.sequence},
-      {"step", this->last_step},
-      {"map", self.version},
-      {"pace", rank == this->slow_rank ? this->slow_pace : 1.0}};
+  json report = {{"group",
+                  {{"name", "g"},
+                   {"epoch", 1},
+                   {"rank", rank},
+                   {"state", this->open ? "open" : "broken"}}},
+                 {"size", this->shape.ranks},
+                 {"busy", false},
+                 {"sequence", self.sequence},
+                 {"step", this->last_step},
+                 {"map", self.version},
+                 {"pace", rank == this->slow_rank ? this->slow_pace : 1.0}};
   if (self.prepared) {
     report["prepared"] = self.prepared->first;
   }
--- a/standins/platform/engine_group_stand_in.h
+++ b/standins/platform/engine_group_stand_in.h
@@ -36,6 +36,8 @@
   std::vector<std::vector<double>> demand;
   // Each so many-th order is not answered and carried out 300 ms later.
   int late_every = 0;
+  // Whether reports say that the group executes passes.
+  bool open = true;
   // The work of this rank takes so many times as long.
   int slow_rank = -1;
   double slow_pace = 1;
--- a/standins/platform/platform_relay_test.cc
+++ b/standins/platform/platform_relay_test.cc
@@ -11,9 +11,11 @@
 #include <catch2/catch.hpp>
 
 #include "http_stream/message_parser.h"
+#include "map_task/rank_agent.h"
 #include "platform/engine_calls.h"
 #include "platform/platform_codec.h"
 #include "relay/relay_host.h"
+#include "standins/platform/engine_group_stand_in.h"
 #include "standins/platform/platform_store_stand_in.h"
 #include "standins/platform/sealed_server_stand_in.h"
 
@@ -484,5 +486,49 @@
   CHECK(site.RunUntil([&stopped] { return stopped; }));
 }
 
+// Guards against streams that keep a silent server until their callers leave:
+// the server then goes on for callers that are gone.
+TEST_CASE("a silent stream ends when its model group stands") {
+  Site site;
+  // Agents listen on the host's port for reports, at their own addresses.
+  site.settings.control.ip = "127.0.0.3";
+  std::string config = ConfigText(1, "\"k1\"");
+  const std::string plain = R"({"name":"ledger","max_conns":96})";
+  config.replace(config.find(plain), plain.size(),
+                 R"({"name":"ledger","max_conns":96,"engine":{"slots":6,)"
+                 R"("sets":1,"places":4,"spare":1}})");
+  site.store.Put("keyed.op", "config", config);
+  site.List("i-1", site.first, "ready");
+  EngineGroupStandIn group(site.loop,
+                           {.ranks = 1, .sets = 1, .experts = 4, .places = 4});
+  RankAgentSettings settings;
+  settings.process = "agent";
+  settings.listen = {"127.0.0.1", site.settings.report_port};
+  settings.metrics = {"127.0.0.1", 0};
+  settings.engine = {"127.0.0.1", group.Port(0)};
+  RankAgent agent(site.loop, settings, platform::EngineCodec());
+  REQUIRE(agent.Start());
+  site.Start();
+  REQUIRE(Serves(site));
+  ScriptedAnswer silent;
+  silent.bytes = StreamHead() + Chunk("id: 1\ndata: a\n\n");
+  site.first.script.push_back(silent);
+  const int closed = site.first.closed_by_caller;
+  Caller caller(site.loop, site.settings.callers.port);
+  // The deadline is later than the end that is looked for.
+  std::string request = Request("POST", "/m/x", "r1", "", "p");
+  request.replace(request.find("1500"), 4, "6000");
+  caller.connection->Write(request);
+  REQUIRE(site.RunUntil([&] { return caller.parser.head_done(); }));
+  const TimePoint silent_since = EventLoop::Now();
+  group.open = false;
+  CHECK(site.RunUntil([&] { return caller.ended; }));
+  // Callers leave after 2 s of silence.
+  CHECK(EventLoop::Now() - silent_since < Milliseconds(2000));
+  CHECK(EventLoop::Now() - silent_since >= Milliseconds(1500));
+  CHECK_FALSE(caller.parser.done());
+  CHECK(site.RunUntil([&] { return site.first.closed_by_caller > closed; }));
+}
+
 }  // namespace
 }  // namespace toucanhollow
