Let a service have several model groups

Cause: all servers of an engine service were taken for the ranks of one group. With 72 ranks in groups of 24 the coordinator's reading was never complete ("not one open group"), no map ever changed, and one broken group made the whole service stand.

GroupBoard learns from the ranks' reports which server is in which group, under which epoch, and which groups stand. GroupRounds reads one group and changes its maps; GroupMapTask runs the rounds of all groups in one coordinator, since each group costs it one exchange with its own ranks. Hosts probe the groups by turns. Placing leaves out the ranks of groups that stand, and a service stands only if all its groups do.

Ruled out: one coordinator a group, which adds calls to the store for each group and divides versions among hosts.

Tests: groups that change, stand and form again side by side, reports that cannot be used, moved ranks.

--- /dev/null
+++ b/packages/map_task/choose_probe_test.cc
@@ -0,0 +1,34 @@
+#include "map_task/choose_probe.h"
+
+#include <map>
+#include <set>
+
+#include <catch2/catch.hpp>
+
+namespace toucanhollow {
+namespace {
+
+// Guards against a group that is not heard because another one is silent, and
+// against a rank without answers that is asked again and again.
+TEST_CASE("probes go through all groups and all their ranks") {
+  GroupBoard board;
+  const std::vector<std::string> servers = {"a", "b", "c", "d", "e"};
+  for (const auto& [server, group] : std::map<std::string, std::string>{
+           {"a", "g"}, {"b", "g"}, {"c", "g"}, {"d", "h"}}) {
+    board.places[server] = {{{"model"}, group}, 0};
+  }
+  std::set<std::string> asked;
+  std::string last_group;
+  for (std::size_t turn = 0; turn < 6; ++turn) {
+    const auto server = ChooseProbe(board, servers, turn);
+    REQUIRE(server);
+    asked.insert(*server);
+    CHECK(board.places.at(*server).group.name != last_group);
+    last_group = board.places.at(*server).group.name;
+  }
+  CHECK(asked == std::set<std::string>{"a", "b", "c", "d"});
+  CHECK_FALSE(ChooseProbe({}, servers, 3));
+}
+
+}  // namespace
+}  // namespace toucanhollow
--- a/packages/map_task/group_map_task.cc
+++ b/packages/map_task/group_map_task.cc
@@ -5,68 +5,19 @@
 
 #include "base/hash.h"
 #include "json_log/json_log.h"
-#include "map_change/change_pace.h"
+#include "map_task/choose_probe.h"
 
 namespace toucanhollow {
 namespace {
 
 // The task looks at what is due this often.
 constexpr Duration kTick = Milliseconds(20);
-// Choices are read this often, from so many ranks in turn. Demand shifts every
-// few seconds, and the choices of some ranks are a sample of all.
-constexpr Duration kChoicesPeriod = Milliseconds(100);
-constexpr std::size_t kRanksPerReading = 24;
-// Reports are read this often while no round is under way.
-constexpr Duration kIdleReportPeriod = Milliseconds(80);
-constexpr Duration kRoundReportPeriod = Milliseconds(30);
-// Each host asks one rank this often whether the group is open.
+// Each host asks one rank this often what its group does.
 constexpr Duration kProbePeriod = Milliseconds(100);
-// After an order without an answer, rounds leave as much room as they may to
-// repeat some.
-constexpr Duration kOrderFailureMemory = Seconds(4);
-// A reading that took longer, or that this process was paused after, mixes
-// moments that are too far apart to decide on.
-constexpr Duration kMaxReadingAge = Milliseconds(500);
-// A change must lower the load of the most loaded rank by this part: less does
-// not pay for passes that take 15% longer while experts load.
-constexpr double kLeastImprovement = 0.06;
-// Sets that are closer to even are left alone; each load has a price.
-constexpr double kGoodRatio = 1.18;
-// Ranks that are this much slower are left alone by new requests.
-constexpr double kSlowPace = 1.3;
-// Choices below which the estimate is noise.
-constexpr double kLeastDemand = 2000;
-constexpr GroupMapVersion kVersionsPerTerm = 1 << 16;
-constexpr int kStatusFenced = 412;
-
-std::string_view PhaseName(ChangePhase phase) {
-  switch (phase) {
-    case ChangePhase::kIdle:
-      return "idle";
-    case ChangePhase::kPreparing:
-      return "preparing";
-    case ChangePhase::kHolding:
-      return "holding";
-    case ChangePhase::kArming:
-      return "arming";
-    case ChangePhase::kReleasing:
-      return "releasing";
-    case ChangePhase::kResolving:
-      return "resolving";
-  }
-  return "";
-}
-
-// Mean over the sets of the slowest rank's time against a sound mean rank's.
-double MeanRatio(const GroupMap& map,
-                 const std::vector<std::vector<double>>& chosen,
-                 const RankPaces& paces) {
-  double sum = 0;
-  for (std::size_t set = 0; set < map.size(); ++set) {
-    sum += LoadRatio(map[set], chosen[set], paces);
-  }
-  return map.empty() ? 1 : sum / static_cast<double>(map.size());
-}
+// Ranks without a known group are asked this often: all by the coordinator, so
+// many at once by each other host.
+constexpr Duration kDiscoveryPeriod = Milliseconds(250);
+constexpr std::size_t kDiscoveredAtOnce = 6;
 
 }  // namespace
 
@@ -77,8 +28,6 @@
                            const std::string& member,
                            GroupMapCallbacks callbacks)
     : loop(loop),
-      client(client),
-      codec(codec),
       callbacks(std::move(callbacks)),
       coordinator(loop, client, codec, store, member),
       calls(loop, client, codec),
@@ -94,381 +43,215 @@
 
 bool GroupMapTask::coordinates() const {
   const CoordinatorTerm& term = this->coordinator.term();
-  return term.is_coordinator && term.generation > this->deposed_generation;
+  return term.is_coordinator &&
+         term.generation > this->versions.deposed_generation;
 }
 
 void GroupMapTask::Leave() {
   this->coordinator.Leave();
 }
 
-GroupMapVersion GroupMapTask::FreeVersion() const {
-  return this->coordinator.term().generation * kVersionsPerTerm +
-         this->versions_used + 1;
-}
-
-void GroupMapTask::Tick() {
-  const TimePoint now = EventLoop::Now();
-  const bool coordinates = this->coordinates();
-  const bool probes =
-      !this->probe_open && now - this->probed_at >= kProbePeriod;
-  if (coordinates || probes) {
-    this->group = this->callbacks.view();
-  }
-  if (probes && !this->group.ranks.empty()) {
-    this->ProbeGroup();
-  }
-  if (!coordinates) {
-    this->TellSlowRanks({});
-    this->state = ChangeState{};
-    return;
-  }
-  const CoordinatorTerm& term = this->coordinator.term();
-  if (term.generation != this->versions_generation) {
-    // A round under way goes on: other members came or left, and should
-    // another one have coordinated meanwhile, the reports show it.
-    this->versions_generation = term.generation;
-    this->versions_used = 0;
-  }
-  if (this->group.ranks.empty()) {
-    return;
-  }
-  const bool idle = this->state.phase == ChangePhase::kIdle;
-  const Duration report_period = idle ? kIdleReportPeriod : kRoundReportPeriod;
-  if (!this->reports_open && now - this->reports_at >= report_period) {
-    this->ReadReports();
-  }
-  if (!this->choices_open && now - this->choices_at >= kChoicesPeriod) {
-    this->choices_at = now;
-    this->ReadChoices();
-  }
-}
-
-std::vector<RankCall> GroupMapTask::CallAll(RankRequestKind kind) const {
-  std::vector<RankCall> all;
-  for (const RankAddress& rank : this->group.ranks) {
-    all.push_back({rank, {.kind = kind, .sets = this->group.sets}});
-  }
-  return all;
-}
-
-void GroupMapTask::ProbeGroup() {
-  this->probe_open = true;
-  this->probed_at = EventLoop::Now();
-  const RankAddress& rank =
-      this->group.ranks[this->next_probe % this->group.ranks.size()];
-  this->calls.Start({{rank, {.kind = RankRequestKind::kReport}}}, false,
-                    [this](const std::vector<RankAnswer>& answers) {
-                      this->probe_open = false;
-                      const RankReply& reply = answers.front().reply;
-                      if (!reply.report) {
-                        // Another rank may answer; nothing is known of the
-                        // group meanwhile.
-                        ++this->next_probe;
-                        return;
-                      }
-                      this->callbacks.on_report(*reply.report);
-                    });
-}
-
-void GroupMapTask::ReadReports() {
-  this->reports_open = true;
-  const TimePoint asked_at = EventLoop::Now();
-  this->reports_at = asked_at;
-  this->calls.Start(this->CallAll(RankRequestKind::kReport), true,
-                    [this, asked_at](const std::vector<RankAnswer>& answers) {
-                      this->reports_open = false;
-                      this->OnReports(answers, asked_at);
-                    });
-}
-
-std::optional<GroupReading> GroupMapTask::ToReading(
-    const std::vector<RankAnswer>& answers,
-    Duration took) {
-  if (took > kMaxReadingAge) {
-    this->NoteReading("took too long", "", took);
-    return std::nullopt;
-  }
-  GroupReading reading;
-  for (const RankAnswer& answer : answers) {
-    if (!answer.reply.report) {
-      this->NoteReading(answer.reply.detail, answer.server, took);
-      return std::nullopt;
+void GroupMapTask::TakeView() {
+  this->services = this->callbacks.view();
+  std::set<std::string> listed;
+  for (const RankedService& service : this->services) {
+    for (const RankAddress& rank : service.ranks) {
+      listed.insert(rank.server);
     }
-    reading.push_back(*answer.reply.report);
   }
-  std::ranges::sort(reading, {}, &RankReport::rank);
-  if (!IsCompleteReading(reading)) {
-    this->NoteReading("not one open group", "", took);
-    return std::nullopt;
+  const GroupBoard before = this->board;
+  KeepListed(this->board, listed);
+  std::erase_if(this->unused_reports, [&listed](const auto& entry) {
+    return !listed.contains(entry.first);
+  });
+  if (this->board.places != before.places) {
+    this->TellGroups();
   }
-  this->NoteReading("", "", took);
-  return reading;
 }
 
-void GroupMapTask::OnReports(const std::vector<RankAnswer>& answers,
-                             TimePoint asked_at) {
-  const TimePoint now = EventLoop::Now();
+void GroupMapTask::TakeTerm() {
   const CoordinatorTerm& term = this->coordinator.term();
-  if (!term.is_coordinator || term.generation != this->versions_generation) {
-    return;
-  }
-  std::optional<GroupReading> reading =
-      this->ToReading(answers, now - asked_at);
-  if (!reading) {
-    return;
-  }
-  this->reading = std::move(*reading);
-  this->NoteSlowRanks();
-  const RankReport& first = this->reading.front();
-  this->exchange = now - asked_at;
-  this->passes = TakeStep(this->passes, first.epoch, first.step, now);
-  const bool knows_map =
-      first.epoch == this->present_epoch && first.map == this->present_version;
-  if (!knows_map && !this->present_open) {
-    this->ReadPresentMap();
-  }
-  // Nothing may be prepared before the present map is known.
-  if (this->state.phase != ChangePhase::kIdle || !this->present.empty()) {
-    this->AdvanceRound(now);
+  this->versions.coordinates = this->coordinates();
+  if (term.generation != this->versions.generation) {
+    // A round under way goes on: other members came or left, and should
+    // another one have coordinated meanwhile, the reports show it.
+    this->versions.generation = term.generation;
+    this->versions.used = 0;
   }
 }
 
-void GroupMapTask::AdvanceRound(TimePoint now) {
-  const RankReport& first = this->reading.front();
-  ChangeInput input;
-  input.reading = this->reading;
-  input.free_version = this->FreeVersion();
-  input.present = this->present;
-  const bool orders_fail = this->order_failed_at &&
-                           now - *this->order_failed_at < kOrderFailureMemory;
-  input.hold_lead =
-      orders_fail ? kMaxHoldLead : HoldLead(this->passes.pass, this->exchange);
-  if (this->state.phase == ChangePhase::kIdle) {
-    input.wanted = this->PlanWanted();
-  }
-  ChangeDecision decision = AdvanceChange(this->state, input, now);
-  if (decision.state.version == input.free_version) {
-    ++this->versions_used;
+void GroupMapTask::Tick() {
+  const TimePoint now = EventLoop::Now();
+  this->TakeTerm();
+  const bool probes =
+      !this->probe_open && now - this->probed_at >= kProbePeriod;
+  if (this->versions.coordinates || probes) {
+    this->TakeView();
   }
-  if (!decision.note.empty()) {
-    LogJsonNow("map_round", {{"phase", PhaseName(decision.state.phase)},
-                             {"note", std::string_view(decision.note)},
-                             {"version", decision.state.version},
-                             {"epoch", first.epoch},
-                             {"step", first.step},
-                             {"hold_step", decision.state.hold_step},
-                             {"reading_ms", ToMilliseconds(this->exchange)}});
+  if (probes) {
+    this->Probe(now);
   }
-  if (decision.note == "switched") {
-    this->present = this->state.map;
-    this->present_version = this->state.version;
-    this->present_epoch = this->state.epoch;
+  if (!this->discovery_open && now - this->discovered_at >= kDiscoveryPeriod) {
+    this->Discover(now);
   }
-  this->state = decision.state;
-  this->SendOrders(decision);
-}
-
-void GroupMapTask::NoteSlowRanks() {
-  std::set<std::string> slow;
-  for (const RankReport& rank : this->reading) {
-    if (rank.pace >= kSlowPace) {
-      slow.insert(rank.server);
+  if (!this->versions.coordinates) {
+    for (const auto& [key, group] : this->rounds) {
+      group->Stop();
+    }
+  } else {
+    this->AssignRanks();
+    for (const auto& [key, group] : this->rounds) {
+      group->Tick(now);
     }
   }
-  this->TellSlowRanks(std::move(slow));
-}
-
-void GroupMapTask::TellSlowRanks(std::set<std::string> slow) {
-  if (slow == this->slow_ranks) {
-    return;
-  }
-  this->slow_ranks = std::move(slow);
-  std::string servers;
-  for (const std::string& server : this->slow_ranks) {
-    servers += (servers.empty() ? "" : ",") + server;
-  }
-  LogJsonNow("slow_ranks", {{"servers", std::string_view(servers)}});
-  this->callbacks.on_slow_ranks(this->slow_ranks);
+  this->TellSlowRanks();
 }
 
-void GroupMapTask::NoteReading(std::string_view problem,
-                               std::string_view server,
-                               Duration took) {
-  if (problem == this->reading_problem) {
-    return;
+void GroupMapTask::Probe(TimePoint now) {
+  std::vector<std::string> servers;
+  for (const RankedService& service : this->services) {
+    for (const RankAddress& rank : service.ranks) {
+      servers.push_back(rank.server);
+    }
   }
-  this->reading_problem = problem;
-  LogJsonNow("group_reading", {{"complete", problem.empty()},
-                               {"problem", problem},
-                               {"server", server},
-                               {"reading_ms", ToMilliseconds(took)}});
-}
-
-void GroupMapTask::SendOrders(const ChangeDecision& decision) {
-  if (decision.orders.empty()) {
+  const auto chosen = ChooseProbe(this->board, servers, this->next_probe++);
+  this->probed_at = now;
+  if (!chosen) {
     return;
   }
-  const auto map = std::make_shared<const GroupMap>(this->state.map);
-  std::vector<RankCall> orders;
-  for (const RankOrder& order : decision.orders) {
-    const auto rank = std::ranges::find(this->group.ranks, order.server,
-                                        &RankAddress::server);
-    if (rank == this->group.ranks.end()) {
+  for (const RankedService& service : this->services) {
+    const auto rank =
+        std::ranges::find(service.ranks, *chosen, &RankAddress::server);
+    if (rank == service.ranks.end()) {
       continue;
     }
-    orders.push_back(
-        {*rank,
-         {.kind = RankRequestKind::kOrder,
-          .order = order,
-          .fence = this->coordinator.term().generation,
-          .map = order.kind == RankOrderKind::kPrepare ? map : nullptr}});
+    this->probe_open = true;
+    this->calls.Start(
+        {{*rank, {.kind = RankRequestKind::kReport}}}, false,
+        [this, name = service.service](const std::vector<RankAnswer>& answers) {
+          this->probe_open = false;
+          const RankReply& reply = answers.front().reply;
+          // Without a report, the next probe asks another rank.
+          if (reply.report) {
+            this->TakeReport(name, *reply.report);
+          }
+        });
+    return;
   }
-  // The next reading must come after the orders.
-  this->reports_open = true;
-  const std::int64_t generation = this->versions_generation;
-  const TimePoint asked_at = EventLoop::Now();
-  this->calls.Start(
-      orders, true,
-      [this, generation, asked_at](const std::vector<RankAnswer>& answers) {
-        this->reports_open = false;
-        this->OnOrdersAnswered(answers, generation, asked_at);
-      });
 }
 
-void GroupMapTask::OnOrdersAnswered(const std::vector<RankAnswer>& answers,
-                                    std::int64_t generation,
-                                    TimePoint asked_at) {
-  std::int64_t failed = 0;
-  for (const RankAnswer& answer : answers) {
-    const RankReply& reply = answer.reply;
-    if (reply.status == kStatusFenced) {
-      this->deposed_generation = std::max(this->deposed_generation, generation);
-      LogJsonNow("coordinator_deposed", {{"generation", generation}});
-    } else if (reply.status >= 400 || reply.status == 0) {
-      if (reply.status == 0) {
-        this->order_failed_at = EventLoop::Now();
-      }
-      // One line for all ranks: the first tells the cause.
-      if (failed++ == 0) {
-        LogJsonNow("rank_order_failed",
-                   {{"server", std::string_view(answer.server)},
-                    {"status", static_cast<std::int64_t>(reply.status)},
-                    {"detail", std::string_view(reply.detail)}});
+void GroupMapTask::Discover(TimePoint now) {
+  for (const RankedService& service : this->services) {
+    std::vector<RankCall> unknown;
+    for (const RankAddress& rank : service.ranks) {
+      if (!this->board.places.contains(rank.server)) {
+        unknown.push_back({rank, {.kind = RankRequestKind::kReport}});
       }
     }
+    if (unknown.empty()) {
+      continue;
+    }
+    if (!this->versions.coordinates && unknown.size() > kDiscoveredAtOnce) {
+      const auto first =
+          static_cast<std::ptrdiff_t>(this->next_probe % unknown.size());
+      std::rotate(unknown.begin(), unknown.begin() + first, unknown.end());
+      unknown.resize(kDiscoveredAtOnce);
+    }
+    this->discovered_at = now;
+    this->discovery_open = true;
+    // Calls to engines have a price; the coordinator alone makes them.
+    this->calls.Start(
+        unknown, this->versions.coordinates,
+        [this, name = service.service](const std::vector<RankAnswer>& answers) {
+          this->discovery_open = false;
+          for (const RankAnswer& answer : answers) {
+            if (answer.reply.report) {
+              this->TakeReport(name, *answer.reply.report);
+            }
+          }
+        });
+    return;
   }
-  if (failed > 1) {
-    LogJsonNow("rank_orders_failed", {{"orders", failed}});
-  }
-  // Each report was made after the order to its rank; they are a reading if
-  // every rank had an order.
-  if (answers.size() == this->group.ranks.size()) {
-    this->OnReports(answers, asked_at);
-  } else if (!this->group.ranks.empty()) {
-    this->ReadReports();
-  }
-}
-
-void GroupMapTask::ReadChoices() {
-  this->choices_open = true;
-  const std::vector<RankCall> all = this->CallAll(RankRequestKind::kChoices);
-  std::vector<RankCall> some;
-  // A coordinator that knows no demand yet asks all ranks.
-  const std::size_t asked = DemandWeight(this->demand) < kLeastDemand
-                                ? all.size()
-                                : std::min(all.size(), kRanksPerReading);
-  for (std::size_t i = 0; i < asked; ++i) {
-    some.push_back(all[this->next_choice_rank++ % all.size()]);
-  }
-  this->calls.Start(some, false,
-                    [this](const std::vector<RankAnswer>& answers) {
-                      this->choices_open = false;
-                      this->OnChoices(answers);
-                    });
 }
 
-void GroupMapTask::OnChoices(const std::vector<RankAnswer>& answers) {
-  std::vector<ChoiceTable> choices;
-  for (const RankAnswer& answer : answers) {
-    if (answer.reply.choices) {
-      choices.push_back(*answer.reply.choices);
-    } else if (answer.reply.status == 200 && !answer.reply.detail.empty()) {
-      LogJsonNow("rank_counts_malformed",
-                 {{"server", std::string_view(answer.server)},
-                  {"detail", std::string_view(answer.reply.detail)}});
+void GroupMapTask::TakeReport(const ServiceName& service,
+                              const RankReport& report) {
+  const RankPlace* place = nullptr;
+  const GroupState* state = GroupOf(this->board, report.server);
+  if (state != nullptr) {
+    place = &this->board.places.at(report.server);
+  }
+  const bool same = state != nullptr && place->group.name == report.group &&
+                    place->rank == report.rank &&
+                    state->epoch == report.epoch && state->open == report.open;
+  const ReportUse use =
+      TakeRankReport(this->board, service, report, EventLoop::Now());
+  if (use != ReportUse::kTaken) {
+    const auto [logged, is_new] =
+        this->unused_reports.try_emplace(report.server, use);
+    if (is_new || logged->second != use) {
+      logged->second = use;
+      LogJsonNow("rank_report_unused",
+                 {{"server", std::string_view(report.server)},
+                  {"why", DescribeReportUse(use)},
+                  {"group", std::string_view(report.group)},
+                  {"epoch", report.epoch}});
     }
+    return;
+  }
+  this->unused_reports.erase(report.server);
+  if (!same) {
+    this->TellGroups();
   }
-  AddChoices(this->demand, choices, EventLoop::Now());
 }
 
-void GroupMapTask::ReadPresentMap() {
-  this->present_open = true;
-  this->calls.Start(this->CallAll(RankRequestKind::kExperts), false,
-                    [this](const std::vector<RankAnswer>& answers) {
-                      this->present_open = false;
-                      this->OnPresentMap(answers);
-                    });
+void GroupMapTask::TellGroups() {
+  this->callbacks.on_groups(this->board);
 }
 
-void GroupMapTask::OnPresentMap(const std::vector<RankAnswer>& answers) {
-  std::map<std::string, RankExperts> by_server;
-  for (const RankAnswer& answer : answers) {
-    if (!answer.reply.experts) {
-      LogJsonNow("rank_experts_missing",
-                 {{"server", std::string_view(answer.server)},
-                  {"status", static_cast<std::int64_t>(answer.reply.status)},
-                  {"detail", std::string_view(answer.reply.detail)}});
-      return;
+void GroupMapTask::AssignRanks() {
+  std::map<GroupKey, std::vector<RankAddress>> by_group;
+  std::map<GroupKey, ExpertFigures> figures;
+  for (const RankedService& service : this->services) {
+    for (const RankAddress& rank : service.ranks) {
+      const auto place = this->board.places.find(rank.server);
+      if (place != this->board.places.end()) {
+        by_group[place->second.group].push_back(rank);
+        figures[place->second.group] = service.figures;
+      }
     }
-    by_server.emplace(answer.server, *answer.reply.experts);
   }
-  if (this->reading.empty()) {
-    return;
-  }
-  const RankReport& first = this->reading.front();
-  GroupMap map;
-  for (const RankReport& rank : this->reading) {
-    const auto found = by_server.find(rank.server);
-    if (found == by_server.end() || found->second.version != first.map) {
-      return;
-    }
-    map.resize(found->second.by_set.size());
-    for (std::size_t set = 0; set < map.size(); ++set) {
-      map[set].experts_by_rank.push_back(found->second.by_set[set]);
+  std::erase_if(this->rounds, [&by_group](const auto& entry) {
+    return !by_group.contains(entry.first);
+  });
+  for (auto& [key, ranks] : by_group) {
+    auto& group = this->rounds[key];
+    if (group == nullptr) {
+      group = std::make_unique<GroupRounds>(
+          key, this->calls, this->versions,
+          [this, service = key.service](const RankReport& report) {
+            this->TakeReport(service, report);
+          });
     }
+    group->SetRanks(std::move(ranks), figures[key]);
   }
-  this->present = std::move(map);
-  this->present_version = first.map;
-  this->present_epoch = first.epoch;
 }
 
-std::optional<GroupMap> GroupMapTask::PlanWanted() {
-  const RankReport& first = this->reading.front();
-  if (this->present_epoch != first.epoch ||
-      this->present_version != first.map ||
-      this->demand.chosen.size() != this->present.size() ||
-      DemandWeight(this->demand) < kLeastDemand) {
-    return std::nullopt;
+void GroupMapTask::TellSlowRanks() {
+  std::set<std::string> slow;
+  for (const auto& [key, group] : this->rounds) {
+    slow.insert(group->slow_ranks().begin(), group->slow_ranks().end());
   }
-  EvenPlacementLimits limits = this->group.limits;
-  limits.loads_per_rank = LoadsPerChange(this->group.expert_load_time);
-  limits.good_ratio = kGoodRatio;
-  RankPaces paces;
-  for (const RankReport& rank : this->reading) {
-    paces.push_back(rank.pace);
+  if (slow == this->slow_ranks) {
+    return;
   }
-  GroupMap wanted =
-      PlanEvenMaps(this->present, this->demand.chosen, limits, paces);
-  const double before = MeanRatio(this->present, this->demand.chosen, paces);
-  const double after = MeanRatio(wanted, this->demand.chosen, paces);
-  if (after > before * (1 - kLeastImprovement)) {
-    return std::nullopt;
+  this->slow_ranks = std::move(slow);
+  std::string servers;
+  for (const std::string& server : this->slow_ranks) {
+    servers += (servers.empty() ? "" : ",") + server;
   }
-  LogJsonNow("map_planned", {{"ratio_now", before},
-                             {"ratio_planned", after},
-                             {"choices", DemandWeight(this->demand)},
-                             {"present_version", this->present_version}});
-  return wanted;
+  LogJsonNow("slow_ranks", {{"servers", std::string_view(servers)}});
+  this->callbacks.on_slow_ranks(this->slow_ranks);
 }
 
 }  // namespace toucanhollow
--- /dev/null
+++ b/packages/map_task/group_rounds.h
@@ -0,0 +1,117 @@
+// GroupRounds: reads the ranks of one model group and changes its expert maps
+// round by round, while this host is the coordinator.
+//
+// A service may have several groups. Each has its own epoch, demand, holds and
+// pace, and its rounds do not wait for those of another.
+#ifndef MAP_TASK_GROUP_ROUNDS_H_
+#define MAP_TASK_GROUP_ROUNDS_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "expert_map/even_placement.h"
+#include "map_change/advance_change.h"
+#include "map_change/change_pace.h"
+#include "map_change/group_board.h"
+#include "map_task/coordinator_versions.h"
+#include "map_task/demand.h"
+#include "map_task/rank_calls.h"
+
+namespace toucanhollow {
+
+// What the ranks of a service have in common.
+struct ExpertFigures {
+  EvenPlacementLimits limits;
+  int sets = 0;                  // sets of layers, each with a map of its own
+  Duration expert_load_time{0};  // that a rank takes to load one expert
+
+  bool operator==(const ExpertFigures&) const = default;
+};
+
+class GroupRounds {
+ public:
+  // `on_report` gets each report, also of a rank that has left the group.
+  // `versions` is shared by the rounds of all groups.
+  GroupRounds(GroupKey group,
+              RankCalls& calls,
+              CoordinatorVersions& versions,
+              std::function<void(const RankReport&)> on_report);
+
+  // The group's ranks as far as they are known.
+  void SetRanks(std::vector<RankAddress> ranks, const ExpertFigures& figures);
+  // Begins what is due. `versions` has the present term.
+  void Tick(TimePoint now);
+  // Forgets the round under way; another host coordinates.
+  void Stop();
+
+  // Servers of slow ranks in the last reading.
+  const std::set<std::string>& slow_ranks() const { return this->slow; }
+
+ private:
+  void ReadReports(TimePoint now);
+  void OnReports(const std::vector<RankAnswer>& answers, TimePoint asked_at);
+  // The reading, if it is complete and recent enough to decide on.
+  std::optional<GroupReading> ToReading(const std::vector<RankAnswer>& answers,
+                                        Duration took);
+  // Takes the next step of a round, or begins one, by the last reading.
+  void AdvanceRound(TimePoint now);
+  // Finds the slow ranks of the last reading.
+  void NoteSlowRanks();
+  // Logs when readings become complete or stop being so; no problem means that
+  // this one is.
+  void NoteReading(std::string_view problem,
+                   std::string_view server,
+                   Duration took);
+  void SendOrders(const ChangeDecision& decision);
+  void OnOrdersAnswered(const std::vector<RankAnswer>& answers,
+                        std::int64_t generation,
+                        TimePoint asked_at);
+  void ReadChoices();
+  void OnChoices(const std::vector<RankAnswer>& answers);
+  void ReadPresentMap();
+  void OnPresentMap(const std::vector<RankAnswer>& answers);
+  std::optional<GroupMap> PlanWanted();
+  std::vector<RankCall> CallAll(RankRequestKind kind) const;
+  // Starts calls whose answers are dropped once this object is gone.
+  void Call(const std::vector<RankCall>& calls,
+            bool direct,
+            RankCalls::Done done);
+
+  GroupKey group;
+  RankCalls& calls;
+  CoordinatorVersions& versions;
+  std::function<void(const RankReport&)> on_report;
+  std::vector<RankAddress> ranks;
+  ExpertFigures figures;
+  ChangeState state;
+  GroupReading reading;
+  // Of the last reading; empty if it was complete.
+  std::string reading_problem;
+  std::set<std::string> slow;
+  PassClock passes;
+  // How long the last reading of all ranks took.
+  Duration exchange{0};
+  Demand demand;
+  // The map in use, known for this epoch and version.
+  GroupMap present;
+  std::int64_t present_epoch = -1;
+  GroupMapVersion present_version = -1;
+  bool reports_open = false;
+  bool choices_open = false;
+  bool present_open = false;
+  TimePoint reports_at;
+  TimePoint choices_at;
+  // Where the next reading of choices begins among the ranks.
+  std::size_t next_choice_rank = 0;
+  std::optional<TimePoint> order_failed_at;
+  std::shared_ptr<int> alive = std::make_shared<int>(0);
+};
+
+}  // namespace toucanhollow
+
+#endif  // MAP_TASK_GROUP_ROUNDS_H_
--- a/packages/relay/dispatcher.cc
+++ b/packages/relay/dispatcher.cc
@@ -50,6 +50,10 @@
       pool->CloseKept();
     }
   }
+  this->PumpAll();
+}
+
+void Dispatcher::PumpAll() {
   std::vector<ServiceName> names;
   for (const auto& [name, state] : this->services) {
     names.push_back(name);
@@ -61,7 +65,7 @@
 
 std::vector<std::shared_ptr<ServerPool>> Dispatcher::PoolsOf(
     const ServiceName& service,
-    TimePoint now) {
+    TimePoint now) const {
   std::vector<std::shared_ptr<ServerPool>> found;
   for (const auto& [id, server] : this->belief->servers) {
     if (server.listed.service == service &&
@@ -81,8 +85,7 @@
     return nullptr;
   }
   const auto service = this->belief->traffic->services.find(order.service);
-  if (service == this->belief->traffic->services.end() ||
-      this->IsStanding(order.service)) {
+  if (service == this->belief->traffic->services.end()) {
     return nullptr;
   }
   DropSilentHosts(this->board, now);
@@ -92,7 +95,8 @@
   std::vector<ServerCandidate> fresh;
   std::vector<ServerCandidate> tried;
   for (const auto& pool : this->PoolsOf(order.service, now)) {
-    if (!MaySend(pool->start_rate, service->second.cold_requests_per_s,
+    if (this->IsStanding(*pool) ||
+        !MaySend(pool->start_rate, service->second.cold_requests_per_s,
                  this->settings.cold, this->host_count, now)) {
       continue;
     }
@@ -275,23 +279,33 @@
   return ReturnAfter(wait, order.deadline - now);
 }
 
-void Dispatcher::SetStanding(const std::set<ServiceName>& standing) {
-  if (standing == this->standing_services) {
-    return;
-  }
-  this->standing_services = standing;
-  LogJsonNow("model_group_changed", {{"standing", !standing.empty()}});
-  std::vector<ServiceName> names;
-  for (const auto& [name, state] : this->services) {
-    names.push_back(name);
-  }
-  for (const ServiceName& name : names) {
-    this->Pump(name);
+void Dispatcher::TakeGroups(const GroupBoard& groups) {
+  for (const auto& [key, group] : groups.groups) {
+    const auto known = this->groups.groups.find(key);
+    const bool was_open =
+        known == this->groups.groups.end() || known->second.open;
+    if (group.open != was_open) {
+      LogJsonNow("model_group_changed", {{"group", std::string_view(key.name)},
+                                         {"epoch", group.epoch},
+                                         {"standing", !group.open}});
+    }
   }
+  this->groups = groups;
+  this->PumpAll();
+}
+
+bool Dispatcher::IsStanding(const ServerPool& pool) const {
+  return Stands(this->groups, pool.server().id);
 }
 
 bool Dispatcher::IsStanding(const ServiceName& service) const {
-  return this->standing_services.contains(service);
+  if (this->belief == nullptr || this->groups.groups.empty()) {
+    return false;
+  }
+  const auto pools = this->PoolsOf(service, EventLoop::Now());
+  return !pools.empty() && std::ranges::all_of(pools, [this](const auto& pool) {
+    return this->IsStanding(*pool);
+  });
 }
 
 void Dispatcher::SetSlowServers(const std::set<std::string>& servers) {
--- a/packages/relay/dispatcher.h
+++ b/packages/relay/dispatcher.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "event_loop/event_loop.h"
+#include "map_change/group_board.h"
 #include "overload/fair_queue.h"
 #include "relay/belief_task.h"
 #include "relay/relay_settings.h"
@@ -55,8 +56,11 @@
   // The request's room at the server is free again.
   void Release(ServerPool& pool, int unread_tokens);
 
-  // A service stands while its model group is broken; nothing is sent to it.
-  void SetStanding(const std::set<ServiceName>& standing);
+  // Nothing is sent to the ranks of a group that stands.
+  void TakeGroups(const GroupBoard& groups);
+  // True if the server's group stands.
+  bool IsStanding(const ServerPool& pool) const;
+  // True if all usable servers of the service belong to groups that stand.
   bool IsStanding(const ServiceName& service) const;
 
   // The ranks that this host, as coordinator, sees hold up their group; ids.
@@ -83,13 +87,14 @@
   };
 
   std::vector<std::shared_ptr<ServerPool>> PoolsOf(const ServiceName& service,
-                                                   TimePoint now);
+                                                   TimePoint now) const;
   std::shared_ptr<ServerPool> FindRoom(const PlacementOrder& order,
                                        TimePoint now);
   void Take(const std::shared_ptr<ServerPool>& pool,
             const PlacementOrder& order,
             TimePoint now);
   void Pump(const ServiceName& service);
+  void PumpAll();
   void Tick();
   void StartTicking();
   Duration RetryAfter(const PlacementOrder& order, TimePoint now);
@@ -101,7 +106,7 @@
   std::map<std::string, std::shared_ptr<ServerPool>> pools;
   std::map<ServiceName, ServiceState> services;
   std::map<RequestId, Waiting> waiting;
-  std::set<ServiceName> standing_services;
+  GroupBoard groups;
   LoadBoard board;
   std::set<std::uint32_t> slow_servers;
   int host_count = 1;
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -41,30 +41,37 @@
   return !this->leaving_since && this->beliefs->belief().traffic != nullptr;
 }
 
-// All ranks of the service that has expert maps, leaving ones included: they
+// All servers of each service that has expert maps, leaving ones included: they
 // are ranks until they have left.
-GroupView RelayHost::ViewGroup() const {
+std::vector<RankedService> RelayHost::ViewRankedServices() const {
   const Belief& belief = this->beliefs->belief();
-  GroupView view;
+  std::map<ServiceName, RankedService> ranked;
   if (belief.traffic == nullptr) {
-    return view;
+    return {};
   }
   for (const auto& [id, server] : belief.servers) {
     const auto service = belief.traffic->services.find(server.listed.service);
     if (server.missing_since || server.replaced ||
-        service == belief.traffic->services.end() || !service->second.engine ||
-        service->second.engine->expert_sets == 0) {
+        service == belief.traffic->services.end() ||
+        !HasExpertMaps(service->second)) {
       continue;
     }
-    view.limits = {service->second.engine->expert_places,
-                   service->second.engine->spare_experts};
-    view.sets = service->second.engine->expert_sets;
-    view.expert_load_time = service->second.engine->expert_load_time;
+    RankedService& entry = ranked[service->first];
+    entry.service = service->first;
+    const EngineFigures& engine = *service->second.engine;
+    entry.figures = {{engine.expert_places, engine.spare_experts},
+                     engine.expert_sets,
+                     engine.expert_load_time};
     // Every machine of the platform has the same internal ports.
     const Address agent{server.listed.address.ip, this->settings.report_port};
-    view.ranks.push_back({id, agent, server.listed.address});
+    entry.ranks.push_back({id, agent, server.listed.address});
   }
-  return view;
+  std::vector<RankedService> services;
+  services.reserve(ranked.size());
+  for (auto& [name, entry] : ranked) {
+    services.push_back(std::move(entry));
+  }
+  return services;
 }
 
 Result<std::unique_ptr<HttpServer>> RelayHost::Serve(const Address& address,
@@ -119,12 +126,13 @@
   this->maps = std::make_unique<GroupMapTask>(
       this->loop, this->client, this->engine_codec, this->settings.store,
       member,
-      GroupMapCallbacks{
-          [this] { return this->ViewGroup(); },
-          [this](const RankReport& report) { this->OnGroupReport(report); },
-          [this](const std::set<std::string>& servers) {
-            this->dispatcher.SetSlowServers(servers);
-          }});
+      GroupMapCallbacks{[this] { return this->ViewRankedServices(); },
+                        [this](const GroupBoard& board) {
+                          this->dispatcher.TakeGroups(board);
+                        },
+                        [this](const std::set<std::string>& servers) {
+                          this->dispatcher.SetSlowServers(servers);
+                        }});
   BOOST_OUTCOME_TRYV(this->maps->Start(
       {this->settings.control.ip, this->settings.rank_call_port}));
   this->sweep_timer = std::make_unique<Timer>(
@@ -141,19 +149,6 @@
   }
 }
 
-void RelayHost::OnGroupReport(const RankReport& report) {
-  std::set<ServiceName> standing;
-  const auto& traffic = this->beliefs->belief().traffic;
-  if (!report.open && traffic != nullptr) {
-    for (const auto& [name, service] : traffic->services) {
-      if (service.engine && service.engine->expert_sets > 0) {
-        standing.insert(name);
-      }
-    }
-  }
-  this->dispatcher.SetStanding(standing);
-}
-
 void RelayHost::OnAccept(int socket) {
   const std::size_t most =
       (this->settings.max_descriptors - kReservedDescriptors) /
--- a/packages/relay/relay_host.h
+++ b/packages/relay/relay_host.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <vector>
 
 #include "event_loop/event_loop.h"
 #include "http_client/http_client.h"
@@ -40,11 +41,10 @@
  private:
   void OnAccept(int socket);
   void OnBeliefChange();
-  void OnGroupReport(const RankReport& report);
   void Sweep();
   void EndShutdownIfDue(TimePoint now);
   bool IsReady() const;
-  GroupView ViewGroup() const;
+  std::vector<RankedService> ViewRankedServices() const;
   Result<std::unique_ptr<HttpServer>> Serve(const Address& address,
                                             HttpHandler handler);
 
--- a/packages/relay/relay_run.cc
+++ b/packages/relay/relay_run.cc
@@ -284,7 +284,7 @@
 void RelayRun::EndIfGroupStands(TimePoint now) {
   if (this->attempt == nullptr ||
       now - this->heard_at < kSilenceOfStandingGroup ||
-      !this->context.dispatcher.IsStanding(this->service)) {
+      !this->context.dispatcher.IsStanding(*this->pool)) {
     return;
   }
   this->maybe_ran = this->maybe_ran || this->attempt->any_sent();
--- a/packages/traffic/traffic_config.h
+++ b/packages/traffic/traffic_config.h
@@ -76,6 +76,10 @@
   bool operator==(const Service&) const = default;
 };
 
+constexpr bool HasExpertMaps(const Service& service) {
+  return service.engine && service.engine->expert_sets > 0;
+}
+
 struct ClientAccount {
   AccountName name;
   std::optional<int> priority;  // goes before the route's
--- a/standins/platform/engine_group_stand_in.cc
+++ b/standins/platform/engine_group_stand_in.cc
@@ -19,10 +19,8 @@
 EngineGroupStandIn::EngineGroupStandIn(EventLoop& loop,
                                        const EngineGroupShape& shape)
     : loop(loop), shape(shape), ranks(shape.ranks) {
-  const SetMaps first(shape.sets,
-                      InitialMap(shape.ranks, shape.experts, shape.places));
   for (int i = 0; i < shape.ranks; ++i) {
-    this->ranks[i].map = first;
+    this->ranks[i].map = this->FirstMap();
     auto listening = HttpServer::Listen(
         loop, {},
         [this, i](const HttpRequest& request,
@@ -36,6 +34,26 @@
                                          [this] { this->BeginPass(); });
 }
 
+SetMaps EngineGroupStandIn::FirstMap() const {
+  return SetMaps(
+      this->shape.sets,
+      InitialMap(this->shape.ranks, this->shape.experts, this->shape.places));
+}
+
+void EngineGroupStandIn::FormAgain() {
+  ++this->epoch;
+  this->last_step = 0;
+  for (Rank& rank : this->ranks) {
+    rank.sequence = 0;
+    rank.version = 0;
+    rank.highest = 0;
+    rank.map = this->FirstMap();
+    rank.prepared.reset();
+    rank.armed.reset();
+    rank.held.reset();
+  }
+}
+
 void EngineGroupStandIn::Handle(
     int rank,
     const HttpRequest& request,
@@ -63,8 +81,8 @@
 std::string EngineGroupStandIn::Report(int rank) const {
   const Rank& self = this->ranks[rank];
   json report = {{"group",
-                  {{"name", "g"},
-                   {"epoch", 1},
+                  {{"name", this->shape.name},
+                   {"epoch", this->epoch},
                    {"rank", rank},
                    {"state", this->open ? "open" : "broken"}}},
                  {"size", this->shape.ranks},
@@ -92,7 +110,8 @@
       counts.push_back(sum);
     }
   }
-  return json{{"step", this->last_step}, {"epoch", 1}, {"counts", counts}}
+  return json{
+      {"step", this->last_step}, {"epoch", this->epoch}, {"counts", counts}}
       .dump();
 }
 
@@ -111,7 +130,8 @@
   const auto operation = order.at("operation").get<std::string>();
   const std::int64_t version = order.value("version", std::int64_t{0});
   const std::int64_t step = order.value("step", std::int64_t{0});
-  if (order.at("expected").get<std::int64_t>() != self.sequence) {
+  if (order.at("expected").get<std::int64_t>() != self.sequence ||
+      order.value("epoch", this->epoch) != this->epoch) {
     return kConflict;
   }
   bool fits = false;
--- a/standins/platform/engine_group_stand_in.h
+++ b/standins/platform/engine_group_stand_in.h
@@ -19,6 +19,7 @@
 namespace toucanhollow {
 
 struct EngineGroupShape {
+  std::string name = "g";
   int ranks = 4;
   int sets = 2;
   int experts = 16;
@@ -38,6 +39,11 @@
   int late_every = 0;
   // Whether reports say that the group executes passes.
   bool open = true;
+  // The epoch that reports name.
+  std::int64_t epoch = 1;
+  // The group forms again: a new epoch with the first map, and nothing
+  // prepared, armed or held.
+  void FormAgain();
   // The work of this rank takes so many times as long.
   int slow_rank = -1;
   double slow_pace = 1;
@@ -66,6 +72,7 @@
   void Handle(int rank,
               const HttpRequest& request,
               const std::shared_ptr<HttpResponseWriter>& writer);
+  SetMaps FirstMap() const;
   std::string Report(int rank) const;
   std::string Counts() const;
   std::string Experts(int rank) const;
--- a/standins/platform/group_map_test.cc
+++ b/standins/platform/group_map_test.cc
@@ -20,44 +20,63 @@
 
 constexpr char kHost[] = "127.0.0.1";
 
+// Demand of which two experts of each set have most.
+std::vector<std::vector<double>> UnevenDemand(const EngineGroupShape& shape) {
+  std::vector<std::vector<double>> demand;
+  for (int set = 0; set < shape.sets; ++set) {
+    std::vector<double> chosen(shape.experts, 10);
+    chosen[set] = 200;
+    chosen[set + 3] = 150;
+    demand.push_back(chosen);
+  }
+  return demand;
+}
+
+// A service of one group, or of more whose ranks are `groups`.
 struct GroupSite {
   EventLoop loop;
   PlatformStoreStandIn store{loop};
   EngineGroupShape shape;
   EngineGroupStandIn group{loop, shape};
+  std::vector<std::unique_ptr<EngineGroupStandIn>> more;
+  std::vector<RankAddress> more_ranks;
   HttpClient client{loop};
   std::vector<Address> agent_addresses;
   std::vector<std::unique_ptr<RankAgent>> agents;
   std::set<std::string> slow_ranks;
+  GroupBoard groups;
   std::unique_ptr<GroupMapTask> task;
 
   GroupSite() {
     this->store.SetCoordinator(true);
-    // Two experts of each set have most of the load.
-    for (int set = 0; set < this->shape.sets; ++set) {
-      std::vector<double> chosen(this->shape.experts, 10);
-      chosen[set] = 200;
-      chosen[set + 3] = 150;
-      this->group.demand.push_back(chosen);
-    }
+    this->group.demand = UnevenDemand(this->shape);
     for (int rank = 0; rank < this->shape.ranks; ++rank) {
-      auto probe = DatagramSocket::Bind(
-          this->loop, {kHost, 0}, [](const Address&, std::string_view) {});
-      REQUIRE(probe);
-      this->agent_addresses.push_back(probe.value()->bound());
+      this->agent_addresses.push_back(this->FreeAddress());
     }
   }
 
+  Address FreeAddress() {
+    auto probe = DatagramSocket::Bind(this->loop, {kHost, 0},
+                                      [](const Address&, std::string_view) {});
+    REQUIRE(probe);
+    return probe.value()->bound();
+  }
+
+  void StartAgent(const Address& listen, const Address& engine) {
+    RankAgentSettings settings;
+    settings.process = "agent";
+    settings.listen = listen;
+    settings.metrics = {kHost, 0};
+    settings.engine = engine;
+    this->agents.push_back(std::make_unique<RankAgent>(
+        this->loop, settings, platform::EngineCodec()));
+    REQUIRE(this->agents.back()->Start());
+  }
+
   void StartAgents(int count) {
     for (int rank = 0; rank < count; ++rank) {
-      RankAgentSettings settings;
-      settings.process = "agent";
-      settings.listen = this->agent_addresses[rank];
-      settings.metrics = {kHost, 0};
-      settings.engine = {kHost, this->group.Port(rank)};
-      this->agents.push_back(std::make_unique<RankAgent>(
-          this->loop, settings, platform::EngineCodec()));
-      REQUIRE(this->agents.back()->Start());
+      this->StartAgent(this->agent_addresses[rank],
+                       {kHost, this->group.Port(rank)});
     }
   }
 
@@ -65,27 +84,53 @@
     this->task = std::make_unique<GroupMapTask>(
         this->loop, this->client, platform::EngineCodec(),
         Address{kHost, this->store.Port()}, "member",
-        GroupMapCallbacks{[this] { return this->View(); },
-                          [](const RankReport&) {},
-                          [this](const std::set<std::string>& slow) {
-                            this->slow_ranks = slow;
-                          }});
+        GroupMapCallbacks{
+            [this] { return std::vector{this->View()}; },
+            [this](const GroupBoard& groups) { this->groups = groups; },
+            [this](const std::set<std::string>& slow) {
+              this->slow_ranks = slow;
+            }});
     REQUIRE(this->task->Start({kHost, 0}));
   }
 
-  GroupView View() const {
-    GroupView view;
-    view.limits = {this->shape.places, 2};
-    view.sets = this->shape.sets;
-    view.expert_load_time = Milliseconds(50);
+  RankedService View() const {
+    RankedService view;
+    view.service.value = "model";
+    view.figures = {
+        {this->shape.places, 2}, this->shape.sets, Milliseconds(50)};
     for (int rank = 0; rank < this->shape.ranks; ++rank) {
       view.ranks.push_back({"i-" + std::to_string(rank),
                             this->agent_addresses[rank],
                             {kHost, this->group.Port(rank)}});
     }
+    view.ranks.insert(view.ranks.end(), this->more_ranks.begin(),
+                      this->more_ranks.end());
     return view;
   }
 
+  EngineGroupStandIn& AddGroup(const std::string& name) {
+    EngineGroupShape other = this->shape;
+    other.name = name;
+    this->more.push_back(
+        std::make_unique<EngineGroupStandIn>(this->loop, other));
+    this->more.back()->demand = UnevenDemand(other);
+    for (int rank = 0; rank < this->shape.ranks; ++rank) {
+      const Address engine{kHost, this->more.back()->Port(rank)};
+      const Address agent = this->FreeAddress();
+      this->StartAgent(agent, engine);
+      this->more_ranks.push_back(
+          {name + std::to_string(this->more.size()) + std::to_string(rank),
+           agent, engine});
+    }
+    return *this->more.back();
+  }
+
+  // Whether the group of this name is known to be open.
+  bool IsOpen(const std::string& name) const {
+    const auto found = this->groups.groups.find({{"model"}, name});
+    return found != this->groups.groups.end() && found->second.open;
+  }
+
   void ReverseDemand() {
     for (auto& set : this->group.demand) {
       std::ranges::reverse(set);
@@ -180,5 +225,48 @@
   CHECK(site.group.mixed_passes() == 0);
 }
 
+// Guards against a service whose groups are taken for one: its reading is never
+// complete, and no map ever changes.
+TEST_CASE("each group of a service changes its maps by itself") {
+  GroupSite site;
+  EngineGroupStandIn& other = site.AddGroup("h");
+  site.StartAgents(site.shape.ranks);
+  site.StartCoordinator();
+  CHECK(site.RunUntil(
+      [&] { return site.group.switches() >= 1 && other.switches() >= 1; },
+      Seconds(12)));
+  CHECK(site.group.version() != other.version());
+  // One group stands, and the other goes on changing its maps.
+  other.open = false;
+  REQUIRE(site.RunUntil([&] { return !site.IsOpen("h"); }, Seconds(5)));
+  CHECK(site.IsOpen("g"));
+  site.ReverseDemand();
+  const int before = site.group.switches();
+  CHECK(site.RunUntil([&] { return site.group.switches() > before; },
+                      Seconds(8)));
+  // It forms again in a new epoch, with the first map.
+  const int formed = other.switches();
+  other.FormAgain();
+  other.open = true;
+  CHECK(site.RunUntil([&] { return other.switches() > formed; }, Seconds(12)));
+  CHECK(site.IsOpen("h"));
+  CHECK(site.group.mixed_passes() + other.mixed_passes() == 0);
+}
+
+// Guards against a crash or a standing service by one group's broken reports.
+TEST_CASE("a group with reports that cannot be used leaves the others alone") {
+  GroupSite site;
+  EngineGroupStandIn& unnamed = site.AddGroup("");
+  EngineGroupStandIn& late = site.AddGroup("g");
+  late.epoch = 0;
+  site.StartAgents(site.shape.ranks);
+  site.StartCoordinator();
+  CHECK(site.RunUntil([&] { return site.group.switches() >= 1; }, Seconds(12)));
+  CHECK(unnamed.switches() == 0);
+  CHECK(late.switches() == 0);
+  CHECK(site.IsOpen("g"));
+  CHECK(site.group.mixed_passes() == 0);
+}
+
 }  // namespace
 }  // namespace toucanhollow
