Measure a queue's rate anew after its service stood

Cause: while a service stands, the queue's rate of service falls to nothing, and callers that come back were refused ("deadline_too_short") for a rate that says nothing about the time after. They also waited at most 1.5 s, a fixed time; the platform's callers wait for the longest of 2 s, four targets and eight gaps.

No broken rule.

--- a/packages/overload/fair_queue.cc
+++ b/packages/overload/fair_queue.cc
@@ -33,13 +33,19 @@
   return entry->second;
 }
 
+void MeasureRate(FairQueue& queue, TimePoint now) {
+  if (!queue.halted) {
+    queue.rate = OpenWindow(queue.rate, now);
+  }
+}
+
 void Activate(FairQueue& queue, int index, TimePoint now) {
   AccountQueue& account = queue.accounts[index];
   // An idle account earns no credit for the time that it did not use.
   account.start_tag = std::max(account.start_tag, queue.virtual_time);
   queue.active.emplace(account.start_tag, index);
   queue.active_weight += account.weight;
-  queue.rate = OpenWindow(queue.rate, now);
+  MeasureRate(queue, now);
 }
 
 void Deactivate(FairQueue& queue, int index) {
@@ -155,6 +161,17 @@
   return std::move(queue);
 }
 
+FairQueue SetHalted(FairQueue&& queue, bool halted, TimePoint now) {
+  if (queue.halted != halted) {
+    queue.halted = halted;
+    queue.rate = ServiceRate{};
+    if (queue.size > 0) {
+      MeasureRate(queue, now);
+    }
+  }
+  return std::move(queue);
+}
+
 EnqueueDecision Enqueue(FairQueue&& queue,
                         QueuedRequest request,
                         TimePoint now) {
@@ -237,7 +254,7 @@
   queue.rate = RecordServed(queue.rate, -request.cost, now);
   queue.active.emplace(account.start_tag, index);
   queue.active_weight += account.weight;
-  queue.rate = OpenWindow(queue.rate, now);
+  MeasureRate(queue, now);
   CostOf(account, request.priority) += request.cost;
   queue.queued_cost += request.cost;
   ++queue.size;
--- a/packages/overload/fair_queue.h
+++ b/packages/overload/fair_queue.h
@@ -69,6 +69,8 @@
   double queued_cost = 0;
   int size = 0;
   ServiceRate rate;
+  // Nothing can be served for now, whatever the queue does.
+  bool halted = false;
 
   bool operator==(const FairQueue&) const = default;
 };
@@ -88,6 +90,10 @@
                     const AccountName& account,
                     double weight);
 
+// Says that nothing can be served, or can be again. The rate of before says
+// nothing about the time after, so it is measured anew.
+FairQueue SetHalted(FairQueue&& queue, bool halted, TimePoint now);
+
 struct EnqueueDecision {
   FairQueue queue;
   // The request itself, or waiting requests that it displaced. All are
--- a/packages/overload/overload_test.cc
+++ b/packages/overload/overload_test.cc
@@ -127,6 +127,28 @@
 }
 
 // Guards against capacity that is spent on answers that come too late.
+// Guards against callers that come back while their service stands and are
+// refused for a rate that was measured while nothing could be served.
+TEST_CASE("a halted queue promises no wait") {
+  FairQueue queue;
+  for (int i = 0; i < 20; ++i) {
+    QueuedRequest waiting = Request("a", i);
+    waiting.deadline = At(1800);
+    Put(queue, waiting);
+  }
+  // Served before: one each 10 ms.
+  for (int i = 1; i <= 10; ++i) {
+    Take(queue, At(10L * i));
+  }
+  queue = SetHalted(std::move(queue), true, At(200));
+  QueuedRequest later = Request("a", 99);
+  later.deadline = At(3800);
+  CHECK(Enqueue(FairQueue(queue), later, At(2000)).refused.empty());
+  // It is measured anew afterwards.
+  queue = SetHalted(std::move(queue), false, At(2000));
+  CHECK(ExpectedWait(queue, {"a"}, Priority::kLow, 1, At(2100)) == Duration(0));
+}
+
 TEST_CASE("requests past their deadline are refused at the head") {
   FairQueue queue;
   Put(queue, Request("a", 1, Priority::kHigh, At(10)));
--- a/packages/relay/dispatcher.cc
+++ b/packages/relay/dispatcher.cc
@@ -54,9 +54,12 @@
 }
 
 void Dispatcher::PumpAll() {
+  const TimePoint now = EventLoop::Now();
   std::vector<ServiceName> names;
-  for (const auto& [name, state] : this->services) {
+  for (auto& [name, state] : this->services) {
     names.push_back(name);
+    state.queue =
+        SetHalted(std::move(state.queue), this->IsStanding(name), now);
   }
   for (const ServiceName& name : names) {
     this->Pump(name);
@@ -132,7 +135,12 @@
 
 void Dispatcher::Place(PlacementOrder order, PlacementCallbacks callbacks) {
   const TimePoint now = EventLoop::Now();
-  ServiceState& state = this->services[order.service];
+  const auto [entry, is_new] = this->services.try_emplace(order.service);
+  ServiceState& state = entry->second;
+  if (is_new) {
+    state.queue =
+        SetHalted(std::move(state.queue), this->IsStanding(order.service), now);
+  }
   if (state.queue.size == 0) {
     if (const auto pool = this->FindRoom(order, now)) {
       this->Take(pool, order, now);
--- a/packages/relay/relay_run.cc
+++ b/packages/relay/relay_run.cc
@@ -119,6 +119,8 @@
   const Duration wait =
       this->begun ? kResumeWait
                   : WaitForRoom(this->returning, this->route->target_latency,
+                                CallerPatience(this->route->target_latency,
+                                               this->route->max_event_gap),
                                 this->deadline - now);
   order.wait_until = std::min(now + wait, this->deadline - kMinTimeLeft);
   order.deadline = this->deadline;
--- a/packages/traffic/return_order.cc
+++ b/packages/traffic/return_order.cc
@@ -11,8 +11,10 @@
 // A first try waits for this part of its target latency; the rest is left for
 // the server.
 constexpr double kFirstWaitPart = 0.5;
-// Callers of streams give up after 2 s without a first event.
-constexpr Duration kLongestWait = Milliseconds(1500);
+// The platform's callers leave a stream after the longest of these.
+constexpr Duration kLeastPatience = Seconds(2);
+constexpr int kPatienceInTargets = 4;
+constexpr int kPatienceInGaps = 8;
 constexpr double kReturningWaitPart = 0.4;
 // Just under the third that callers honour.
 constexpr double kReturnPart = 0.32;
@@ -31,9 +33,22 @@
   return allowed < Part(longest, kReturningBelow);
 }
 
-Duration WaitForRoom(bool returning, Duration target_latency, Duration left) {
-  return returning ? std::min(kLongestWait, Part(left, kReturningWaitPart))
-                   : Part(target_latency, kFirstWaitPart);
+Duration CallerPatience(Duration target_latency, Duration max_event_gap) {
+  return std::max({kLeastPatience, target_latency * kPatienceInTargets,
+                   max_event_gap * kPatienceInGaps});
+}
+
+Duration WaitForRoom(bool returning,
+                     Duration target_latency,
+                     Duration patience,
+                     Duration left) {
+  const Duration first = Part(target_latency, kFirstWaitPart);
+  if (!returning) {
+    return first;
+  }
+  // What a first try leaves for the server is left here too.
+  const Duration longest = std::max(first, patience - (target_latency - first));
+  return std::min(longest, Part(left, kReturningWaitPart));
 }
 
 Duration ReturnAfter(Duration expected, Duration left) {
--- a/packages/traffic/return_order.h
+++ b/packages/traffic/return_order.h
@@ -27,8 +27,16 @@
                  const std::string& route,
                  Duration allowed);
 
-// How long a request may wait for room. `left` is the time to its deadline.
-Duration WaitForRoom(bool returning, Duration target_latency, Duration left);
+// How long callers of a route wait for the next event of a stream, the first
+// one included, before they leave.
+Duration CallerPatience(Duration target_latency, Duration max_event_gap);
+
+// How long a request may wait for room. `patience` is how long its caller waits
+// for the first byte, and `left` is the time to its deadline.
+Duration WaitForRoom(bool returning,
+                     Duration target_latency,
+                     Duration patience,
+                     Duration left);
 
 // When a refused caller should come back. `expected` is when room is expected.
 // Callers honour at most a third of the time that they have left.
--- a/packages/traffic/traffic_test.cc
+++ b/packages/traffic/traffic_test.cc
@@ -239,8 +239,15 @@
   CHECK_FALSE(IsReturning(memory, "r", Milliseconds(8000)));
   CHECK(IsReturning(memory, "r", Milliseconds(5300)));
   CHECK_FALSE(IsReturning(memory, "other", Milliseconds(1500)));
-  CHECK(WaitForRoom(true, Milliseconds(400), Milliseconds(5300)) >
-        WaitForRoom(false, Milliseconds(400), Milliseconds(8000)));
+  const Duration target = Milliseconds(400);
+  const Duration patience = CallerPatience(target, Milliseconds(120));
+  CHECK(patience == Seconds(2));
+  CHECK(CallerPatience(target, Milliseconds(500)) == Seconds(4));
+  CHECK(WaitForRoom(true, target, patience, Milliseconds(5300)) >
+        WaitForRoom(false, target, patience, Milliseconds(8000)));
+  // The server still has time for the first event before the caller leaves.
+  CHECK(WaitForRoom(true, target, patience, Seconds(8)) + target / 2 <=
+        patience);
 }
 
 TEST_CASE("a refused caller is never told to wait longer than it honours") {
