Let a coordinator give up when it sees maps of a later term

Engines here do not fence orders, so nothing told it. Versions carry the term: one of a later term in a complete reading deposes the earlier coordinator.

--- a/packages/map_change/advance_change.cc
+++ b/packages/map_change/advance_change.cc
@@ -55,16 +55,6 @@
   });
 }
 
-// Highest version that any rank shows.
-GroupMapVersion HighestVersion(const GroupReading& reading) {
-  GroupMapVersion highest = 0;
-  for (const RankReport& rank : reading) {
-    highest = std::max(
-        {highest, rank.map, rank.prepared.value_or(0), rank.armed.value_or(0)});
-  }
-  return highest;
-}
-
 std::vector<RankOrder> PrepareMissing(const GroupReading& reading,
                                       GroupMapVersion version) {
   std::vector<RankOrder> orders;
@@ -232,6 +222,15 @@
 
 }  // namespace
 
+GroupMapVersion HighestVersion(const GroupReading& reading) {
+  GroupMapVersion highest = 0;
+  for (const RankReport& rank : reading) {
+    highest = std::max(
+        {highest, rank.map, rank.prepared.value_or(0), rank.armed.value_or(0)});
+  }
+  return highest;
+}
+
 bool IsCompleteReading(const GroupReading& reading) {
   if (reading.empty()) {
     return false;
--- a/packages/map_change/advance_change.h
+++ b/packages/map_change/advance_change.h
@@ -80,6 +80,9 @@
 // True if the reading has every rank of one open group in one epoch.
 bool IsCompleteReading(const GroupReading& reading);
 
+// The highest version that any rank uses, has prepared or is armed with.
+GroupMapVersion HighestVersion(const GroupReading& reading);
+
 ChangeDecision AdvanceChange(const ChangeState& state,
                              const ChangeInput& input,
                              TimePoint now);
--- a/packages/map_task/coordinator_versions.h
+++ b/packages/map_task/coordinator_versions.h
@@ -27,6 +27,11 @@
   return versions.generation * kVersionsPerTerm + versions.used + 1;
 }
 
+// The term of the coordinator that gave the version out; 0 for the first map.
+constexpr std::int64_t TermOf(GroupMapVersion version) {
+  return version / kVersionsPerTerm;
+}
+
 }  // namespace toucanhollow
 
 #endif  // MAP_TASK_COORDINATOR_VERSIONS_H_
--- a/packages/map_task/group_rounds.cc
+++ b/packages/map_task/group_rounds.cc
@@ -172,6 +172,11 @@
     return;
   }
   this->reading = std::move(*reading);
+  if (TermOf(HighestVersion(this->reading)) > this->versions.generation) {
+    // Ranks refuse orders of an earlier term only where the platform fences.
+    this->NoteDeposed(this->versions.generation);
+    return;
+  }
   this->NoteSlowRanks();
   const RankReport& first = this->reading.front();
   this->exchange = now - asked_at;
@@ -223,6 +228,12 @@
   this->SendOrders(decision);
 }
 
+void GroupRounds::NoteDeposed(std::int64_t generation) {
+  this->versions.deposed_generation =
+      std::max(this->versions.deposed_generation, generation);
+  LogJsonNow("coordinator_deposed", {{"generation", generation}});
+}
+
 void GroupRounds::NoteSlowRanks() {
   std::set<std::string> slow;
   for (const RankReport& rank : this->reading) {
@@ -285,9 +296,7 @@
   for (const RankAnswer& answer : answers) {
     const RankReply& reply = answer.reply;
     if (reply.status == kStatusFenced) {
-      this->versions.deposed_generation =
-          std::max(this->versions.deposed_generation, generation);
-      LogJsonNow("coordinator_deposed", {{"generation", generation}});
+      this->NoteDeposed(generation);
     } else if (reply.status >= 400 || reply.status == 0) {
       if (reply.status == 0) {
         this->order_failed_at = EventLoop::Now();
--- a/packages/map_task/group_rounds.h
+++ b/packages/map_task/group_rounds.h
@@ -60,6 +60,8 @@
                                         Duration took);
   // Takes the next step of a round, or begins one, by the last reading.
   void AdvanceRound(TimePoint now);
+  // A coordinator of a later term than `generation` has taken over.
+  void NoteDeposed(std::int64_t generation);
   // Finds the slow ranks of the last reading.
   void NoteSlowRanks();
   // Logs when readings become complete or stop being so; no problem means that
--- a/standins/platform/group_map_test.cc
+++ b/standins/platform/group_map_test.cc
@@ -253,6 +253,36 @@
   CHECK(site.group.mixed_passes() + other.mixed_passes() == 0);
 }
 
+// Guards against a coordinator that is cut off from the store, is replaced, and
+// goes on beside its successor where engines do not fence orders.
+TEST_CASE("a coordinator that sees a later one's maps gives up") {
+  GroupSite site;
+  site.StartAgents(site.shape.ranks);
+  site.StartCoordinator();
+  REQUIRE(
+      site.RunUntil([&] { return site.group.switches() >= 1; }, Seconds(8)));
+  CHECK(site.task->coordinates());
+  PlatformStoreStandIn later_store{site.loop};
+  later_store.SetCoordinator(true);
+  later_store.generation = 2;
+  GroupMapTask later(
+      site.loop, site.client, platform::EngineCodec(),
+      Address{kHost, later_store.Port()}, "later",
+      GroupMapCallbacks{[&site] { return std::vector{site.View()}; },
+                        [](const GroupBoard&) {},
+                        [](const std::set<std::string>&) {}});
+  REQUIRE(later.Start({kHost, 0}));
+  const int before = site.group.switches();
+  site.ReverseDemand();
+  CHECK(site.RunUntil(
+      [&] {
+        return site.group.switches() > before && !site.task->coordinates();
+      },
+      Seconds(12)));
+  CHECK(later.coordinates());
+  CHECK(site.group.mixed_passes() == 0);
+}
+
 // Guards against a crash or a standing service by one group's broken reports.
 TEST_CASE("a group with reports that cannot be used leaves the others alone") {
   GroupSite site;
--- a/standins/platform/platform_store_stand_in.cc
+++ b/standins/platform/platform_store_stand_in.cc
@@ -92,7 +92,9 @@
     if (this->coordinator) {
       parts.push_back({"coordinator", 0, 0});
     }
-    writer->Respond(200, {}, json{{"generation", 1}, {"parts", parts}}.dump());
+    writer->Respond(
+        200, {},
+        json{{"generation", this->generation}, {"parts", parts}}.dump());
   } else {
     writer->Respond(200, {}, "{}");
   }
--- a/standins/platform/platform_store_stand_in.h
+++ b/standins/platform/platform_store_stand_in.h
@@ -29,6 +29,8 @@
   void SetDown(bool down);
   // Whether members of groups are given the partition that coordinates.
   void SetCoordinator(bool gives) { this->coordinator = gives; }
+  // The generation that members are told.
+  std::int64_t generation = 1;
   // Drops the history of a topic; the newest records stay.
   void Compact(const std::string& topic);
 
