End what makes no progress, and what servers send without end

Any byte counted as a sign of life, also bytes that are no event. And an answer that is not passed on, an answer to another request, an event, interim responses, a header line or a trailer could come without end: they were collected or read until the deadline.

A stream now makes progress by whole new events only. A request without progress for 1.6 s ends if its group stands or has begun no pass for 1.2 s while it is heard. Each part without end has a bound in bytes, and an answer that is not passed on one in time; the connection is closed, and the request goes elsewhere if its kind allows it. The end of an event is searched once, not from the start at each read.

Ruled out: ending a stream by silence alone. Sound streams pause, and a server's silence is no reason to end an answer while its group makes passes.

Tests: a silent stream of a group that stands, or that begins no pass, ends between 1.5 and 2 s (the second one fails without the change); a stream with a pause of 1.9 s in a sound group is not cut.

--- a/packages/http_stream/message_parser.cc
+++ b/packages/http_stream/message_parser.cc
@@ -17,7 +17,9 @@
 using boost::beast::error_code;
 using BeastText = boost::beast::string_view;
 
-// A larger header than any server of the platform sends.
+// A larger header than any server of the platform sends. It bounds each part of
+// a response that is no body: interim heads, the head, a chunk's header, and
+// the trailer.
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64 * 1024;
 
 std::string ToString(BeastText text) {
@@ -42,6 +44,8 @@
   std::string body;
   bool has_length = false;
   std::uint64_t length = 0;
+  // Bytes of the trailer's fields.
+  std::size_t trailer_bytes = 0;
 
  private:
   // The names below are Beast's.
@@ -72,6 +76,14 @@
                      BeastText value,
                      error_code& error) override {
     error = {};
+    if (this->is_header_done()) {
+      // Nothing here reads fields that follow the body.
+      this->trailer_bytes += name.size() + value.size();
+      if (this->trailer_bytes > kMaxResponseHeaderBytes) {
+        error = http::error::header_limit;
+      }
+      return;
+    }
     this->head.headers.push_back({ToString(name), ToString(value)});
   }
   void on_header_impl(error_code& error) override { error = {}; }
@@ -211,6 +223,8 @@
   bool body_expected = true;
   std::unique_ptr<Parser> parser;
   std::string pending;
+  // Bytes of interim responses that were skipped.
+  std::size_t interim_bytes = 0;
   ParseProblem problem = ParseProblem::kNone;
 
   void Begin() {
@@ -246,6 +260,11 @@
     const bool had_head = state.parser->is_header_done();
     state.problem = Advance(*state.parser, state.pending);
     if (state.problem == ParseProblem::kNone && state.IsInterim()) {
+      state.interim_bytes += before - state.pending.size();
+      if (state.interim_bytes > kMaxResponseHeaderBytes) {
+        state.problem = ParseProblem::kHeaderTooLarge;
+        return;
+      }
       state.Begin();
       continue;
     }
@@ -257,6 +276,11 @@
         head.content_length = state.parser->length;
       }
     }
+    if (!state.parser->is_done() &&
+        state.pending.size() > kMaxResponseHeaderBytes) {
+      // Beast keeps only what is incomplete, such as a line without an end.
+      state.problem = ParseProblem::kHeaderTooLarge;
+    }
     if (state.pending.size() == before || state.pending.empty()) {
       return;
     }
--- a/packages/map_change/group_board.cc
+++ b/packages/map_change/group_board.cc
@@ -69,6 +69,14 @@
   return group == board.groups.end() ? nullptr : &group->second;
 }
 
+bool IsStill(const GroupBoard& board,
+             const std::string& server,
+             TimePoint now) {
+  const GroupState* group = GroupOf(board, server);
+  return group != nullptr && now - group->heard_at < kStillTime &&
+         now - group->step_at >= kStillTime;
+}
+
 bool Stands(const GroupBoard& board, const std::string& server) {
   const GroupState* group = GroupOf(board, server);
   return group != nullptr && !group->open;
--- a/packages/map_change/group_board.h
+++ b/packages/map_change/group_board.h
@@ -80,9 +80,17 @@
 // The group of the server, or null if it is not known.
 const GroupState* GroupOf(const GroupBoard& board, const std::string& server);
 
-// True if the server belongs to a group that executes no passes.
+// True if the server's group says that it executes no passes.
 bool Stands(const GroupBoard& board, const std::string& server);
 
+// A group that is heard and has begun no pass for this long waits for one of
+// its ranks: longer than the slowest pass and than a change of the map.
+inline constexpr Duration kStillTime = Milliseconds(1200);
+
+// True if the server's group has begun no pass of late. A group that has no
+// requests begins none either.
+bool IsStill(const GroupBoard& board, const std::string& server, TimePoint now);
+
 }  // namespace toucanhollow
 
 #endif  // MAP_CHANGE_GROUP_BOARD_H_
--- a/packages/map_change/group_board_test.cc
+++ b/packages/map_change/group_board_test.cc
@@ -95,12 +95,18 @@
   TakeRankReport(board, model_service, report, At(0));
   TakeRankReport(board, model_service, report, At(500));
   CHECK(GroupOf(board, "a")->step_at == At(0));
+  CHECK_FALSE(IsStill(board, "a", At(900)));
+  TakeRankReport(board, model_service, report, At(1200));
+  CHECK(IsStill(board, "a", At(1250)));
+  // Nothing is known of a group that is not heard.
+  CHECK_FALSE(IsStill(board, "a", At(2500)));
   report.step = 11;
-  TakeRankReport(board, model_service, report, At(600));
-  CHECK(GroupOf(board, "a")->step_at == At(600));
+  TakeRankReport(board, model_service, report, At(2600));
+  CHECK(GroupOf(board, "a")->step_at == At(2600));
+  CHECK_FALSE(IsStill(board, "a", At(2700)));
   report.step = 3;
   report.epoch = 2;
-  TakeRankReport(board, model_service, report, At(700));
+  TakeRankReport(board, model_service, report, At(2700));
   CHECK(GroupOf(board, "a")->step == 3);
 }
 
--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -258,7 +258,7 @@
     case Phase::kAnswering: {
       // The run may end, and with it this session's phase.
       const auto keep = this->run;
-      keep->EndIfGroupStands(now);
+      keep->Sweep(now);
       return;
     }
     case Phase::kClosed:
--- a/packages/relay/dispatcher.cc
+++ b/packages/relay/dispatcher.cc
@@ -288,26 +288,34 @@
 }
 
 void Dispatcher::TakeGroups(const GroupBoard& groups) {
+  this->groups = &groups;
+  std::set<GroupKey> standing;
   for (const auto& [key, group] : groups.groups) {
-    const auto known = this->groups.groups.find(key);
-    const bool was_open =
-        known == this->groups.groups.end() || known->second.open;
-    if (group.open != was_open) {
+    if (!group.open) {
+      standing.insert(key);
+    }
+    if (standing.contains(key) != this->standing_groups.contains(key)) {
       LogJsonNow("model_group_changed", {{"group", std::string_view(key.name)},
                                          {"epoch", group.epoch},
                                          {"standing", !group.open}});
     }
   }
-  this->groups = groups;
+  this->standing_groups = std::move(standing);
   this->PumpAll();
 }
 
 bool Dispatcher::IsStanding(const ServerPool& pool) const {
-  return Stands(this->groups, pool.server().id);
+  return this->groups != nullptr && Stands(*this->groups, pool.server().id);
+}
+
+bool Dispatcher::MakesNoPasses(const ServerPool& pool, TimePoint now) const {
+  return this->IsStanding(pool) ||
+         (this->groups != nullptr &&
+          IsStill(*this->groups, pool.server().id, now));
 }
 
 bool Dispatcher::IsStanding(const ServiceName& service) const {
-  if (this->belief == nullptr || this->groups.groups.empty()) {
+  if (this->belief == nullptr || this->standing_groups.empty()) {
     return false;
   }
   const auto pools = this->PoolsOf(service, EventLoop::Now());
--- a/packages/relay/dispatcher.h
+++ b/packages/relay/dispatcher.h
@@ -56,10 +56,15 @@
   // The request's room at the server is free again.
   void Release(ServerPool& pool, int unread_tokens);
 
-  // Nothing is sent to the ranks of a group that stands.
+  // Nothing is sent to the ranks of a group that stands. The board is read
+  // until the next call, and changes between two calls in its times and steps
+  // only.
   void TakeGroups(const GroupBoard& groups);
   // True if the server's group stands.
   bool IsStanding(const ServerPool& pool) const;
+  // True if the server's group stands or begins no passes, such as one that
+  // waits for a machine that does not move.
+  bool MakesNoPasses(const ServerPool& pool, TimePoint now) const;
   // True if all usable servers of the service belong to groups that stand.
   bool IsStanding(const ServiceName& service) const;
 
@@ -106,7 +111,8 @@
   std::map<std::string, std::shared_ptr<ServerPool>> pools;
   std::map<ServiceName, ServiceState> services;
   std::map<RequestId, Waiting> waiting;
-  GroupBoard groups;
+  const GroupBoard* groups = nullptr;
+  std::set<GroupKey> standing_groups;
   LoadBoard board;
   std::set<std::uint32_t> slow_servers;
   int host_count = 1;
--- a/packages/relay/relay_run.cc
+++ b/packages/relay/relay_run.cc
@@ -34,6 +34,10 @@
 // done so by then does not answer at all, and callers leave after 2 s.
 constexpr Duration kSilenceOfStandingGroup = Milliseconds(1600);
 constexpr int kLowestPriority = 9;
+// The rest of an answer that is not passed on is read this far and this long,
+// to keep its connection; then the connection is closed.
+constexpr std::size_t kMaxDiscarded = std::size_t{64} * 1024;
+constexpr Duration kDiscardTime = Milliseconds(250);
 
 bool IsEventStream(const ResponseHead& head) {
   return FindHeader(head.headers, "Content-Type")
@@ -214,6 +218,9 @@
 void RelayRun::OnHead(const ResponseHead& answer, const ResponseFacts& facts) {
   this->answer = answer;
   this->answer_not_run = facts.not_run;
+  this->heard_at = EventLoop::Now();
+  this->discarding_since = this->heard_at;
+  this->discarded_bytes = 0;
   if (this->pool != nullptr && this->unread_tokens > 0) {
     this->pool->unread_tokens -= std::exchange(this->unread_tokens, 0);
   }
@@ -242,31 +249,61 @@
 }
 
 void RelayRun::OnBody(const std::string& bytes) {
-  this->heard_at = EventLoop::Now();
+  const TimePoint now = EventLoop::Now();
   switch (this->mode) {
     case AnswerMode::kUndecided:
+      return;
     case AnswerMode::kDiscard:
+      this->discarded_bytes += bytes.size();
+      if (this->discarded_bytes > kMaxDiscarded) {
+        this->LeaveDiscarded("an answer that is not passed on is too long");
+      }
       return;
     case AnswerMode::kBuffer:
+      this->heard_at = now;
       this->buffered += bytes;
       if (this->buffered.size() > kMaxBuffered) {
         this->mode = AnswerMode::kRaw;
         this->PassOn(std::exchange(this->buffered, {}));
       }
       return;
-    case AnswerMode::kEvents:
+    case AnswerMode::kEvents: {
+      const auto last_id = this->events.last_id;
       this->PassOn(SplitEvents(this->events, bytes));
-      if (this->events.broken_order) {
+      if (this->events.last_id != last_id) {
+        this->heard_at = now;
+      }
+      if (this->events.broken_order || this->events.too_large) {
         this->attempt.reset();
-        this->OnEnd(AttemptEnd::kTruncated, "an event is missing");
+        this->OnEnd(AttemptEnd::kTruncated, this->events.too_large
+                                                ? "an event is too long"
+                                                : "an event is missing");
       }
       return;
+    }
     case AnswerMode::kRaw:
+      this->heard_at = now;
       this->PassOn(bytes);
       return;
   }
 }
 
+void RelayRun::LeaveDiscarded(std::string_view why) {
+  // What the head says of the request holds without the rest.
+  const bool not_run = this->answer_not_run;
+  this->attempt.reset();
+  this->OnEnd(AttemptEnd::kTruncated, why, not_run);
+}
+
+void RelayRun::Sweep(TimePoint now) {
+  if (this->attempt != nullptr && this->mode == AnswerMode::kDiscard &&
+      now - this->discarding_since > kDiscardTime) {
+    this->LeaveDiscarded("an answer that is not passed on does not end");
+    return;
+  }
+  this->EndIfGroupStands(now);
+}
+
 void RelayRun::PassOn(std::string_view bytes) {
   if (bytes.empty()) {
     return;
@@ -286,7 +323,7 @@
 void RelayRun::EndIfGroupStands(TimePoint now) {
   if (this->attempt == nullptr ||
       now - this->heard_at < kSilenceOfStandingGroup ||
-      !this->context.dispatcher.IsStanding(*this->pool)) {
+      !this->context.dispatcher.MakesNoPasses(*this->pool, now)) {
     return;
   }
   this->maybe_ran = this->maybe_ran || this->attempt->any_sent();
@@ -310,7 +347,9 @@
   }
 }
 
-void RelayRun::OnEnd(AttemptEnd end, std::string_view detail) {
+void RelayRun::OnEnd(AttemptEnd end,
+                     std::string_view detail,
+                     bool said_not_run) {
   const TimePoint now = EventLoop::Now();
   const std::shared_ptr<ServerPool> server = this->pool;
   if (end == AttemptEnd::kComplete) {
@@ -326,7 +365,7 @@
     }
   } else {
     server->health = RecordFailure(server->health, now);
-    if (end != AttemptEnd::kNotSent) {
+    if (end != AttemptEnd::kNotSent && !said_not_run) {
       this->maybe_ran = true;
     }
   }
@@ -338,7 +377,7 @@
   }
   LogAttemptFailed({this->facts.request_id, server->server().id, this->sends,
                     end, this->answer.status, this->answer_not_run, detail});
-  const bool not_run = end == AttemptEnd::kNotSent ||
+  const bool not_run = end == AttemptEnd::kNotSent || said_not_run ||
                        (end == AttemptEnd::kComplete && this->answer_not_run);
   this->buffered.clear();
   DropPartialEvent(this->events);
--- a/packages/relay/relay_run.h
+++ b/packages/relay/relay_run.h
@@ -67,8 +67,8 @@
   void Cancel(std::string_view reason);
   // The caller has taken what was queued for it.
   void OnCallerDrained();
-  // Ends a request whose server has been silent while its model group stands.
-  void EndIfGroupStands(TimePoint now);
+  // Ends what the server will not end in time: see the implementation.
+  void Sweep(TimePoint now);
 
  private:
   enum class AnswerMode { kUndecided, kDiscard, kBuffer, kEvents, kRaw };
@@ -76,9 +76,16 @@
   void Place();
   void Send(const std::shared_ptr<ServerPool>& pool);
   ServerRequestFacts FactsFor(const ServerPool& pool, TimePoint now) const;
+  // Ends a request without progress while its model group stands.
+  void EndIfGroupStands(TimePoint now);
+  // Goes on without the rest of an answer that is not passed on.
+  void LeaveDiscarded(std::string_view why);
   void OnHead(const ResponseHead& head, const ResponseFacts& facts);
   void OnBody(const std::string& bytes);
-  void OnEnd(AttemptEnd end, std::string_view detail);
+  // `said_not_run`: the server stated it before its answer was left.
+  void OnEnd(AttemptEnd end,
+             std::string_view detail,
+             bool said_not_run = false);
   void OnComplete();
   void OnDeadline();
   void ReleaseServer();
@@ -127,8 +134,12 @@
   EventSplitter events;
   bool begun = false;
   TimePoint first_byte_at;
-  // When the request was sent, or the last bytes came.
+  // When the request was sent, or the last progress: bytes of an answer, or of
+  // a stream a whole new event.
   TimePoint heard_at;
+  // Of an answer that is not passed on.
+  std::size_t discarded_bytes = 0;
+  TimePoint discarding_since;
 };
 
 }  // namespace toucanhollow
--- a/packages/relay/server_attempt.cc
+++ b/packages/relay/server_attempt.cc
@@ -20,6 +20,10 @@
   return Seconds(ParseDecimal(digits).value_or(0));
 }
 
+// Answers to earlier requests are skipped up to so many bytes; a server whose
+// stray answer has no end would hold the request until its deadline.
+constexpr std::size_t kMaxStrayBytes = std::size_t{256} * 1024;
+
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
 }
@@ -37,6 +41,7 @@
   // The answer being read belongs to an earlier request.
   bool stray = false;
   bool any_stray = false;
+  std::size_t stray_bytes = 0;
   bool ended = false;
   bool reusable = false;
   Duration keep_time{0};
@@ -101,7 +106,14 @@
     return false;
   }
   const std::string body = this->parser->TakeBody();
-  if (!body.empty() && !this->stray) {
+  if (this->stray) {
+    this->stray_bytes += body.size();
+    if (this->stray_bytes > kMaxStrayBytes) {
+      this->End(AttemptEnd::kBroken,
+                "an answer to another request is too long");
+      return false;
+    }
+  } else if (!body.empty()) {
     const auto callback = this->callbacks.on_body;
     callback(body);
     if (this->ended) {
--- a/packages/traffic/event_splitter.cc
+++ b/packages/traffic/event_splitter.cc
@@ -1,11 +1,13 @@
 #include "traffic/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace toucanhollow {
 namespace {
 
 constexpr std::string_view kIdField = "id:";
+constexpr std::string_view kEventEnd = "\n\n";
 
 // The number in the event's "id" line.
 std::optional<std::int64_t> EventId(std::string_view event) {
@@ -34,7 +36,8 @@
   std::string whole;
   std::size_t begin = 0;
   while (!splitter.broken_order) {
-    const std::size_t gap = splitter.partial.find("\n\n", begin);
+    const std::size_t gap =
+        splitter.partial.find(kEventEnd, std::max(begin, splitter.searched));
     if (gap == std::string::npos) {
       break;
     }
@@ -58,11 +61,20 @@
     whole.append(event);
   }
   splitter.partial.erase(0, begin);
+  // The end may stand half in what has come.
+  splitter.searched = splitter.partial.size() < kEventEnd.size()
+                          ? 0
+                          : splitter.partial.size() - kEventEnd.size() + 1;
+  if (splitter.partial.size() > kMaxEventBytes) {
+    splitter.too_large = true;
+    DropPartialEvent(splitter);
+  }
   return whole;
 }
 
 void DropPartialEvent(EventSplitter& splitter) {
   splitter.partial.clear();
+  splitter.searched = 0;
 }
 
 }  // namespace toucanhollow
--- a/packages/traffic/event_splitter.h
+++ b/packages/traffic/event_splitter.h
@@ -13,12 +13,19 @@
 
 namespace toucanhollow {
 
+// A larger event than any server of the platform sends.
+inline constexpr std::size_t kMaxEventBytes = std::size_t{256} * 1024;
+
 struct EventSplitter {
   std::string partial;
+  // Where the search for the end of `partial` goes on.
+  std::size_t searched = 0;
   // Id of the last event that was passed on.
   std::optional<std::int64_t> last_id;
   // An id that is not the next one has come; the stream cannot go on.
   bool broken_order = false;
+  // An event has no end; the stream cannot go on.
+  bool too_large = false;
 
   bool operator==(const EventSplitter&) const = default;
 };
--- a/standins/platform/engine_group_stand_in.cc
+++ b/standins/platform/engine_group_stand_in.cc
@@ -173,7 +173,7 @@
 
 void EngineGroupStandIn::BeginPass() {
   const std::int64_t next = this->last_step + 1;
-  if (std::ranges::any_of(this->ranks, [next](const Rank& rank) {
+  if (this->still || std::ranges::any_of(this->ranks, [next](const Rank& rank) {
         return rank.held == next;
       })) {
     return;
--- a/standins/platform/engine_group_stand_in.h
+++ b/standins/platform/engine_group_stand_in.h
@@ -39,6 +39,8 @@
   int late_every = 0;
   // Whether reports say that the group executes passes.
   bool open = true;
+  // No pass begins, though reports say that the group is open.
+  bool still = false;
   // The epoch that reports name.
   std::int64_t epoch = 1;
   // The group forms again: a new epoch with the first map, and nothing
--- a/standins/platform/platform_relay_test.cc
+++ b/standins/platform/platform_relay_test.cc
@@ -486,32 +486,45 @@
   CHECK(site.RunUntil([&stopped] { return stopped; }));
 }
 
-// Guards against streams that keep a silent server until their callers leave:
-// the server then goes on for callers that are gone.
-TEST_CASE("a silent stream ends when its model group stands") {
-  Site site;
-  // Agents listen on the host's port for reports, at their own addresses.
-  site.settings.control.ip = "127.0.0.3";
-  std::string config = ConfigText(1, "\"k1\"");
-  const std::string plain = R"({"name":"ledger","max_conns":96})";
-  config.replace(config.find(plain), plain.size(),
-                 R"({"name":"ledger","max_conns":96,"engine":{"slots":6,)"
-                 R"("sets":1,"places":4,"spare":1}})");
-  site.store.Put("keyed.op", "config", config);
-  site.List("i-1", site.first, "ready");
-  EngineGroupStandIn group(site.loop,
-                           {.ranks = 1, .sets = 1, .experts = 4, .places = 4});
-  RankAgentSettings settings;
-  settings.process = "agent";
-  settings.listen = {"127.0.0.1", site.settings.report_port};
-  settings.metrics = {"127.0.0.1", 0};
-  settings.engine = {"127.0.0.1", group.Port(0)};
-  RankAgent agent(site.loop, settings, platform::EngineCodec());
-  REQUIRE(agent.Start());
+// A site whose service is a model group of one rank.
+struct RankSite : Site {
+  EngineGroupStandIn group{this->loop,
+                           {.ranks = 1, .sets = 1, .experts = 4, .places = 4}};
+  std::unique_ptr<RankAgent> agent;
+
+  RankSite() {
+    // Agents listen on the host's port for reports, at their own addresses.
+    this->settings.control.ip = "127.0.0.3";
+    std::string config = ConfigText(1, "\"k1\"");
+    const std::string plain = R"({"name":"ledger","max_conns":96})";
+    config.replace(config.find(plain), plain.size(),
+                   R"({"name":"ledger","max_conns":96,"engine":{"slots":6,)"
+                   R"("sets":1,"places":4,"spare":1}})");
+    this->store.Put("keyed.op", "config", config);
+    this->List("i-1", this->first, "ready");
+    RankAgentSettings agent_settings;
+    agent_settings.process = "agent";
+    agent_settings.listen = {"127.0.0.1", this->settings.report_port};
+    agent_settings.metrics = {"127.0.0.1", 0};
+    agent_settings.engine = {"127.0.0.1", this->group.Port(0)};
+    this->agent = std::make_unique<RankAgent>(this->loop, agent_settings,
+                                              platform::EngineCodec());
+    REQUIRE(this->agent->Start());
+  }
+};
+
+// Begins a stream that gets one event, stops the group, and checks that the
+// stream ends before callers leave after 2 s, but not before the server's own
+// end of stalled work after 1.5 s.
+template <typename Stop>
+void CheckSilentStreamEnds(RankSite& site, Stop stop) {
   site.Start();
   REQUIRE(Serves(site));
   ScriptedAnswer silent;
   silent.bytes = StreamHead() + Chunk("id: 1\ndata: a\n\n");
+  // Bytes that are no event are no progress.
+  silent.later = Chunk(": nothing");
+  silent.delay = Milliseconds(700);
   site.first.script.push_back(silent);
   const int closed = site.first.closed_by_caller;
   Caller caller(site.loop, site.settings.callers.port);
@@ -521,14 +534,44 @@
   caller.connection->Write(request);
   REQUIRE(site.RunUntil([&] { return caller.parser.head_done(); }));
   const TimePoint silent_since = EventLoop::Now();
-  group.open = false;
+  stop();
   CHECK(site.RunUntil([&] { return caller.ended; }));
-  // Callers leave after 2 s of silence.
   CHECK(EventLoop::Now() - silent_since < Milliseconds(2000));
   CHECK(EventLoop::Now() - silent_since >= Milliseconds(1500));
   CHECK_FALSE(caller.parser.done());
   CHECK(site.RunUntil([&] { return site.first.closed_by_caller > closed; }));
 }
 
+// Guards against streams that keep a silent server until their callers leave:
+// the server then goes on for callers that are gone.
+TEST_CASE("a silent stream ends when its model group stands") {
+  RankSite site;
+  CheckSilentStreamEnds(site, [&site] { site.group.open = false; });
+}
+
+// Guards against the same while a machine of the group does not move: the group
+// says that it is open, and begins no pass.
+TEST_CASE("a silent stream ends when its model group begins no pass") {
+  RankSite site;
+  CheckSilentStreamEnds(site, [&site] { site.group.still = true; });
+}
+
+// Guards against a slow but sound stream that is cut: its events are just under
+// the time that callers wait, and it lasts longer than any idle time.
+TEST_CASE("a slow stream of a group that makes passes is not cut") {
+  RankSite site;
+  site.Start();
+  REQUIRE(Serves(site));
+  ScriptedAnswer slow;
+  slow.bytes = StreamHead() + Chunk("id: 1\ndata: a\n\n");
+  slow.later = Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
+  slow.delay = Milliseconds(1900);
+  site.first.script.push_back(slow);
+  std::string request = Request("POST", "/m/x", "r1", "", "p");
+  request.replace(request.find("1500"), 4, "6000");
+  const Answered answered = Ask(site, request);
+  CHECK(answered.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
 }  // namespace
 }  // namespace toucanhollow
