Keep a process alive through malformed messages, and skip late copies

Cause: Beast 1.74 asserts that the rest of a last chunk has five bytes. The deployed build keeps assertions, so an empty chunked body that came in two pieces, from a caller or a server, ended the whole entry host. The new test of endless messages hit it ("parse_chunk_header: Assertion n >= 5 failed").

The parser waits for five bytes where a chunk's header is due, so that such a body is read, and turns Beast's failed conditions into a malformed message.

An answer without an id on a connection that carried another request may be a late copy; neither its status nor its promise counts any more.

Ruled out: NDEBUG, which leaves conditions unchecked instead.

--- a/packages/http_stream/message_parser.cc
+++ b/packages/http_stream/message_parser.cc
@@ -1,7 +1,12 @@
+// Beast checks conditions on what it has parsed with BOOST_ASSERT, which would
+// end the process; here they make the message malformed.
+#define BOOST_ENABLE_ASSERT_HANDLER
+
 #include "http_stream/message_parser.h"
 
 #include <algorithm>
 #include <limits>
+#include <stdexcept>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
@@ -10,6 +15,28 @@
 
 #include "http_stream/write_message.h"
 
+namespace boost {
+
+// The names and parameters are Boost's.
+// NOLINTBEGIN(readability-identifier-naming)
+void assertion_failed(const char* condition,
+                      const char* /*function*/,
+                      const char* /*file*/,
+                      long /*line*/) {  // NOLINT(google-runtime-int)
+  throw std::logic_error(condition);
+}
+
+void assertion_failed_msg(const char* condition,
+                          const char* /*message*/,
+                          const char* /*function*/,
+                          const char* /*file*/,
+                          long /*line*/) {  // NOLINT(google-runtime-int)
+  throw std::logic_error(condition);
+}
+// NOLINTEND(readability-identifier-naming)
+
+}  // namespace boost
+
 namespace toucanhollow {
 namespace {
 
@@ -46,6 +73,8 @@
   std::uint64_t length = 0;
   // Bytes of the trailer's fields.
   std::size_t trailer_bytes = 0;
+  // Bytes of the present chunk that have not come.
+  std::uint64_t chunk_left = 0;
 
  private:
   // The names below are Beast's.
@@ -98,31 +127,50 @@
     this->body.append(bytes.data(), bytes.size());
     return bytes.size();
   }
-  void on_chunk_header_impl(std::uint64_t /*size*/,
+  void on_chunk_header_impl(std::uint64_t size,
                             BeastText /*extensions*/,
                             error_code& error) override {
     error = {};
+    this->chunk_left = size;
   }
   std::size_t on_chunk_body_impl(std::uint64_t /*remain*/,
                                  BeastText bytes,
                                  error_code& error) override {
+    this->chunk_left -= bytes.size();
     return this->on_body_impl(bytes, error);
   }
   void on_finish_impl(error_code& error) override { error = {}; }
   // NOLINTEND(readability-identifier-naming)
 };
 
+// The shortest end of a chunked body, "0\r\n\r\n". Beast 1.74 fails on fewer
+// bytes of a last chunk that it was given in two pieces.
+constexpr std::size_t kLeastChunkEnd = 5;
+
+template <typename Parser>
+bool NeedsMore(const Parser& parser, std::size_t pending) {
+  return parser.is_header_done() && parser.chunked() &&
+         parser.chunk_left == 0 && pending < kLeastChunkEnd;
+}
+
 // Puts the pending bytes into the parser until it needs more, is done, or
 // fails. Consumed bytes are removed.
 template <typename Parser>
 ParseProblem Advance(Parser& parser, std::string& pending) {
   std::size_t used = 0;
   ParseProblem problem = ParseProblem::kNone;
-  while (!parser.is_done() && used < pending.size()) {
+  while (!parser.is_done() && used < pending.size() &&
+         !NeedsMore(parser, pending.size() - used)) {
     error_code error;
-    const std::size_t step = parser.put(
-        boost::asio::const_buffer(pending.data() + used, pending.size() - used),
-        error);
+    std::size_t step = 0;
+    try {
+      step = parser.put(boost::asio::const_buffer(pending.data() + used,
+                                                  pending.size() - used),
+                        error);
+    } catch (const std::logic_error&) {
+      problem = ParseProblem::kMalformed;
+      break;
+    }
     used += step;
     if (error == http::error::need_more) {
       break;
@@ -160,11 +208,13 @@
   Collector<true, RequestHead> parser;
   std::string pending;
   bool any_bytes = false;
+  std::size_t header_bytes = 0;
   ParseProblem problem = ParseProblem::kNone;
 };
 
 RequestParser::RequestParser(ParserLimits limits)
     : state(std::make_unique<State>()) {
+  this->state->header_bytes = limits.header_bytes;
   this->state->parser.eager(true);
   this->state->parser.header_limit(limits.header_bytes);
   this->state->parser.body_limit(limits.body_bytes);
@@ -185,6 +235,10 @@
     return;
   }
   state.problem = Advance(state.parser, state.pending);
+  if (state.problem == ParseProblem::kNone && !state.parser.is_done() &&
+      state.pending.size() > state.header_bytes) {
+    state.problem = ParseProblem::kHeaderTooLarge;
+  }
   if (had_head || !state.parser.is_header_done()) {
     return;
   }
--- a/packages/relay/relay_run.cc
+++ b/packages/relay/relay_run.cc
@@ -196,7 +196,7 @@
            placed->outstanding, kept, this->traffic->version});
   RelayRun* raw = this;
   this->attempt = std::make_unique<ServerAttempt>(
-      std::move(connection), this->context.codec,
+      std::move(connection), kept, this->context.codec,
       WriteServerRequest(this->context.codec, this->head, this->body,
                          this->FactsFor(*placed, now)),
       this->facts.request_id, this->head.method != "HEAD",
--- a/packages/relay/server_attempt.cc
+++ b/packages/relay/server_attempt.cc
@@ -35,6 +35,7 @@
   std::unique_ptr<TcpConnection> connection;
   std::string request_id;
   bool body_expected;
+  bool reused = false;
   AttemptCallbacks callbacks;
   std::unique_ptr<ResponseParser> parser;
   bool head_seen = false;
@@ -145,6 +146,12 @@
     this->any_stray = true;
     return true;
   }
+  if (facts.request_id.empty() && this->reused) {
+    // It may be a late copy of what an earlier request was answered, so neither
+    // its status nor its promise can be this request's.
+    this->End(AttemptEnd::kBroken, "an answer without an id");
+    return false;
+  }
   const bool unmarked =
       facts.request_id.empty() || !facts.sealed || facts.encoded;
   if (IsSuccess(head.status) && unmarked) {
@@ -184,6 +191,7 @@
 }
 
 ServerAttempt::ServerAttempt(std::unique_ptr<TcpConnection> connection,
+                             bool reused,
                              const RelayCodec& codec,
                              const std::string& bytes,
                              std::string request_id,
@@ -195,6 +203,7 @@
   State& state = *this->state;
   state.callbacks = std::move(callbacks);
   state.connection = std::move(connection);
+  state.reused = reused;
   State* raw = &state;
   state.connection->SetCallbacks(
       {nullptr, [raw](std::string_view data) { raw->OnData(data); }, nullptr,
--- a/packages/relay/server_attempt.h
+++ b/packages/relay/server_attempt.h
@@ -33,9 +33,10 @@
 // be destroyed inside its callbacks.
 class ServerAttempt {
  public:
-  // Sends `bytes`, a whole request with this id. `body_expected` is false for
-  // HEAD.
+  // Sends `bytes`, a whole request with this id. `reused`: the connection has
+  // carried another request before. `body_expected` is false for HEAD.
   ServerAttempt(std::unique_ptr<TcpConnection> connection,
+                bool reused,
                 const RelayCodec& codec,
                 const std::string& bytes,
                 std::string request_id,
--- a/packages/traffic/event_splitter.cc
+++ b/packages/traffic/event_splitter.cc
@@ -66,8 +66,8 @@
                           ? 0
                           : splitter.partial.size() - kEventEnd.size() + 1;
   if (splitter.partial.size() > kMaxEventBytes) {
-    splitter.too_large = true;
     DropPartialEvent(splitter);
+    splitter.too_large = true;
   }
   return whole;
 }
@@ -75,6 +75,7 @@
 void DropPartialEvent(EventSplitter& splitter) {
   splitter.partial.clear();
   splitter.searched = 0;
+  splitter.too_large = false;
 }
 
 }  // namespace toucanhollow
--- a/packages/traffic/traffic_test.cc
+++ b/packages/traffic/traffic_test.cc
@@ -231,6 +231,28 @@
   CHECK(splitter.broken_order);
 }
 
+// Guards against an event without end that is collected until memory runs out.
+TEST_CASE("an event without end breaks its stream") {
+  EventSplitter splitter;
+  const std::string piece(4096, 'a');
+  std::size_t taken = 0;
+  while (!splitter.too_large && taken < 2 * kMaxEventBytes) {
+    CHECK(SplitEvents(splitter, piece).empty());
+    taken += piece.size();
+  }
+  CHECK(taken <= kMaxEventBytes + piece.size());
+  CHECK(splitter.partial.empty());
+}
+
+TEST_CASE("an event's end is found wherever it is split") {
+  const std::string text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+  for (std::size_t split = 0; split <= text.size(); ++split) {
+    EventSplitter splitter;
+    const std::string first = SplitEvents(splitter, text.substr(0, split));
+    CHECK(first + SplitEvents(splitter, text.substr(split)) == text);
+  }
+}
+
 // The load: a service that is full or stands. A caller with one try left must
 // not be refused before one that can still return.
 TEST_CASE("a caller that returns is known by its shorter patience") {
--- a/standins/platform/platform_relay_test.cc
+++ b/standins/platform/platform_relay_test.cc
@@ -179,6 +179,21 @@
   });
 }
 
+std::string StreamHead() {
+  return "HTTP/1.1 200 OK\r\nX-Toucanhollow-Request-Id: {id}\r\n"
+         "X-Toucanhollow-Response-Seal: seal\r\n"
+         "Content-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string Chunk(const std::string& text) {
+  constexpr std::string_view kHex = "0123456789abcdef";
+  std::string size;
+  size += kHex[text.size() / 16];
+  size += kHex[text.size() % 16];
+  return size + "\r\n" + text + "\r\n";
+}
+
 TEST_CASE("a request is relayed unchanged in both directions") {
   Site site;
   site.Configure();
@@ -287,6 +302,111 @@
   CHECK(answered.body == "mine");
 }
 
+// Guards against the same when the copy comes on a connection that is in use
+// again, in two pieces cut anywhere.
+TEST_CASE("a second copy of an answer reaches no later request") {
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  const std::string copy =
+      "HTTP/1.1 200 OK\r\nX-Toucanhollow-Request-Id: warm\r\n"
+      "X-Toucanhollow-Response-Seal: seal\r\nContent-Length: 2\r\n\r\nok";
+  for (std::size_t cut = 1; cut <= copy.size(); cut += 8) {
+    INFO("cut after " << cut << " bytes");
+    ScriptedAnswer answer;
+    answer.bytes = copy.substr(0, cut);
+    answer.later = copy.substr(cut) + SealedAnswer("mine").bytes;
+    answer.delay = Milliseconds(5);
+    site.first.script.push_back(answer);
+    const Answered answered =
+        Ask(site, Request("GET", "/s/x", "c" + std::to_string(cut)));
+    CHECK(answered.status == 200);
+    CHECK(answered.body == "mine");
+  }
+}
+
+// Guards against a promise "not run" that was made for an earlier request.
+TEST_CASE("an answer without an id on a used connection is nobody's") {
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  ScriptedAnswer nobodys;
+  nobodys.bytes =
+      "HTTP/1.1 503 Service Unavailable\r\nX-Toucanhollow-Not-Executed: 1\r\n"
+      "Content-Length: 0\r\n\r\n";
+  // The connection of the request before is kept.
+  site.first.script.push_back(nobodys);
+  const int before = site.first.runs["n1"];
+  const Answered answered = Ask(site, Request("GET", "/s/x", "n1"));
+  CHECK(answered.status == 200);
+  // It was sent a second time as an attempt that may have run.
+  CHECK(site.first.runs["n1"] - before == 2);
+}
+
+// Guards against requests that wait until their deadline, and memory that
+// grows, while a server sends what never ends.
+TEST_CASE("answers without end are left") {
+  const std::string stray =
+      "HTTP/1.1 200 OK\r\nX-Toucanhollow-Request-Id: other\r\n"
+      "X-Toucanhollow-Response-Seal: x\r\n\r\n";
+  const std::string failure =
+      "HTTP/1.1 500 Failed\r\nX-Toucanhollow-Request-Id: {id}\r\n"
+      "X-Toucanhollow-Response-Seal: x\r\n";
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
+      {"HTTP/1.1 200 OK\r\nX-A: ", "a"},
+      {"", "no answer at all "},
+      {stray, "others "},
+      {failure + "\r\n", "failed "},
+      {failure + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nabcde\r\n"},
+  };
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  int number = 0;
+  for (const auto& [begin, unit] : cases) {
+    INFO("after '" << begin << "' without end '" << unit << "'");
+    ScriptedAnswer answer;
+    answer.bytes = begin;
+    while (answer.endless.size() < 32768) {
+      answer.endless += unit;
+    }
+    site.first.script.push_back(answer);
+    const int closed = site.first.closed_by_caller;
+    const TimePoint asked_at = EventLoop::Now();
+    const Answered answered =
+        Ask(site, Request("GET", "/s/x", "e" + std::to_string(number++)));
+    // The second attempt is answered well before the route's 800 ms.
+    CHECK(answered.status == 200);
+    CHECK(EventLoop::Now() - asked_at < Milliseconds(600));
+    CHECK(site.RunUntil([&] { return site.first.closed_by_caller > closed; }));
+  }
+}
+
+TEST_CASE("a stream whose event has no end goes on at another server") {
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  ScriptedAnswer endless;
+  endless.bytes =
+      "HTTP/1.1 200 OK\r\nX-Toucanhollow-Request-Id: {id}\r\n"
+      "X-Toucanhollow-Response-Seal: seal\r\n"
+      "Content-Type: text/event-stream\r\n\r\n"
+      "id: 1\ndata: a\n\nid: 2\ndata: ";
+  endless.endless = std::string(32768, 'b');
+  ScriptedAnswer rest;
+  rest.bytes = StreamHead() + Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
+  site.first.script.push_back(endless);
+  site.first.script.push_back(rest);
+  const Answered answered = Ask(site, Request("POST", "/m/x", "r1", "", "p"));
+  CHECK(answered.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
 TEST_CASE("a success without the server's seal is no answer") {
   Site site;
   site.Configure();
@@ -323,21 +443,6 @@
   CHECK(FindHeader(ran.headers, "X-Toucanhollow-Response-Seal") == "seal");
 }
 
-std::string StreamHead() {
-  return "HTTP/1.1 200 OK\r\nX-Toucanhollow-Request-Id: {id}\r\n"
-         "X-Toucanhollow-Response-Seal: seal\r\n"
-         "Content-Type: text/event-stream\r\n"
-         "Transfer-Encoding: chunked\r\n\r\n";
-}
-
-std::string Chunk(const std::string& text) {
-  constexpr std::string_view kHex = "0123456789abcdef";
-  std::string size;
-  size += kHex[text.size() / 16];
-  size += kHex[text.size() % 16];
-  return size + "\r\n" + text + "\r\n";
-}
-
 // Guards against events that are lost, doubled or cut when a stream goes on at
 // another server.
 TEST_CASE("a stream that breaks off goes on after its last whole event") {
--- a/standins/platform/sealed_server_stand_in.cc
+++ b/standins/platform/sealed_server_stand_in.cc
@@ -85,7 +85,18 @@
   }
   Session& session = this->sessions.at(number);
   session.connection->Write(FillIn(answer.bytes, id));
-  if (!answer.later.empty()) {
+  if (!answer.endless.empty()) {
+    session.timer = std::make_unique<Timer>(
+        this->loop, Milliseconds(1), Milliseconds(1),
+        [this, number, text = FillIn(answer.endless, id)] {
+          const auto found = this->sessions.find(number);
+          // A caller that reads slowly is not sent more than it takes.
+          if (found != this->sessions.end() &&
+              found->second.connection->unsent() == 0) {
+            found->second.connection->Write(text);
+          }
+        });
+  } else if (!answer.later.empty()) {
     session.timer = std::make_unique<Timer>(
         this->loop, answer.delay, Duration(0),
         [this, number, text = FillIn(answer.later, id), close = answer.close] {
--- a/standins/platform/sealed_server_stand_in.h
+++ b/standins/platform/sealed_server_stand_in.h
@@ -25,6 +25,8 @@
   // Written after a delay, if it is not empty.
   std::string later;
   Duration delay{0};
+  // Written again and again after `bytes`, until the connection ends.
+  std::string endless;
   // False for a refusal that the server states.
   bool runs = true;
 };
