Refuse deep or impossible CBOR, and outlive errors in callbacks

Cause: nlohmann's CBOR reader recurses once a level, so one datagram of 60,000 nested arrays overflowed the stack of an entry host or an agent (60,000 bytes 0x81; the new test without the check ends by a segmentation fault). It also throws on announced sizes beyond memory although it is told not to throw, which left a callback of libev and ended the process; 20,000 mutated frames with a fixed seed found it in the sessions' decoder. Only that decoder checked nesting.

An std::exception that leaves a callback of the loop or a handler of the HTTP server is logged ("unexpected_error") and the process goes on.

Ruled out: catching everything. A test's own end of a case must still end it.

--- a/apps/toucanhollow.cc
+++ b/apps/toucanhollow.cc
@@ -85,6 +85,12 @@
   return 0;
 }
 
+void LogUncaught(EventLoop& loop) {
+  loop.OnUncaught([](std::string_view what) {
+    LogJsonNow("unexpected_error", {{"what", what}});
+  });
+}
+
 // An entry host on the users' platform, which has settings of its own.
 int RunRelay() {
   const Result<RelaySettings> settings = LoadRelaySettings(FLAGS_settings);
@@ -99,6 +105,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   StartJsonLog(settings.value().process.value, LogBound{});
   EventLoop loop;
+  LogUncaught(loop);
   RelayHost host(loop, settings.value(), PlatformCodec(),
                  platform::EngineCodec());
   const Result<bool> started = host.Start();
@@ -128,6 +135,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   StartJsonLog(settings.value().process, LogBound{});
   EventLoop loop;
+  LogUncaught(loop);
   RankAgent agent(loop, settings.value(), platform::EngineCodec());
   const Result<bool> started = agent.Start();
   if (!started) {
--- /dev/null
+++ b/packages/cbor/read_cbor_test.cc
@@ -0,0 +1,57 @@
+#include "cbor/read_cbor.h"
+
+#include <random>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+namespace toucanhollow {
+namespace {
+
+using nlohmann::json;
+
+std::string ToBytes(const json& value) {
+  std::string bytes;
+  json::to_cbor(value, bytes);
+  return bytes;
+}
+
+TEST_CASE("a value is read as it was written") {
+  const json value = {{"a", {1, 2.5, "x", nullptr}}, {"b", true}};
+  REQUIRE(ReadCbor(ToBytes(value)));
+  CHECK(ReadCbor(ToBytes(value)).value() == value);
+  CHECK_FALSE(ReadCbor(""));
+  CHECK_FALSE(ReadCbor(ToBytes(value) + "more"));
+}
+
+// Guards against a datagram of nested arrays that overflows the stack and ends
+// the process.
+TEST_CASE("deep nesting is refused") {
+  CHECK_FALSE(ReadCbor(std::string(60000, '\x81')));
+  CHECK_FALSE(ReadCbor(std::string(60000, '\xa1')));
+  CHECK_FALSE(ReadCbor(std::string(60000, '\x9f')));
+}
+
+// Guards against bytes that end the process.
+TEST_CASE("mutated bytes are read or refused") {
+  const std::string whole = ToBytes({{"loads", {{1, 2, 3}, {4, 5, 6}}},
+                                     {"text", std::string(300, 't')},
+                                     {"bytes", json::binary({1, 2, 3})},
+                                     {"far", 1e300}});
+  std::mt19937 random(20261204);
+  int read = 0;
+  constexpr int kRounds = 20000;
+  for (int round = 0; round < kRounds; ++round) {
+    std::string bytes = whole;
+    for (unsigned int i = random() % 4; i > 0; --i) {
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    }
+    bytes.resize(bytes.size() - random() % 3);
+    read += ReadCbor(bytes) ? 1 : 0;
+  }
+  CHECK(read > 0);
+  CHECK(read < kRounds);
+}
+
+}  // namespace
+}  // namespace toucanhollow
--- a/packages/event_loop/event_loop.cc
+++ b/packages/event_loop/event_loop.cc
@@ -2,6 +2,8 @@
 
 #include <ev.h>
 
+#include <exception>
+#include <iostream>
 #include <utility>
 
 #include "base/check.h"
@@ -10,6 +12,20 @@
 
 EventLoop::EventLoop() : loop(ev_loop_new(EVBACKEND_EPOLL)) {
   InternalCheck(this->loop != nullptr, "libev loop is created");
+  this->OnUncaught([](std::string_view what) {
+    std::cerr << "an exception left a callback: " << what << "\n";
+  });
+  ev_set_userdata(this->loop, &this->uncaught);
+}
+
+void EventLoop::OnUncaught(std::function<void(std::string_view)> handler) {
+  this->uncaught = std::move(handler);
+}
+
+void detail::ReportUncaught(struct ev_loop* loop, std::string_view what) {
+  const auto* handler =
+      static_cast<std::function<void(std::string_view)>*>(ev_userdata(loop));
+  (*handler)(what);
 }
 
 EventLoop::~EventLoop() {
@@ -40,6 +56,16 @@
   return static_cast<double>(duration.count()) / 1e6;
 }
 
+// libev is C, so no exception may leave a callback that it calls.
+template <typename Callback>
+void RunGuarded(struct ev_loop* loop, const Callback& callback) {
+  try {
+    callback();
+  } catch (const std::exception& error) {
+    detail::ReportUncaught(loop, error.what());
+  }
+}
+
 int ToEvents(IoWatcher::Interest interest) {
   return ((interest & IoWatcher::kRead) != 0 ? EV_READ : 0) |
          ((interest & IoWatcher::kWrite) != 0 ? EV_WRITE : 0);
@@ -62,13 +88,13 @@
   this->state->ready = std::move(ready);
   ev_io_init(
       &this->state->watcher,
-      [](struct ev_loop*, ev_io* watcher, int events) {
+      [](struct ev_loop* loop, ev_io* watcher, int events) {
         auto* self = static_cast<State*>(watcher->data);
         const int ready = ((events & EV_READ) != 0 ? kRead : kNone) |
                           ((events & EV_WRITE) != 0 ? kWrite : kNone);
         // The callback may destroy this watcher.
         const auto callback = self->ready;
-        callback(static_cast<Interest>(ready));
+        RunGuarded(loop, [&] { callback(static_cast<Interest>(ready)); });
       },
       file_descriptor, ToEvents(interest));
   this->state->watcher.data = this->state.get();
@@ -105,9 +131,9 @@
   this->state->expired = std::move(expired);
   ev_timer_init(
       &this->state->watcher,
-      [](struct ev_loop*, ev_timer* watcher, int) {
+      [](struct ev_loop* loop, ev_timer* watcher, int) {
         const auto callback = static_cast<State*>(watcher->data)->expired;
-        callback();
+        RunGuarded(loop, callback);
       },
       ToSeconds(delay), ToSeconds(repeat));
   this->state->watcher.data = this->state.get();
@@ -134,9 +160,9 @@
   this->state->received = std::move(received);
   ev_signal_init(
       &this->state->watcher,
-      [](struct ev_loop*, ev_signal* watcher, int) {
+      [](struct ev_loop* loop, ev_signal* watcher, int) {
         const auto callback = static_cast<State*>(watcher->data)->received;
-        callback();
+        RunGuarded(loop, callback);
       },
       signal);
   this->state->watcher.data = this->state.get();
@@ -155,9 +181,9 @@
   auto* once = new Once{{}, std::move(function)};
   ev_timer_init(
       &once->watcher,
-      [](struct ev_loop*, ev_timer* watcher, int) {
+      [](struct ev_loop* loop, ev_timer* watcher, int) {
         const std::unique_ptr<Once> owned(static_cast<Once*>(watcher->data));
-        owned->function();
+        RunGuarded(loop, owned->function);
       },
       0.0, 0.0);
   once->watcher.data = once;
--- a/packages/event_loop/event_loop.h
+++ b/packages/event_loop/event_loop.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 
 #include "base/time.h"
 
@@ -27,6 +28,11 @@
   static TimePoint Now();
   static WallTime WallNow();
 
+  // Called with the text of each std::exception that leaves a callback of the
+  // loop. The loop goes on: one unexpected error must not end a process that
+  // serves others. Without it, the text goes to standard error.
+  void OnUncaught(std::function<void(std::string_view what)> handler);
+
   // The libev loop, for packages that adapt a library to it.
   struct ev_loop* raw() const {
     return this->loop;
@@ -34,8 +40,16 @@
 
  private:
   struct ev_loop* loop;
+  std::function<void(std::string_view)> uncaught;
 };
 
+namespace detail {
+
+// Reports an exception that left a callback of the loop.
+void ReportUncaught(struct ev_loop* loop, std::string_view what);
+
+}  // namespace detail
+
 // Watches a file descriptor until destroyed.
 class IoWatcher {
  public:
--- a/packages/event_loop/event_loop_test.cc
+++ b/packages/event_loop/event_loop_test.cc
@@ -4,6 +4,9 @@
 
 #include <array>
 #include <memory>
+#include <stdexcept>
+#include <string>
+#include <string_view>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -47,5 +50,24 @@
   CHECK(order == std::vector<int>{1, 2});
 }
 
+// Guards against one unexpected error that ends a process.
+TEST_CASE(
+    "an exception that leaves a callback is reported, and the loop goes on") {
+  EventLoop loop;
+  std::vector<std::string> reported;
+  loop.OnUncaught([&](std::string_view what) { reported.emplace_back(what); });
+  Post(loop, [] { throw std::runtime_error("posted"); });
+  const Timer throwing(loop, Milliseconds(1), Duration(0),
+                       [] { throw std::out_of_range("timer"); });
+  int later = 0;
+  const Timer stop(loop, Milliseconds(20), Duration(0), [&] {
+    ++later;
+    loop.Stop();
+  });
+  loop.Run();
+  CHECK(later == 1);
+  CHECK(reported == std::vector<std::string>{"posted", "timer"});
+}
+
 }  // namespace
 }  // namespace toucanhollow
--- a/packages/http_server/http_server.cc
+++ b/packages/http_server/http_server.cc
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <exception>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -373,8 +374,16 @@
     event.data.u64 = slot->id;
     epoll_ctl(this->hangup_epoll, EPOLL_CTL_ADD,
               slot->connection->file_descriptor, &event);
-    this->handler(std::move(exchange->request),
-                  std::make_shared<HttpResponseWriter>(exchange));
+    const auto writer = std::make_shared<HttpResponseWriter>(exchange);
+    try {
+      this->handler(std::move(exchange->request), writer);
+    } catch (const std::exception& error) {
+      // The library that calls here is C.
+      detail::ReportUncaught(this->loop.raw(), error.what());
+      if (!exchange->started) {
+        writer->Respond(500, {}, "");
+      }
+    }
   }
   if (exchange->aborted) {
     return MHD_NO;
--- a/packages/map_task/rank_message_codec.cc
+++ b/packages/map_task/rank_message_codec.cc
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "cbor/read_cbor.h"
+
 namespace toucanhollow {
 namespace {
 
@@ -189,8 +191,9 @@
 
 template <typename Value, typename Decode>
 Result<Value> Guard(std::string_view bytes, Decode decode) {
+  BOOST_OUTCOME_TRY(document, ReadCbor(bytes));
   try {
-    return decode(json::from_cbor(bytes.begin(), bytes.end()));
+    return decode(document);
   } catch (const std::exception& error) {
     return MakeFailure(ResultCode::kFrameMalformed, error.what());
   }
--- a/packages/relay/peer_codec.cc
+++ b/packages/relay/peer_codec.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "cbor/read_cbor.h"
+
 namespace toucanhollow {
 namespace {
 
@@ -12,10 +14,6 @@
   return {bytes.begin(), bytes.end()};
 }
 
-json FromBytes(std::string_view bytes) {
-  return json::from_cbor(bytes.begin(), bytes.end());
-}
-
 json ToJson(const SharedRecords& shared) {
   json records = json::array();
   for (const KeyedRecord& record : shared.records) {
@@ -42,8 +40,9 @@
 
 template <typename Value, typename Decode>
 Result<Value> Guard(std::string_view bytes, Decode decode) {
+  BOOST_OUTCOME_TRY(document, ReadCbor(bytes));
   try {
-    return decode(FromBytes(bytes));
+    return decode(document);
   } catch (const json::exception& error) {
     return MakeFailure(ResultCode::kFrameMalformed, error.what());
   }
--- a/packages/wire/codec.cc
+++ b/packages/wire/codec.cc
@@ -8,6 +8,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "cbor/read_cbor.h"
+
 namespace toucanhollow {
 namespace {
 
@@ -270,38 +272,6 @@
   }
 }
 
-// The parser recurses once for each level, so that deep nesting in a long
-// frame would overflow the stack. Messages need two levels. Short frames
-// cannot nest deep enough and are not checked.
-constexpr int kMaxNesting = 16;
-constexpr std::size_t kCheckedFrameBytes = 1024;
-
-class NestingCheck : public nlohmann::json_sax<Json> {
- public:
-  bool null() override { return true; }
-  bool boolean(bool) override { return true; }
-  bool number_integer(number_integer_t) override { return true; }
-  bool number_unsigned(number_unsigned_t) override { return true; }
-  bool number_float(number_float_t, const string_t&) override { return true; }
-  bool string(string_t&) override { return true; }
-  bool binary(binary_t&) override { return true; }
-  bool key(string_t&) override { return true; }
-  bool start_object(std::size_t) override {
-    return ++this->depth < kMaxNesting;
-  }
-  bool start_array(std::size_t) override { return ++this->depth < kMaxNesting; }
-  bool end_object() override { return --this->depth >= 0; }
-  bool end_array() override { return --this->depth >= 0; }
-  bool parse_error(std::size_t,
-                   const std::string&,
-                   const nlohmann::detail::exception&) override {
-    return false;
-  }
-
- private:
-  int depth = 0;
-};
-
 }  // namespace
 
 std::string EncodeMessage(const Message& message, HybridTime clock) {
@@ -318,13 +288,7 @@
 }
 
 Result<DecodedFrame> DecodeMessage(std::string_view frame) {
-  NestingCheck check;
-  if (frame.size() > kCheckedFrameBytes &&
-      !Json::sax_parse(frame, &check, Json::input_format_t::cbor)) {
-    return MakeFailure(ResultCode::kFrameMalformed,
-                       "the frame is not CBOR or nests too deep");
-  }
-  const Json object = Json::from_cbor(frame, true, false);
+  BOOST_OUTCOME_TRY(object, ReadCbor(frame));
   if (!object.is_object()) {
     return MakeFailure(ResultCode::kFrameMalformed,
                        "the frame is not one CBOR map");
