Keep coordination at one host while others come and go

Cause: the holder of partition 0 of the group's topic coordinated.

The holder of the last partition coordinates now (store.partitions, from the platform's settings), which is a rule of the product and no longer of platform/. A host that stops goes on until the store has taken its place, and repeats its call. Correctness does not depend on which partition it is.

Ruled out: joining more often, which has a price at every host.

--- a/packages/map_task/coordinator_task.cc
+++ b/packages/map_task/coordinator_task.cc
@@ -1,5 +1,6 @@
 #include "map_task/coordinator_task.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "json_log/json_log.h"
@@ -12,19 +13,16 @@
 constexpr Duration kTimeToLive = Milliseconds(1500);
 constexpr Duration kJoinPeriod = Milliseconds(500);
 constexpr Duration kJoinTimeout = Milliseconds(900);
+// A process that stops has some seconds to be heard by a store that is away.
+constexpr Duration kLeavePeriod = Milliseconds(300);
 
 }  // namespace
 
 CoordinatorTask::CoordinatorTask(EventLoop& loop,
                                  HttpClient& client,
                                  const EngineMapCodec& codec,
-                                 Address store,
-                                 std::string member)
-    : loop(loop),
-      client(client),
-      codec(codec),
-      store(std::move(store)),
-      member(std::move(member)) {
+                                 CoordinatorSeat seat)
+    : loop(loop), client(client), codec(codec), seat(std::move(seat)) {
   this->Join();
 }
 
@@ -33,8 +31,9 @@
 }
 
 void CoordinatorTask::Join() {
-  HttpCall request = this->codec.join_call(
-      this->store, this->member, this->current.generation, kTimeToLive);
+  HttpCall request =
+      this->codec.join_call(this->seat.store, this->seat.member,
+                            this->current.generation, kTimeToLive);
   request.connect_timeout = kJoinTimeout;
   request.total_timeout = kJoinTimeout;
   request.repeatable = true;
@@ -45,33 +44,52 @@
            return;
          }
          if (outcome.end == HttpEnd::kComplete && outcome.status == 200) {
-           const Result<CoordinatorTerm> term =
-               this->codec.decode_term(outcome.body);
-           if (!term) {
-             LogJsonNow("coordinator_answer_malformed",
-                        {{"detail", std::string_view(term.error().detail)}});
-           } else {
-             if (term.value().is_coordinator != this->current.is_coordinator) {
-               LogJsonNow("coordinator_changed",
-                          {{"is_coordinator", term.value().is_coordinator},
-                           {"generation", term.value().generation}});
-             }
-             this->current = term.value();
-           }
+           this->TakeShare(outcome);
          }
          this->timer = std::make_unique<Timer>(
              this->loop, kJoinPeriod, Duration(0), [this] { this->Join(); });
        }});
 }
 
+void CoordinatorTask::TakeShare(const HttpOutcome& outcome) {
+  const Result<MemberShare> share = this->codec.decode_share(outcome.body);
+  if (!share) {
+    LogJsonNow("coordinator_answer_malformed",
+               {{"detail", std::string_view(share.error().detail)}});
+    return;
+  }
+  CoordinatorTerm term;
+  term.generation = share.value().generation;
+  term.is_coordinator =
+      std::ranges::find(share.value().partitions, this->seat.partitions - 1) !=
+      share.value().partitions.end();
+  if (term.is_coordinator != this->current.is_coordinator) {
+    LogJsonNow("coordinator_changed", {{"is_coordinator", term.is_coordinator},
+                                       {"generation", term.generation}});
+  }
+  this->current = term;
+}
+
 void CoordinatorTask::Leave() {
   this->leaving = true;
-  this->timer.reset();
-  this->current.is_coordinator = false;
-  HttpCall request = this->codec.leave_call(this->store, this->member);
+  this->client.Cancel(this->call);
+  HttpCall request =
+      this->codec.leave_call(this->seat.store, this->seat.member);
+  request.connect_timeout = kJoinTimeout;
   request.total_timeout = kJoinTimeout;
-  this->client.Start(std::move(request),
-                     {nullptr, nullptr, [](const HttpOutcome&) {}});
+  request.repeatable = true;
+  this->call = this->client.Start(
+      std::move(request),
+      {nullptr, nullptr, [this](const HttpOutcome& outcome) {
+         if (outcome.end == HttpEnd::kComplete && outcome.status == 200) {
+           this->current.is_coordinator = false;
+           LogJsonNow("coordinator_left", {});
+           return;
+         }
+         this->timer = std::make_unique<Timer>(
+             this->loop, kLeavePeriod, Duration(0), [this] { this->Leave(); });
+       }});
+  this->timer.reset();
 }
 
 }  // namespace toucanhollow
--- a/packages/map_task/engine_codec.h
+++ b/packages/map_task/engine_codec.h
@@ -28,11 +28,11 @@
   std::vector<std::vector<int>> by_set;
 };
 
-// A place in the store's group that names the coordinator.
-struct CoordinatorTerm {
+// What a member of the coordinators' group holds of the group's topic.
+struct MemberShare {
   // Rises with each change of the group.
   std::int64_t generation = 0;
-  bool is_coordinator = false;
+  std::vector<std::int64_t> partitions;
 };
 
 struct EngineMapCodec {
@@ -56,7 +56,7 @@
                         std::int64_t generation,
                         Duration time_to_live);
   HttpCall (*leave_call)(const Address& store, const std::string& member);
-  Result<CoordinatorTerm> (*decode_term)(const std::string& body);
+  Result<MemberShare> (*decode_share)(const std::string& body);
 };
 
 }  // namespace toucanhollow
--- a/packages/map_task/group_map_task.cc
+++ b/packages/map_task/group_map_task.cc
@@ -24,15 +24,14 @@
 GroupMapTask::GroupMapTask(EventLoop& loop,
                            HttpClient& client,
                            const EngineMapCodec& codec,
-                           const Address& store,
-                           const std::string& member,
+                           const CoordinatorSeat& seat,
                            GroupMapCallbacks callbacks)
     : loop(loop),
       callbacks(std::move(callbacks)),
-      coordinator(loop, client, codec, store, member),
+      coordinator(loop, client, codec, seat),
       calls(loop, client, codec),
       // Hosts ask different ranks, so that none of them has all the calls.
-      next_probe(HashText(member)),
+      next_probe(HashText(seat.member)),
       timer(std::make_unique<Timer>(loop, kTick, kTick, [this] {
         this->Tick();
       })) {}
--- a/packages/map_task/group_map_task.h
+++ b/packages/map_task/group_map_task.h
@@ -44,8 +44,7 @@
   GroupMapTask(EventLoop& loop,
                HttpClient& client,
                const EngineMapCodec& codec,
-               const Address& store,
-               const std::string& member,
+               const CoordinatorSeat& seat,
                GroupMapCallbacks callbacks);
 
   // Opens the socket for calls to agents. Fails with kSettingsInvalid.
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -124,8 +124,9 @@
       this->settings.process.value + "." +
       std::to_string(EventLoop::WallNow().time_since_epoch().count());
   this->maps = std::make_unique<GroupMapTask>(
-      this->loop, this->client, this->engine_codec, this->settings.store,
-      member,
+      this->loop, this->client, this->engine_codec,
+      CoordinatorSeat{this->settings.store, this->settings.store_partitions,
+                      member},
       GroupMapCallbacks{[this] { return this->ViewRankedServices(); },
                         [this](const GroupBoard& board) {
                           this->dispatcher.TakeGroups(board);
--- a/packages/relay/relay_settings.cc
+++ b/packages/relay/relay_settings.cc
@@ -71,6 +71,7 @@
 }
 
 constexpr double kMaxPort = 65535;
+constexpr double kMaxPartitions = 4096;
 constexpr double kMaxSeconds = 3600;
 
 }  // namespace
@@ -105,6 +106,11 @@
   settings.rank_call_port = static_cast<std::uint16_t>(rank_call_port);
   BOOST_OUTCOME_TRY(store, ReadAddress(tree, "store.address"));
   settings.store = store;
+  if (tree.get_optional<std::string>("store.partitions")) {
+    BOOST_OUTCOME_TRY(partitions,
+                      ReadNumber(tree, "store.partitions", 1, kMaxPartitions));
+    settings.store_partitions = static_cast<int>(partitions);
+  }
   BOOST_OUTCOME_TRY(seeds, ReadAddresses(tree, "peers.seeds"));
   settings.seeds = seeds;
   BOOST_OUTCOME_TRY(descriptors,
--- a/packages/relay/relay_settings.h
+++ b/packages/relay/relay_settings.h
@@ -26,6 +26,7 @@
   // UDP, requests to the agents of a model group.
   std::uint16_t rank_call_port = 0;
   Address store;
+  int store_partitions = 1;    // that the store gives a topic
   std::vector<Address> seeds;  // control addresses of some entry hosts
   // A leaving server must get nothing new this long after its notice.
   Duration drain_bound = Seconds(2);
--- a/standins/platform/group_map_test.cc
+++ b/standins/platform/group_map_test.cc
@@ -83,7 +83,7 @@
   void StartCoordinator() {
     this->task = std::make_unique<GroupMapTask>(
         this->loop, this->client, platform::EngineCodec(),
-        Address{kHost, this->store.Port()}, "member",
+        CoordinatorSeat{{kHost, this->store.Port()}, 1, "member"},
         GroupMapCallbacks{
             [this] { return std::vector{this->View()}; },
             [this](const GroupBoard& groups) { this->groups = groups; },
@@ -267,7 +267,7 @@
   later_store.generation = 2;
   GroupMapTask later(
       site.loop, site.client, platform::EngineCodec(),
-      Address{kHost, later_store.Port()}, "later",
+      CoordinatorSeat{{kHost, later_store.Port()}, 1, "later"},
       GroupMapCallbacks{[&site] { return std::vector{site.View()}; },
                         [](const GroupBoard&) {},
                         [](const std::set<std::string>&) {}});
@@ -283,6 +283,24 @@
   CHECK(site.group.mixed_passes() == 0);
 }
 
+// Guards against a group that nobody coordinates because a host that stops gave
+// the place up while the store could not give it to another.
+TEST_CASE("a host that stops coordinates until the store takes the place") {
+  GroupSite site;
+  site.StartAgents(site.shape.ranks);
+  site.StartCoordinator();
+  REQUIRE(
+      site.RunUntil([&] { return site.group.switches() >= 1; }, Seconds(8)));
+  site.store.SetDown(true);
+  site.task->Leave();
+  const int before = site.group.switches();
+  site.ReverseDemand();
+  CHECK(site.RunUntil([&] { return site.group.switches() > before; },
+                      Seconds(8)));
+  site.store.SetDown(false);
+  CHECK(site.RunUntil([&] { return !site.task->coordinates(); }, Seconds(3)));
+}
+
 // Guards against a crash or a standing service by one group's broken reports.
 TEST_CASE("a group with reports that cannot be used leaves the others alone") {
   GroupSite site;
