Begin map changes only for gains that outlast their price

Small gains are begun most of the time, and most of them last no longer than their price. A change now needs 12% (6% before), and sets below 1.25 times the mean (1.18) are left alone.

--- a/packages/map_task/group_rounds.cc
+++ b/packages/map_task/group_rounds.cc
@@ -21,11 +21,12 @@
 // A reading that took longer, or that this process was paused after, mixes
 // moments that are too far apart to decide on.
 constexpr Duration kMaxReadingAge = Milliseconds(500);
-// A change must lower the load of the most loaded rank by this part: less does
-// not pay for passes that take 15% longer while experts load.
-constexpr double kLeastImprovement = 0.06;
+// A change must lower the load of the most loaded rank by this part. Passes take
+// 15% longer while experts load, and a shift of demand that comes meanwhile
+// waits for the end of the change.
+constexpr double kLeastImprovement = 0.12;
 // Sets that are closer to even are left alone; each load has a price.
-constexpr double kGoodRatio = 1.18;
+constexpr double kGoodRatio = 1.25;
 // Ranks that are this much slower are left alone by new requests.
 constexpr double kSlowPace = 1.3;
 // Choices below which the estimate is noise.
