Answer what was begun before a planned stop cuts connections

Cause: from 2.6 s after SIGTERM on, every connection without a run was cut: those whose request was half read, those whose answer was not sent to its end yet, and those that had just connected; the listener's queue was reset with it. A test that stops a host under load shows it: a body whose rest comes later got no answer.

A connection is cut once its caller is owed nothing: no request is read or answered, no byte is unsent, and it has been idle for 0.5 s. The listener takes what waits in its queue before it ends. The end of the grace time bounds all of it as before.

--- a/packages/http_stream/tcp_connection.cc
+++ b/packages/http_stream/tcp_connection.cc
@@ -296,22 +296,30 @@
                            std::to_string(address.port) + ": " +
                            std::strerror(errno));
   }
-  listener->watcher = std::make_unique<IoWatcher>(
-      loop, listener->socket, IoWatcher::kRead,
-      [fd = listener->socket,
-       on_accept = std::move(on_accept)](IoWatcher::Interest) {
-        for (int i = 0; i < kAcceptsPerTurn; ++i) {
-          const int accepted =
-              accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-          if (accepted < 0) {
-            return;
-          }
-          on_accept(accepted);
-        }
-      });
+  listener->on_accept = std::move(on_accept);
+  listener->watcher =
+      std::make_unique<IoWatcher>(loop, listener->socket, IoWatcher::kRead,
+                                  [raw = listener.get()](IoWatcher::Interest) {
+                                    raw->Take(kAcceptsPerTurn);
+                                  });
   return listener;
 }
 
+void TcpListener::Take(int most) {
+  for (int i = 0; i < most; ++i) {
+    const int accepted =
+        accept4(this->socket, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted < 0) {
+      return;
+    }
+    this->on_accept(accepted);
+  }
+}
+
+void TcpListener::TakeAll() {
+  this->Take(kBacklog);
+}
+
 TcpListener::~TcpListener() {
   this->watcher.reset();
   if (this->socket >= 0) {
--- a/packages/http_stream/tcp_connection.h
+++ b/packages/http_stream/tcp_connection.h
@@ -70,10 +70,16 @@
       std::function<void(int socket)> on_accept);
   ~TcpListener();
   std::uint16_t Port() const;
+  // Accepts all connections that wait now.
+  void TakeAll();
 
  private:
   TcpListener() = default;
+  // Accepts at most so many.
+  void Take(int most);
+
   int socket = -1;
+  std::function<void(int socket)> on_accept;
   std::unique_ptr<IoWatcher> watcher;
 };
 
--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -17,6 +17,8 @@
 // Time for the caller to read a last answer and close first. A close with
 // unread bytes would reset the connection and lose the answer.
 constexpr Duration kCloseWait = Milliseconds(500);
+// A caller that has just connected or been answered may have sent a request.
+constexpr Duration kFirstBytesWait = Milliseconds(500);
 // A body that stops arriving.
 constexpr Duration kBodyStall = Seconds(5);
 
@@ -223,6 +225,12 @@
   this->on_closed();
 }
 
+bool CallerSession::IsSettled(TimePoint now) const {
+  return this->phase == Phase::kClosed ||
+         (this->phase == Phase::kIdle && this->connection->unsent() == 0 &&
+          now - this->waiting_since > kFirstBytesWait);
+}
+
 void CallerSession::Leave() {
   this->leaving = true;
 }
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -31,7 +31,10 @@
   void Leave();
   // Ends the connection whatever it does.
   void Cut(std::string_view reason);
-  bool busy() const { return this->run != nullptr; }
+  // True if the caller is owed nothing: no request of it is being read or
+  // answered, none can be on its way, and no byte of an answer waits to be
+  // sent.
+  bool IsSettled(TimePoint now) const;
 
  private:
   enum class Phase { kIdle, kReading, kAnswering, kClosing, kClosed };
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -204,7 +204,11 @@
   if (left_for < kBalancerLag) {
     return;
   }
-  this->listener.reset();
+  if (this->listener != nullptr) {
+    // Connections that have been made and not taken would be reset.
+    this->listener->TakeAll();
+    this->listener.reset();
+  }
   std::vector<CallerSession*> open;
   for (const auto& [number, session] : this->sessions) {
     open.push_back(session.get());
@@ -212,7 +216,7 @@
   bool busy = false;
   const bool last_moment = left_for >= this->settings.grace - kGraceMargin;
   for (CallerSession* session : open) {
-    if (!session->busy() || last_moment) {
+    if (session->IsSettled(now) || last_moment) {
       session->Cut("the process stops");
     } else {
       busy = true;
--- a/standins/platform/platform_relay_test.cc
+++ b/standins/platform/platform_relay_test.cc
@@ -647,6 +647,55 @@
   CHECK(site.RunUntil([&] { return site.first.closed_by_caller > closed; }));
 }
 
+// Guards against requests that were accepted just before a planned stop, or are
+// still being read, and are cut without an answer.
+TEST_CASE("a stop under load answers every request that was begun") {
+  Site site;
+  site.settings.grace = Milliseconds(6000);
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  const std::string whole = Request("POST", "/u/x", "half", "", "the body");
+  Caller half(site.loop, site.settings.callers.port);
+  half.connection->Write(whole.substr(0, whole.size() - 4));
+  // Two requests in one write, the second without waiting for an answer.
+  Caller pipelined(site.loop, site.settings.callers.port);
+  pipelined.connection->Write(Request("GET", "/s/x", "p1") +
+                              Request("GET", "/s/x", "p2"));
+  site.RunFor(Milliseconds(20));
+  bool stopped = false;
+  site.host->Shutdown([&stopped] { stopped = true; });
+  // The balancer stops new connections after two failed probes. Around the
+  // listener's end, callers connect every few ms.
+  std::vector<std::unique_ptr<Caller>> late;
+  const TimePoint begin = EventLoop::Now();
+  while (EventLoop::Now() - begin < Milliseconds(2550)) {
+    site.RunFor(Milliseconds(10));
+    if (EventLoop::Now() - begin > Milliseconds(2300)) {
+      late.push_back(
+          std::make_unique<Caller>(site.loop, site.settings.callers.port));
+      late.back()->connection->Write(
+          Request("GET", "/s/x", "late" + std::to_string(late.size())));
+    }
+  }
+  site.RunFor(Milliseconds(300));
+  // The rest of the body comes after the listener has ended.
+  half.connection->Write(whole.substr(whole.size() - 4));
+  CHECK(site.RunUntil([&half] { return half.parser.done(); }));
+  CHECK(half.parser.head().status == 200);
+  REQUIRE(pipelined.parser.done());
+  ResponseParser second(true);
+  second.Feed(pipelined.parser.TakeRest());
+  CHECK(second.done());
+  std::size_t answered = 0;
+  for (const auto& caller : late) {
+    answered += caller->parser.done() ? 1 : 0;
+  }
+  CHECK(late.size() > 5);
+  CHECK(answered == late.size());
+  CHECK(site.RunUntil([&stopped] { return stopped; }));
+}
+
 // Guards against streams that keep a silent server until their callers leave:
 // the server then goes on for callers that are gone.
 TEST_CASE("a silent stream ends when its model group stands") {
