--- a/soak/soak_server.cc
+++ b/soak/soak_server.cc
@@ -11,6 +11,8 @@
 
 constexpr Duration kWork = Milliseconds(15);
 constexpr Duration kEventPause = Milliseconds(12);
+constexpr Duration kCopyDelay = Milliseconds(3);
+constexpr std::size_t kEndlessBytes = 16384;
 
 std::string Head(const std::string& id, const std::string& seal) {
   return "HTTP/1.1 200 OK\r\nX-Toucanhollow-Request-Id: " + id +
@@ -136,13 +138,36 @@
   std::string bytes = Head(id, this->own_id) +
                       "Keep-Alive: timeout=5\r\nContent-Length: " +
                       std::to_string(body.size()) + "\r\n\r\n" + body;
-  const bool breaks = this->BreaksNow();
-  if (breaks) {
-    bytes.resize(bytes.size() / 2);
+  Session& session = this->sessions.at(number);
+  if (!this->BreaksNow()) {
+    session.connection->Write(bytes);
+    return;
   }
-  this->sessions.at(number).connection->Write(bytes);
-  if (breaks) {
-    this->Close(number, false);
+  switch (this->broken++ % 3) {
+    case 0:
+      bytes.resize(bytes.size() / 2);
+      session.connection->Write(bytes);
+      this->Close(number, false);
+      return;
+    case 1:
+      // A header line without end, until the caller closes.
+      session.connection->Write("HTTP/1.1 200 OK\r\nX-A: ");
+      session.work = std::make_unique<Timer>(
+          this->loop, kCopyDelay, kCopyDelay, [this, number] {
+            TcpConnection& to = *this->sessions.at(number).connection;
+            if (to.unsent() == 0) {
+              to.Write(std::string(kEndlessBytes, 'a'));
+            }
+          });
+      return;
+    default:
+      // A second copy, which may meet the next request on the connection.
+      session.connection->Write(bytes);
+      session.work = std::make_unique<Timer>(
+          this->loop, kCopyDelay, Duration(0), [this, number, bytes] {
+            this->sessions.at(number).connection->Write(bytes);
+          });
+      return;
   }
 }
 
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -49,6 +49,8 @@
   std::string own_id;
   std::optional<TimePoint> forbidden_at;
   int to_break = 0;
+  // Answers that were broken; each is in the next of several ways.
+  int broken = 0;
   std::unique_ptr<TcpListener> listener;
   std::map<std::uint64_t, Session> sessions;
   std::uint64_t next_session = 1;
