--- a/standins/platform/group_map_test.cc
+++ b/standins/platform/group_map_test.cc
@@ -283,6 +283,19 @@
   CHECK(site.group.mixed_passes() == 0);
 }
 
+// Guards against a place that moves to each host that starts: the store takes
+// the lowest partitions from those who hold more than their share.
+TEST_CASE("the holder of the last partition coordinates") {
+  GroupSite site;
+  site.store.given_partition = 7;
+  CoordinatorTask last(site.loop, site.client, platform::EngineCodec(),
+                       {{kHost, site.store.Port()}, 8, "last"});
+  CHECK(site.RunUntil([&] { return last.term().is_coordinator; }, Seconds(3)));
+  // It is given another one, and loses the place.
+  site.store.given_partition = 0;
+  CHECK(site.RunUntil([&] { return !last.term().is_coordinator; }, Seconds(3)));
+}
+
 // Guards against a group that nobody coordinates because a host that stops gave
 // the place up while the store could not give it to another.
 TEST_CASE("a host that stops coordinates until the store takes the place") {
--- a/standins/platform/platform_store_stand_in.cc
+++ b/standins/platform/platform_store_stand_in.cc
@@ -90,7 +90,7 @@
   } else if (request.path == "/v1/log-join") {
     json parts = json::array();
     if (this->coordinator) {
-      parts.push_back({"coordinator", 0, 0});
+      parts.push_back({"coordinator", this->given_partition, 0});
     }
     writer->Respond(
         200, {},
--- a/standins/platform/platform_store_stand_in.h
+++ b/standins/platform/platform_store_stand_in.h
@@ -27,8 +27,9 @@
            const std::optional<std::string>& value);
   // While down, every call is answered 503.
   void SetDown(bool down);
-  // Whether members of groups are given the partition that coordinates.
+  // Whether members of groups are given a partition, and which one.
   void SetCoordinator(bool gives) { this->coordinator = gives; }
+  int given_partition = 0;
   // The generation that members are told.
   std::int64_t generation = 1;
   // Drops the history of a topic; the newest records stay.
