--- a/packages/relay/relay_run.h
+++ b/packages/relay/relay_run.h
@@ -67,7 +67,8 @@
   void Cancel(std::string_view reason);
   // The caller has taken what was queued for it.
   void OnCallerDrained();
-  // Ends what the server will not end in time: see the implementation.
+  // To be called often: leaves an answer that does not end and is not passed
+  // on, and ends a request without progress while its model group stands.
   void Sweep(TimePoint now);
 
  private:
