Check maps and sizes that engines and datagrams announce

Cause: on reading the decoders for input that ends a process, two were found. A datagram may announce a map of 2^60 sets without ranks, and the agent appended sets until memory ran out. And the lists of an engine were planned from as they were: an expert beyond the counters, or sets with fewer ranks, made the plan read beyond its tables.

A map must now have a byte a rank and set at least, and is planned from only if it holds every expert of the counters, all in range, with the same ranks in each set. Tests: the announced sizes, 10,000 mutated messages with a fixed seed, maps that do not fit.

--- a/packages/map_task/demand.cc
+++ b/packages/map_task/demand.cc
@@ -56,6 +56,19 @@
   }
 }
 
+bool FitsTable(const GroupMap& map, const ChoiceTable& chosen) {
+  if (map.size() != chosen.size()) {
+    return false;
+  }
+  for (std::size_t set = 0; set < map.size(); ++set) {
+    if (map[set].experts_by_rank.size() != map.front().experts_by_rank.size() ||
+        !IsCompleteMap(map[set], static_cast<int>(chosen[set].size()))) {
+      return false;
+    }
+  }
+  return true;
+}
+
 double DemandWeight(const Demand& demand) {
   double sum = 0;
   for (const auto& set : demand.chosen) {
--- a/packages/map_task/demand_test.cc
+++ b/packages/map_task/demand_test.cc
@@ -48,5 +48,19 @@
   CHECK(demand.chosen[0][1] > demand.chosen[0][0]);
 }
 
+// Guards against an engine whose lists name experts that do not exist, or whose
+// sets differ from the other ranks': a plan would read beyond its tables.
+TEST_CASE("a map that does not fit the counters is not planned from") {
+  const ChoiceTable chosen = {{1, 2, 3, 4}, {5, 6, 7, 8}};
+  const ExpertMap sound{{{0, 1}, {2, 3}}};
+  CHECK(FitsTable({sound, sound}, chosen));
+  CHECK_FALSE(FitsTable({sound}, chosen));
+  CHECK_FALSE(FitsTable({}, chosen));
+  CHECK_FALSE(FitsTable({sound, ExpertMap{{{0, 1}, {2, 4}}}}, chosen));
+  CHECK_FALSE(FitsTable({sound, ExpertMap{{{0, -1}, {2, 3}}}}, chosen));
+  CHECK_FALSE(FitsTable({sound, ExpertMap{{{0, 1}, {2, 2}}}}, chosen));
+  CHECK_FALSE(FitsTable({sound, ExpertMap{{{0, 1, 2, 3}}}}, chosen));
+}
+
 }  // namespace
 }  // namespace toucanhollow
--- a/packages/map_task/group_rounds.cc
+++ b/packages/map_task/group_rounds.cc
@@ -21,9 +21,9 @@
 // A reading that took longer, or that this process was paused after, mixes
 // moments that are too far apart to decide on.
 constexpr Duration kMaxReadingAge = Milliseconds(500);
-// A change must lower the load of the most loaded rank by this part. Passes take
-// 15% longer while experts load, and a shift of demand that comes meanwhile
-// waits for the end of the change.
+// A change must lower the load of the most loaded rank by this part. Passes
+// take 15% longer while experts load, and a shift of demand that comes
+// meanwhile waits for the end of the change.
 constexpr double kLeastImprovement = 0.12;
 // Sets that are closer to even are left alone; each load has a price.
 constexpr double kGoodRatio = 1.25;
@@ -399,7 +399,7 @@
   const RankReport& first = this->reading.front();
   if (this->present_epoch != first.epoch ||
       this->present_version != first.map ||
-      this->demand.chosen.size() != this->present.size() ||
+      !FitsTable(this->present, this->demand.chosen) ||
       DemandWeight(this->demand) < kLeastDemand) {
     return std::nullopt;
   }
--- a/packages/map_task/rank_message_codec.cc
+++ b/packages/map_task/rank_message_codec.cc
@@ -80,6 +80,11 @@
   const auto sets = document.at(0).get<std::size_t>();
   const auto ranks = document.at(1).get<std::size_t>();
   const Bytes& bytes = document.at(2).get_binary();
+  // Each rank of each set has its count, of one byte at least.
+  if (ranks == 0 ? sets > 0 : sets > bytes.size() / ranks) {
+    throw std::out_of_range("a map of " + std::to_string(sets) + " sets in " +
+                            std::to_string(bytes.size()) + " bytes");
+  }
   GroupMap map;
   std::size_t next = 0;
   for (std::size_t set = 0; set < sets; ++set) {
--- a/packages/map_task/rank_message_test.cc
+++ b/packages/map_task/rank_message_test.cc
@@ -1,6 +1,11 @@
 #include "map_task/rank_message_codec.h"
 
+#include <cstdint>
+#include <random>
+#include <string>
+
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 namespace toucanhollow {
 namespace {
@@ -65,5 +70,47 @@
   CHECK_FALSE(DecodeRankReply(good));
 }
 
+// Guards against a datagram that announces a map without end and takes all
+// memory, and against bytes that end the process.
+TEST_CASE("malformed messages are refused") {
+  NumberedRankRequest request;
+  request.request.kind = RankRequestKind::kOrder;
+  request.request.map = std::make_shared<const GroupMap>(
+      GroupMap{{{{0, 143}, {1}}}, {{{300}, {0, 1, 2}}}});
+  const std::string whole = EncodeRankRequest(request);
+  NumberedRankReply reply;
+  reply.reply.status = 200;
+  reply.reply.report = RankReport{};
+  reply.reply.choices = ChoiceTable{{1, 2}, {3, 4}};
+  const std::string answer = EncodeRankReply(reply);
+  // The document ends with the map: sets, ranks, bytes.
+  const auto fields = nlohmann::json::from_cbor(whole);
+  for (const nlohmann::json& sizes :
+       {nlohmann::json{std::int64_t{1} << 60, 0},
+        nlohmann::json{std::int64_t{1} << 40, 2}, nlohmann::json{3, 90}}) {
+    nlohmann::json changed = fields;
+    auto& map = changed.back();
+    REQUIRE(map.is_array());
+    map[0] = sizes[0];
+    map[1] = sizes[1];
+    std::string bytes;
+    nlohmann::json::to_cbor(changed, bytes);
+    CHECK_FALSE(DecodeRankRequest(bytes));
+  }
+  std::mt19937 random(20261204);
+  constexpr int kRounds = 10000;
+  int read = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    for (std::string bytes : {whole, answer}) {
+      for (unsigned int i = 1 + random() % 3; i > 0; --i) {
+        bytes[random() % bytes.size()] = static_cast<char>(random());
+      }
+      read += DecodeRankRequest(bytes) ? 1 : 0;
+      read += DecodeRankReply(bytes) ? 1 : 0;
+    }
+  }
+  CHECK(read < 2 * kRounds);
+}
+
 }  // namespace
 }  // namespace toucanhollow
