--- a/packages/relay/dispatcher.cc
+++ b/packages/relay/dispatcher.cc
@@ -366,6 +366,12 @@
                     this->host_count, EventLoop::Now());
 }
 
+void Dispatcher::SetHostCount(int hosts) {
+  if (std::exchange(this->host_count, hosts) != hosts) {
+    LogJsonNow("host_count_changed", {{"hosts", std::int64_t{hosts}}});
+  }
+}
+
 void Dispatcher::UpdatePeerLoad(const std::string& host,
                                 const HostLoadReport& report) {
   RecordLoadReport(this->peer_loads, host, report, EventLoop::Now());
--- a/packages/relay/dispatcher.h
+++ b/packages/relay/dispatcher.h
@@ -88,7 +88,7 @@
   void UpdatePeerLoad(const std::string& host, const HostLoadReport& report);
   HostLoadReport MakeLoadReport() const;
   // Sets the number of entry hosts that share the bounds, this one included.
-  void SetHostCount(int hosts) { this->host_count = hosts; }
+  void SetHostCount(int hosts);
   std::size_t waiting_requests() const { return this->waiting.size(); }
 
  private:
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -199,17 +199,27 @@
                                                  chosen_pool->server().address);
     this->context.metrics.Count("server_connections_total");
   }
-  LogSent({this->metadata.request_id, this->route->name,
-           chosen_pool->server().id, this->sent_attempts,
-           now - this->arrived_at, this->deadline - now,
-           chosen_pool->outstanding, reused, this->traffic->version});
+  SentLine sent;
+  sent.request = this->metadata.request_id;
+  sent.route = this->route->name;
+  sent.server = chosen_pool->server().id;
+  sent.attempt = this->sent_attempts;
+  sent.queue_time = now - this->arrived_at;
+  sent.time_left = this->deadline - now;
+  sent.outstanding = chosen_pool->outstanding;
+  sent.kept_connection = reused;
+  sent.config_version = this->traffic->version;
   RelayedRequest* raw = this;
   this->attempt = std::make_unique<ServerAttempt>(
       std::move(connection), reused, this->context.codec,
       WriteServerRequest(this->context.codec, this->head, this->body,
                          this->MakeServerMetadata(*chosen_pool, now)),
       this->metadata.request_id, this->head.method != "HEAD",
-      AttemptCallbacks{[raw](const ResponseHead& response,
+      AttemptCallbacks{[sent, now]() mutable {
+                         sent.connect_time = EventLoop::Now() - now;
+                         LogSent(sent);
+                       },
+                       [raw](const ResponseHead& response,
                              const ResponseMetadata& metadata) {
                          const auto self = raw->shared_from_this();
                          raw->OnHead(response, metadata);
--- a/packages/relay/request_log.cc
+++ b/packages/relay/request_log.cc
@@ -29,6 +29,7 @@
               {"attempt", static_cast<std::int64_t>(line.attempt)},
               {"waited_ms", ToMilliseconds(line.queue_time)},
               {"left_ms", ToMilliseconds(line.time_left)},
+              {"connect_ms", ToMilliseconds(line.connect_time)},
               {"outstanding", static_cast<std::int64_t>(line.outstanding)},
               {"kept_connection", line.kept_connection},
               {"config_version", line.config_version}});
--- a/packages/relay/request_log.h
+++ b/packages/relay/request_log.h
@@ -19,6 +19,8 @@
   int attempt = 0;
   Duration queue_time{0};
   Duration time_left{0};
+  // Time from the choice of the server until the request was written.
+  Duration connect_time{0};
   // Open requests of this host at the server.
   int outstanding = 0;
   bool kept_connection = false;
--- a/packages/relay/server_attempt.cc
+++ b/packages/relay/server_attempt.cc
@@ -33,6 +33,7 @@
 struct ServerAttempt::State : std::enable_shared_from_this<State> {
   const RelayCodec& codec;
   std::unique_ptr<TcpConnection> connection;
+  std::string request;  // bytes that are not written yet
   std::string request_id;
   bool body_expected;
   bool reused = false;
@@ -47,12 +48,17 @@
   bool reusable = false;
   Duration keep_alive_timeout{0};
 
-  State(const RelayCodec& codec, std::string request_id, bool body_expected)
+  State(const RelayCodec& codec,
+        std::string request,
+        std::string request_id,
+        bool body_expected)
       : codec(codec),
+        request(std::move(request)),
         request_id(std::move(request_id)),
         body_expected(body_expected),
         parser(std::make_unique<ResponseParser>(body_expected)) {}
 
+  void WriteRequest();
   void OnData(std::string_view bytes);
   void OnConnectionEnd(ConnectionEnd end);
   bool Advance();
@@ -87,6 +93,14 @@
   }
 }
 
+void ServerAttempt::State::WriteRequest() {
+  this->connection->Write(std::exchange(this->request, {}));
+  const auto callback = std::move(this->callbacks.on_sent);
+  if (callback) {
+    callback();
+  }
+}
+
 void ServerAttempt::State::OnData(std::string_view bytes) {
   const auto self = this->shared_from_this();
   this->parser->Feed(bytes);
@@ -199,11 +213,12 @@
 ServerAttempt::ServerAttempt(std::unique_ptr<TcpConnection> connection,
                              bool reused,
                              const RelayCodec& codec,
-                             const std::string& bytes,
+                             std::string bytes,
                              std::string request_id,
                              bool body_expected,
                              AttemptCallbacks callbacks)
     : state(std::make_shared<State>(codec,
+                                    std::move(bytes),
                                     std::move(request_id),
                                     body_expected)) {
   State& state = *this->state;
@@ -212,10 +227,12 @@
   state.reused = reused;
   State* raw_state = &state;
   state.connection->SetCallbacks(
-      {nullptr, [raw_state](std::string_view data) { raw_state->OnData(data); },
-       nullptr,
+      {[raw_state] { raw_state->WriteRequest(); },
+       [raw_state](std::string_view data) { raw_state->OnData(data); }, nullptr,
        [raw_state](ConnectionEnd end) { raw_state->OnConnectionEnd(end); }});
-  state.connection->Write(bytes);
+  if (state.connection->connected()) {
+    state.WriteRequest();
+  }
 }
 
 ServerAttempt::~ServerAttempt() {
--- a/packages/relay/server_attempt.h
+++ b/packages/relay/server_attempt.h
@@ -21,6 +21,9 @@
 };
 
 struct AttemptCallbacks {
+  // Called once, when the connection is established and the request has been
+  // written to it; possibly inside the constructor.
+  std::function<void()> on_sent;
   // Called once, before any body.
   std::function<void(const ResponseHead& head,
                      const ResponseMetadata& metadata)>
@@ -40,7 +43,7 @@
   ServerAttempt(std::unique_ptr<TcpConnection> connection,
                 bool reused,
                 const RelayCodec& codec,
-                const std::string& bytes,
+                std::string bytes,
                 std::string request_id,
                 bool body_expected,
                 AttemptCallbacks callbacks);
