Give permits for requests to servers with a cold phase

Cause: the bound on requests to a cold server covers all entry hosts, but each host kept a share of it by itself, and at least one request a second, so 27 and more hosts exceed 26. Change: each request to a server of a service with a cold phase needs a permit of the agent on the server's machine, which alone gives them: a token bucket that is empty when the agent starts, so that restarts add nothing. Servers without an agent get their permits from the seeds, each of which gives an equal part. A denied or unanswered request goes to another server or waits in the queue. Nothing counts the hosts for this bound any more. Twelve relays with an agent or with seeds keep the bound in the processes' own path. The test of the share of a host is replaced by tests of the bucket: any restart pattern stays within the bound of seven rates and three bounds. The cases of platform_relay_test share their site with the new ones (relay_site.h).

--- a/packages/base/time.h
+++ b/packages/base/time.h
@@ -21,6 +21,18 @@
 };
 using TimePoint = MonotonicClock::time_point;
 
+// Monotonic time of one machine that also counts while the machine is
+// suspended, unlike MonotonicClock. Never compared across machines.
+struct BootClock {
+  using rep = Duration::rep;
+  using period = Duration::period;
+  using duration = Duration;
+  using time_point = std::chrono::time_point<BootClock, Duration>;
+  // NOLINTNEXTLINE(readability-identifier-naming): required by <chrono>.
+  static constexpr bool is_steady = true;
+};
+using BootTime = BootClock::time_point;
+
 // Wall-clock time in microseconds since the Unix epoch. Used for the issue
 // time of idempotency keys and for the timeline. The clocks of two hosts may
 // differ.
--- a/packages/event_loop/event_loop.cc
+++ b/packages/event_loop/event_loop.cc
@@ -1,6 +1,7 @@
 #include "event_loop/event_loop.h"
 
 #include <ev.h>
+#include <time.h>
 
 #include <exception>
 #include <iostream>
@@ -48,6 +49,14 @@
       std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+BootTime EventLoop::BootNow() {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return BootTime(Seconds(time.tv_sec) +
+                  std::chrono::duration_cast<Duration>(
+                      std::chrono::nanoseconds(time.tv_nsec)));
+}
+
 WallTime EventLoop::WallNow() {
   return WallTime(std::chrono::duration_cast<Duration>(
       std::chrono::system_clock::now().time_since_epoch()));
--- a/packages/event_loop/event_loop.h
+++ b/packages/event_loop/event_loop.h
@@ -24,9 +24,10 @@
   void Run();
   void Stop();
 
-  // Return the current monotonic and wall-clock time, read from the clocks at
-  // each call.
+  // Return the current monotonic time, the same with suspended time counted,
+  // and the wall-clock time, read from the clocks at each call.
   static TimePoint Now();
+  static BootTime BootNow();
   static WallTime WallNow();
 
   // Sets the handler that is called with the text of each std::exception that
--- a/packages/map_task/rank_agent.cc
+++ b/packages/map_task/rank_agent.cc
@@ -8,6 +8,8 @@
 
 #include "json_log/json_log.h"
 #include "map_task/rank_message_codec.h"
+#include "permit/answer_permit_request.h"
+#include "permit/permit_codec.h"
 #include "settings/parse_address.h"
 
 namespace toucanhollow {
@@ -68,6 +70,7 @@
       engine(this->client, codec) {}
 
 Result<bool> RankAgent::Start() {
+  this->permits.started_at = EventLoop::Now();
   auto opened =
       DatagramSocket::Bind(this->loop, this->settings.listen,
                            [this](const Address& from, std::string_view bytes) {
@@ -92,7 +95,24 @@
   return true;
 }
 
+void RankAgent::OnPermitRequest(const Address& from, std::string_view bytes) {
+  const Result<std::string> reply =
+      AnswerPermitRequest(this->permits, bytes, EventLoop::Now());
+  if (!reply) {
+    LogJsonNow("permit_request_malformed",
+               {{"from", std::string_view(from.ip)},
+                {"detail", std::string_view(reply.error().detail)}});
+    return;
+  }
+  this->metrics.Count("permit_requests_total");
+  this->socket->Send(from, reply.value());
+}
+
 void RankAgent::OnDatagram(const Address& from, std::string_view bytes) {
+  if (IsPermitMessage(bytes)) {
+    this->OnPermitRequest(from, bytes);
+    return;
+  }
   const Result<NumberedRankRequest> message = DecodeRankRequest(bytes);
   if (!message) {
     LogJsonNow("rank_request_malformed",
--- a/packages/map_task/rank_agent.h
+++ b/packages/map_task/rank_agent.h
@@ -1,6 +1,6 @@
 // RankAgent: the process beside a model engine. It executes a coordinator's
 // requests at the engine, which gives current answers free of charge to calls
-// from its own machine.
+// from its own machine, and gives entry hosts permits to send requests to it.
 #ifndef MAP_TASK_RANK_AGENT_H_
 #define MAP_TASK_RANK_AGENT_H_
 
@@ -17,6 +17,7 @@
 #include "http_server/http_server.h"
 #include "map_task/rank_engine_client.h"
 #include "metrics/metrics.h"
+#include "traffic/permit_ledger.h"
 
 namespace toucanhollow {
 
@@ -50,6 +51,7 @@
   };
 
   void OnDatagram(const Address& from, std::string_view bytes);
+  void OnPermitRequest(const Address& from, std::string_view bytes);
   void SendReply(const Address& from, std::uint64_t serial, RankReply reply);
 
   EventLoop& loop;
@@ -57,6 +59,7 @@
   HttpClient client;
   RankEngineClient engine;
   Metrics metrics;
+  PermitLedger permits;
   std::map<Address, Requester> requesters;
   std::unique_ptr<DatagramSocket> socket;
   std::unique_ptr<HttpServer> metrics_server;
--- /dev/null
+++ b/packages/permit/permit_codec.cc
@@ -0,0 +1,68 @@
+#include "permit/permit_codec.h"
+
+#include <nlohmann/json.hpp>
+
+#include "cbor/read_cbor.h"
+
+namespace toucanhollow {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kTag = "permit";
+// The CBOR head of an array of four elements, and that of the tag.
+constexpr std::string_view kPrefix = "\x84\x66permit";
+
+std::string ToBytes(const json& document) {
+  const std::vector<std::uint8_t> bytes = json::to_cbor(document);
+  return {bytes.begin(), bytes.end()};
+}
+
+template <typename Value, typename Decode>
+Result<Value> DecodeCbor(std::string_view bytes, Decode decode) {
+  if (!IsPermitMessage(bytes)) {
+    return MakeFailure(ResultCode::kFrameMalformed, "not a permit message");
+  }
+  BOOST_OUTCOME_TRY(document, ReadCbor(bytes));
+  try {
+    return decode(document);
+  } catch (const json::exception& error) {
+    return MakeFailure(ResultCode::kFrameMalformed, error.what());
+  }
+}
+
+}  // namespace
+
+bool IsPermitMessage(std::string_view bytes) {
+  return bytes.starts_with(kPrefix);
+}
+
+std::string EncodePermitRequest(const PermitRequest& request) {
+  return ToBytes(
+      json::array({kTag, request.serial, request.server,
+                   json::array({request.rate.per_s, request.rate.burst})}));
+}
+
+Result<PermitRequest> DecodePermitRequest(std::string_view bytes) {
+  return DecodeCbor<PermitRequest>(bytes, [](const json& document) {
+    return PermitRequest{document.at(1).get<std::uint64_t>(),
+                         document.at(2).get<std::uint32_t>(),
+                         {document.at(3).at(0).get<double>(),
+                          document.at(3).at(1).get<double>()}};
+  });
+}
+
+std::string EncodePermitReply(const PermitReply& reply) {
+  return ToBytes(
+      json::array({kTag, reply.serial, reply.granted, reply.wait.count()}));
+}
+
+Result<PermitReply> DecodePermitReply(std::string_view bytes) {
+  return DecodeCbor<PermitReply>(bytes, [](const json& document) {
+    return PermitReply{document.at(1).get<std::uint64_t>(),
+                       document.at(2).get<bool>(),
+                       Duration(document.at(3).get<Duration::rep>())};
+  });
+}
+
+}  // namespace toucanhollow
--- /dev/null
+++ b/packages/permit/permit_message.h
@@ -0,0 +1,35 @@
+// The messages by which an entry host asks an agent for a permit to send one
+// request to a server on the agent's machine.
+#ifndef PERMIT_PERMIT_MESSAGE_H_
+#define PERMIT_PERMIT_MESSAGE_H_
+
+#include <cstdint>
+
+#include "base/time.h"
+#include "traffic/permit_ledger.h"
+
+namespace toucanhollow {
+
+struct PermitRequest {
+  // Identifies the request among those of one socket; the reply repeats it.
+  std::uint64_t serial = 0;
+  // Hash of the server's id.
+  std::uint32_t server = 0;
+  // By the host's configuration.
+  PermitRate rate;
+
+  bool operator==(const PermitRequest&) const = default;
+};
+
+struct PermitReply {
+  std::uint64_t serial = 0;
+  bool granted = false;
+  // If not granted: the time until a permit may be available.
+  Duration wait{0};
+
+  bool operator==(const PermitReply&) const = default;
+};
+
+}  // namespace toucanhollow
+
+#endif  // PERMIT_PERMIT_MESSAGE_H_
--- a/packages/relay/dispatcher.cc
+++ b/packages/relay/dispatcher.cc
@@ -5,7 +5,9 @@
 
 #include "base/hash.h"
 #include "json_log/json_log.h"
+#include "relay/agent_address.h"
 #include "traffic/caller_retry.h"
+#include "traffic/permit_issuers.h"
 
 namespace toucanhollow {
 namespace {
@@ -22,18 +24,44 @@
 // reports still count requests that have ended. The larger limit offsets that.
 constexpr int kPlainLimitFactor = 2;
 
+// The processes that give permits for the server: its agent, or the seeds if it
+// has none. All hosts have the same seeds, a host without seeds is alone.
+std::vector<Address> FindIssuers(const Service& service,
+                                 const ListedServer& server,
+                                 const RelaySettings& settings) {
+  if (service.engine) {
+    return {AgentAddress(server, settings)};
+  }
+  std::vector<Address> issuers;
+  for (const Address& seed : settings.seeds) {
+    issuers.push_back({seed.ip, settings.report_port});
+  }
+  if (issuers.empty()) {
+    issuers.push_back({settings.control.ip, settings.report_port});
+  }
+  std::ranges::sort(issuers);
+  return issuers;
+}
+
 int MaxOutstanding(const Service& service, const ListedServer& server) {
   return service.engine ? server.slots : server.slots * kPlainLimitFactor;
 }
 
 }  // namespace
 
-Dispatcher::Dispatcher(EventLoop& loop, const RelaySettings& settings)
+Dispatcher::Dispatcher(EventLoop& loop,
+                       const RelaySettings& settings,
+                       PermitClient& permits)
     : loop(loop),
       settings(settings),
+      permits(permits),
       next_seed(HashText(settings.process.value)) {}
 
-Dispatcher::~Dispatcher() = default;
+Dispatcher::~Dispatcher() {
+  for (const auto& [request, wait] : this->permit_waits) {
+    this->permits.Cancel(wait.serial);
+  }
+}
 
 void Dispatcher::UpdateView(const PlatformView& view) {
   this->view = &view;
@@ -69,6 +97,10 @@
   }
 }
 
+std::uint64_t Dispatcher::Draw() {
+  return HashText(std::to_string(this->next_seed++));
+}
+
 std::vector<std::shared_ptr<ServerConnectionPool>> Dispatcher::FindUsablePools(
     const ServiceName& service,
     TimePoint now) const {
@@ -104,9 +136,7 @@
   std::vector<ServerCandidate> tried_servers;
   for (const auto& pool :
        this->FindUsablePools(dispatch_request.service, now)) {
-    if (this->IsHalted(*pool) ||
-        !CanSend(pool->cold_start_rate, service->second.cold_requests_per_s,
-                 this->settings.cold, this->host_count, now)) {
+    if (this->IsHalted(*pool) || now < pool->permits.ask_from) {
       continue;
     }
     const ServerLoad others =
@@ -135,14 +165,99 @@
   return nullptr;
 }
 
-void Dispatcher::RecordPlacement(
-    const std::shared_ptr<ServerConnectionPool>& pool,
-    const DispatchRequest& dispatch_request,
-    TimePoint now) {
+void Dispatcher::Assign(const std::shared_ptr<ServerConnectionPool>& pool,
+                        WaitingRequest request,
+                        TimePoint now) {
   ++pool->outstanding;
   pool->pending_prompt_tokens +=
-      static_cast<int>(dispatch_request.prompt_tokens);
-  RecordSend(pool->cold_start_rate, now);
+      static_cast<int>(request.dispatch_request.prompt_tokens);
+  const Service& service =
+      this->view->traffic->services.at(pool->server().service);
+  if (service.cold_requests_per_s <= 0) {
+    request.callbacks.on_placed({pool, std::nullopt});
+    return;
+  }
+  const PermitRate rate =
+      FindPermitRate(service.cold_requests_per_s, this->settings.cold);
+  const std::vector<Address> issuers =
+      LimitIssuers(FindIssuers(service, pool->server(), this->settings), rate);
+  const Address& issuer = ChooseIssuer(issuers, this->Draw());
+  pool->permits = RecordAsk(pool->permits, now);
+  const RequestId id = request.dispatch_request.request;
+  const std::uint64_t serial = this->permits.Ask(
+      issuer, pool->load_key(), ShareOfIssuer(rate, issuers.size()),
+      [this, id](const PermitAnswer& answer) { this->OnPermit(id, answer); });
+  this->permit_waits.emplace(
+      id, PermitWait{std::move(request), pool, issuers.size(), serial});
+}
+
+bool Dispatcher::IsCurrent(const ServerConnectionPool& pool,
+                           TimePoint now) const {
+  const auto listed = this->view->servers.find(pool.server().id);
+  return listed != this->view->servers.end() &&
+         this->pools.at(pool.server().id).get() == &pool &&
+         IsUsable(listed->second, this->view->evacuated, now) &&
+         !pool.misdirected && !this->IsHalted(pool);
+}
+
+void Dispatcher::RecordPermitAnswer(const PermitWait& wait,
+                                    const PermitAnswer& answer,
+                                    TimePoint now) {
+  ServerConnectionPool& pool = *wait.pool;
+  const PermitAvailability before = pool.permits;
+  switch (answer.outcome) {
+    case PermitOutcome::kGranted:
+      pool.permits = RecordGrant();
+      break;
+    case PermitOutcome::kDenied:
+      // Another issuer may have a permit sooner.
+      pool.permits = RecordDenial(
+          before, answer.wait / static_cast<Duration::rep>(wait.issuers),
+          this->Draw(), now);
+      break;
+    case PermitOutcome::kNoAnswer:
+      pool.permits = RecordTimeout(before, now);
+      break;
+  }
+  const std::string_view server = pool.server().id;
+  if (pool.permits.consecutive_denials == 1) {
+    LogJsonNow("permit_denied",
+               {{"server", server}, {"wait_ms", ToMilliseconds(answer.wait)}});
+  }
+  if (pool.permits.consecutive_timeouts == 1) {
+    LogJsonNow("permit_issuer_silent", {{"server", server}});
+  }
+  if (before.consecutive_timeouts > 0 &&
+      pool.permits.consecutive_timeouts == 0) {
+    LogJsonNow("permit_issuer_answers", {{"server", server}});
+  }
+}
+
+void Dispatcher::OnPermit(const RequestId& request,
+                          const PermitAnswer& answer) {
+  const TimePoint now = EventLoop::Now();
+  const auto found = this->permit_waits.find(request);
+  PermitWait wait = std::move(found->second);
+  this->permit_waits.erase(found);
+  this->RecordPermitAnswer(wait, answer, now);
+  if (answer.outcome == PermitOutcome::kGranted &&
+      EventLoop::BootNow() <= answer.use_until &&
+      this->IsCurrent(*wait.pool, now)) {
+    wait.request.callbacks.on_placed({wait.pool, answer.use_until});
+    return;
+  }
+  const DispatchRequest& dispatch_request = wait.request.dispatch_request;
+  this->Release(*wait.pool, static_cast<int>(dispatch_request.prompt_tokens));
+  if (now >= dispatch_request.wait_until) {
+    this->Refuse(wait.request, ResultCode::kOverloaded);
+    return;
+  }
+  // It goes before the queued requests, which came later.
+  if (const auto pool = this->FindServer(dispatch_request, now)) {
+    this->Assign(pool, std::move(wait.request), now);
+    return;
+  }
+  this->EnqueueOrRefuse(std::move(wait.request), now);
 }
 
 void Dispatcher::Place(DispatchRequest dispatch_request,
@@ -155,16 +270,22 @@
     state.queue = SetHalted(std::move(state.queue),
                             this->IsHalted(dispatch_request.service), now);
   }
+  WaitingRequest request;
+  request.dispatch_request = std::move(dispatch_request);
+  request.callbacks = std::move(callbacks);
   if (state.queue.size == 0) {
-    if (const auto pool = this->FindServer(dispatch_request, now)) {
-      this->RecordPlacement(pool, dispatch_request, now);
-      callbacks.on_placed(pool);
+    if (const auto pool = this->FindServer(request.dispatch_request, now)) {
+      this->Assign(pool, std::move(request), now);
       return;
     }
   }
+  this->EnqueueOrRefuse(std::move(request), now);
+}
+
+void Dispatcher::EnqueueOrRefuse(WaitingRequest request, TimePoint now) {
+  const DispatchRequest& dispatch_request = request.dispatch_request;
   if (this->IsHalted(dispatch_request.service) && !dispatch_request.urgent) {
-    callbacks.on_refused(ResultCode::kNoEndpointAvailable,
-                         this->EstimateRetryAfter(dispatch_request, now));
+    this->Refuse(request, ResultCode::kNoEndpointAvailable);
     return;
   }
   QueuedRequest queued;
@@ -173,28 +294,36 @@
   queued.account = dispatch_request.account;
   queued.cost = dispatch_request.cost;
   queued.deadline = dispatch_request.wait_until;
-  const RequestId request = dispatch_request.request;
-  this->waiting.emplace(request, WaitingRequest{std::move(dispatch_request),
-                                                std::move(callbacks)});
+  ServiceState& state = this->services[dispatch_request.service];
+  const bool dequeued = request.dequeued;
+  this->waiting.insert_or_assign(queued.request, std::move(request));
+  this->StartTimer();
+  if (dequeued) {
+    state.queue = Requeue(std::move(state.queue), std::move(queued), now);
+    return;
+  }
   EnqueueDecision decision =
       Enqueue(std::move(state.queue), std::move(queued), now);
   state.queue = std::move(decision.queue);
   for (const QueueRefusal& refusal : decision.refused) {
-    this->Refuse(refusal.request, refusal.code);
+    this->RefuseQueued(refusal.request, refusal.code);
   }
-  this->StartTimer();
 }
 
-void Dispatcher::Refuse(const RequestId& request, ResultCode code) {
+void Dispatcher::Refuse(const WaitingRequest& request, ResultCode code) {
+  request.callbacks.on_refused(
+      code,
+      this->EstimateRetryAfter(request.dispatch_request, EventLoop::Now()));
+}
+
+void Dispatcher::RefuseQueued(const RequestId& request, ResultCode code) {
   const auto found = this->waiting.find(request);
   if (found == this->waiting.end()) {
     return;
   }
   const WaitingRequest refused = std::move(found->second);
   this->waiting.erase(found);
-  refused.callbacks.on_refused(
-      code,
-      this->EstimateRetryAfter(refused.dispatch_request, EventLoop::Now()));
+  this->Refuse(refused, code);
 }
 
 void Dispatcher::DispatchQueued(const ServiceName& service) {
@@ -209,7 +338,7 @@
     DequeueDecision decision = Dequeue(std::move(state.queue), now);
     state.queue = std::move(decision.queue);
     for (const QueueRefusal& refusal : decision.refused) {
-      this->Refuse(refusal.request, refusal.code);
+      this->RefuseQueued(refusal.request, refusal.code);
     }
     if (!decision.request) {
       continue;
@@ -220,17 +349,26 @@
     }
     const auto pool = this->FindServer(found->second.dispatch_request, now);
     if (pool == nullptr) {
-      this->Refuse(found->first, ResultCode::kNoEndpointAvailable);
+      this->RefuseQueued(found->first, ResultCode::kNoEndpointAvailable);
       continue;
     }
-    const WaitingRequest placed = std::move(found->second);
+    WaitingRequest placed = std::move(found->second);
     this->waiting.erase(found);
-    this->RecordPlacement(pool, placed.dispatch_request, now);
-    placed.callbacks.on_placed(pool);
+    placed.dequeued = true;
+    this->Assign(pool, std::move(placed), now);
   }
 }
 
 void Dispatcher::Withdraw(const RequestId& request) {
+  const auto wait = this->permit_waits.find(request);
+  if (wait != this->permit_waits.end()) {
+    this->permits.Cancel(wait->second.serial);
+    this->Release(
+        *wait->second.pool,
+        static_cast<int>(wait->second.request.dispatch_request.prompt_tokens));
+    this->permit_waits.erase(wait);
+    return;
+  }
   const auto found = this->waiting.find(request);
   if (found == this->waiting.end()) {
     return;
@@ -277,7 +415,7 @@
     state.queue =
         toucanhollow::Withdraw(std::move(state.queue),
                                found->second.dispatch_request.account, request);
-    this->Refuse(request, ResultCode::kOverloaded);
+    this->RefuseQueued(request, ResultCode::kOverloaded);
   }
   for (const ServiceName& name : names) {
     this->DispatchQueued(name);
@@ -300,8 +438,7 @@
     wait = std::clamp(wait, kMinRetryAfter, kMaxOverloadRetryAfter);
     // Adds jitter of up to the same time, so that callers do not retry at once.
     constexpr std::uint64_t kSteps = 1000;
-    const auto step = static_cast<Duration::rep>(
-        HashText(std::to_string(this->next_seed++)) % kSteps);
+    const auto step = static_cast<Duration::rep>(this->Draw() % kSteps);
     wait += wait * step / static_cast<Duration::rep>(kSteps);
   }
   return RetryDelay(wait, dispatch_request.deadline - now);
--- a/packages/relay/dispatcher.h
+++ b/packages/relay/dispatcher.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -14,6 +15,7 @@
 #include "event_loop/event_loop.h"
 #include "map_change/group_registry.h"
 #include "overload/fair_queue.h"
+#include "permit/permit_client.h"
 #include "relay/platform_view_task.h"
 #include "relay/relay_settings.h"
 #include "relay/server_connection_pool.h"
@@ -21,8 +23,15 @@
 
 namespace toucanhollow {
 
+// The server of a request.
+struct Placement {
+  std::shared_ptr<ServerConnectionPool> pool;
+  // The request must be written by then, if a permit was needed.
+  std::optional<BootTime> write_by;
+};
+
 struct PlacementCallbacks {
-  std::function<void(std::shared_ptr<ServerConnectionPool>)> on_placed;
+  std::function<void(const Placement& placement)> on_placed;
   // Nothing was sent. `retry_after` is the time after which capacity is
   // expected to be free.
   std::function<void(ResultCode code, Duration retry_after)> on_refused;
@@ -46,7 +55,9 @@
 
 class Dispatcher {
  public:
-  Dispatcher(EventLoop& loop, const RelaySettings& settings);
+  Dispatcher(EventLoop& loop,
+             const RelaySettings& settings,
+             PermitClient& permits);
   ~Dispatcher();
 
   // Adopts the view, which must stay valid, and drops the connection pools of
@@ -56,7 +67,8 @@
   // callback is called, possibly inside this call, unless the request is
   // withdrawn first.
   void Place(DispatchRequest dispatch_request, PlacementCallbacks callbacks);
-  // Removes a queued request; none of its callbacks is called.
+  // Removes a request that is queued or waits for a permit; none of its
+  // callbacks is called.
   void Withdraw(const RequestId& request);
   // Ends a request's use of the server. `pending_prompt_tokens` are those of
   // its prompt tokens that are still counted there.
@@ -95,35 +107,60 @@
   struct WaitingRequest {
     DispatchRequest dispatch_request;
     PlacementCallbacks callbacks;
+    // It has been at the head of the queue and was counted there as served.
+    bool dequeued = false;
+  };
+  // A request that waits for a permit.
+  struct PermitWait {
+    WaitingRequest request;
+    std::shared_ptr<ServerConnectionPool> pool;
+    std::size_t issuers = 1;   // that give permits for this server
+    std::uint64_t serial = 0;  // of the call to the agent
   };
   struct ServiceState {
     FairQueue queue;
     RetryAllowance retries;
   };
 
+  // A pseudo-random number, different at each call and host.
+  std::uint64_t Draw();
   std::vector<std::shared_ptr<ServerConnectionPool>> FindUsablePools(
       const ServiceName& service,
       TimePoint now) const;
   std::shared_ptr<ServerConnectionPool> FindServer(
       const DispatchRequest& dispatch_request,
       TimePoint now);
-  void RecordPlacement(const std::shared_ptr<ServerConnectionPool>& pool,
-                       const DispatchRequest& dispatch_request,
-                       TimePoint now);
+  // Assigns the request to the server, after asking for a permit if the service
+  // needs one.
+  void Assign(const std::shared_ptr<ServerConnectionPool>& pool,
+              WaitingRequest request,
+              TimePoint now);
+  void OnPermit(const RequestId& request, const PermitAnswer& answer);
+  void RecordPermitAnswer(const PermitWait& wait,
+                          const PermitAnswer& answer,
+                          TimePoint now);
+  // False if the server was removed, replaced, evacuated or halted since it was
+  // chosen.
+  bool IsCurrent(const ServerConnectionPool& pool, TimePoint now) const;
+  // Queues the request, at the head if it was there before, or refuses it.
+  void EnqueueOrRefuse(WaitingRequest request, TimePoint now);
   void DispatchQueued(const ServiceName& service);
   void DispatchAllQueued();
   void OnTimer();
   void StartTimer();
   Duration EstimateRetryAfter(const DispatchRequest& dispatch_request,
                               TimePoint now);
-  void Refuse(const RequestId& request, ResultCode code);
+  void Refuse(const WaitingRequest& request, ResultCode code);
+  void RefuseQueued(const RequestId& request, ResultCode code);
 
   EventLoop& loop;
   const RelaySettings& settings;
+  PermitClient& permits;
   const PlatformView* view = nullptr;
   std::map<std::string, std::shared_ptr<ServerConnectionPool>> pools;
   std::map<ServiceName, ServiceState> services;
   std::map<RequestId, WaitingRequest> waiting;
+  std::map<RequestId, PermitWait> permit_waits;
   const GroupRegistry* groups = nullptr;
   std::set<GroupKey> closed_groups;
   PeerLoadTable peer_loads;
--- a/packages/relay/peer_task.cc
+++ b/packages/relay/peer_task.cc
@@ -5,6 +5,8 @@
 
 #include "http_message/http_message.h"
 #include "json_log/json_log.h"
+#include "permit/answer_permit_request.h"
+#include "permit/permit_codec.h"
 #include "relay/peer_codec.h"
 
 namespace toucanhollow {
@@ -98,6 +100,7 @@
   BOOST_OUTCOME_TRY(socket, std::move(bound));
   this->socket = std::move(socket);
   this->started_at = EventLoop::Now();
+  this->permits.started_at = this->started_at;
   this->dispatcher.SetHostCount(kAssumedHostsDuringDiscovery);
   this->report_timer =
       std::make_unique<Timer>(this->loop, kReportPeriod, kReportPeriod,
@@ -129,7 +132,23 @@
   return hosts;
 }
 
+void PeerTask::OnPermitRequest(const Address& from, std::string_view bytes) {
+  const Result<std::string> reply =
+      AnswerPermitRequest(this->permits, bytes, EventLoop::Now());
+  if (!reply) {
+    LogJsonNow("permit_request_malformed",
+               {{"from", std::string_view(from.ip)},
+                {"detail", std::string_view(reply.error().detail)}});
+    return;
+  }
+  this->socket->Send(from, reply.value());
+}
+
 void PeerTask::OnDatagram(const Address& from, std::string_view bytes) {
+  if (IsPermitMessage(bytes)) {
+    this->OnPermitRequest(from, bytes);
+    return;
+  }
   const Result<HostLoadReport> report = DecodeLoadReport(bytes);
   if (!report) {
     LogJsonNow("load_report_malformed", {{"peer", std::string_view(from.ip)}});
--- a/packages/relay/peer_task.h
+++ b/packages/relay/peer_task.h
@@ -1,6 +1,7 @@
 // PeerTask: exchanges state with the other entry hosts. Load reports are sent
 // in datagrams, several times a second. A host that cannot read the store
-// fetches its records from the others.
+// fetches its records from the others. A host that is a seed gives permits for
+// servers without an agent.
 #ifndef RELAY_PEER_TASK_H_
 #define RELAY_PEER_TASK_H_
 
@@ -17,6 +18,7 @@
 #include "relay/dispatcher.h"
 #include "relay/platform_view_task.h"
 #include "relay/relay_settings.h"
+#include "traffic/permit_ledger.h"
 
 namespace toucanhollow {
 
@@ -40,6 +42,7 @@
   };
 
   void OnDatagram(const Address& from, std::string_view bytes);
+  void OnPermitRequest(const Address& from, std::string_view bytes);
   void SendReports();
   void Fetch();
   void FetchFrom(const std::string& ip);
@@ -65,6 +68,7 @@
   std::unique_ptr<DatagramSocket> socket;
   std::unique_ptr<Timer> report_timer;
   std::unique_ptr<Timer> fetch_timer;
+  PermitLedger permits;
   TimePoint started_at;
   std::uint64_t incarnation;
   std::uint64_t sequence = 0;
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "json_log/json_log.h"
+#include "relay/agent_address.h"
 
 namespace toucanhollow {
 namespace {
@@ -33,7 +34,8 @@
       codec(codec),
       engine_codec(engine_codec),
       client(loop),
-      dispatcher(loop, this->settings) {}
+      permits(loop, this->metrics),
+      dispatcher(loop, this->settings, this->permits) {}
 
 RelayHost::~RelayHost() = default;
 
@@ -65,10 +67,8 @@
         {engine.expert_slots_per_rank, engine.max_added_experts_per_rank},
         engine.expert_sets,
         engine.expert_load_time};
-    // The agent's port is this host's report port, because the internal ports
-    // are the same on all machines of the platform.
-    const Address agent{server.listed.address.ip, this->settings.report_port};
-    entry.ranks.push_back({id, agent, server.listed.address});
+    entry.ranks.push_back({id, AgentAddress(server.listed, this->settings),
+                           server.listed.address});
   }
   std::vector<ExpertParallelService> services;
   services.reserve(ranked.size());
@@ -96,6 +96,8 @@
       std::make_unique<PeerTask>(this->loop, this->client, this->settings,
                                  *this->view_task, this->dispatcher);
   BOOST_OUTCOME_TRYV(this->peers->Start());
+  BOOST_OUTCOME_TRYV(this->permits.Open(
+      {this->settings.control.ip, this->settings.permit_port}));
   auto readiness = this->ListenHttp(
       this->settings.readiness,
       [this](const HttpRequest&,
--- a/packages/relay/relay_host.h
+++ b/packages/relay/relay_host.h
@@ -15,6 +15,7 @@
 #include "http_stream/tcp_connection.h"
 #include "map_task/group_map_task.h"
 #include "metrics/metrics.h"
+#include "permit/permit_client.h"
 #include "relay/caller_session.h"
 #include "relay/dispatcher.h"
 #include "relay/peer_task.h"
@@ -54,6 +55,7 @@
   const EngineMapCodec& engine_codec;
   Metrics metrics;
   HttpClient client;
+  PermitClient permits;
   Dispatcher dispatcher;
   ObservedTimeouts observed_timeouts;
   std::unique_ptr<PlatformViewTask> view_task;
--- a/packages/relay/relay_settings.cc
+++ b/packages/relay/relay_settings.cc
@@ -102,6 +102,13 @@
                     ReadNumber(tree, "listen.metrics_port", 1, kMaxPort));
   BOOST_OUTCOME_TRY(rank_call_port,
                     ReadNumber(tree, "listen.rank_call_port", 1, kMaxPort));
+  // The platform's template has no name for the port after the first one.
+  settings.permit_port = static_cast<std::uint16_t>(report_port + 1);
+  if (tree.get_optional<std::string>("listen.permit_port")) {
+    BOOST_OUTCOME_TRY(permit_port,
+                      ReadNumber(tree, "listen.permit_port", 1, kMaxPort));
+    settings.permit_port = static_cast<std::uint16_t>(permit_port);
+  }
   settings.report_port = static_cast<std::uint16_t>(report_port);
   settings.metrics_port = static_cast<std::uint16_t>(metrics_port);
   settings.rank_call_port = static_cast<std::uint16_t>(rank_call_port);
--- a/packages/relay/relay_settings.h
+++ b/packages/relay/relay_settings.h
@@ -10,7 +10,7 @@
 #include "base/name.h"
 #include "base/result.h"
 #include "base/time.h"
-#include "traffic/cold_start_rate.h"
+#include "traffic/permit_ledger.h"
 #include "traffic/retry_allowance.h"
 
 namespace toucanhollow {
@@ -25,6 +25,8 @@
   std::uint16_t metrics_port = 0;  // TCP, counters as text
   // UDP, requests to the rank agents of a model group.
   std::uint16_t rank_call_port = 0;
+  // UDP, requests for permits to the rank agents.
+  std::uint16_t permit_port = 0;
   Address store;
   int store_partitions = 1;    // of each topic
   std::vector<Address> seeds;  // control addresses of some entry hosts
--- a/packages/relay/relay_test.cc
+++ b/packages/relay/relay_test.cc
@@ -33,6 +33,11 @@
   CHECK(settings.value().grace == Seconds(8));
   CHECK(settings.value().retry.window == Seconds(10));
   CHECK(settings.value().cold.slack == 5);
+  CHECK(settings.value().permit_port == 7341);
+  CHECK(ParseRelaySettings(SettingsWith("report_port",
+                                        "permit_port = 7342\nreport_port"))
+            .value()
+            .permit_port == 7342);
 }
 
 // Guards against a host that starts although a field could not be parsed.
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -140,9 +140,9 @@
   const auto self = this->weak_from_this();
   this->context.dispatcher.Place(
       std::move(dispatch_request),
-      {[self](const std::shared_ptr<ServerConnectionPool>& chosen_pool) {
+      {[self](const Placement& placement) {
          if (const auto request = self.lock()) {
-           request->Send(chosen_pool);
+           request->Send(placement);
          }
        },
        [self](ResultCode code, Duration retry_after) {
@@ -176,9 +176,9 @@
   return metadata;
 }
 
-void RelayedRequest::Send(
-    const std::shared_ptr<ServerConnectionPool>& chosen_pool) {
+void RelayedRequest::Send(const Placement& placement) {
   const TimePoint now = EventLoop::Now();
+  const std::shared_ptr<ServerConnectionPool>& chosen_pool = placement.pool;
   this->waiting = false;
   this->pool = chosen_pool;
   this->pending_prompt_tokens = this->metadata.prompt_tokens;
@@ -232,6 +232,7 @@
                          const auto self = raw->shared_from_this();
                          raw->OnEnd(end, detail);
                        }});
+  this->attempt->Start(placement.write_by);
 }
 
 void RelayedRequest::OnHead(const ResponseHead& response,
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -83,7 +83,7 @@
   enum class ResponseMode { kUndecided, kDiscard, kBuffer, kEvents, kRaw };
 
   void Place();
-  void Send(const std::shared_ptr<ServerConnectionPool>& pool);
+  void Send(const Placement& placement);
   ServerRequestMetadata MakeServerMetadata(const ServerConnectionPool& pool,
                                            TimePoint now) const;
   // Fails the request if it makes no progress and its model group is closed or
--- a/packages/relay/server_attempt.cc
+++ b/packages/relay/server_attempt.cc
@@ -34,6 +34,7 @@
   const RelayCodec& codec;
   std::unique_ptr<TcpConnection> connection;
   std::string request;  // bytes that are not written yet
+  std::optional<BootTime> write_by;
   std::string request_id;
   bool body_expected;
   bool reused = false;
@@ -94,6 +95,12 @@
 }
 
 void ServerAttempt::State::WriteRequest() {
+  const auto self = this->shared_from_this();
+  if (this->write_by && EventLoop::BootNow() > *this->write_by) {
+    this->End(AttemptEnd::kNotSent,
+              "the permit expired before the connection was established");
+    return;
+  }
   this->connection->Write(std::exchange(this->request, {}));
   const auto callback = std::move(this->callbacks.on_sent);
   if (callback) {
@@ -230,8 +237,12 @@
       {[raw_state] { raw_state->WriteRequest(); },
        [raw_state](std::string_view data) { raw_state->OnData(data); }, nullptr,
        [raw_state](ConnectionEnd end) { raw_state->OnConnectionEnd(end); }});
-  if (state.connection->connected()) {
-    state.WriteRequest();
+}
+
+void ServerAttempt::Start(std::optional<BootTime> write_by) {
+  this->state->write_by = write_by;
+  if (this->state->connection->connected()) {
+    this->state->WriteRequest();
   }
 }
 
--- a/packages/relay/server_attempt.h
+++ b/packages/relay/server_attempt.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,7 +23,7 @@
 
 struct AttemptCallbacks {
   // Called once, when the connection is established and the request has been
-  // written to it; possibly inside the constructor.
+  // written to it.
   std::function<void()> on_sent;
   // Called once, before any body.
   std::function<void(const ResponseHead& head,
@@ -37,9 +38,9 @@
 // destroyed inside its callbacks.
 class ServerAttempt {
  public:
-  // Sends `bytes`, a whole request with this id. `reused`: the connection has
-  // carried another request before. `body_expected`: the response may have a
-  // body, which is false for HEAD.
+  // For a whole request with this id. `reused`: the connection has carried
+  // another request before. `body_expected`: the response may have a body,
+  // which is false for HEAD.
   ServerAttempt(std::unique_ptr<TcpConnection> connection,
                 bool reused,
                 const RelayCodec& codec,
@@ -49,6 +50,11 @@
                 AttemptCallbacks callbacks);
   ~ServerAttempt();
 
+  // Writes the request as soon as the connection is established. If that is
+  // after `write_by`, the attempt ends with kNotSent instead. Callbacks may be
+  // called inside this call.
+  void Start(std::optional<BootTime> write_by);
+
   // True once bytes of the request may have left this host.
   bool any_sent() const;
   void SetReading(bool reading);
--- a/packages/relay/server_connection_pool.h
+++ b/packages/relay/server_connection_pool.h
@@ -8,8 +8,8 @@
 #include <memory>
 
 #include "http_stream/tcp_connection.h"
-#include "traffic/cold_start_rate.h"
 #include "traffic/known_server.h"
+#include "traffic/permit_availability.h"
 #include "traffic/place_request.h"
 
 namespace toucanhollow {
@@ -36,7 +36,7 @@
   // Prompt tokens of the open requests whose response has not begun.
   int pending_prompt_tokens = 0;
   ServerHealth health;
-  ColdStartRate cold_start_rate;
+  PermitAvailability permits;
   // The server answered 421 (Misdirected Request): another one has its address.
   bool misdirected = false;
 
--- /dev/null
+++ b/packages/traffic/permit_ledger.cc
@@ -0,0 +1,63 @@
+#include "traffic/permit_ledger.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace toucanhollow {
+namespace {
+
+using FractionalSeconds = std::chrono::duration<double>;
+
+// The wait of a server that gets no permits at all.
+constexpr Duration kLongestWait = Seconds(10);
+// A machine has few servers; the least recently used ones are forgotten.
+constexpr std::size_t kMaxServers = 64;
+
+void DropLeastRecentlyUsed(PermitLedger& ledger) {
+  if (ledger.buckets.size() > kMaxServers) {
+    ledger.buckets.erase(std::ranges::min_element(
+        ledger.buckets, {},
+        [](const auto& entry) { return entry.second.updated_at; }));
+  }
+}
+
+}  // namespace
+
+PermitRate FindPermitRate(double cold_requests_per_s, const ColdBound& bound) {
+  const double usable =
+      (cold_requests_per_s * bound.burst_factor + bound.slack) *
+      kUsableColdBound;
+  const double window = FractionalSeconds(kPermitWindow).count();
+  const double burst = std::max(usable - cold_requests_per_s * window, 1.0);
+  return {std::max(usable - burst, 0.0) / window, burst};
+}
+
+PermitDecision GivePermit(PermitLedger& ledger,
+                          std::uint32_t server,
+                          const PermitRate& rate,
+                          TimePoint now) {
+  // Nobody else has given permits for the server since this agent started.
+  const auto [entry, is_new] =
+      ledger.buckets.try_emplace(server, PermitBucket{0, ledger.started_at});
+  PermitBucket& bucket = entry->second;
+  const FractionalSeconds since_update(now - bucket.updated_at);
+  bucket.permits =
+      std::min(bucket.permits + since_update.count() * rate.per_s, rate.burst);
+  bucket.updated_at = now;
+  PermitDecision decision;
+  decision.granted = bucket.permits >= 1;
+  if (decision.granted) {
+    bucket.permits -= 1;
+  } else if (rate.per_s <= 0 || rate.burst < 1) {
+    decision.wait = kLongestWait;
+  } else {
+    decision.wait = std::chrono::ceil<Duration>(
+        FractionalSeconds((1 - bucket.permits) / rate.per_s));
+  }
+  if (is_new) {
+    DropLeastRecentlyUsed(ledger);
+  }
+  return decision;
+}
+
+}  // namespace toucanhollow
--- a/packages/traffic/traffic_test.cc
+++ b/packages/traffic/traffic_test.cc
@@ -1,12 +1,14 @@
 #include <catch2/catch.hpp>
 
 #include "traffic/caller_retry.h"
-#include "traffic/cold_start_rate.h"
 #include "traffic/event_splitter.h"
 #include "traffic/find_route.h"
 #include "traffic/keyed_mirror.h"
 #include "traffic/known_server.h"
 #include "traffic/peer_load_table.h"
+#include "traffic/permit_availability.h"
+#include "traffic/permit_issuers.h"
+#include "traffic/permit_ledger.h"
 #include "traffic/place_request.h"
 #include "traffic/retry_allowance.h"
 
@@ -153,24 +155,116 @@
   CHECK(SpendRetry(allowance, bound, 1, At(10001)));
 }
 
-// Guards against overloading a cold server when several hosts send at once.
-TEST_CASE("the requests of all hosts stay within the bound of a cold server") {
-  const ColdBound bound{1.5, 5};
-  for (const int hosts : {1, 6, 8}) {
-    int sent = 0;
-    for (int host = 0; host < hosts; ++host) {
-      ColdStartRate rate;
-      for (int i = 0; i < 500; ++i) {
-        if (CanSend(rate, 26, bound, hosts, At(i))) {
-          RecordSend(rate, At(i));
-          ++sent;
-        }
+// Permits that are given from `begin` on, asked for each millisecond.
+std::vector<TimePoint> AskEachMillisecond(PermitLedger& ledger,
+                                          const PermitRate& rate,
+                                          TimePoint begin,
+                                          Duration time) {
+  std::vector<TimePoint> given;
+  for (TimePoint now = begin; now < begin + time; now += Milliseconds(1)) {
+    if (GivePermit(ledger, 1, rate, now).granted) {
+      given.push_back(now);
+    }
+  }
+  return given;
+}
+
+// Guards against overloading a cold server when several hosts send at once, and
+// against an agent that gives permits although its predecessor just did.
+TEST_CASE("permits stay within the bound of a cold server") {
+  for (const double cold : {0.5, 1.0, 14.0, 22.0, 26.0, 36.0, 200.0}) {
+    for (const ColdBound& bound :
+         {ColdBound{1.5, 5}, ColdBound{1, 5}, ColdBound{1.2, 2}}) {
+      const PermitRate rate = FindPermitRate(cold, bound);
+      const double allowed = cold * bound.burst_factor + bound.slack;
+      PermitLedger ledger;
+      ledger.started_at = At(0);
+      // The agent has run for long, and restarts when its bucket is empty.
+      std::vector<TimePoint> given =
+          AskEachMillisecond(ledger, rate, At(100000), Milliseconds(1));
+      for (std::int64_t start = 100010; start < 104000; start += 370) {
+        ledger = {.started_at = At(start), .buckets = {}};
+        const auto more =
+            AskEachMillisecond(ledger, rate, At(start), Milliseconds(360));
+        given.insert(given.end(), more.begin(), more.end());
+      }
+      for (const TimePoint begin : given) {
+        const auto in_window = std::ranges::count_if(given, [=](TimePoint t) {
+          return t >= begin && t < begin + kPermitWindow;
+        });
+        INFO(cold << " requests per second while cold, bound " << allowed);
+        CHECK(static_cast<double>(in_window) <= allowed);
       }
     }
-    CHECK(sent <= 26 * bound.burst_factor + bound.slack);
   }
-  ColdStartRate warm;
-  CHECK(CanSend(warm, 0, bound, 1, At(0)));
+}
+
+// Guards against a host that asks again too early or much too late.
+TEST_CASE("a denied host learns when a permit is available") {
+  const PermitRate rate = FindPermitRate(14, {1.5, 5});
+  CHECK(rate.per_s == Approx(14));
+  PermitLedger ledger;
+  ledger.started_at = At(0);
+  const PermitDecision denied = GivePermit(ledger, 1, rate, At(10));
+  CHECK_FALSE(denied.granted);
+  CHECK_FALSE(GivePermit(ledger, 1, rate, At(10) + denied.wait / 2).granted);
+  CHECK(GivePermit(ledger, 1, rate, At(10) + denied.wait).granted);
+  // Another server has its own permits since the agent's start.
+  CHECK(GivePermit(ledger, 2, rate, At(10) + denied.wait).granted);
+  const PermitDecision never = GivePermit(ledger, 3, {0, 1}, At(20));
+  CHECK_FALSE(never.granted);
+  CHECK(never.wait >= Seconds(1));
+}
+
+// Guards against an agent whose memory grows with each server that it is asked
+// for.
+TEST_CASE("an agent forgets servers that nobody asks for") {
+  PermitLedger ledger;
+  const PermitRate rate = FindPermitRate(14, {1.5, 5});
+  for (int i = 0; i < 1000; ++i) {
+    GivePermit(ledger, static_cast<std::uint32_t>(i), rate, At(i + 1));
+  }
+  CHECK(ledger.buckets.size() <= 64);
+  CHECK(ledger.buckets.contains(999));
+}
+
+// Guards against hosts that ask an agent all at once, again and again, and
+// against one that asks many requests' time of an agent that does not run.
+TEST_CASE("a host waits longer after each denial and each timeout") {
+  PermitAvailability denied;
+  Duration longest{0};
+  for (std::uint64_t i = 0; i < 8; ++i) {
+    denied = RecordDenial(denied, Milliseconds(10), i * 7919, At(0));
+    CHECK(denied.ask_from >= At(10));
+    longest = std::max(longest, denied.ask_from - At(10));
+  }
+  CHECK(longest > Milliseconds(25));
+  CHECK(longest <= Milliseconds(400));
+  CHECK(RecordDenial({}, Seconds(3600), 0, At(0)).ask_from <
+        At(0) + Seconds(2));
+  PermitAvailability silent = RecordTimeout({}, At(0));
+  CHECK(silent.ask_from == At(50));
+  // One request at a time asks after a denial or a time-out.
+  CHECK(RecordAsk(denied, At(60)).ask_from == At(60) + kPermitAnswerTimeout);
+  CHECK(RecordAsk(silent, At(60)).ask_from == At(60) + kPermitAnswerTimeout);
+  CHECK(RecordAsk({}, At(60)).ask_from <= At(60));
+  silent = RecordTimeout(silent, At(100));
+  CHECK(silent.ask_from == At(200));
+  CHECK(RecordGrant() == PermitAvailability{});
+}
+
+// Guards against several issuers that together exceed the bound.
+TEST_CASE("several issuers share the permits for a server") {
+  const std::vector<Address> issuers{
+      {"10.0.0.1", 1}, {"10.0.0.2", 1}, {"10.0.0.3", 1}};
+  CHECK(LimitIssuers(issuers, {14, 6}).size() == 3);
+  CHECK(ShareOfIssuer({14, 6}, 3) == PermitRate{14.0 / 3, 2});
+  // A part of less than one permit would never be given.
+  CHECK(LimitIssuers(issuers, {14, 2.5}) ==
+        std::vector<Address>{issuers[0], issuers[1]});
+  CHECK(LimitIssuers(issuers, {14, 0.5}).size() == 1);
+  CHECK(ChooseIssuer(issuers, 4) == issuers[1]);
+  CHECK(ChooseIssuer(issuers, 5) == issuers[2]);
 }
 
 ServerCandidate MakeCandidate(const std::string& id, int outstanding) {
--- a/standins/platform/sealed_server_stand_in.cc
+++ b/standins/platform/sealed_server_stand_in.cc
@@ -66,6 +66,7 @@
     return;
   }
   const RequestHead head = session.parser->head();
+  this->arrivals.push_back(EventLoop::Now());
   this->bodies.push_back(session.parser->TakeBody());
   session.parser = std::make_unique<RequestParser>(ParserLimits{});
   this->Answer(number, head);
--- a/standins/platform/sealed_server_stand_in.h
+++ b/standins/platform/sealed_server_stand_in.h
@@ -45,6 +45,8 @@
   std::vector<RequestHead> heads;
   std::vector<std::string> bodies;
   std::map<std::string, int> runs;  // by request id
+  // When requests came, in order.
+  std::vector<TimePoint> arrivals;
   int closed_by_caller = 0;
 
  private:
--- /dev/null
+++ b/standins/platform/send_permit_test.cc
@@ -0,0 +1,196 @@
+// Several relays, agents and a server with a cold phase on one loop: whoever
+// restarts, no more requests reach the server in a second than it takes while
+// it is cold.
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "map_task/rank_agent.h"
+#include "standins/platform/relay_site.h"
+
+namespace toucanhollow {
+namespace {
+
+// With these figures a cold server takes 9 requests in a second from all hosts,
+// fewer than there are hosts.
+constexpr int kHosts = 12;
+constexpr double kColdRequestsPerSecond = 4;
+constexpr ColdBound kBound{1, 5};
+constexpr std::size_t kMaxRequestsInOneSecond = 9;
+
+// `more` is added to the service.
+std::string ColdConfigText(const std::string& more) {
+  std::string config = ConfigText(1, "\"k1\"");
+  const std::string plain = R"({"name":"ledger","max_conns":96})";
+  config.replace(config.find(plain), plain.size(),
+                 R"({"name":"ledger","max_conns":96,"cold_s":3,"cold_per_s":)" +
+                     std::to_string(kColdRequestsPerSecond) + more + "}");
+  return config;
+}
+
+std::size_t MostInOneSecond(const std::vector<TimePoint>& arrivals) {
+  std::size_t most = 0;
+  std::size_t first = 0;
+  for (std::size_t last = 0; last < arrivals.size(); ++last) {
+    while (arrivals[last] - arrivals[first] >= Seconds(1)) {
+      ++first;
+    }
+    most = std::max(most, last - first + 1);
+  }
+  return most;
+}
+
+struct FleetSite : Site {
+  std::vector<RelaySettings> host_settings;
+  std::vector<std::unique_ptr<RelayHost>> hosts;
+  std::unique_ptr<RankAgent> agent;
+  std::vector<std::unique_ptr<Caller>> callers;
+  std::uint64_t next_request = 1;
+
+  explicit FleetSite(const std::string& more_of_service) {
+    this->store.Put("keyed.op", "config", ColdConfigText(more_of_service));
+    this->List("i-1", this->first, "ready");
+    this->settings.cold = kBound;
+    for (int i = 0; i < kHosts; ++i) {
+      RelaySettings host = this->settings;
+      const std::string ip = "127.0.0." + std::to_string(10 + i);
+      host.process.value = "front-" + std::to_string(i);
+      host.callers.ip = ip;
+      host.readiness.ip = ip;
+      host.control.ip = ip;
+      this->host_settings.push_back(host);
+      this->hosts.emplace_back();
+    }
+    for (RelaySettings& host : this->host_settings) {
+      for (int i = 0; i < 3; ++i) {
+        host.seeds.push_back(this->host_settings[i].control);
+      }
+    }
+  }
+
+  void StartHost(int number) {
+    this->hosts[number] =
+        std::make_unique<RelayHost>(this->loop, this->host_settings[number],
+                                    PlatformCodec(), platform::EngineCodec());
+    const Result<bool> started = this->hosts[number]->Start();
+    INFO((started ? std::string() : started.error().detail));
+    REQUIRE(started);
+  }
+
+  void StartAgent() {
+    RankAgentSettings agent_settings;
+    agent_settings.process = "agent";
+    agent_settings.listen = {"127.0.0.1", this->settings.report_port};
+    agent_settings.metrics = {"127.0.0.1", 0};
+    // No engine listens there, and permits need none.
+    agent_settings.engine = {"127.0.0.1", 1};
+    this->agent.reset();
+    this->agent = std::make_unique<RankAgent>(this->loop, agent_settings,
+                                              platform::EngineCodec());
+    REQUIRE(this->agent->Start());
+  }
+
+  // Each host that runs gets one more request.
+  void AskAll() {
+    for (int i = 0; i < kHosts; ++i) {
+      if (this->hosts[i] != nullptr) {
+        this->callers.push_back(std::make_unique<Caller>(
+            this->loop, this->host_settings[i].callers));
+        this->callers.back()->connection->Write(
+            Request("GET", "/s/x", "r" + std::to_string(this->next_request++)));
+      }
+    }
+  }
+
+  // Load from all hosts for a time. `on_step` is called every 50 ms.
+  template <typename Step>
+  void Load(Duration time, Step on_step) {
+    const TimePoint begin = EventLoop::Now();
+    for (int step = 0; EventLoop::Now() - begin < time; ++step) {
+      on_step(step);
+      this->AskAll();
+      this->RunFor(Milliseconds(50));
+    }
+  }
+};
+
+// Guards against a bound that each host keeps by itself: twelve hosts with one
+// request a second each are more than the server takes. Hosts and the agent
+// restart meanwhile and forget what they sent and gave.
+TEST_CASE("relays together keep the bound of a cold server") {
+  FleetSite site(R"(,"engine":{"slots":6})");
+  site.StartAgent();
+  for (int i = 0; i < kHosts; ++i) {
+    site.StartHost(i);
+  }
+  site.Load(Seconds(5), [&site](int step) {
+    if (step % 5 == 0) {
+      site.StartHost(step / 5 % kHosts);
+    }
+    if (step == 40) {
+      site.StartAgent();
+    }
+  });
+  CHECK(MostInOneSecond(site.first.arrivals) <= kMaxRequestsInOneSecond);
+  // The rate of a cold server, while agents that have just started have none.
+  CHECK(site.first.arrivals.size() >= 12);
+}
+
+// Guards against the same at servers without an agent, for which the seeds give
+// permits, also when a seed stops.
+TEST_CASE("relays together keep the bound of a cold server without an agent") {
+  FleetSite site("");
+  for (int i = 0; i < kHosts; ++i) {
+    site.StartHost(i);
+  }
+  site.Load(Seconds(5), [&site](int step) {
+    if (step == 30) {
+      site.hosts[1].reset();
+    }
+    if (step == 50) {
+      site.StartHost(1);
+    }
+  });
+  CHECK(MostInOneSecond(site.first.arrivals) <= kMaxRequestsInOneSecond);
+  CHECK(site.first.arrivals.size() >= 8);
+}
+
+// Guards against requests to a server whose agent does not run, and against
+// hosts that do not find it again.
+TEST_CASE("a server gets nothing while its agent does not run") {
+  FleetSite site(R"(,"engine":{"slots":6})");
+  site.StartHost(0);
+  Caller refused(site.loop, site.host_settings[0].callers);
+  REQUIRE(site.RunUntil([&site] {
+    Caller ready(site.loop, site.host_settings[0].readiness);
+    ready.connection->Write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    return site.RunUntil([&ready] { return ready.parser.done(); }) &&
+           ready.parser.head().status == 200;
+  }));
+  const TimePoint asked_at = EventLoop::Now();
+  refused.connection->Write(Request("GET", "/s/x", "r1"));
+  REQUIRE(site.RunUntil([&refused] { return refused.parser.done(); }));
+  CHECK(refused.parser.head().status == 503);
+  CHECK_FALSE(FindHeader(refused.parser.head().headers, "Retry-After").empty());
+  // Half of the route's target, and the last question to the agent.
+  CHECK(EventLoop::Now() - asked_at < Milliseconds(300));
+  CHECK(site.first.arrivals.empty());
+  site.StartAgent();
+  const TimePoint started_at = EventLoop::Now();
+  CHECK(site.RunUntil([&site] {
+    site.AskAll();
+    site.RunFor(Milliseconds(50));
+    return !site.first.arrivals.empty();
+  }));
+  REQUIRE_FALSE(site.first.arrivals.empty());
+  // An agent that has just started may have a predecessor that gave permits.
+  const PermitRate rate = FindPermitRate(kColdRequestsPerSecond, kBound);
+  CHECK(site.first.arrivals.front() - started_at >=
+        Milliseconds(static_cast<std::int64_t>(1000 / rate.per_s)));
+}
+
+}  // namespace
+}  // namespace toucanhollow
