Test idle fleets, expired permits and agents that forget

Cause: of seven deliberate defects in the new code two stayed green: a bucket without a limit, and a request written after its permit expired. Change: a case of hosts that are idle and then all busy, a test of the attempt with an expired permit, and a check that withdrawn calls are not answered.

--- a/packages/relay/dispatcher.cc
+++ b/packages/relay/dispatcher.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/check.h"
 #include "base/hash.h"
 #include "json_log/json_log.h"
 #include "relay/agent_address.h"
@@ -237,6 +238,8 @@
                           const PermitAnswer& answer) {
   const TimePoint now = EventLoop::Now();
   const auto found = this->permit_waits.find(request);
+  InternalCheck(found != this->permit_waits.end(),
+                "the answer to a withdrawn request's call is not delivered");
   PermitWait wait = std::move(found->second);
   this->permit_waits.erase(found);
   this->RecordPermitAnswer(wait, answer, now);
--- a/packages/relay/relay_test.cc
+++ b/packages/relay/relay_test.cc
@@ -34,8 +34,8 @@
   CHECK(settings.value().retry.window == Seconds(10));
   CHECK(settings.value().cold.slack == 5);
   CHECK(settings.value().permit_port == 7341);
-  CHECK(ParseRelaySettings(SettingsWith("report_port",
-                                        "permit_port = 7342\nreport_port"))
+  CHECK(ParseRelaySettings(
+            SettingsWith("report_port", "permit_port = 7342\nreport_port"))
             .value()
             .permit_port == 7342);
 }
--- /dev/null
+++ b/packages/relay/server_attempt_test.cc
@@ -0,0 +1,95 @@
+#include "relay/server_attempt.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "http_stream/tcp_connection.h"
+
+namespace toucanhollow {
+namespace {
+
+// A server that counts the bytes it gets, and an attempt to send it a request.
+struct AttemptFixture {
+  EventLoop loop;
+  std::unique_ptr<TcpListener> listener;
+  std::unique_ptr<TcpConnection> accepted;
+  std::string received;
+  RelayCodec codec{};
+  std::unique_ptr<ServerAttempt> attempt;
+  bool sent = false;
+  std::optional<AttemptEnd> end;
+
+  AttemptFixture() {
+    auto listening =
+        TcpListener::Listen(this->loop, {"127.0.0.1", 0}, [this](int socket) {
+          this->accepted = std::make_unique<TcpConnection>(this->loop, socket);
+          this->accepted->SetCallbacks(
+              {nullptr,
+               [this](std::string_view bytes) { this->received += bytes; },
+               nullptr, nullptr});
+        });
+    REQUIRE(listening);
+    this->listener = std::move(listening.value());
+  }
+
+  std::unique_ptr<TcpConnection> Connect() {
+    return std::make_unique<TcpConnection>(
+        this->loop, Address{"127.0.0.1", this->listener->Port()});
+  }
+
+  void Send(std::unique_ptr<TcpConnection> connection,
+            std::optional<BootTime> write_by) {
+    AttemptCallbacks callbacks;
+    callbacks.on_sent = [this] { this->sent = true; };
+    callbacks.on_end = [this](AttemptEnd attempt_end, std::string_view) {
+      this->end = attempt_end;
+    };
+    this->attempt = std::make_unique<ServerAttempt>(
+        std::move(connection), false, this->codec, "GET / HTTP/1.1\r\n\r\n",
+        "r1", true, std::move(callbacks));
+    this->attempt->Start(write_by);
+  }
+
+  void RunFor(Duration time) {
+    const Timer timer(this->loop, time, Duration(0),
+                      [this] { this->loop.Stop(); });
+    this->loop.Run();
+  }
+};
+
+TEST_CASE("a request is written when its connection is established") {
+  AttemptFixture fixture;
+  fixture.Send(fixture.Connect(), EventLoop::BootNow() + Seconds(1));
+  CHECK_FALSE(fixture.sent);
+  fixture.RunFor(Milliseconds(20));
+  CHECK(fixture.sent);
+  CHECK(fixture.attempt->any_sent());
+  CHECK(fixture.received == "GET / HTTP/1.1\r\n\r\n");
+  CHECK_FALSE(fixture.end);
+}
+
+// Guards against requests that were held up while their connections were made
+// and then reach a cold server together, after their permits have expired.
+TEST_CASE("a request is not written after its permit has expired") {
+  AttemptFixture fixture;
+  fixture.Send(fixture.Connect(), EventLoop::BootNow() - Milliseconds(1));
+  fixture.RunFor(Milliseconds(20));
+  CHECK(fixture.end == AttemptEnd::kNotSent);
+  CHECK_FALSE(fixture.sent);
+  CHECK(fixture.received.empty());
+  // The same on a connection that stands already.
+  AttemptFixture standing;
+  std::unique_ptr<TcpConnection> connection = standing.Connect();
+  standing.RunFor(Milliseconds(20));
+  REQUIRE(connection->connected());
+  standing.Send(std::move(connection), EventLoop::BootNow() - Milliseconds(1));
+  CHECK(standing.end == AttemptEnd::kNotSent);
+  standing.RunFor(Milliseconds(20));
+  CHECK(standing.received.empty());
+}
+
+}  // namespace
+}  // namespace toucanhollow
--- a/packages/traffic/cold_start_fleet_test.cc
+++ b/packages/traffic/cold_start_fleet_test.cc
@@ -38,6 +38,7 @@
   // until it goes on.
   TimePoint stands_until;
   bool cut_off = false;
+  bool has_requests = true;
   // Datagrams to a host that has stopped or was replaced are lost.
   bool running = true;
 };
@@ -161,7 +162,7 @@
       action(now);
     }
     for (const HostPointer& host : fleet.hosts) {
-      if (host->running && now >= host->stands_until &&
+      if (host->running && host->has_requests && now >= host->stands_until &&
           host->open_asks < kAsksPerHost &&
           now >= host->availability.ask_from) {
         Ask(fleet, host, now);
@@ -222,6 +223,13 @@
   }
 }
 
+// The hosts have nothing to send for a long time, and then all have.
+void BeIdleThenBusy(Fleet& fleet, TimePoint now) {
+  for (const HostPointer& host : fleet.hosts) {
+    host->has_requests = now >= kBegin + Seconds(6);
+  }
+}
+
 // New connections hang, as while packets to the server are lost, and are then
 // established together.
 void DelayConnections(Fleet& fleet, TimePoint now) {
@@ -267,6 +275,7 @@
           {"hosts join", Join},
           {"hosts leave", Leave},
           {"half of the hosts are cut off", CutOffHalf},
+          {"hosts are idle and then busy", BeIdleThenBusy},
           {"connections are established late", DelayConnections},
           {"all hosts stand still", StandStill},
           {"the agent restarts again and again", RestartAgent},
--- a/packages/traffic/traffic_test.cc
+++ b/packages/traffic/traffic_test.cc
@@ -179,10 +179,11 @@
       const double allowed = cold * bound.burst_factor + bound.slack;
       PermitLedger ledger;
       ledger.started_at = At(0);
-      // The agent has run for long, and restarts when its bucket is empty.
+      // The agent has run for long without a request, and then restarts when
+      // its bucket is empty.
       std::vector<TimePoint> given =
-          AskEachMillisecond(ledger, rate, At(100000), Milliseconds(1));
-      for (std::int64_t start = 100010; start < 104000; start += 370) {
+          AskEachMillisecond(ledger, rate, At(100000), Seconds(2));
+      for (std::int64_t start = 102010; start < 104000; start += 370) {
         ledger = {.started_at = At(start), .buckets = {}};
         const auto more =
             AskEachMillisecond(ledger, rate, At(start), Milliseconds(360));
