Take no slack of the retry bound while the hosts are not counted

Each host took its part of the slack by the number of hosts that it heard of. Hosts that had just started assumed 40, and hosts that were cut off for 10 s counted only themselves. Change: the count is the most hosts that were ever heard of; for 10 s after the start, and while no other host was heard although the settings name some, a host uses only the part that its own requests give, which needs no count. Ruled out: no slack at all, as sites with few requests could not repeat any.

--- a/packages/relay/dispatcher.cc
+++ b/packages/relay/dispatcher.cc
@@ -506,9 +506,10 @@
                     this->host_count, EventLoop::Now());
 }
 
-void Dispatcher::SetHostCount(int hosts) {
+void Dispatcher::SetHostCount(std::optional<int> hosts) {
   if (std::exchange(this->host_count, hosts) != hosts) {
-    LogJsonNow("host_count_changed", {{"hosts", std::int64_t{hosts}}});
+    LogJsonNow("host_count_changed",
+               {{"hosts", std::int64_t{hosts.value_or(0)}}});
   }
 }
 
--- a/packages/relay/dispatcher.h
+++ b/packages/relay/dispatcher.h
@@ -99,8 +99,9 @@
 
   void UpdatePeerLoad(const std::string& host, const HostLoadReport& report);
   HostLoadReport MakeLoadReport() const;
-  // Sets the number of entry hosts that share the bounds, this one included.
-  void SetHostCount(int hosts);
+  // Sets the number of entry hosts that share the bound on retries, this one
+  // included; empty while it is not known.
+  void SetHostCount(std::optional<int> hosts);
   std::size_t waiting_requests() const { return this->waiting.size(); }
 
  private:
@@ -165,7 +166,7 @@
   std::set<GroupKey> closed_groups;
   PeerLoadTable peer_loads;
   std::set<std::uint32_t> slow_servers;
-  int host_count = 1;
+  std::optional<int> host_count;
   std::uint64_t next_seed = 0;
   std::unique_ptr<Timer> timer;
 };
--- a/packages/relay/peer_task.cc
+++ b/packages/relay/peer_task.cc
@@ -19,8 +19,7 @@
 constexpr int kPeersAtFullRate = 8;
 // Period of reports whose loads did not change. They serve as heartbeats.
 constexpr Duration kUnchangedReportPeriod = Milliseconds(500);
-// A peer that has sent nothing for this long no longer counts among the hosts
-// that share the bounds.
+// A peer that has sent nothing for this long is no longer sent load reports.
 constexpr Duration kPeerLifetime = Seconds(10);
 // Period of fetches from peers while reads of the store fail.
 constexpr Duration kFetchPeriod = Milliseconds(350);
@@ -30,8 +29,6 @@
 // For this long after its start, a host fetches at the shorter period to learn
 // the other hosts. If all hosts start at once, the first replies list few.
 constexpr Duration kDiscoveryTime = Seconds(3);
-// Until then, at least this many hosts are assumed to share the bounds.
-constexpr int kAssumedHostsDuringDiscovery = 40;
 constexpr Duration kFetchTimeout = Milliseconds(800);
 
 std::string FormatUrl(const std::string& ip,
@@ -101,7 +98,8 @@
   this->socket = std::move(socket);
   this->started_at = EventLoop::Now();
   this->permits.started_at = this->started_at;
-  this->dispatcher.SetHostCount(kAssumedHostsDuringDiscovery);
+  this->host_count.started_at = this->started_at;
+  this->host_count.expects_others = !this->peers.empty();
   this->report_timer =
       std::make_unique<Timer>(this->loop, kReportPeriod, kReportPeriod,
                               [this] { this->SendReports(); });
@@ -161,11 +159,9 @@
 void PeerTask::SendReports() {
   const TimePoint now = EventLoop::Now();
   const std::vector<std::string> hosts = this->ListLivePeers(now);
-  const int host_count = static_cast<int>(hosts.size()) + 1;
-  this->dispatcher.SetHostCount(
-      this->IsDiscovering(now)
-          ? std::max(host_count, kAssumedHostsDuringDiscovery)
-          : host_count);
+  this->host_count =
+      RecordHosts(this->host_count, static_cast<int>(hosts.size()) + 1);
+  this->dispatcher.SetHostCount(FindHostCount(this->host_count, now));
   const auto period_factor =
       std::max<std::size_t>(hosts.size() / kPeersAtFullRate, 1);
   HostLoadReport report = this->dispatcher.MakeLoadReport();
--- a/packages/relay/peer_task.h
+++ b/packages/relay/peer_task.h
@@ -18,6 +18,7 @@
 #include "relay/dispatcher.h"
 #include "relay/platform_view_task.h"
 #include "relay/relay_settings.h"
+#include "traffic/host_count.h"
 #include "traffic/permit_ledger.h"
 
 namespace toucanhollow {
@@ -69,6 +70,7 @@
   std::unique_ptr<Timer> report_timer;
   std::unique_ptr<Timer> fetch_timer;
   PermitLedger permits;
+  HostCount host_count;
   TimePoint started_at;
   std::uint64_t incarnation;
   std::uint64_t sequence = 0;
--- a/packages/traffic/retry_allowance.cc
+++ b/packages/traffic/retry_allowance.cc
@@ -22,13 +22,15 @@
 
 bool SpendRetry(RetryAllowance& allowance,
                 const RetryBound& bound,
-                int hosts,
+                std::optional<int> hosts,
                 TimePoint now) {
   DropOld(allowance.requests, bound.window, now);
   DropOld(allowance.retries, bound.window, now);
+  const double slack_share =
+      hosts ? bound.slack * kUsableSlack / std::max(*hosts, 1) : 0;
   const double allowed = bound.ratio * kUsableRatio *
                              static_cast<double>(allowance.requests.size()) +
-                         bound.slack * kUsableSlack / std::max(hosts, 1);
+                         slack_share;
   if (static_cast<double>(allowance.retries.size()) + 1 > allowed) {
     return false;
   }
--- a/packages/traffic/retry_allowance.h
+++ b/packages/traffic/retry_allowance.h
@@ -4,6 +4,7 @@
 #define TRAFFIC_RETRY_ALLOWANCE_H_
 
 #include <deque>
+#include <optional>
 
 #include "base/time.h"
 
@@ -38,10 +39,11 @@
                   TimePoint now);
 
 // Records a retry and returns true if the allowance permits one more. `hosts`
-// is the number of entry hosts that share the bound, at least 1.
+// is the number of entry hosts that share the slack, at least 1; while it is
+// not known, this host uses none of the slack.
 bool SpendRetry(RetryAllowance& allowance,
                 const RetryBound& bound,
-                int hosts,
+                std::optional<int> hosts,
                 TimePoint now);
 
 }  // namespace toucanhollow
