--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -280,10 +280,11 @@
     """A server of a plain service. It runs each request for `work_s`."""
 
     def __init__(self, store, record, service, name, work_s=0.03, slots=6,
-                 zone="west", heartbeat_s=1.2):
+                 zone="west", heartbeat_s=1.2, cold_s=0.0):
         self.store, self.record, self.service, self.id = store, record, service, name
         self.work_s, self.slots, self.zone = work_s, slots, zone
         self.heartbeat_s = heartbeat_s
+        self.cold_s = cold_s
         self.sequence = 0
         self.state = "ready"
         self.listed = True
@@ -303,10 +304,11 @@
 
     def beat(self):
         self.sequence += 1
+        cold_left_ms = int(max(0, self.born + self.cold_s * 1000 - time.time() * 1000))
         self.store.put("keyed.servers", self.id, json.dumps({
             "service": self.service, "address": self.address, "zone": self.zone,
             "version": 1, "slots": self.slots, "state": self.state,
-            "cold_left_ms": 0, "sequence": self.sequence, "born": self.born}))
+            "cold_left_ms": cold_left_ms, "sequence": self.sequence, "born": self.born}))
 
     async def beats(self):
         while self.listed:
@@ -374,9 +376,12 @@
         self.log = os.path.join(site.directory, name + ".log")
         self.settings = os.path.join(site.directory, name + ".conf")
         self.process = None
+        self.write_settings(ip, ports, store_address, seeds)
+
+    def write_settings(self, ip, ports, store_address, seeds):
         with open(self.settings, "w") as f:
             f.write("\n".join([
-                "[process]", "name = " + name, "data_centre = west", "", "[listen]",
+                "[process]", "name = " + self.name, "data_centre = west", "", "[listen]",
                 "callers = %s:%d" % (ip, ports["callers"]),
                 "readiness = %s:%d" % (ip, ports["ready"]),
                 "control = %s:%d" % (ip, ports["control"]),
@@ -427,8 +432,7 @@
         self.directory = tempfile.mkdtemp(prefix="toucanhollow-review-")
         self.store = Store(record)
         self.hosts = []
-        self.ips = [own_ip(10 + i) for i in range(4)]
-        base = free_port(self.ips)
+        self.ips = [own_ip(10 + i) for i in range(8)]
         self.ports = {}
         for name in ("callers", "ready", "control", "metrics"):
             self.ports[name] = free_port(self.ips)
@@ -437,19 +441,25 @@
             self.ports["report"] = free_port(self.ips)
             if self.ports["report"] + 1 not in self.ports.values():
                 break
-        del base
 
     async def add_host(self, number, seeds):
         """`seeds`: numbers of the hosts whose control addresses are the seeds."""
-        ip = self.ips[number]
         door = await self.store.open("host-%d" % number, "127.0.0.1")
-        host = Host(self, "host-%d" % number, ip, self.ports, door.address,
-                    ["%s:%d" % (self.ips[s], self.ports["control"]) for s in seeds])
+        host = Host(self, "host-%d" % number, self.ips[number], self.ports, door.address,
+                    self.seeds(seeds))
         host.door = door
         self.hosts.append(host)
         return host
 
-    def configure(self, version=1):
+    def seeds(self, numbers):
+        return ["%s:%d" % (self.ips[n], self.ports["control"]) for n in numbers]
+
+    def name_seeds(self, numbers):
+        """The platform writes the settings files anew, with other seeds."""
+        for host in self.hosts:
+            host.write_settings(host.ip, self.ports, host.door.address, self.seeds(numbers))
+
+    def configure(self, version=1, service=None):
         shared = {"host": "h.example", "target_latency_ms": 300, "priority": 2,
                   "timeout_ms": 2000, "service": "listings-ledger"}
         self.store.put("keyed.op", "config", json.dumps({
@@ -457,7 +467,7 @@
             "routes": [
                 dict(shared, name="post-listing", path_prefix="/post/", kind="unsafe", attempts=1),
                 dict(shared, name="fetch-calendar", path_prefix="/fetch/", kind="safe", attempts=2)],
-            "services": [{"name": "listings-ledger", "max_conns": 51}],
+            "services": [service or {"name": "listings-ledger", "max_conns": 51}],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
                        "header_timeout_ms": 5000, "idle_timeout_ms": 15000},
             "tenants": [{"name": "hule930", "api_keys": ["n2ctnfzs989a"]}]}))
