--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -471,7 +471,7 @@
         for host in self.hosts:
             host.write_settings(host.ip, self.ports, host.door.address, self.seeds(numbers))
 
-    def configure(self, version=1, service=None):
+    def configure(self, version=1, service=None, tenants=None):
         shared = {"host": "h.example", "target_latency_ms": 300, "priority": 2,
                   "timeout_ms": 2000, "service": "listings-ledger"}
         self.store.put("keyed.op", "config", json.dumps({
@@ -482,7 +482,8 @@
             "services": [service or {"name": "listings-ledger", "max_conns": 51}],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
                        "header_timeout_ms": 5000, "idle_timeout_ms": 15000},
-            "tenants": [{"name": "hule930", "api_keys": ["n2ctnfzs989a"]}]}))
+            "tenants": [{"name": "hule930", "api_keys": ["n2ctnfzs989a"]}]
+                       if tenants is None else tenants}))
 
     def close(self):
         for host in self.hosts:
