Move the position in the log only past changes that were covered

A host that was cut off from the store for 5.5 s, beside a planned restart of another host and a server that left without notice, sent requests to that server for the rest of its life. Unsafe requests that were running when the server exited were answered 502. Cause: while the host could not read the store, it took the records of the restarted peer and the peer's position in the log. The peer had started after the removal and read the newest record of each key, in which a removed key is missing, so it had no record of the removal to send. The host read on behind it. Change: each batch of records states what it covers, and MergeBatch moves the position only if it covers every change. A peer that lacks removals (it started later, read all keys again, or dropped old removals) sends all of its keys. A peer of an earlier version moves no position, and such a peer is given no position that it could not reach by itself. The proxy of the soak moved to the stand-ins, which use it now.

--- a/packages/relay/keyed_topic_task.cc
+++ b/packages/relay/keyed_topic_task.cc
@@ -94,15 +94,16 @@
   }
   std::ranges::move(page.value().records,
                     std::back_inserter(this->snapshot_records));
-  if (page.value().has_more && !this->snapshot_records.empty()) {
+  if (page.value().has_more) {
     this->ReadNewest(this->snapshot_records.back().key);
     return;
   }
-  const auto changed =
-      MergeFullRead(this->records, std::exchange(this->snapshot_records, {}),
-                    this->snapshot_end);
+  RecordBatch batch;
+  batch.coverage = BatchCoverage::kAllKeys;
+  batch.records = std::exchange(this->snapshot_records, {});
+  batch.end = this->snapshot_end;
   this->following_log = true;
-  this->NotifyChange(changed);
+  this->NotifyChange(MergeBatch(this->records, batch));
   this->Schedule(Duration(0));
 }
 
@@ -142,8 +143,9 @@
     return;
   }
   this->OnAnswered();
-  this->records.end = std::max(this->records.end, page.value().next);
-  this->NotifyChange(MergeRecords(this->records, page.value().records));
+  this->NotifyChange(MergeBatch(
+      this->records, {BatchCoverage::kChanges, std::move(page.value().records),
+                      from, page.value().next}));
   this->Schedule(this->timing.read_delay);
 }
 
@@ -171,14 +173,17 @@
   this->Schedule(std::min(delay, kMaxRetryDelay));
 }
 
-void KeyedTopicTask::MergeFromPeer(const std::vector<KeyedRecord>& from_peer,
-                                   LogOffset from,
-                                   LogOffset end) {
-  const auto changed = MergeRecords(this->records, from_peer);
-  if (from <= this->records.end && end > this->records.end) {
-    this->records.end = end;
-    this->records.complete = true;
+void KeyedTopicTask::MergeFromPeer(const RecordBatch& batch) {
+  const LogOffset before = this->records.end;
+  const std::vector<std::string> changed = MergeBatch(this->records, batch);
+  if (this->records.end > before) {
+    // Without a complete read so far, the batch takes its place.
     this->following_log = true;
+    if (batch.coverage == BatchCoverage::kAllKeys) {
+      LogJsonNow("all_keys_from_peer", {{"topic", TopicName(this->topic)},
+                                        {"from", before},
+                                        {"offset", this->records.end}});
+    }
   }
   this->NotifyChange(changed);
 }
--- a/packages/relay/keyed_topic_task.h
+++ b/packages/relay/keyed_topic_task.h
@@ -50,11 +50,9 @@
     this->timing.read_delay = read_delay;
   }
   const KeyedMirror& mirror() const { return this->records; }
-  // Merges records that another entry host read from the offset `from` on.
-  // `end` is the offset up to which that host has read the topic.
-  void MergeFromPeer(const std::vector<KeyedRecord>& from_peer,
-                     LogOffset from,
-                     LogOffset end);
+  // Merges records of another entry host. The log is read from the end of the
+  // batch on if the batch covers every change before it.
+  void MergeFromPeer(const RecordBatch& batch);
 
  private:
   void ReadNext();
--- a/packages/relay/peer_codec.cc
+++ b/packages/relay/peer_codec.cc
@@ -14,18 +14,35 @@
   return {bytes.begin(), bytes.end()};
 }
 
-json ToJson(const TopicRecords& topic_records) {
+constexpr char kAllChanges[] = "changes";
+constexpr char kAllKeys[] = "keys";
+
+json ToJson(const RecordBatch& batch) {
   json records = json::array();
-  for (const KeyedRecord& record : topic_records.records) {
+  for (const KeyedRecord& record : batch.records) {
     records.push_back({record.key, record.offset,
                        record.value ? json(*record.value) : json(nullptr)});
   }
-  return {{"end", topic_records.end}, {"records", std::move(records)}};
+  json document{{"end", batch.end}, {"records", std::move(records)}};
+  if (batch.coverage == BatchCoverage::kChanges) {
+    document["covers"] = kAllChanges;
+    document["from"] = batch.from;
+  } else if (batch.coverage == BatchCoverage::kAllKeys) {
+    document["covers"] = kAllKeys;
+  }
+  return document;
 }
 
-TopicRecords ToTopicRecords(const json& document) {
-  TopicRecords topic_records;
-  topic_records.end = document.at("end").get<LogOffset>();
+RecordBatch ToRecordBatch(const json& document) {
+  RecordBatch batch;
+  const std::string covers = document.value("covers", "");
+  if (covers == kAllChanges) {
+    batch.coverage = BatchCoverage::kChanges;
+    batch.from = document.at("from").get<LogOffset>();
+  } else if (covers == kAllKeys) {
+    batch.coverage = BatchCoverage::kAllKeys;
+  }
+  batch.end = document.at("end").get<LogOffset>();
   for (const json& entry : document.at("records")) {
     KeyedRecord record;
     record.key = entry.at(0).get<std::string>();
@@ -33,9 +50,9 @@
     if (!entry.at(2).is_null()) {
       record.value = entry.at(2).get<std::string>();
     }
-    topic_records.records.push_back(std::move(record));
+    batch.records.push_back(std::move(record));
   }
-  return topic_records;
+  return batch;
 }
 
 json ToBinaries(const std::vector<std::string>& texts) {
@@ -99,8 +116,8 @@
 Result<PeerViewReply> DecodePeerViewReply(std::string_view bytes) {
   return DecodeCbor<PeerViewReply>(bytes, [](const json& document) {
     PeerViewReply reply;
-    reply.operator_records = ToTopicRecords(document.at("operator"));
-    reply.server_records = ToTopicRecords(document.at("servers"));
+    reply.operator_records = ToRecordBatch(document.at("operator"));
+    reply.server_records = ToRecordBatch(document.at("servers"));
     if (!document.at("age_us").is_null()) {
       reply.age = Duration(document.at("age_us").get<Duration::rep>());
     }
--- a/packages/relay/peer_codec.h
+++ b/packages/relay/peer_codec.h
@@ -18,17 +18,11 @@
 // Fails with kFrameMalformed.
 Result<HostLoadReport> DecodeLoadReport(std::string_view bytes);
 
-// The records of one topic from an offset on.
-struct TopicRecords {
-  std::vector<KeyedRecord> records;
-  LogOffset end = 0;
-
-  bool operator==(const TopicRecords&) const = default;
-};
-
 struct PeerViewReply {
-  TopicRecords operator_records;
-  TopicRecords server_records;
+  // Batches of hosts of earlier versions cover kSomeRecords: these hosts do not
+  // tell whether removals are missing.
+  RecordBatch operator_records;
+  RecordBatch server_records;
   // Time since the sender's configuration was last confirmed as the newest;
   // empty if it never was.
   std::optional<Duration> age;
--- a/packages/relay/peer_task.cc
+++ b/packages/relay/peer_task.cc
@@ -32,13 +32,17 @@
 constexpr Duration kDiscoveryTime = Seconds(3);
 constexpr Duration kFetchTimeout = Milliseconds(800);
 
+// Query field of hosts that read what a batch covers.
+constexpr std::string_view kReadsCoverage = "reads_coverage";
+
 std::string FormatUrl(const std::string& ip,
                       std::uint16_t port,
                       LogOffset operator_from,
                       LogOffset server_from) {
   return "http://" + ip + ":" + std::to_string(port) +
          "/belief?operator=" + std::to_string(operator_from) +
-         "&servers=" + std::to_string(server_from);
+         "&servers=" + std::to_string(server_from) + "&" +
+         std::string(kReadsCoverage) + "=1";
 }
 
 LogOffset ParseOffset(const std::string& query, std::string_view name) {
@@ -46,8 +50,18 @@
   return text ? ParseDecimal(*text).value_or(0) : 0;
 }
 
-TopicRecords MakeTopicRecords(const KeyedMirror& mirror, LogOffset from) {
-  return {RecordsFrom(mirror, from), mirror.end};
+RecordBatch MakeBatchFor(const HttpRequest& request,
+                         std::string_view topic,
+                         const KeyedMirror& mirror) {
+  const LogOffset from = ParseOffset(request.query, topic);
+  RecordBatch batch = MakeBatch(mirror, from);
+  if (batch.coverage != BatchCoverage::kChanges &&
+      !QueryValue(request.query, kReadsCoverage)) {
+    // A host of an earlier version takes every batch for all changes up to its
+    // end.
+    batch.end = std::min(batch.end, from);
+  }
+  return batch;
 }
 
 }  // namespace
@@ -264,19 +278,16 @@
   const std::uint64_t serial = ++this->fetch_serial;
   const TimePoint requested_at = EventLoop::Now();
   this->fetches[serial] = this->client.Start(
-      std::move(call), {nullptr, nullptr,
-                        [this, ip, operator_from, server_from, requested_at,
-                         serial](const HttpOutcome& outcome) {
-                          this->fetches.erase(serial);
-                          this->OnReply(ip, outcome, operator_from, server_from,
-                                        requested_at);
-                        }});
+      std::move(call),
+      {nullptr, nullptr,
+       [this, ip, requested_at, serial](const HttpOutcome& outcome) {
+         this->fetches.erase(serial);
+         this->OnReply(ip, outcome, requested_at);
+       }});
 }
 
 void PeerTask::OnReply(const std::string& ip,
                        const HttpOutcome& outcome,
-                       LogOffset operator_from,
-                       LogOffset server_from,
                        TimePoint requested_at) {
   if (outcome.end != HttpEnd::kComplete || outcome.status != 200) {
     return;
@@ -305,24 +316,20 @@
     return;
   }
   const TimePoint confirmed_at = requested_at - *reply.value().age;
-  this->view_task.MergeFromPeer(
-      KeyedTopic::kOperator, reply.value().operator_records.records,
-      operator_from, reply.value().operator_records.end, confirmed_at);
-  this->view_task.MergeFromPeer(
-      KeyedTopic::kServers, reply.value().server_records.records, server_from,
-      reply.value().server_records.end, confirmed_at);
+  this->view_task.MergeFromPeer(KeyedTopic::kOperator,
+                                reply.value().operator_records, confirmed_at);
+  this->view_task.MergeFromPeer(KeyedTopic::kServers,
+                                reply.value().server_records, confirmed_at);
 }
 
 void PeerTask::RespondToFetch(const HttpRequest& request,
                               HttpResponseWriter& writer) {
   const TimePoint now = EventLoop::Now();
   PeerViewReply reply;
-  reply.operator_records =
-      MakeTopicRecords(this->view_task.mirror(KeyedTopic::kOperator),
-                       ParseOffset(request.query, "operator"));
-  reply.server_records =
-      MakeTopicRecords(this->view_task.mirror(KeyedTopic::kServers),
-                       ParseOffset(request.query, "servers"));
+  reply.operator_records = MakeBatchFor(
+      request, "operator", this->view_task.mirror(KeyedTopic::kOperator));
+  reply.server_records = MakeBatchFor(
+      request, "servers", this->view_task.mirror(KeyedTopic::kServers));
   if (const auto& confirmed = this->view_task.view().traffic_confirmed_at) {
     reply.age = now - *confirmed;
   }
--- a/packages/relay/peer_task.h
+++ b/packages/relay/peer_task.h
@@ -56,8 +56,6 @@
   void FetchFrom(const std::string& ip);
   void OnReply(const std::string& ip,
                const HttpOutcome& outcome,
-               LogOffset operator_from,
-               LogOffset server_from,
                TimePoint requested_at);
   void RespondToFetch(const HttpRequest& request, HttpResponseWriter& writer);
   void RecordPeerContact(const std::string& ip);
--- a/packages/relay/platform_view_task.cc
+++ b/packages/relay/platform_view_task.cc
@@ -74,13 +74,11 @@
 }
 
 void PlatformViewTask::MergeFromPeer(KeyedTopic topic,
-                                     const std::vector<KeyedRecord>& records,
-                                     LogOffset from,
-                                     LogOffset end,
+                                     const RecordBatch& batch,
                                      TimePoint confirmed_at) {
   KeyedTopicTask& task = topic == KeyedTopic::kOperator ? *this->operator_topic
                                                         : *this->server_topic;
-  task.MergeFromPeer(records, from, end);
+  task.MergeFromPeer(batch);
   if (topic == KeyedTopic::kOperator && this->current_view.traffic) {
     this->current_view.traffic_confirmed_at =
         std::max(this->current_view.traffic_confirmed_at.value_or(confirmed_at),
--- a/packages/relay/platform_view_task.h
+++ b/packages/relay/platform_view_task.h
@@ -51,13 +51,10 @@
   // Reads the servers more often while this host coordinates the expert maps,
   // because a coordinator must learn of new and removed ranks early.
   void SetCoordinating(bool coordinating);
-  // Merges the records that a peer sent for the offsets `from` to `end`.
-  // `confirmed_at` is when the peer's configuration was last confirmed as the
-  // newest.
+  // Merges the records that a peer sent. `confirmed_at` is when the peer's
+  // configuration was last confirmed as the newest.
   void MergeFromPeer(KeyedTopic topic,
-                     const std::vector<KeyedRecord>& records,
-                     LogOffset from,
-                     LogOffset end,
+                     const RecordBatch& batch,
                      TimePoint confirmed_at);
 
  private:
--- a/soak/plan_faults.h
+++ b/soak/plan_faults.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "soak/fault_proxy.h"
+#include "standins/fault_proxy/fault_proxy.h"
 
 namespace toucanhollow {
 
--- a/soak/fault_proxy.cc
+++ b/standins/fault_proxy/fault_proxy.cc
@@ -1,4 +1,4 @@
-#include "soak/fault_proxy.h"
+#include "standins/fault_proxy/fault_proxy.h"
 
 #include <utility>
 #include <vector>
@@ -36,6 +36,13 @@
   }
 }
 
+void FaultProxy::SilenceOpenConnections() {
+  for (auto& [number, pair] : this->pairs) {
+    pair.requests_lost = true;
+    pair.answers_lost = true;
+  }
+}
+
 void FaultProxy::Accept(int socket) {
   auto caller = std::make_unique<TcpConnection>(this->loop, socket);
   if (this->mode == ProxyMode::kReset) {
--- a/soak/fault_proxy.h
+++ b/standins/fault_proxy/fault_proxy.h
@@ -1,7 +1,7 @@
 // FaultProxy: a TCP proxy on the loopback that delays, resets or silences the
 // connections through it.
-#ifndef SOAK_FAULT_PROXY_H_
-#define SOAK_FAULT_PROXY_H_
+#ifndef STANDINS_FAULT_PROXY_FAULT_PROXY_H_
+#define STANDINS_FAULT_PROXY_FAULT_PROXY_H_
 
 #include <cstdint>
 #include <map>
@@ -29,6 +29,9 @@
   std::uint16_t Port() const { return this->listener->Port(); }
   // Connections that fell silent stay so; the others follow the new mode.
   void SetMode(ProxyMode mode);
+  // Nothing passes any more on the connections that are open now. New ones
+  // follow the mode.
+  void SilenceOpenConnections();
 
  private:
   struct Pair {
@@ -55,4 +58,4 @@
 
 }  // namespace toucanhollow
 
-#endif  // SOAK_FAULT_PROXY_H_
+#endif  // STANDINS_FAULT_PROXY_FAULT_PROXY_H_
--- /dev/null
+++ b/standins/platform/store_contact_test.cc
@@ -0,0 +1,142 @@
+// Several relays on one loop, each with its own link to the store: what they
+// believe after they lost contact with the store, and whom they believe.
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "http_server/http_server.h"
+#include "standins/fault_proxy/fault_proxy.h"
+#include "standins/platform/relay_fleet.h"
+
+namespace toucanhollow {
+namespace {
+
+constexpr Duration kHeartbeat = Milliseconds(1200);
+
+// A fleet with the servers i-1 and i-2, which write to the store as the
+// platform's servers do.
+struct ContactFleet : RelayFleet {
+  std::vector<std::unique_ptr<FaultProxy>> store_links;
+  bool first_listed = true;
+  bool second_listed = true;
+  std::unique_ptr<Timer> heartbeat;
+  int next_request = 1;
+
+  explicit ContactFleet(int count) : RelayFleet(count) {
+    for (RelaySettings& host : this->host_settings) {
+      this->store_links.push_back(std::make_unique<FaultProxy>(
+          this->loop, Address{"127.0.0.1", this->store.Port()}));
+      host.store = {"127.0.0.1", this->store_links.back()->Port()};
+    }
+    this->store.Put("keyed.op", "config", ConfigText(1, "\"k1\""));
+    this->heartbeat = std::make_unique<Timer>(
+        this->loop, Duration(0), kHeartbeat, [this] { this->Beat(); });
+  }
+
+  void Beat() {
+    if (this->first_listed) {
+      this->List("i-1", this->first, "ready");
+    }
+    if (this->second_listed) {
+      this->List("i-2", this->second, "ready");
+    }
+  }
+
+  // The second server leaves without notice.
+  void RemoveSecond() {
+    this->second_listed = false;
+    this->store.Put("keyed.servers", "i-2", std::nullopt);
+  }
+
+  void RunUntilTime(TimePoint time) {
+    const TimePoint now = EventLoop::Now();
+    if (time > now) {
+      this->RunFor(time - now);
+    }
+  }
+
+  // How many of some requests through this host the second server gets.
+  std::size_t CountAtSecond(int host) {
+    constexpr int kRequests = 20;
+    const std::size_t before = this->second.arrivals.size();
+    for (int i = 0; i < kRequests; ++i) {
+      Caller caller(this->loop, this->host_settings[host].callers);
+      caller.connection->Write(
+          Request("GET", "/s/x", "r" + std::to_string(this->next_request++)));
+      REQUIRE(this->RunUntil([&caller] { return caller.parser.done(); }));
+      CHECK(caller.parser.head().status == 200);
+    }
+    return this->second.arrivals.size() - before;
+  }
+
+  void WaitUntilUsed(int host) {
+    REQUIRE(this->RunUntil([&] { return this->IsReady(host); }));
+    REQUIRE(this->RunUntil([&] { return this->CountAtSecond(host) > 0; }));
+  }
+};
+
+// Guards against a host that skips a server's removal with the records of a
+// peer that has started after it.
+TEST_CASE("a restarted peer does not hide a removal from a host that is cut") {
+  ContactFleet fleet(2);
+  fleet.StartHost(0);
+  fleet.StartHost(1);
+  fleet.WaitUntilUsed(0);
+  fleet.store_links[0]->SetMode(ProxyMode::kReset);
+  fleet.RunFor(Milliseconds(500));
+  fleet.hosts[1].reset();
+  fleet.RemoveSecond();
+  const TimePoint removed_at = EventLoop::Now();
+  fleet.StartHost(1);
+  REQUIRE(fleet.RunUntil([&] { return fleet.IsReady(1); }));
+  // The host fetches from its peer several times.
+  fleet.RunFor(Milliseconds(1500));
+  fleet.store_links[0]->SetMode(ProxyMode::kPass);
+  const TimePoint in_touch_at = EventLoop::Now() + fleet.settings.contact_bound;
+  fleet.RunUntilTime(
+      std::max(removed_at + fleet.settings.drain_bound, in_touch_at));
+  CHECK(fleet.CountAtSecond(0) == 0);
+  CHECK(fleet.CountAtSecond(1) == 0);
+}
+
+// Guards against a host that skips a server's removal with the records of a
+// peer of an earlier version, which does not tell what they cover.
+TEST_CASE("a peer of an earlier version does not hide a removal") {
+  using nlohmann::json;
+  ContactFleet fleet(2);
+  // Has read everything, but lists no removals.
+  const auto peer = [&fleet] {
+    const json topic{{"end", 1000}, {"records", json::array()}};
+    const std::vector<std::uint8_t> bytes =
+        json::to_cbor({{"operator", topic},
+                       {"servers", topic},
+                       {"age_us", 0},
+                       {"hosts", json::array()}});
+    HttpServerOptions options;
+    options.address = fleet.host_settings[1].control.ip;
+    options.port = fleet.host_settings[1].control.port;
+    return HttpServer::Listen(
+        fleet.loop, options,
+        [body = std::string(bytes.begin(), bytes.end())](
+            const HttpRequest&,
+            const std::shared_ptr<HttpResponseWriter>& writer) {
+          writer->Respond(200, {}, body);
+        });
+  };
+  fleet.StartHost(0);
+  fleet.WaitUntilUsed(0);
+  const auto listening = peer();
+  REQUIRE(listening);
+  fleet.store_links[0]->SetMode(ProxyMode::kReset);
+  fleet.RunFor(Milliseconds(1500));
+  fleet.RemoveSecond();
+  fleet.store_links[0]->SetMode(ProxyMode::kPass);
+  fleet.RunFor(fleet.settings.contact_bound);
+  CHECK(fleet.CountAtSecond(0) == 0);
+}
+
+}  // namespace
+}  // namespace toucanhollow
