Derive the times of reads from the bound on lost contact

After the open connections to the store had fallen silent, hosts sent requests to a server that left 3.2 s later until it exited, 2.6 s after the store had acknowledged its leaving. Cause: two beliefs. The pause between reads, the long poll and the time for its answer added up to 3.9 s, longer than the 3 s after which the bounds apply to a host again. And the read that timed out was taken for an outage of the store, in which entries expire without cause, so the removed server was kept for 2.5 s more; a silent connection says nothing about the store. Change: PlanReads derives the long poll from the contact bound, so that a lost contact is noticed and made up for within it. A read that gets no answer on a kept connection is repeated at once on a new one; only if that fails, or the store refuses a read, was the store unavailable. A removal is doubted until 2.5 s after the first answer, and not beyond the time at which the bounds may apply again. While reads fail they do not wait. Answers confirm the configuration only if they reach the end of the topic. Each topic has its own contact.

--- a/packages/relay/keyed_topic_task.cc
+++ b/packages/relay/keyed_topic_task.cc
@@ -9,14 +9,14 @@
 namespace toucanhollow {
 namespace {
 
-// Time allowed for an answer beyond the long-poll wait. A slow store takes
-// 250 ms.
-constexpr Duration kResponseTimeout = Milliseconds(900);
 constexpr Duration kConnectTimeout = Milliseconds(600);
-// Delay after a failed read, doubled after each further failure up to the
-// maximum.
-constexpr Duration kInitialRetryDelay = Milliseconds(100);
-constexpr Duration kMaxRetryDelay = Milliseconds(400);
+// Time from one failed read to the next, doubled after each further failure up
+// to the maximum. It counts from the sending of the failed read, so that a host
+// whose reads get no answer does not notice the store's return later than one
+// whose reads are refused; the pause after the failure has a minimum.
+constexpr Duration kInitialRetryPeriod = Milliseconds(100);
+constexpr int kMaxRetryDoublings = 2;
+constexpr Duration kMinRetryDelay = Milliseconds(100);
 
 constexpr int kStatusGone = 410;
 
@@ -31,7 +31,7 @@
                                const RelayCodec& codec,
                                Address store,
                                KeyedTopic topic,
-                               PollTiming timing,
+                               ReadTiming timing,
                                KeyedTopicCallbacks callbacks)
     : loop(loop),
       client(client),
@@ -60,18 +60,26 @@
   }
 }
 
+void KeyedTopicTask::StartCall(
+    HttpCall request,
+    Duration wait,
+    std::function<void(const HttpOutcome& outcome)> on_done) {
+  request.connect_timeout = kConnectTimeout;
+  request.total_timeout = wait + kAnswerTimeout;
+  // After a failure only a new connection tells whether the store is available.
+  request.repeatable = this->consecutive_failures == 0;
+  this->sent_at = EventLoop::Now();
+  this->call = this->client.Start(std::move(request),
+                                  {nullptr, nullptr, std::move(on_done)});
+}
+
 void KeyedTopicTask::ReadNewest(const std::string& after) {
   if (after.empty()) {
     this->snapshot_records.clear();
   }
-  HttpCall request = this->codec.newest_call(this->store, this->topic, after);
-  request.connect_timeout = kConnectTimeout;
-  request.total_timeout = kResponseTimeout;
-  request.repeatable = !this->failing;
-  this->call = this->client.Start(
-      std::move(request),
-      {nullptr, nullptr,
-       [this](const HttpOutcome& outcome) { this->OnNewest(outcome); }});
+  this->StartCall(
+      this->codec.newest_call(this->store, this->topic, after), Duration(0),
+      [this](const HttpOutcome& outcome) { this->OnNewest(outcome); });
 }
 
 void KeyedTopicTask::OnNewest(const HttpOutcome& outcome) {
@@ -91,6 +99,7 @@
   if (this->snapshot_records.empty()) {
     // Records written while the pages are read are read again from this offset.
     this->snapshot_end = page.value().end;
+    this->snapshot_read_at = EventLoop::Now();
   }
   std::ranges::move(page.value().records,
                     std::back_inserter(this->snapshot_records));
@@ -104,21 +113,19 @@
   batch.end = this->snapshot_end;
   this->following_log = true;
   this->NotifyChange(MergeBatch(this->records, batch));
+  this->callbacks.on_complete(this->snapshot_read_at);
   this->Schedule(Duration(0));
 }
 
 void KeyedTopicTask::ReadLog() {
   const LogOffset from = this->records.end;
-  HttpCall request = this->codec.read_call(this->store, this->topic, from,
-                                           this->timing.long_poll_wait);
-  request.connect_timeout = kConnectTimeout;
-  request.total_timeout = this->timing.long_poll_wait + kResponseTimeout;
-  request.repeatable = !this->failing;
-  this->call = this->client.Start(
-      std::move(request),
-      {nullptr, nullptr, [this, from](const HttpOutcome& outcome) {
-         this->OnLog(outcome, from);
-       }});
+  // While reads fail, an answer without new records is news as well.
+  const Duration wait = this->consecutive_failures == 0
+                            ? this->timing.long_poll_wait
+                            : Duration(0);
+  this->StartCall(
+      this->codec.read_call(this->store, this->topic, from, wait), wait,
+      [this, from](const HttpOutcome& outcome) { this->OnLog(outcome, from); });
 }
 
 void KeyedTopicTask::OnLog(const HttpOutcome& outcome, LogOffset from) {
@@ -146,31 +153,48 @@
   this->NotifyChange(MergeBatch(
       this->records, {BatchCoverage::kChanges, std::move(page.value().records),
                       from, page.value().next}));
-  this->Schedule(this->timing.read_delay);
+  const bool reached_end = page.value().next >= page.value().end;
+  if (reached_end) {
+    this->callbacks.on_complete(EventLoop::Now());
+  }
+  this->Schedule(reached_end ? this->timing.read_delay : Duration(0));
 }
 
 void KeyedTopicTask::OnAnswered() {
-  this->consecutive_failures = 0;
-  if (std::exchange(this->failing, false)) {
+  if (std::exchange(this->consecutive_failures, 0) > 0) {
     LogJsonNow("store_back", {{"topic", TopicName(this->topic)},
                               {"offset", this->records.end}});
   }
-  this->callbacks.on_contact(true);
+  this->contact = RecordAnswer(this->contact, EventLoop::Now());
+  this->callbacks.on_contact(this->contact);
 }
 
 void KeyedTopicTask::OnFailed(const HttpOutcome& outcome) {
-  if (!std::exchange(this->failing, true)) {
+  const bool may_be_connection = this->consecutive_failures == 0 &&
+                                 outcome.status == 0 &&
+                                 outcome.end != HttpEnd::kNotConnected;
+  const ReadFailure failure = may_be_connection
+                                  ? ReadFailure::kConnectionLost
+                                  : ReadFailure::kStoreUnavailable;
+  if (this->consecutive_failures == 0) {
     LogJsonNow("store_lost",
                {{"topic", TopicName(this->topic)},
                 {"status", static_cast<std::int64_t>(outcome.status)},
                 {"detail", std::string_view(outcome.error)},
                 {"offset", this->records.end}});
   }
-  this->callbacks.on_contact(false);
-  const Duration delay =
-      kInitialRetryDelay * (1 << std::min(this->consecutive_failures, 4));
+  this->contact = RecordFailure(this->contact, failure, this->sent_at);
+  this->callbacks.on_contact(this->contact);
+  const Duration period =
+      kInitialRetryPeriod *
+      (1 << std::min(this->consecutive_failures, kMaxRetryDoublings));
   ++this->consecutive_failures;
-  this->Schedule(std::min(delay, kMaxRetryDelay));
+  if (may_be_connection) {
+    this->Schedule(Duration(0));
+    return;
+  }
+  const Duration since_sent = EventLoop::Now() - this->sent_at;
+  this->Schedule(std::max(period - since_sent, kMinRetryDelay));
 }
 
 void KeyedTopicTask::MergeFromPeer(const RecordBatch& batch) {
--- a/packages/relay/keyed_topic_task.h
+++ b/packages/relay/keyed_topic_task.h
@@ -13,24 +13,18 @@
 #include "http_client/http_client.h"
 #include "relay/relay_codec.h"
 #include "traffic/keyed_mirror.h"
-#include "traffic/known_server.h"
+#include "traffic/read_timing.h"
+#include "traffic/store_contact.h"
 
 namespace toucanhollow {
 
 struct KeyedTopicCallbacks {
+  // Called when a read has been answered or has failed, before the records of
+  // the answer are merged.
+  std::function<void(const StoreContact& contact)> on_contact;
   std::function<void(const std::vector<std::string>& keys)> on_change;
-  // Called when a read has been answered or has failed.
-  std::function<void(bool answered)> on_contact;
-};
-
-// When the store is read. Each read loads the store.
-struct PollTiming {
-  // Delay between an answer and the next read, so that records which are
-  // written meanwhile arrive in one answer.
-  Duration read_delay{0};
-  // How long the store holds a read while there are no new records. A silent
-  // connection is detected after this time.
-  Duration long_poll_wait{0};
+  // Called when the mirror holds all records that the topic had at this time.
+  std::function<void(TimePoint as_of)> on_complete;
 };
 
 class KeyedTopicTask {
@@ -41,7 +35,7 @@
                  const RelayCodec& codec,
                  Address store,
                  KeyedTopic topic,
-                 PollTiming timing,
+                 ReadTiming timing,
                  KeyedTopicCallbacks callbacks);
   ~KeyedTopicTask();
 
@@ -62,6 +56,9 @@
   void OnLog(const HttpOutcome& outcome, LogOffset from);
   void OnAnswered();
   void OnFailed(const HttpOutcome& outcome);
+  void StartCall(HttpCall request,
+                 Duration wait,
+                 std::function<void(const HttpOutcome& outcome)> on_done);
   void Schedule(Duration delay);
   void NotifyChange(const std::vector<std::string>& keys);
 
@@ -70,7 +67,7 @@
   const RelayCodec& codec;
   Address store;
   KeyedTopic topic;
-  PollTiming timing;
+  ReadTiming timing;
   KeyedTopicCallbacks callbacks;
   KeyedMirror records;
   // The newest records have been read; the log is read from `records.end` on.
@@ -79,8 +76,10 @@
   // first page was read.
   std::vector<KeyedRecord> snapshot_records;
   LogOffset snapshot_end = 0;
-  bool failing = false;
+  TimePoint snapshot_read_at;
+  StoreContact contact;
   int consecutive_failures = 0;
+  TimePoint sent_at;
   HttpCallId call = 0;
   std::unique_ptr<Timer> timer;
 };
--- a/packages/relay/peer_task.cc
+++ b/packages/relay/peer_task.cc
@@ -235,11 +235,8 @@
 
 void PeerTask::Fetch() {
   const TimePoint now = EventLoop::Now();
-  const StoreContact& contact = this->view_task.view().contact;
-  const bool failing =
-      !contact.answered_at ||
-      (contact.failed_at && *contact.failed_at > *contact.answered_at);
-  const bool frequent = failing || this->IsDiscovering(now);
+  const bool frequent =
+      !HasStoreContact(this->view_task.view()) || this->IsDiscovering(now);
   const Duration period = frequent ? kFetchPeriod : kIdleFetchPeriod;
   const bool first = this->last_fetch_at == TimePoint();
   if (!first && now - this->last_fetch_at < period) {
--- a/packages/relay/platform_view_task.cc
+++ b/packages/relay/platform_view_task.cc
@@ -17,19 +17,14 @@
 // Only one host at a time is the coordinator, so its more frequent reads cost
 // the store little.
 constexpr Duration kCoordinatorReadDelay = Milliseconds(200);
-// The long-poll timeout is shorter than the contact bound by this much, so that
-// a silent connection is detected before the bounds apply again to a host whose
-// connections were reset.
-constexpr Duration kContactMargin = Seconds(1);
-// Covers the delay between the end of one long poll and the next.
-constexpr Duration kConfirmationMargin = Milliseconds(600);
-
-Duration LongPollTimeout(const RelaySettings& settings) {
-  return std::max(settings.contact_bound - kContactMargin, kContactMargin);
-}
 
 }  // namespace
 
+bool HasStoreContact(const PlatformView& view) {
+  return view.operator_contact.answering_since &&
+         view.server_contact.answering_since;
+}
+
 bool IsTrafficConfigFresh(const PlatformView& view, TimePoint now) {
   return view.traffic_confirmed_at &&
          now - *view.traffic_confirmed_at <= view.max_confirmation_age;
@@ -41,26 +36,31 @@
                                    const RelaySettings& settings,
                                    std::function<void()> on_change)
     : codec(codec),
-      server_read_delay(settings.drain_bound / kDrainBoundDivisor),
+      contact_bound(settings.contact_bound),
       on_change(std::move(on_change)) {
-  const Duration wait = LongPollTimeout(settings);
-  this->current_view.max_confirmation_age = wait + kConfirmationMargin;
+  const ReadTiming operator_reads =
+      PlanReads(settings.contact_bound, kOperatorReadDelay);
+  const ReadTiming server_reads = PlanReads(
+      settings.contact_bound, settings.drain_bound / kDrainBoundDivisor);
+  this->server_read_delay = server_reads.read_delay;
+  this->current_view.max_confirmation_age = FindDetectionTime(operator_reads);
   this->operator_topic = std::make_unique<KeyedTopicTask>(
       loop, client, codec, settings.store, KeyedTopic::kOperator,
-      PollTiming{kOperatorReadDelay, wait},
+      operator_reads,
       KeyedTopicCallbacks{
+          [this](const StoreContact& contact) {
+            this->current_view.operator_contact = contact;
+          },
           [this](const auto& keys) { this->OnOperatorKeys(keys); },
-          [this](bool answered) {
-            this->OnContact(KeyedTopic::kOperator, answered);
-          }});
+          [this](TimePoint as_of) { this->ConfirmTraffic(as_of); }});
   this->server_topic = std::make_unique<KeyedTopicTask>(
-      loop, client, codec, settings.store, KeyedTopic::kServers,
-      PollTiming{this->server_read_delay, wait},
+      loop, client, codec, settings.store, KeyedTopic::kServers, server_reads,
       KeyedTopicCallbacks{
+          [this](const StoreContact& contact) {
+            this->current_view.server_contact = contact;
+          },
           [this](const auto& keys) { this->OnServerKeys(keys); },
-          [this](bool answered) {
-            this->OnContact(KeyedTopic::kServers, answered);
-          }});
+          [](TimePoint) {}});
 }
 
 void PlatformViewTask::SetCoordinating(bool coordinating) {
@@ -80,22 +80,13 @@
                                                         : *this->server_topic;
   task.MergeFromPeer(batch);
   if (topic == KeyedTopic::kOperator && this->current_view.traffic) {
-    this->current_view.traffic_confirmed_at =
-        std::max(this->current_view.traffic_confirmed_at.value_or(confirmed_at),
-                 confirmed_at);
+    this->ConfirmTraffic(confirmed_at);
   }
 }
 
-void PlatformViewTask::OnContact(KeyedTopic topic, bool answered) {
-  const TimePoint now = EventLoop::Now();
-  if (!answered) {
-    this->current_view.contact.failed_at = now;
-    return;
-  }
-  this->current_view.contact.answered_at = now;
-  if (topic == KeyedTopic::kOperator) {
-    this->current_view.traffic_confirmed_at = now;
-  }
+void PlatformViewTask::ConfirmTraffic(TimePoint as_of) {
+  this->current_view.traffic_confirmed_at =
+      std::max(this->current_view.traffic_confirmed_at.value_or(as_of), as_of);
 }
 
 void PlatformViewTask::OnOperatorKeys(const std::vector<std::string>& keys) {
@@ -196,7 +187,9 @@
         known->second.listed.draining == listed->draining &&
         known->second.listed.address == listed->address;
     UpdateServer(this->current_view.servers, key, listed, record.offset,
-                 this->current_view.contact, now);
+                 FindRemovalTime(this->current_view.server_contact,
+                                 this->contact_bound, now),
+                 now);
     if (!unchanged) {
       changed = true;
       LogJsonNow("server_changed",
--- a/packages/relay/platform_view_task.h
+++ b/packages/relay/platform_view_task.h
@@ -26,14 +26,19 @@
   std::set<DataCentreName> evacuated;
   // Operators' rules on parts of prompts, by the key of their record.
   std::map<std::string, PromptRuleRecord> prompt_rules;
-  StoreContact contact;
-  // When the store last confirmed that the configuration is the newest.
+  // Of the operators' and of the servers' topic, which may fail apart.
+  StoreContact operator_contact;
+  StoreContact server_contact;
+  // When the configuration was last known to be the newest.
   std::optional<TimePoint> traffic_confirmed_at;
-  // A configuration whose last confirmation is older may be out of date: a
-  // route or key that it lacks may exist.
+  // If the configuration was not confirmed for this long, contact with the
+  // store is lost: a route or key that the configuration lacks may exist.
   Duration max_confirmation_age{0};
 };
 
+// False while the reads of a topic fail or none has been answered yet.
+bool HasStoreContact(const PlatformView& view);
+
 // True if the configuration was confirmed as the newest within
 // `max_confirmation_age`.
 bool IsTrafficConfigFresh(const PlatformView& view, TimePoint now);
@@ -58,13 +63,15 @@
                      TimePoint confirmed_at);
 
  private:
-  void OnContact(KeyedTopic topic, bool answered);
+  // The configuration was the newest at this time.
+  void ConfirmTraffic(TimePoint as_of);
   void OnOperatorKeys(const std::vector<std::string>& keys);
   void OnServerKeys(const std::vector<std::string>& keys);
   void ApplyTrafficConfig(const KeyedRecord& record);
   void ApplyPromptRule(const KeyedRecord& record);
 
   const RelayCodec& codec;
+  Duration contact_bound;
   Duration server_read_delay;
   std::function<void()> on_change;
   PlatformView current_view;
--- a/packages/relay/relay_codec.h
+++ b/packages/relay/relay_codec.h
@@ -83,6 +83,8 @@
   std::vector<KeyedRecord> records;
   // Offset after the last record of the page.
   LogOffset next = 0;
+  // Offset after the last record of the topic.
+  LogOffset end = 0;
 };
 
 struct RelayCodec {
--- a/packages/traffic/known_server.cc
+++ b/packages/traffic/known_server.cc
@@ -27,7 +27,7 @@
                   const std::string& id,
                   const std::optional<ListedServer>& listed,
                   LogOffset offset,
-                  const StoreContact& contact,
+                  TimePoint removal_time,
                   TimePoint now) {
   std::erase_if(servers, [now](const auto& entry) {
     return entry.second.missing_since &&
@@ -44,11 +44,7 @@
   }
   KnownServer& server = found->second;
   server.missing_since = now;
-  // A removal that is read while the store is available is genuine.
-  const bool store_was_unavailable =
-      contact.failed_at && now < *contact.failed_at + kReregistrationTime;
-  server.usable_until =
-      store_was_unavailable ? *contact.failed_at + kReregistrationTime : now;
+  server.usable_until = removal_time;
 }
 
 bool IsUsable(const KnownServer& server,
--- a/packages/traffic/known_server.h
+++ b/packages/traffic/known_server.h
@@ -47,21 +47,6 @@
   bool operator==(const KnownServer&) const = default;
 };
 
-// Times of the last reads from the store, which tell whether its answers are
-// current.
-struct StoreContact {
-  // The last successful read; empty before the first.
-  std::optional<TimePoint> answered_at;
-  // The last failed or refused read.
-  std::optional<TimePoint> failed_at;
-
-  bool operator==(const StoreContact&) const = default;
-};
-
-// After the store recovers, a running server whose entry expired meanwhile is
-// listed again within about two seconds; the margin covers a late heartbeat.
-inline constexpr Duration kReregistrationTime = Milliseconds(2500);
-
 // A removed entry is retained for this time, so that a server that is listed
 // again keeps its history.
 inline constexpr Duration kMissingServerRetention = Seconds(30);
@@ -69,12 +54,13 @@
 using KnownServers = std::map<std::string, KnownServer>;
 
 // Applies a record of the list. `listed` is empty if the entry was removed or
-// no longer describes a server. `offset` is the offset of the record.
+// no longer describes a server; the server is then used until `removal_time`
+// (see FindRemovalTime). `offset` is the offset of the record.
 void UpdateServer(KnownServers& servers,
                   const std::string& id,
                   const std::optional<ListedServer>& listed,
                   LogOffset offset,
-                  const StoreContact& contact,
+                  TimePoint removal_time,
                   TimePoint now);
 
 // True if new requests may be sent to the server.
--- a/packages/traffic/traffic_test.cc
+++ b/packages/traffic/traffic_test.cc
@@ -10,6 +10,7 @@
 #include "traffic/permit_ledger.h"
 #include "traffic/place_request.h"
 #include "traffic/retry_allowance.h"
+#include "traffic/store_contact.h"
 
 namespace toucanhollow {
 namespace {
@@ -56,17 +57,19 @@
 // Guards against dropping servers because the store was unavailable, and
 // against keeping servers whose removal was genuine.
 TEST_CASE("a removal takes effect at once only while the store is available") {
+  const auto remove = [](KnownServers& servers, const StoreContact& contact) {
+    UpdateServer(servers, "s", std::nullopt, 2,
+                 FindRemovalTime(contact, Seconds(3), At(1000)), At(1000));
+  };
   KnownServers servers;
-  UpdateServer(servers, "s", MakeServer(), 1, {}, At(0));
-  StoreContact available{At(900), At(-5000)};
+  UpdateServer(servers, "s", MakeServer(), 1, At(0), At(0));
   KnownServers after_available = servers;
-  UpdateServer(after_available, "s", std::nullopt, 2, available, At(1000));
+  remove(after_available, {At(-4000), At(-5000)});
   CHECK_FALSE(IsUsable(after_available.at("s"), {}, At(1000)));
-  StoreContact unavailable{At(900), At(800)};
-  UpdateServer(servers, "s", std::nullopt, 2, unavailable, At(1000));
+  remove(servers, {At(900), At(800)});
   CHECK(IsUsable(servers.at("s"), {}, At(2000)));
-  CHECK_FALSE(IsUsable(servers.at("s"), {}, At(800 + 2500)));
-  UpdateServer(servers, "s", MakeServer(), 3, unavailable, At(2600));
+  CHECK_FALSE(IsUsable(servers.at("s"), {}, At(900 + 2500)));
+  UpdateServer(servers, "s", MakeServer(), 3, At(2600), At(2600));
   CHECK(IsUsable(servers.at("s"), {}, At(9000)));
 }
 
@@ -75,18 +78,18 @@
 // have registered.
 TEST_CASE("an older entry with the same address is not usable") {
   KnownServers servers;
-  UpdateServer(servers, "old", MakeServer(), 10, {}, At(0));
-  UpdateServer(servers, "new", MakeServer(), 12, {}, At(100));
+  UpdateServer(servers, "old", MakeServer(), 10, At(0), At(0));
+  UpdateServer(servers, "new", MakeServer(), 12, At(100), At(100));
   CHECK_FALSE(IsUsable(servers.at("old"), {}, At(100)));
   CHECK(IsUsable(servers.at("new"), {}, At(100)));
   // A new host reads the entries in order of their keys.
   KnownServers read_again;
-  UpdateServer(read_again, "new", MakeServer(), 12, {}, At(100));
-  UpdateServer(read_again, "old", MakeServer(), 10, {}, At(100));
+  UpdateServer(read_again, "new", MakeServer(), 12, At(100), At(100));
+  UpdateServer(read_again, "old", MakeServer(), 10, At(100), At(100));
   CHECK_FALSE(IsUsable(read_again.at("old"), {}, At(100)));
   CHECK(IsUsable(read_again.at("new"), {}, At(100)));
   // A server that writes again is still running.
-  UpdateServer(servers, "old", MakeServer(), 15, {}, At(200));
+  UpdateServer(servers, "old", MakeServer(), 15, At(200), At(200));
   CHECK(IsUsable(servers.at("old"), {}, At(200)));
   CHECK_FALSE(IsUsable(servers.at("new"), {}, At(200)));
 }
--- a/standins/platform/store_contact_test.cc
+++ b/standins/platform/store_contact_test.cc
@@ -138,5 +138,71 @@
   CHECK(fleet.CountAtSecond(0) == 0);
 }
 
+// Guards against a host that notices too late that its connections to the store
+// fell silent, and then takes a genuine removal for one of an outage.
+TEST_CASE("removals are in force in time after connections fell silent") {
+  // The server leaves while the host is blind, or just after the bounds apply
+  // to it again.
+  const Duration leaves_after = GENERATE(Milliseconds(300), Milliseconds(3200));
+  ContactFleet fleet(2);
+  fleet.StartHost(0);
+  fleet.StartHost(1);
+  fleet.WaitUntilUsed(0);
+  fleet.WaitUntilUsed(1);
+  const TimePoint silent_at = EventLoop::Now();
+  for (const auto& link : fleet.store_links) {
+    link->SilenceOpenConnections();
+  }
+  fleet.RunFor(leaves_after);
+  fleet.RemoveSecond();
+  const TimePoint removed_at = EventLoop::Now();
+  fleet.RunUntilTime(std::max(removed_at + fleet.settings.drain_bound,
+                              silent_at + fleet.settings.contact_bound));
+  CHECK(fleet.CountAtSecond(0) == 0);
+  CHECK(fleet.CountAtSecond(1) == 0);
+}
+
+// Guards against a configuration that is applied late after connections fell
+// silent.
+TEST_CASE("a configuration is in force in time after connections fell silent") {
+  constexpr Duration kApplyBound = Seconds(2);
+  ContactFleet fleet(1);
+  fleet.StartHost(0);
+  fleet.WaitUntilUsed(0);
+  // The host notices a silence latest if it begins just after an answer.
+  fleet.store.Put("keyed.op", "config", ConfigText(2, "\"k1\""));
+  fleet.RunFor(Milliseconds(20));
+  const TimePoint silent_at = EventLoop::Now();
+  fleet.store_links[0]->SilenceOpenConnections();
+  fleet.RunFor(Milliseconds(300));
+  fleet.store.Put("keyed.op", "config", ConfigText(3, "\"k2\""));
+  fleet.RunUntilTime(std::max(EventLoop::Now() + kApplyBound,
+                              silent_at + fleet.settings.contact_bound));
+  Caller caller(fleet.loop, fleet.host_settings[0].callers);
+  caller.connection->Write(Request("GET", "/s/x", "late"));
+  REQUIRE(fleet.RunUntil([&caller] { return caller.parser.done(); }));
+  CHECK(caller.parser.head().status == 401);
+}
+
+// Guards against using a removed server for longer than the bounds allow after
+// the store did not answer a host for a while.
+TEST_CASE("a removal during an outage is in force when the bounds apply") {
+  ContactFleet fleet(1);
+  fleet.StartHost(0);
+  fleet.WaitUntilUsed(0);
+  // New connections are accepted and get no answer.
+  fleet.store_links[0]->SetMode(ProxyMode::kSilent);
+  fleet.RunFor(Milliseconds(3600));
+  fleet.RemoveSecond();
+  fleet.RunFor(Milliseconds(400));
+  fleet.store_links[0]->SetMode(ProxyMode::kPass);
+  const TimePoint back_at = EventLoop::Now();
+  // Until then the entry might be listed again.
+  fleet.RunUntilTime(back_at + Milliseconds(1200));
+  CHECK(fleet.CountAtSecond(0) > 0);
+  fleet.RunUntilTime(back_at + fleet.settings.contact_bound);
+  CHECK(fleet.CountAtSecond(0) == 0);
+}
+
 }  // namespace
 }  // namespace toucanhollow
