Give each reader of the store a connection of its own

Cause: all calls to the store shared libcurl's idle connections, and each read that the store refused left one more, because it is repeated on a new one. When the open connections fall silent, a host notices one after the bound, connects again, and takes the next idle connection, which is silent as well. Change: each topic and the coordinators' membership own an HTTP client that keeps one connection, the newest.

--- a/packages/http_client/http_call.h
+++ b/packages/http_client/http_call.h
@@ -12,6 +12,17 @@
 
 namespace toucanhollow {
 
+// Which connection a call uses, and what becomes of it.
+enum class ConnectionUse {
+  // An idle one if the call is repeatable, else a new one. It is kept for later
+  // calls.
+  kShared,
+  // A new one, which is kept for later calls.
+  kNew,
+  // A new one, which is closed after the call.
+  kOwn,
+};
+
 struct HttpCall {
   std::string method = "GET";
   // http://<IP address>:<port>/<path>
@@ -26,6 +37,7 @@
   // when a reused connection turns out to be closed, so a call that must not be
   // executed twice needs a new connection.
   bool repeatable = false;
+  ConnectionUse connection = ConnectionUse::kShared;
 };
 
 enum class HttpEnd {
--- a/packages/http_client/http_client.cc
+++ b/packages/http_client/http_client.cc
@@ -14,9 +14,6 @@
 namespace toucanhollow {
 namespace {
 
-// Size of libcurl's connection cache. When it is full, the oldest connection is
-// closed.
-constexpr std::int64_t kMaxCachedConnections = 256;
 constexpr std::size_t kMaxHeaderBytes = std::size_t{64} * 1024;
 
 struct ActiveCall {
@@ -125,9 +122,12 @@
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
                      ToTimeoutMs(request.total_timeout));
   }
-  if (!request.repeatable) {
+  if (!request.repeatable || request.connection != ConnectionUse::kShared) {
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
   }
+  if (request.connection == ConnectionUse::kOwn) {
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+  }
   if (request.method == "HEAD") {
     curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
   } else if (!request.body.empty() || request.method == "POST" ||
@@ -176,7 +176,7 @@
 }  // namespace
 
 struct HttpClient::Core {
-  explicit Core(EventLoop& loop);
+  Core(EventLoop& loop, std::size_t max_kept_connections);
   ~Core();
 
   EventLoop& loop;
@@ -200,9 +200,11 @@
   void AddPostedCall(HttpCallId id);
 };
 
-HttpClient::Core::Core(EventLoop& loop) : loop(loop), multi(curl_multi_init()) {
+HttpClient::Core::Core(EventLoop& loop, std::size_t max_kept_connections)
+    : loop(loop), multi(curl_multi_init()) {
   InternalCheck(this->multi != nullptr, "libcurl multi handle is created");
-  curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, kMaxCachedConnections);
+  curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS,
+                    static_cast<std::int64_t>(max_kept_connections));
   curl_multi_setopt(
       this->multi, CURLMOPT_SOCKETFUNCTION,
       +[](CURL*, curl_socket_t socket, int poll_events, void* context, void*) {
@@ -339,7 +341,8 @@
        });
 }
 
-HttpClient::HttpClient(EventLoop& loop) : core(std::make_unique<Core>(loop)) {}
+HttpClient::HttpClient(EventLoop& loop, std::size_t max_kept_connections)
+    : core(std::make_unique<Core>(loop, max_kept_connections)) {}
 
 HttpClient::~HttpClient() = default;
 
--- a/packages/http_client/http_client.h
+++ b/packages/http_client/http_client.h
@@ -16,7 +16,12 @@
 // Must not be destroyed inside one of its callbacks.
 class HttpClient {
  public:
-  explicit HttpClient(EventLoop& loop);
+  static constexpr std::size_t kMaxKeptConnections = 256;
+
+  // When more connections than that are open, the one that was idle for longest
+  // is closed.
+  explicit HttpClient(EventLoop& loop,
+                      std::size_t max_kept_connections = kMaxKeptConnections);
   ~HttpClient();
 
   // Starts a call. Callbacks are called later, never inside Start.
--- a/packages/http_client/http_client_test.cc
+++ b/packages/http_client/http_client_test.cc
@@ -4,6 +4,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 namespace toucanhollow {
@@ -136,6 +138,50 @@
   CHECK(fixture.server.accepted == 1);
 }
 
+// Guards against connections that stay open although no call uses them again.
+TEST_CASE("a connection of one call is closed after it") {
+  Fixture fixture;
+  fixture.server.response = kOkResponse;
+  fixture.server.close_after = false;
+  HttpCall call = fixture.MakeCall();
+  call.repeatable = true;
+  call.connection = ConnectionUse::kOwn;
+  const auto open_connections = [&fixture] {
+    return std::ranges::count_if(
+        fixture.server.readers,
+        [](const auto& reader) { return reader != nullptr; });
+  };
+  for (int i = 0; i < 3; ++i) {
+    CHECK(fixture.Fetch(call).body == "ok");
+    CHECK(open_connections() <= 1);
+  }
+  CHECK(fixture.server.accepted == 3);
+}
+
+// Guards against an idle connection that is taken in place of a newer one.
+TEST_CASE("a client that keeps one connection keeps the newest") {
+  Fixture fixture;
+  HttpClient client(fixture.loop, 1);
+  fixture.server.response = kOkResponse;
+  fixture.server.close_after = false;
+  HttpCall call = fixture.MakeCall();
+  call.repeatable = true;
+  for (const ConnectionUse use :
+       {ConnectionUse::kShared, ConnectionUse::kNew, ConnectionUse::kShared}) {
+    call.connection = use;
+    HttpCallbacks callbacks;
+    callbacks.on_done = [&](const HttpOutcome& outcome) {
+      CHECK(outcome.body == "ok");
+      fixture.loop.Stop();
+    };
+    client.Start(call, std::move(callbacks));
+    fixture.loop.Run();
+  }
+  CHECK(fixture.server.accepted == 2);
+  // The first connection has been closed.
+  CHECK(fixture.server.readers[0] == nullptr);
+}
+
 // Guards against a truncated or too large response that is reported as
 // complete.
 TEST_CASE("truncated, malformed and too large responses are reported") {
--- a/packages/map_task/coordinator_task.cc
+++ b/packages/map_task/coordinator_task.cc
@@ -20,10 +20,9 @@
 }  // namespace
 
 CoordinatorTask::CoordinatorTask(EventLoop& loop,
-                                 HttpClient& client,
                                  const EngineMapCodec& codec,
                                  CoordinatorElectionSettings election)
-    : loop(loop), client(client), codec(codec), election(std::move(election)) {
+    : loop(loop), client(loop, 1), codec(codec), election(std::move(election)) {
   this->Join();
 }
 
--- a/packages/map_task/coordinator_task.h
+++ b/packages/map_task/coordinator_task.h
@@ -35,7 +35,6 @@
 class CoordinatorTask {
  public:
   CoordinatorTask(EventLoop& loop,
-                  HttpClient& client,
                   const EngineMapCodec& codec,
                   CoordinatorElectionSettings election);
   ~CoordinatorTask();
@@ -53,7 +52,8 @@
   void ApplyAssignment(const HttpOutcome& outcome);
 
   EventLoop& loop;
-  HttpClient& client;
+  // Keeps one connection, as there may be no other that is still alive.
+  HttpClient client;
   const EngineMapCodec& codec;
   CoordinatorElectionSettings election;
   CoordinatorTerm current_term;
--- a/packages/map_task/group_map_task.cc
+++ b/packages/map_task/group_map_task.cc
@@ -28,7 +28,7 @@
                            GroupMapCallbacks callbacks)
     : loop(loop),
       callbacks(std::move(callbacks)),
-      coordinator(loop, client, codec, election),
+      coordinator(loop, codec, election),
       calls(loop, client, codec),
       // Hosts start with different ranks, so that no rank gets the probes of
       // all hosts at once.
--- a/packages/relay/keyed_topic_task.cc
+++ b/packages/relay/keyed_topic_task.cc
@@ -27,14 +27,13 @@
 }  // namespace
 
 KeyedTopicTask::KeyedTopicTask(EventLoop& loop,
-                               HttpClient& client,
                                const RelayCodec& codec,
                                Address store,
                                KeyedTopic topic,
                                ReadTiming timing,
                                KeyedTopicCallbacks callbacks)
     : loop(loop),
-      client(client),
+      client(loop, 1),
       codec(codec),
       store(std::move(store)),
       topic(topic),
@@ -66,8 +65,10 @@
     std::function<void(const HttpOutcome& outcome)> on_done) {
   request.connect_timeout = kConnectTimeout;
   request.total_timeout = wait + kAnswerTimeout;
+  request.repeatable = true;
   // After a failure only a new connection tells whether the store is available.
-  request.repeatable = this->consecutive_failures == 0;
+  request.connection = this->consecutive_failures == 0 ? ConnectionUse::kShared
+                                                       : ConnectionUse::kNew;
   this->sent_at = EventLoop::Now();
   this->call = this->client.Start(std::move(request),
                                   {nullptr, nullptr, std::move(on_done)});
--- a/packages/relay/keyed_topic_task.h
+++ b/packages/relay/keyed_topic_task.h
@@ -31,7 +31,6 @@
  public:
   // Starts reading at once.
   KeyedTopicTask(EventLoop& loop,
-                 HttpClient& client,
                  const RelayCodec& codec,
                  Address store,
                  KeyedTopic topic,
@@ -63,7 +62,9 @@
   void NotifyChange(const std::vector<std::string>& keys);
 
   EventLoop& loop;
-  HttpClient& client;
+  // Only one connection is kept: others would be idle, and might have fallen
+  // silent together with the first when they take its place.
+  HttpClient client;
   const RelayCodec& codec;
   Address store;
   KeyedTopic topic;
--- a/packages/relay/keyed_topic_task_test.cc
+++ b/packages/relay/keyed_topic_task_test.cc
@@ -57,7 +57,6 @@
 // store does not answer.
 struct Fixture {
   EventLoop loop;
-  HttpClient client{loop};
   RelayCodec codec{};
   std::deque<StoreAnswer> script;
   std::vector<std::string> reads;
@@ -93,9 +92,8 @@
     REQUIRE(listening);
     this->server = std::move(listening.value());
     this->task = std::make_unique<KeyedTopicTask>(
-        this->loop, this->client, this->codec,
-        Address{"127.0.0.1", this->server->Port()}, KeyedTopic::kServers,
-        ReadTiming{Milliseconds(10), Milliseconds(40)},
+        this->loop, this->codec, Address{"127.0.0.1", this->server->Port()},
+        KeyedTopic::kServers, ReadTiming{Milliseconds(10), Milliseconds(40)},
         KeyedTopicCallbacks{
             [this](const StoreContact& state) { this->contact = state; },
             [](const std::vector<std::string>&) {},
--- a/packages/relay/platform_view_task.cc
+++ b/packages/relay/platform_view_task.cc
@@ -31,7 +31,6 @@
 }
 
 PlatformViewTask::PlatformViewTask(EventLoop& loop,
-                                   HttpClient& client,
                                    const RelayCodec& codec,
                                    const RelaySettings& settings,
                                    std::function<void()> on_change)
@@ -45,8 +44,7 @@
   this->server_read_delay = server_reads.read_delay;
   this->current_view.max_confirmation_age = FindDetectionTime(operator_reads);
   this->operator_topic = std::make_unique<KeyedTopicTask>(
-      loop, client, codec, settings.store, KeyedTopic::kOperator,
-      operator_reads,
+      loop, codec, settings.store, KeyedTopic::kOperator, operator_reads,
       KeyedTopicCallbacks{
           [this](const StoreContact& contact) {
             this->current_view.operator_contact = contact;
@@ -54,7 +52,7 @@
           [this](const auto& keys) { this->OnOperatorKeys(keys); },
           [this](TimePoint as_of) { this->ConfirmTraffic(as_of); }});
   this->server_topic = std::make_unique<KeyedTopicTask>(
-      loop, client, codec, settings.store, KeyedTopic::kServers, server_reads,
+      loop, codec, settings.store, KeyedTopic::kServers, server_reads,
       KeyedTopicCallbacks{
           [this](const StoreContact& contact) {
             this->current_view.server_contact = contact;
--- a/packages/relay/platform_view_task.h
+++ b/packages/relay/platform_view_task.h
@@ -46,7 +46,6 @@
 class PlatformViewTask {
  public:
   PlatformViewTask(EventLoop& loop,
-                   HttpClient& client,
                    const RelayCodec& codec,
                    const RelaySettings& settings,
                    std::function<void()> on_change);
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -123,7 +123,7 @@
 Result<bool> RelayHost::Start() {
   this->started_at = EventLoop::Now();
   this->view_task = std::make_unique<PlatformViewTask>(
-      this->loop, this->client, this->codec, this->settings,
+      this->loop, this->codec, this->settings,
       [this] { this->OnViewChange(); });
   this->peers = std::make_unique<PeerTask>(this->loop, this->client,
                                            this->settings, *this->view_task,
--- a/standins/platform/group_map_test.cc
+++ b/standins/platform/group_map_test.cc
@@ -289,7 +289,7 @@
 TEST_CASE("the holder of the last partition coordinates") {
   GroupSite site;
   site.store.given_partition = 7;
-  CoordinatorTask last(site.loop, site.client, platform::EngineCodec(),
+  CoordinatorTask last(site.loop, platform::EngineCodec(),
                        {{kHost, site.store.Port()}, 8, "last"});
   CHECK(site.RunUntil([&] { return last.term().is_coordinator; }, Seconds(3)));
   // It is given another one, and loses the place.
--- a/standins/platform/store_contact_test.cc
+++ b/standins/platform/store_contact_test.cc
@@ -184,6 +184,40 @@
   CHECK(caller.parser.head().status == 401);
 }
 
+// Guards against a host that, after one connection fell silent, goes on with
+// another one that fell silent as well.
+TEST_CASE("a host has no second connection to the store that may be silent") {
+  constexpr Duration kApplyBound = Seconds(2);
+  ContactFleet fleet(1);
+  fleet.StartHost(0);
+  fleet.WaitUntilUsed(0);
+  // Each refused read is repeated on a new connection.
+  fleet.store.SetDown(true);
+  fleet.RunFor(Seconds(3));
+  fleet.store.SetDown(false);
+  fleet.RunFor(Seconds(1));
+  const TimePoint silent_at = EventLoop::Now();
+  fleet.store_links[0]->SilenceOpenConnections();
+  const TimePoint in_touch_at = silent_at + fleet.settings.contact_bound;
+  const auto uses_key = [&fleet](const std::string& key) {
+    Caller caller(fleet.loop, fleet.host_settings[0].callers);
+    caller.connection->Write(
+        "GET /s/x HTTP/1.1\r\nHost: h\r\n"
+        "X-Toucanhollow-Request-Id: r\r\n"
+        "Authorization: Token " +
+        key + "\r\n\r\n");
+    return fleet.RunUntil([&caller] { return caller.parser.done(); }) &&
+           caller.parser.head().status == 200;
+  };
+  fleet.store.Put("keyed.op", "config", ConfigText(2, "\"k2\""));
+  REQUIRE(fleet.RunUntil([&] { return uses_key("k2"); }));
+  // The first read after the silence has been answered; the next one follows.
+  fleet.store.Put("keyed.op", "config", ConfigText(3, "\"k3\""));
+  fleet.RunUntilTime(std::max(EventLoop::Now() + kApplyBound, in_touch_at));
+  CHECK(uses_key("k3"));
+  CHECK_FALSE(uses_key("k2"));
+}
+
 // Guards against using a removed server for longer than the bounds allow after
 // the store did not answer a host for a while.
 TEST_CASE("a removal during an outage is in force when the bounds apply") {
