Close the connections of fetches from peers

Cause: each fetch used a new connection, as it is not marked as repeatable, and libcurl kept it open. A peer accepts 64 connections and closes idle ones after 60 s. Change: fetches, and the reads and writes of quarantines, close their connection after the call.

--- a/packages/relay/peer_task.cc
+++ b/packages/relay/peer_task.cc
@@ -271,6 +271,7 @@
   HttpCall call;
   call.url =
       FormatUrl(ip, this->settings.control.port, operator_from, server_from);
+  call.connection = ConnectionUse::kOwn;
   call.connect_timeout = kFetchTimeout;
   call.total_timeout = kFetchTimeout;
   const std::uint64_t serial = ++this->fetch_serial;
--- a/packages/relay/quarantine_store_task.cc
+++ b/packages/relay/quarantine_store_task.cc
@@ -40,6 +40,7 @@
 void QuarantineStoreTask::Read(const std::string& after) {
   HttpCall call =
       this->codec.newest_call(this->store, KeyedTopic::kStatus, after);
+  call.connection = ConnectionUse::kOwn;
   call.connect_timeout = kConnectTimeout;
   call.total_timeout = kResponseTimeout;
   this->read_call = this->client.Start(
@@ -99,6 +100,7 @@
   ++entry.attempts;
   HttpCall call = this->codec.append_call(this->store, KeyedTopic::kStatus, key,
                                           entry.value);
+  call.connection = ConnectionUse::kOwn;
   call.connect_timeout = kConnectTimeout;
   call.total_timeout = kResponseTimeout;
   entry.call = this->client.Start(
--- a/standins/platform/store_contact_test.cc
+++ b/standins/platform/store_contact_test.cc
@@ -261,5 +261,17 @@
   CHECK(peer.fetches >= 9);
 }
 
+// Guards against fetches that leave their connections open until the peer
+// accepts no more, so that a host which stays cut off learns nothing.
+TEST_CASE("fetches from a peer do not use up its connections") {
+  constexpr unsigned int kMaxConnections = 3;
+  ContactFleet fleet(2);
+  PeerStandIn peer(fleet, 1, "", kMaxConnections);
+  fleet.store_links[0]->SetMode(ProxyMode::kReset);
+  fleet.StartHost(0);
+  CHECK(fleet.RunUntil(
+      [&peer] { return peer.fetches > 3 * int{kMaxConnections}; }));
+}
+
 }  // namespace
 }  // namespace toucanhollow
