Join the coordinators' group again before the membership ends

Cause: the pause between joins (0.5 s), the time for an answer (0.9 s) and the pause after a failure (0.5 s) are longer together than the membership lasts from the last join (1.5 s). When its connection to the store falls silent, the coordinator loses its place and another host takes it. Change: a join that gets no answer within 0.6 s is repeated at once on a new connection; a static_assert holds the sum against the membership.

--- a/packages/map_task/coordinator_task.cc
+++ b/packages/map_task/coordinator_task.cc
@@ -12,7 +12,13 @@
 // accepts no less than 1 s.
 constexpr Duration kMembershipTimeToLive = Milliseconds(1500);
 constexpr Duration kJoinPeriod = Milliseconds(500);
-constexpr Duration kJoinTimeout = Milliseconds(900);
+// A slow store takes 350 ms.
+constexpr Duration kJoinTimeout = Milliseconds(600);
+// Time allowed for a new connection and a join on it.
+constexpr Duration kRejoinTime = Milliseconds(400);
+// A membership outlasts a connection that falls silent just after a join.
+static_assert(kJoinPeriod + kJoinTimeout + kRejoinTime <=
+              kMembershipTimeToLive);
 // A process that is shutting down has some seconds to reach a store that is
 // unreachable at first.
 constexpr Duration kLeaveRetryPeriod = Milliseconds(300);
@@ -37,18 +43,29 @@
   request.connect_timeout = kJoinTimeout;
   request.total_timeout = kJoinTimeout;
   request.repeatable = true;
+  request.connection =
+      this->last_join_failed ? ConnectionUse::kNew : ConnectionUse::kShared;
   this->call = this->client.Start(
       std::move(request),
-      {nullptr, nullptr, [this](const HttpOutcome& outcome) {
-         if (this->leaving) {
-           return;
-         }
-         if (outcome.end == HttpEnd::kComplete && outcome.status == 200) {
-           this->ApplyAssignment(outcome);
-         }
-         this->timer = std::make_unique<Timer>(
-             this->loop, kJoinPeriod, Duration(0), [this] { this->Join(); });
-       }});
+      {nullptr, nullptr,
+       [this](const HttpOutcome& outcome) { this->OnJoined(outcome); }});
+}
+
+void CoordinatorTask::OnJoined(const HttpOutcome& outcome) {
+  if (this->leaving) {
+    return;
+  }
+  const bool joined =
+      outcome.end == HttpEnd::kComplete && outcome.status == 200;
+  const bool failed_before = std::exchange(this->last_join_failed, !joined);
+  if (joined) {
+    this->ApplyAssignment(outcome);
+  }
+  // The connection may have fallen silent, so a new one is tried at once.
+  const bool at_once = !joined && !failed_before && outcome.status == 0;
+  this->timer =
+      std::make_unique<Timer>(this->loop, at_once ? Duration(0) : kJoinPeriod,
+                              Duration(0), [this] { this->Join(); });
 }
 
 void CoordinatorTask::ApplyAssignment(const HttpOutcome& outcome) {
--- a/packages/map_task/coordinator_task.h
+++ b/packages/map_task/coordinator_task.h
@@ -49,6 +49,7 @@
 
  private:
   void Join();
+  void OnJoined(const HttpOutcome& outcome);
   void ApplyAssignment(const HttpOutcome& outcome);
 
   EventLoop& loop;
@@ -57,6 +58,7 @@
   const EngineMapCodec& codec;
   CoordinatorElectionSettings election;
   CoordinatorTerm current_term;
+  bool last_join_failed = false;
   bool leaving = false;
   HttpCallId call = 0;
   std::unique_ptr<Timer> timer;
--- a/standins/platform/platform_store_stand_in.cc
+++ b/standins/platform/platform_store_stand_in.cc
@@ -106,6 +106,7 @@
   } else if (request.path == "/v1/log-append") {
     this->Append(request, *writer);
   } else if (request.path == "/v1/log-join") {
+    this->joins.push_back(EventLoop::Now());
     json parts = json::array();
     if (this->coordinator) {
       parts.push_back({"coordinator", this->given_partition, 0});
--- a/standins/platform/platform_store_stand_in.h
+++ b/standins/platform/platform_store_stand_in.h
@@ -34,6 +34,8 @@
   int given_partition = 0;
   // The generation that members are told.
   std::int64_t generation = 1;
+  // When members joined or stayed in the group, in order.
+  std::vector<TimePoint> joins;
   // Drops the history of a topic; the newest records stay.
   void Compact(const std::string& topic);
 
--- a/standins/platform/store_contact_test.cc
+++ b/standins/platform/store_contact_test.cc
@@ -273,5 +273,23 @@
       [&peer] { return peer.fetches > 3 * int{kMaxConnections}; }));
 }
 
+// Guards against a coordinator that loses its membership, which lasts 1.5 s
+// from the last join, because its connection to the store fell silent.
+TEST_CASE("a silent connection does not cost the coordinator its place") {
+  constexpr Duration kMembershipTimeToLive = Milliseconds(1500);
+  ContactFleet fleet(1);
+  fleet.StartHost(0);
+  fleet.WaitUntilUsed(0);
+  for (int i = 0; i < 3; ++i) {
+    fleet.RunFor(Milliseconds(170 * i));
+    const std::size_t before = fleet.store.joins.size();
+    REQUIRE(before > 0);
+    const TimePoint last = fleet.store.joins.back();
+    fleet.store_links[0]->SilenceOpenConnections();
+    REQUIRE(fleet.RunUntil([&] { return fleet.store.joins.size() > before; }));
+    CHECK(fleet.store.joins.back() - last < kMembershipTimeToLive);
+  }
+}
+
 }  // namespace
 }  // namespace toucanhollow
