Learn of quarantines only from hosts that know them

Cause: a host that starts is not ready before it knows which prompts crash servers, from the store or from a peer. It took the first reply of any peer for that, also of one that had just started and knew nothing. Hosts that start together beside a store that does not answer yet were ready at once. Change: a host tells in its replies whether it has learned what was known before its start, from the store or from a host that says so. Replies of earlier versions do not count; the wait is bounded by one second as before. Result: "a peer that has just started does not vouch for quarantines" fails before (both hosts are ready after 0.6 s) and passes.

--- a/packages/relay/peer_codec.cc
+++ b/packages/relay/peer_codec.cc
@@ -110,7 +110,8 @@
                   {"servers", ToJson(reply.server_records)},
                   {"age_us", reply.age ? json(reply.age->count()) : json()},
                   {"hosts", reply.hosts},
-                  {"crashes", ToBinaries(reply.crash_reports)}});
+                  {"crashes", ToBinaries(reply.crash_reports)},
+                  {"knows_crashes", reply.knows_crashes}});
 }
 
 Result<PeerViewReply> DecodePeerViewReply(std::string_view bytes) {
@@ -129,6 +130,7 @@
         reply.crash_reports.emplace_back(binary.begin(), binary.end());
       }
     }
+    reply.knows_crashes = document.value("knows_crashes", false);
     return reply;
   });
 }
--- a/packages/relay/peer_codec.h
+++ b/packages/relay/peer_codec.h
@@ -31,6 +31,9 @@
   std::vector<std::string> hosts;
   // What the sender knows of crashes, as by EncodeCrashReport.
   std::vector<std::string> crash_reports = {};
+  // True if the sender has learned what was known before its start. False for
+  // hosts of earlier versions.
+  bool knows_crashes = false;
 
   bool operator==(const PeerViewReply&) const = default;
 };
--- a/packages/relay/peer_task.cc
+++ b/packages/relay/peer_task.cc
@@ -297,15 +297,19 @@
     return;
   }
   this->RecordPeerContact(ip);
-  this->replied = true;
+  bool all_read = true;
   for (const std::string& bytes : reply.value().crash_reports) {
     const Result<bool> read = this->quarantine.OnReport(bytes);
     if (!read) {
+      all_read = false;
       LogJsonNow("crash_report_malformed",
                  {{"peer", std::string_view(ip)},
                   {"detail", std::string_view(read.error().detail)}});
     }
   }
+  if (reply.value().knows_crashes && all_read) {
+    this->quarantine.MarkKnown();
+  }
   for (const std::string& host : reply.value().hosts) {
     if (host != this->settings.control.ip) {
       this->peers.try_emplace(host);
@@ -334,6 +338,7 @@
   }
   reply.hosts = this->ListLivePeers(now);
   reply.crash_reports = this->quarantine.EncodeAll(now);
+  reply.knows_crashes = this->quarantine.is_known();
   writer.Respond(200, {{"Content-Type", "application/cbor"}},
                  EncodePeerViewReply(reply));
 }
--- a/packages/relay/peer_task.h
+++ b/packages/relay/peer_task.h
@@ -39,8 +39,6 @@
   // this IP address.
   void Broadcast(const std::string& bytes);
   void Send(const std::string& ip, const std::string& bytes);
-  // True once another host has told what it knows.
-  bool has_reply() const { return this->replied; }
 
  private:
   struct Peer {
@@ -85,7 +83,6 @@
   TimePoint last_fetch_at;
   std::size_t next_peer = 0;
   std::uint64_t fetch_serial = 0;
-  bool replied = false;
   std::map<std::uint64_t, HttpCallId> fetches;
 };
 
--- a/packages/relay/prompt_quarantine.h
+++ b/packages/relay/prompt_quarantine.h
@@ -57,6 +57,12 @@
 
   void SetCallbacks(QuarantineCallbacks callbacks);
 
+  // What was known before this host started has been read from the store, or
+  // from a host that had read it. A host that has just started knows nothing
+  // that it could pass on.
+  void MarkKnown() { this->known = true; }
+  bool is_known() const { return this->known; }
+
   PromptJudgement Judge(const std::vector<PartId>& parts,
                         AccountHash account,
                         TimePoint now);
@@ -132,6 +138,7 @@
   std::map<ServerIncarnation, ServiceName> own_tests;
   std::map<std::string, TimePoint> told_at;  // everything, by host
   TimePoint changed_at;
+  bool known = false;
   bool notifying = false;
   std::uint64_t next_seed;
   std::uint64_t next_timer = 0;
--- a/packages/relay/quarantine_store_task.cc
+++ b/packages/relay/quarantine_store_task.cc
@@ -16,17 +16,16 @@
 
 }  // namespace
 
-QuarantineStoreTask::QuarantineStoreTask(
-    EventLoop& loop,
-    HttpClient& client,
-    const RelayCodec& codec,
-    Address store,
-    std::function<void(const QuarantineRecord& record)> on_record)
+QuarantineStoreTask::QuarantineStoreTask(EventLoop& loop,
+                                         HttpClient& client,
+                                         const RelayCodec& codec,
+                                         Address store,
+                                         QuarantineStoreCallbacks callbacks)
     : loop(loop),
       client(client),
       codec(codec),
       store(std::move(store)),
-      on_record(std::move(on_record)) {
+      callbacks(std::move(callbacks)) {
   this->Read("");
 }
 
@@ -70,18 +69,18 @@
     const Result<QuarantineRecord> record =
         this->codec.decode_quarantine(*item.value);
     if (record) {
-      this->on_record(record.value());
+      this->callbacks.on_record(record.value());
     } else {
       LogJsonNow("quarantine_record_refused",
                  {{"key", std::string_view(item.key)},
                   {"detail", std::string_view(record.error().detail)}});
     }
   }
-  if (page.value().has_more && !page.value().records.empty()) {
+  if (page.value().has_more) {
     this->Read(page.value().records.back().key);
     return;
   }
-  this->loaded = true;
+  this->callbacks.on_loaded();
 }
 
 void QuarantineStoreTask::Write(const QuarantineRecord& record) {
--- a/packages/relay/quarantine_store_task.h
+++ b/packages/relay/quarantine_store_task.h
@@ -17,22 +17,25 @@
 
 namespace toucanhollow {
 
+struct QuarantineStoreCallbacks {
+  std::function<void(const QuarantineRecord& record)> on_record;
+  // Called once, after the last record.
+  std::function<void()> on_loaded;
+};
+
 class QuarantineStoreTask {
  public:
-  // Starts reading at once. `on_record` is called for each record.
-  QuarantineStoreTask(
-      EventLoop& loop,
-      HttpClient& client,
-      const RelayCodec& codec,
-      Address store,
-      std::function<void(const QuarantineRecord& record)> on_record);
+  // Starts reading at once.
+  QuarantineStoreTask(EventLoop& loop,
+                      HttpClient& client,
+                      const RelayCodec& codec,
+                      Address store,
+                      QuarantineStoreCallbacks callbacks);
   ~QuarantineStoreTask();
 
   // Writes the record, and tries again for a while if the store does not
   // answer.
   void Write(const QuarantineRecord& record);
-  // True once all records have been read.
-  bool is_loaded() const { return this->loaded; }
 
  private:
   // A record that the store has not acknowledged.
@@ -52,8 +55,7 @@
   HttpClient& client;
   const RelayCodec& codec;
   Address store;
-  std::function<void(const QuarantineRecord& record)> on_record;
-  bool loaded = false;
+  QuarantineStoreCallbacks callbacks;
   HttpCallId read_call = 0;
   std::unique_ptr<Timer> read_retry;
   std::map<std::string, Pending> pending;  // by key
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -50,7 +50,7 @@
 }
 
 bool RelayHost::KnowsQuarantines(TimePoint now) const {
-  return this->quarantine_store->is_loaded() || this->peers->has_reply() ||
+  return this->quarantine.is_known() ||
          now - this->started_at >= kQuarantineWait;
 }
 
@@ -143,9 +143,10 @@
        }});
   this->quarantine_store = std::make_unique<QuarantineStoreTask>(
       this->loop, this->client, this->codec, this->settings.store,
-      [this](const QuarantineRecord& record) {
-        this->quarantine.Restore(record);
-      });
+      QuarantineStoreCallbacks{[this](const QuarantineRecord& record) {
+                                 this->quarantine.Restore(record);
+                               },
+                               [this] { this->quarantine.MarkKnown(); }});
   BOOST_OUTCOME_TRYV(this->peers->Start());
   BOOST_OUTCOME_TRYV(this->permits.Open(
       {this->settings.control.ip, this->settings.permit_port}));
--- a/packages/relay/relay_test.cc
+++ b/packages/relay/relay_test.cc
@@ -73,6 +73,7 @@
   reply.age = Milliseconds(40);
   reply.hosts = {"10.0.0.2"};
   reply.crash_reports = {std::string("\x00\xff", 2), "b"};
+  reply.knows_crashes = true;
   CHECK(DecodePeerViewReply(EncodePeerViewReply(reply)).value() == reply);
   CHECK_FALSE(DecodePeerViewReply("junk"));
 }
--- a/standins/platform/platform_store_stand_in.cc
+++ b/standins/platform/platform_store_stand_in.cc
@@ -94,7 +94,9 @@
 void PlatformStoreStandIn::Handle(
     const HttpRequest& request,
     const std::shared_ptr<HttpResponseWriter>& writer) {
-  if (this->down) {
+  if (this->down ||
+      (!this->unreadable_topic.empty() &&
+       QueryValue(request.query, "topic") == this->unreadable_topic)) {
     writer->Respond(503, {}, "");
     return;
   }
--- a/standins/platform/platform_store_stand_in.h
+++ b/standins/platform/platform_store_stand_in.h
@@ -32,6 +32,8 @@
   // Whether members of groups are given a partition, and which one.
   void SetCoordinator(bool gives) { this->coordinator = gives; }
   int given_partition = 0;
+  // Reads of this topic are answered 503.
+  std::string unreadable_topic;
   // The generation that members are told.
   std::int64_t generation = 1;
   // When members joined or stayed in the group, in order.
--- a/standins/platform/store_contact_test.cc
+++ b/standins/platform/store_contact_test.cc
@@ -291,5 +291,28 @@
   }
 }
 
+// Guards against hosts that start together and take each other's empty record
+// of crashes for all that was known before.
+TEST_CASE("a peer that has just started does not vouch for quarantines") {
+  ContactFleet fleet(2);
+  fleet.store.unreadable_topic = "keyed.status";
+  fleet.StartHost(0);
+  fleet.StartHost(1);
+  fleet.RunFor(Milliseconds(600));
+  CHECK_FALSE(fleet.IsReady(0));
+  CHECK_FALSE(fleet.IsReady(1));
+  // They go on without it after a second.
+  fleet.RunFor(Milliseconds(600));
+  CHECK(fleet.IsReady(0));
+  CHECK(fleet.IsReady(1));
+  // Once one of them has read the store, the other one learns from it.
+  fleet.store.unreadable_topic.clear();
+  fleet.RunFor(Seconds(2));
+  fleet.store.unreadable_topic = "keyed.status";
+  fleet.StartHost(1);
+  CHECK(
+      fleet.RunUntil([&fleet] { return fleet.IsReady(1); }, Milliseconds(600)));
+}
+
 }  // namespace
 }  // namespace toucanhollow
