Log records of the store whose key cannot be read

Cause: a record of the log with a truncated key, or without one, was passed over without a line in the log, so an operator could not tell a host that skipped a record from one that never got it. Change: the page counts such records and the host logs their number.

--- a/packages/relay/keyed_topic_task.cc
+++ b/packages/relay/keyed_topic_task.cc
@@ -150,6 +150,12 @@
     this->OnFailed(outcome);
     return;
   }
+  if (page.value().unreadable_records > 0) {
+    LogJsonNow("store_records_unreadable",
+               {{"topic", TopicName(this->topic)},
+                {"offset", from},
+                {"count", std::int64_t{page.value().unreadable_records}}});
+  }
   this->OnAnswered();
   this->NotifyChange(MergeBatch(
       this->records, {BatchCoverage::kChanges, std::move(page.value().records),
--- a/packages/relay/relay_codec.h
+++ b/packages/relay/relay_codec.h
@@ -85,6 +85,9 @@
   LogOffset next = 0;
   // Offset after the last record of the topic.
   LogOffset end = 0;
+  // Records of the page that have no key or whose key is truncated. No reader
+  // can use them, so the log is read on behind them.
+  int unreadable_records = 0;
 };
 
 struct RelayCodec {
