Move the reader of JSON fields to a package of its own

Cause: the reader of configuration records, which tells missing from wrong fields and words both for operators, was part of log_codec; the records of the platform's operators are to be read by the same rules. Change: json_fields holds FieldReader and the functions below it, and base the two failures of fields.

--- a/packages/config/validate_record.cc
+++ b/packages/config/validate_record.cc
@@ -8,6 +8,8 @@
 #include <utility>
 #include <variant>
 
+#include "base/field_failure.h"
+
 namespace toucanhollow {
 namespace {
 
@@ -170,18 +172,6 @@
 
 }  // namespace
 
-Failure InvalidField(const std::string& field,
-                     const std::string& value,
-                     const std::string& remedy) {
-  return MakeFailure(ResultCode::kRecordFieldInvalid,
-                     field + " is '" + value + "'; " + remedy);
-}
-
-Failure MissingField(const std::string& field, const std::string& remedy) {
-  return MakeFailure(ResultCode::kRecordFieldMissing,
-                     field + " is missing; " + remedy);
-}
-
 std::vector<Failure> ValidateRecord(const ConfigSubject& subject,
                                     const ConfigContent& content) {
   std::vector<Failure> failures;
--- a/packages/config/validate_record.h
+++ b/packages/config/validate_record.h
@@ -18,13 +18,6 @@
 // append the record. Codes: kRecordFieldMissing, kRecordFieldInvalid.
 std::vector<Failure> ValidateEnvelope(const PublishedRecord& record);
 
-// Returns kRecordFieldInvalid with the text "<field> is '<value>'; <remedy>".
-Failure InvalidField(const std::string& field,
-                     const std::string& value,
-                     const std::string& remedy);
-// Returns kRecordFieldMissing with the text "<field> is missing; <remedy>".
-Failure MissingField(const std::string& field, const std::string& remedy);
-
 }  // namespace toucanhollow
 
 #endif  // CONFIG_VALIDATE_RECORD_H_
--- a/packages/log_codec/json_fields.cc
+++ b/packages/json_fields/json_fields.cc
@@ -1,4 +1,4 @@
-#include "log_codec/json_fields.h"
+#include "json_fields/json_fields.h"
 
 #include <limits>
 #include <utility>
--- a/packages/log_codec/json_fields.h
+++ b/packages/json_fields/json_fields.h
@@ -1,8 +1,8 @@
-// Exception-free access to JSON fields, for the .cc files of this package only.
+// Exception-free access to JSON fields, for .cc files.
 // The Find functions return none both for a missing field and for a field of
 // another type.
-#ifndef LOG_CODEC_JSON_FIELDS_H_
-#define LOG_CODEC_JSON_FIELDS_H_
+#ifndef JSON_FIELDS_JSON_FIELDS_H_
+#define JSON_FIELDS_JSON_FIELDS_H_
 
 #include <cstdint>
 #include <optional>
@@ -46,4 +46,4 @@
 
 }  // namespace toucanhollow
 
-#endif  // LOG_CODEC_JSON_FIELDS_H_
+#endif  // JSON_FIELDS_JSON_FIELDS_H_
--- a/packages/log_codec/config_codec.cc
+++ b/packages/log_codec/config_codec.cc
@@ -12,139 +12,30 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/field_failure.h"
 #include "config/subject_copies.h"
 #include "config/validate_record.h"
-#include "log_codec/json_fields.h"
+#include "json_fields/field_reader.h"
+#include "json_fields/json_fields.h"
 
 namespace toucanhollow {
 namespace {
 
 using nlohmann::json;
 
-// Longer values are truncated in messages.
-constexpr std::size_t kMaxQuotedBytes = 80;
-
-std::string FormatValue(const json& value) {
-  std::string text = DumpJson(value);
-  if (text.size() > kMaxQuotedBytes) {
-    text.resize(kMaxQuotedBytes);
-    text += "...";
-  }
-  return text;
-}
-
-// Reads the fields of one JSON object and collects failures.
-struct FieldReader {
-  const json& object;
-  // Put in front of the field names in messages.
-  std::string prefix;
-  std::vector<Failure>& failures;
-  std::set<std::string> read_names = {};
-
-  // Returns the field, or null if it is missing. If `remedy_if_required` is not
-  // null, a missing field is added to the failures.
-  const json* FindMember(const char* name, const char* remedy_if_required) {
-    this->read_names.insert(name);
-    const json* field = FindField(this->object, name);
-    if (field == nullptr && remedy_if_required != nullptr) {
-      this->failures.push_back(
-          MissingField(this->prefix + name, remedy_if_required));
-    }
-    return field;
-  }
-
-  void AddInvalidField(const char* name,
-                       const json& value,
-                       const char* remedy) {
-    this->failures.push_back(
-        InvalidField(this->prefix + name, FormatValue(value), remedy));
-  }
-
-  std::string ReadString(const char* name, const char* remedy_if_required) {
-    const json* field = this->FindMember(name, remedy_if_required);
-    if (field == nullptr) {
-      return {};
-    }
-    if (!field->is_string()) {
-      this->AddInvalidField(name, *field, "use a string");
-      return {};
-    }
-    return field->get<std::string>();
-  }
-
-  int ReadInteger(const char* name, int default_value) {
-    const json* field = this->FindMember(name, nullptr);
-    if (field == nullptr) {
-      return default_value;
-    }
-    const auto value = FindIntegerField(this->object, name);
-    if (!value || *value < std::numeric_limits<int>::min() ||
-        *value > std::numeric_limits<int>::max()) {
-      this->AddInvalidField(name, *field, "use a whole number");
-      return default_value;
-    }
-    return static_cast<int>(*value);
-  }
-
-  std::optional<int> ReadOptionalInteger(const char* name) {
-    if (FindField(this->object, name) == nullptr) {
-      this->read_names.insert(name);
-      return std::nullopt;
-    }
-    return this->ReadInteger(name, 0);
-  }
-
-  double ReadNumber(const char* name, double default_value) {
-    const json* field = this->FindMember(name, nullptr);
-    if (field == nullptr) {
-      return default_value;
-    }
-    const auto value = FindNumberField(this->object, name);
-    if (!value) {
-      this->AddInvalidField(name, *field, "use a number");
-    }
-    return value.value_or(default_value);
+// Reads "in_service" or "out"; a missing field means in service.
+bool ReadInService(FieldReader& reader,
+                   const char* name,
+                   const char* remedy_if_required) {
+  const json* field = reader.FindMember(name, remedy_if_required);
+  if (field == nullptr || *field == "in_service") {
+    return true;
   }
-
-  bool ReadInService(const char* name, const char* remedy_if_required) {
-    const json* field = this->FindMember(name, remedy_if_required);
-    if (field == nullptr || *field == "in_service") {
-      return true;
-    }
-    if (*field != "out") {
-      this->AddInvalidField(name, *field, "use \"in_service\" or \"out\"");
-    }
-    return false;
+  if (*field != "out") {
+    reader.AddInvalidField(name, *field, "use \"in_service\" or \"out\"");
   }
-
-  // Returns the elements of the list. If the field is not a list, adds a
-  // failure and returns none.
-  std::vector<json> ReadList(const char* name, const char* remedy_if_required) {
-    const json* field = this->FindMember(name, remedy_if_required);
-    if (field == nullptr) {
-      return {};
-    }
-    if (!field->is_array()) {
-      this->AddInvalidField(name, *field, "use a list");
-      return {};
-    }
-    return {field->begin(), field->end()};
-  }
-
-  void ReportUnknown(std::vector<Failure>& findings) const {
-    if (!this->object.is_object()) {
-      return;
-    }
-    for (const auto& [name, value] : this->object.items()) {
-      if (!this->read_names.contains(name)) {
-        findings.push_back(MakeFailure(
-            ResultCode::kRecordUnknownField,
-            this->prefix + name +
-                " is not known to this version; check its spelling"));
-      }
-    }
-  }
-};
+  return false;
+}
 
 // Reads the content of a copy in the given schema version. Invalid fields are
 // added to `failures`, unknown fields to `findings`.
@@ -166,7 +57,7 @@
         accounts[{element.get<std::string>()}] = 1;
         continue;
       }
-      FieldReader account{element, "accounts.", this->failures};
+      FieldReader account(element, "accounts.", this->failures);
       const std::string name = account.ReadString("name", "name the account");
       accounts[{name}] = account.ReadNumber("share", 1);
       account.ReportUnknown(this->findings);
@@ -208,7 +99,7 @@
       return service;
     }
     for (const json& element : reader.ReadList("calls", nullptr)) {
-      FieldReader call{element, "calls.", this->failures};
+      FieldReader call(element, "calls.", this->failures);
       CallRule rule{call.ReadString("method", "give an HTTP method"),
                     call.ReadString("path_prefix", "begin it with '/'"), false};
       const json* repeatable = call.FindMember(
@@ -237,7 +128,8 @@
         addresses.push_back(*address);
       }
     } else {
-      addresses = reader.ReadList("addresses", kRemedy);
+      const json& list = reader.ReadList("addresses", kRemedy);
+      addresses.assign(list.begin(), list.end());
     }
     for (const json& element : addresses) {
       if (const auto address = ParseAddress(element)) {
@@ -248,7 +140,7 @@
                                "use <IPv4 address>:<port from 1 to 65535>");
       }
     }
-    endpoint.in_service = reader.ReadInService("state", nullptr);
+    endpoint.in_service = ReadInService(reader, "state", nullptr);
     endpoint.weight = reader.ReadNumber("weight", 1);
     endpoint.full_limit = reader.ReadOptionalInteger("full_limit");
     endpoint.rank = reader.ReadOptionalInteger("rank");
@@ -277,7 +169,7 @@
   // Returns none if this version does not know the kind.
   std::optional<ConfigContent> ReadContent(const std::string& kind,
                                            const json& object) const {
-    FieldReader reader{object, "", this->failures};
+    FieldReader reader(object, "", this->failures);
     std::optional<ConfigContent> content;
     if (kind == kModelGroupKind) {
       content = this->ReadModelGroup(reader);
@@ -288,7 +180,7 @@
     } else if (kind == kDataCentreKind) {
       DataCentreContent data_centre;
       data_centre.in_service =
-          reader.ReadInService("state", "use \"in_service\" or \"out\"");
+          ReadInService(reader, "state", "use \"in_service\" or \"out\"");
       if (this->schema >= 2) {
         data_centre.region = reader.ReadString("region", nullptr);
       }
--- a/packages/log_codec/map_codec.cc
+++ b/packages/log_codec/map_codec.cc
@@ -7,7 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "log_codec/json_fields.h"
+#include "json_fields/json_fields.h"
 
 namespace toucanhollow {
 namespace {
