Tell empty, missing, null and malformed parts of configurations apart

After the operator had taken the last tenant out of the configuration, requests with any key were served, also with keys that nobody ever held. Cause: an empty list of tenants was read like a missing one, and without tenants no request needs a key. Other parts were read in the same way: routes and services that were null became empty lists, an empty key made requests without a key those of its tenant, an empty split sent requests to a service without a name, a path prefix without slashes matched other paths, missing time-outs became 0. A configuration that was refused was confirmed as the newest one, so routes and keys got 404 and 401 by the one before it. Change: the configuration and the servers' entries are read by FieldReader, which gives a default to missing fields only. A configuration with a part that is null or malformed is refused with the field and the remedy; the last one stays in force, and what it lacks gets 503 until a newer one is valid.

--- a/packages/json_fields/field_reader.cc
+++ b/packages/json_fields/field_reader.cc
@@ -65,6 +65,15 @@
   return field->get<std::string>();
 }
 
+std::string FieldReader::ReadName(const char* name, const char* remedy) {
+  std::string text = this->ReadString(name, remedy);
+  const json* field = FindField(this->object, name);
+  if (field != nullptr && field->is_string() && text.empty()) {
+    this->AddInvalidField(name, *field, remedy);
+  }
+  return text;
+}
+
 int FieldReader::ReadInteger(const char* name, int default_value) {
   const json* field = this->FindMember(name, nullptr);
   if (field == nullptr) {
--- a/packages/json_fields/field_reader.h
+++ b/packages/json_fields/field_reader.h
@@ -36,6 +36,8 @@
   const nlohmann::json* FindMember(const char* name,
                                    const char* remedy_if_required);
   std::string ReadString(const char* name, const char* remedy_if_required);
+  // A string that is not empty.
+  std::string ReadName(const char* name, const char* remedy);
   int ReadInteger(const char* name, int default_value);
   std::optional<int> ReadOptionalInteger(const char* name);
   double ReadNumber(const char* name, double default_value);
--- /dev/null
+++ b/packages/json_fields/field_reader_test.cc
@@ -0,0 +1,63 @@
+#include "json_fields/field_reader.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+namespace toucanhollow {
+namespace {
+
+using nlohmann::json;
+
+// Guards against null, or a value of another type, that is taken for a missing
+// or an empty field.
+TEST_CASE("missing, empty, null and wrong fields are told apart") {
+  const json document = json::parse(
+      R"({"empty":[],"list":[1],"null":null,"text":"","object":{},"one":1})");
+  std::vector<Failure> failures;
+  FieldReader reader(document, "a.", failures);
+  CHECK(reader.ReadList("missing", nullptr).empty());
+  CHECK(reader.ReadList("empty", nullptr).empty());
+  CHECK(reader.ReadList("list", nullptr).size() == 1);
+  CHECK(reader.ReadNumber("missing", 7) == 7);
+  CHECK(reader.ReadBool("missing", true));
+  CHECK(reader.ReadObject("missing", nullptr) == nullptr);
+  CHECK(reader.ReadObject("object", nullptr) != nullptr);
+  CHECK(reader.ReadString("text", nullptr).empty());
+  CHECK_FALSE(reader.ReadOptionalInteger("missing"));
+  REQUIRE(failures.empty());
+  reader.ReadList("missing", "list it");
+  CHECK(failures.back() == MakeFailure(ResultCode::kRecordFieldMissing,
+                                       "a.missing is missing; list it"));
+  reader.ReadList("null", nullptr);
+  CHECK(failures.back() ==
+        MakeFailure(ResultCode::kRecordFieldInvalid,
+                    "a.null is 'null'; use a list, which may be empty"));
+  reader.ReadList("object", nullptr);
+  reader.ReadObject("null", nullptr);
+  reader.ReadObject("list", nullptr);
+  reader.ReadNumber("null", 0);
+  reader.ReadNumber("text", 0);
+  reader.ReadBool("null", false);
+  reader.ReadBool("one", false);
+  reader.ReadString("null", nullptr);
+  reader.ReadName("text", "name it");
+  reader.ReadOptionalInteger("null");
+  CHECK(failures.size() == 12);
+}
+
+// Guards against a value beyond its bounds that is used.
+TEST_CASE("a number outside its bounds is replaced by the default") {
+  const json document = json::parse(R"({"low":-1,"high":11,"good":10})");
+  std::vector<Failure> failures;
+  FieldReader reader(document, "", failures);
+  CHECK(reader.ReadNumber("good", 5, 0, 10) == 10);
+  CHECK(reader.ReadNumber("missing", 5, 0, 10) == 5);
+  CHECK(failures.empty());
+  CHECK(reader.ReadNumber("low", 5, 0, 10) == 5);
+  CHECK(reader.ReadNumber("high", 5, 0, 10) == 5);
+  REQUIRE(failures.size() == 2);
+  CHECK(failures[1].detail == "high is '11'; use a number from 0 to 10");
+}
+
+}  // namespace
+}  // namespace toucanhollow
--- a/packages/relay/platform_view_task.cc
+++ b/packages/relay/platform_view_task.cc
@@ -83,6 +83,10 @@
 }
 
 void PlatformViewTask::ConfirmTraffic(TimePoint as_of) {
+  if (!this->newest_traffic_taken) {
+    // What a configuration that cannot be read allows is not known.
+    return;
+  }
   this->current_view.traffic_confirmed_at =
       std::max(this->current_view.traffic_confirmed_at.value_or(as_of), as_of);
 }
@@ -113,6 +117,7 @@
 
 void PlatformViewTask::ApplyTrafficConfig(const KeyedRecord& record) {
   Result<TrafficConfig> decoded = this->codec.decode_traffic(*record.value);
+  this->newest_traffic_taken = decoded.has_value();
   if (!decoded) {
     LogJsonNow("configuration_refused",
                {{"offset", record.offset},
@@ -129,6 +134,7 @@
       {{"version", version},
        {"offset", record.offset},
        {"routes", static_cast<std::int64_t>(decoded.value().routes.size())},
+       {"requires_key", decoded.value().requires_key},
        {"keys",
         static_cast<std::int64_t>(decoded.value().accounts_by_key.size())}});
   this->current_view.traffic =
--- a/packages/relay/platform_view_task.h
+++ b/packages/relay/platform_view_task.h
@@ -62,7 +62,7 @@
                      TimePoint confirmed_at);
 
  private:
-  // The configuration was the newest at this time.
+  // All records of the operators up to this time have been read.
   void ConfirmTraffic(TimePoint as_of);
   void OnOperatorKeys(const std::vector<std::string>& keys);
   void OnServerKeys(const std::vector<std::string>& keys);
@@ -74,6 +74,8 @@
   Duration server_read_delay;
   std::function<void()> on_change;
   PlatformView current_view;
+  // False while the newest configuration that was read is refused.
+  bool newest_traffic_taken = true;
   std::unique_ptr<KeyedTopicTask> operator_topic;
   std::unique_ptr<KeyedTopicTask> server_topic;
 };
--- a/packages/traffic/check_caller.cc
+++ b/packages/traffic/check_caller.cc
@@ -16,11 +16,13 @@
                  : CallerCheck{CallerVerdict::kUnavailable,
                                "no route in an unconfirmed configuration"};
   }
-  const auto account = traffic->accounts_by_key.find(request.key);
+  const auto account = request.key.empty()
+                           ? traffic->accounts_by_key.end()
+                           : traffic->accounts_by_key.find(request.key);
   if (account != traffic->accounts_by_key.end()) {
     return {CallerVerdict::kServed, "", route, &account->second};
   }
-  if (!traffic->has_accounts || route->anonymous) {
+  if (!traffic->requires_key || route->anonymous) {
     return {CallerVerdict::kServed, "", route};
   }
   // No configuration ever holds an empty key.
--- a/packages/traffic/check_caller_test.cc
+++ b/packages/traffic/check_caller_test.cc
@@ -16,11 +16,36 @@
   open.path_prefix = "/b/";
   open.anonymous = true;
   config.routes = {keyed, open};
-  config.has_accounts = true;
+  config.requires_key = true;
   config.accounts_by_key.emplace("k", ClientAccount{{"acc"}, std::nullopt});
   return config;
 }
 
+// Guards against a configuration without accounts that opens all routes.
+TEST_CASE("without accounts every key is refused") {
+  TrafficConfig config = MakeConfig();
+  config.accounts_by_key.clear();
+  for (const char* key : {"k", "other", ""}) {
+    CHECK(CheckCaller(&config, true, {"h", "/a/x", key}).verdict ==
+          CallerVerdict::kUnknownKey);
+  }
+  CHECK(CheckCaller(&config, true, {"h", "/b/x", "k"}).verdict ==
+        CallerVerdict::kServed);
+  config.requires_key = false;
+  CHECK(CheckCaller(&config, true, {"h", "/a/x", "k"}).verdict ==
+        CallerVerdict::kServed);
+}
+
+// Guards against requests without a key that are taken for those of an account
+// whose key is empty.
+TEST_CASE("no account has an empty key") {
+  TrafficConfig config = MakeConfig();
+  config.accounts_by_key.emplace("", ClientAccount{{"none"}, std::nullopt});
+  CHECK(CheckCaller(&config, true, {"h", "/a/x", ""}).verdict ==
+        CallerVerdict::kUnknownKey);
+  CHECK(CheckCaller(&config, true, {"h", "/b/x", ""}).account == nullptr);
+}
+
 TEST_CASE("a request with a route and a key is served") {
   const TrafficConfig config = MakeConfig();
   const CallerCheck check = CheckCaller(&config, false, {"h", "/a/x", "k"});
--- a/packages/traffic/find_route.cc
+++ b/packages/traffic/find_route.cc
@@ -43,7 +43,14 @@
       return share.service;
     }
   }
-  return route.shares.empty() ? ServiceName{} : route.shares.back().service;
+  // Rounding leaves a rest of the last share that has any.
+  for (auto share = route.shares.rbegin(); share != route.shares.rend();
+       ++share) {
+    if (share->weight > 0) {
+      return share->service;
+    }
+  }
+  return {};
 }
 
 }  // namespace toucanhollow
--- a/packages/traffic/traffic_config.h
+++ b/packages/traffic/traffic_config.h
@@ -27,14 +27,17 @@
   bool operator==(const ServiceShare&) const = default;
 };
 
+// Of routes that leave the time to their callers.
+inline constexpr Duration kNoTimeout = std::chrono::hours(24);
+
 struct Route {
   std::string name;
   std::string host;
   std::string path_prefix;  // begins and ends with a slash
   RouteKind kind = RouteKind::kUnsafe;
-  Duration timeout{0};         // longest time from arrival to the final answer
-  Duration target_latency{0};  // to the answer, or to the first event
-  int priority = 0;            // 0 is the most urgent
+  Duration timeout = kNoTimeout;  // from arrival to the final answer
+  Duration target_latency{0};     // to the answer, or to the first event
+  int priority = 0;               // 0 is the most urgent
   std::vector<ServiceShare> shares;
   int max_attempts = 1;  // servers that one request may be sent to
   bool anonymous = false;
@@ -102,8 +105,9 @@
   std::int64_t version = 0;
   std::vector<Route> routes;
   std::map<ServiceName, Service> services;
-  // Without accounts, no request needs a key.
-  bool has_accounts = false;
+  // A request needs the key of an account unless its route is anonymous. If
+  // there are no accounts, every key is refused.
+  bool requires_key = false;
   std::map<std::string, ClientAccount, std::less<>> accounts_by_key;
   IngressLimits limits;
 
--- a/packages/traffic/traffic_test.cc
+++ b/packages/traffic/traffic_test.cc
@@ -47,6 +47,17 @@
   CHECK(of_b < 120);
 }
 
+// Guards against a request that rounding sends to a service without a share.
+TEST_CASE("a service without a share gets no request") {
+  Route route;
+  route.shares = {{{"a"}, 0.1}, {{"b"}, 0.7}, {{"c"}, 0.2}, {{"d"}, 0}};
+  for (std::uint64_t draw = (1U << 24U) - 2000; draw < (1U << 24U); ++draw) {
+    CHECK(ChooseService(route, draw).value != "d");
+  }
+  route.shares = {{{"d"}, 0}};
+  CHECK(ChooseService(route, 0).value.empty());
+}
+
 ListedServer MakeServer() {
   ListedServer server;
   server.id = "s";
--- a/standins/platform/platform_relay_test.cc
+++ b/standins/platform/platform_relay_test.cc
@@ -561,5 +561,64 @@
   CHECK(answered.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
 
+int StatusWithKey(Site& site, const std::string& key) {
+  std::string request = Request("GET", "/s/x", "r");
+  const std::string sent = "Token k1";
+  request.replace(request.find(sent), sent.size(), "Token " + key);
+  return Ask(site, request).status;
+}
+
+// Guards against a host that serves every key after the last account was taken
+// away.
+TEST_CASE("no key is served after the last account was removed") {
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  std::string config = ConfigText(2, "");
+  const std::string tenants = R"("tenants":[{"name":"acc","api_keys":[]}])";
+  config.replace(config.find(tenants), tenants.size(), R"("tenants":[])");
+  site.store.Put("keyed.op", "config", config);
+  CHECK(site.RunUntil([&] { return StatusWithKey(site, "k1") == 401; },
+                      Seconds(1)));
+  CHECK(StatusWithKey(site, "other") == 401);
+}
+
+// Guards against refusing keys for good by a configuration that has a newer
+// version, and against serving by one that cannot be read.
+TEST_CASE("a configuration that cannot be read leaves the last one in force") {
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  CHECK(StatusWithKey(site, "k2") == 401);
+  std::string config = ConfigText(2, "\"k2\"");
+  const std::string tenants = R"("tenants":[{"name":"acc","api_keys":["k2"]}])";
+  config.replace(config.find(tenants), tenants.size(), R"("tenants":null)");
+  site.store.Put("keyed.op", "config", config);
+  // The refused version may hold this key.
+  CHECK(site.RunUntil([&] { return StatusWithKey(site, "k2") == 503; }));
+  CHECK(StatusWithKey(site, "k1") == 200);
+  site.store.Put("keyed.op", "config", ConfigText(3, "\"k2\""));
+  CHECK(site.RunUntil([&] { return StatusWithKey(site, "k2") == 200; }));
+  CHECK(StatusWithKey(site, "k1") == 401);
+}
+
+// Guards against an evacuation that is passed over because of its content.
+TEST_CASE("any record of an evacuation takes the data centre out") {
+  for (const std::string content : {"{}", "null", "[]", "\x01"}) {
+    INFO(content);
+    Site site;
+    site.Configure();
+    site.Start();
+    REQUIRE(Serves(site));
+    site.store.Put("keyed.op", "evacuate/west", content);
+    CHECK(site.RunUntil(
+        [&] { return Ask(site, Request("GET", "/s/x", "r")).status == 503; }));
+    site.store.Put("keyed.op", "evacuate/west", std::nullopt);
+    CHECK(Serves(site));
+  }
+}
+
 }  // namespace
 }  // namespace toucanhollow
