Start with settings that the platform leaves empty

Cause: the platform's template writes nothing for a field that it does not have, so an optional key is there without a value. Such a key of store.partitions or listen.permit_port was taken for a mistake and stopped the process. Change: an empty value of an optional key has its default, as a missing one. Result: the new case of relay_test fails before and passes.

--- a/packages/relay/relay_settings.cc
+++ b/packages/relay/relay_settings.cc
@@ -66,6 +66,12 @@
   return addresses;
 }
 
+// The platform writes an empty value for a field that it does not have.
+bool HasValue(const ptree& tree, const std::string& field) {
+  const auto value = tree.get_optional<std::string>(field);
+  return value && !value->empty();
+}
+
 Duration ToDuration(double seconds) {
   return Duration(static_cast<Duration::rep>(seconds * 1e6));
 }
@@ -104,7 +110,7 @@
                     ReadNumber(tree, "listen.rank_call_port", 1, kMaxPort));
   // The platform's template has no name for the port after the first one.
   settings.permit_port = static_cast<std::uint16_t>(report_port + 1);
-  if (tree.get_optional<std::string>("listen.permit_port")) {
+  if (HasValue(tree, "listen.permit_port")) {
     BOOST_OUTCOME_TRY(permit_port,
                       ReadNumber(tree, "listen.permit_port", 1, kMaxPort));
     settings.permit_port = static_cast<std::uint16_t>(permit_port);
@@ -114,7 +120,7 @@
   settings.rank_call_port = static_cast<std::uint16_t>(rank_call_port);
   BOOST_OUTCOME_TRY(store, ReadAddress(tree, "store.address"));
   settings.store = store;
-  if (tree.get_optional<std::string>("store.partitions")) {
+  if (HasValue(tree, "store.partitions")) {
     BOOST_OUTCOME_TRY(partitions,
                       ReadNumber(tree, "store.partitions", 1, kMaxPartitions));
     settings.store_partitions = static_cast<int>(partitions);
--- a/packages/relay/relay_test.cc
+++ b/packages/relay/relay_test.cc
@@ -41,6 +41,23 @@
             .permit_port == 7342);
 }
 
+// Guards against a host that does not start because the platform has no value
+// for an optional field.
+TEST_CASE("an optional field without a value has its default") {
+  const Result<RelaySettings> settings = ParseRelaySettings(SettingsWith(
+      "address = 10.0.0.9:90", "address = 10.0.0.9:90\npartitions ="));
+  REQUIRE(settings);
+  CHECK(settings.value().store_partitions == 1);
+  const Result<RelaySettings> ports = ParseRelaySettings(
+      SettingsWith("report_port", "permit_port =\nreport_port"));
+  REQUIRE(ports);
+  CHECK(ports.value().permit_port == 7341);
+  const Result<RelaySettings> seeds =
+      ParseRelaySettings(SettingsWith("10.0.0.2:82,10.0.0.3:82", ""));
+  REQUIRE(seeds);
+  CHECK(seeds.value().seeds.empty());
+}
+
 // Guards against a host that starts although a field could not be parsed.
 TEST_CASE("a settings error names its field and the remedy") {
   const auto detail = [](const std::string& text) {
