Disturb the contact with the store in the soak

Cause: the soak voided its check of servers that leave with every fault of any host, and its faults follow each other within half a second, so hosts were never in touch for the 3 s after which they are held to the bounds. Servers always gave notice, and connections fell silent only together with new ones. Change: a second part of each run: open connections to the store fall silent, of one host or of all; a host is cut from the store while another one restarts; hosts restart; servers leave without notice and serve on for 3 to 5.5 s. The check looks at the host that took each request: was it undisturbed for 3 s, and did the request arrive more than 2 s after the store acknowledged the leaving. The directory of a run has a log of its faults. The plans of the first part are as before.

--- a/soak/caller_load.cc
+++ b/soak/caller_load.cc
@@ -101,6 +101,7 @@
     request.body = "body of " + caller.id;
   }
   request.sent_at = EventLoop::Now();
+  request.host = caller.host;
   caller.parser = ResponseParser(true);
   caller.body.clear();
   const std::string bytes = ToBytes(caller.id, request);
--- a/soak/check_promises.cc
+++ b/soak/check_promises.cc
@@ -51,6 +51,30 @@
   return "id: " + std::to_string(number) + "\ndata: " + id + "\n\n";
 }
 
+void NoteArrivalAfterLeaving(Ledger& ledger,
+                             const std::string& server,
+                             const std::string& id,
+                             TimePoint left_at,
+                             TimePoint now) {
+  const auto found = ledger.requests.find(id);
+  if (found == ledger.requests.end() || now <= left_at + kDrainBound) {
+    return;
+  }
+  const SentRequest& request = found->second;
+  const TimePoint disturbed_until = ledger.disturbed_until[request.host];
+  if (request.sent_at <= disturbed_until + kContactBound) {
+    ++ledger.allowed_late_arrivals;
+    return;
+  }
+  Break(ledger, id,
+        "reached " + server + " " +
+            std::to_string(ToMilliseconds(now - left_at) / 1000) +
+            " s after it left, through host " + std::to_string(request.host) +
+            ", undisturbed for " +
+            std::to_string(ToMilliseconds(now - disturbed_until) / 1000) +
+            " s");
+}
+
 void NoteRun(Ledger& ledger,
              const std::string& server,
              const RequestHead& head,
--- a/soak/plan_faults.h
+++ b/soak/plan_faults.h
@@ -2,6 +2,7 @@
 #ifndef SOAK_PLAN_FAULTS_H_
 #define SOAK_PLAN_FAULTS_H_
 
+#include <string_view>
 #include <vector>
 
 #include "base/time.h"
@@ -21,8 +22,15 @@
   kRestartServer,
   kDrainServer,
   kConfigure,  // a new version is published
+  // Faults of the contact with the store; see PlanContactFaults.
+  kSilenceStore,      // connections of one host, or of all, fall silent
+  kSilenceServer,     // connections to one server fall silent
+  kRemoveServer,      // a server leaves without notice
+  kCutBesideRestart,  // a host is cut from the store and another one restarts
 };
 
+std::string_view FaultName(FaultKind kind);
+
 struct Fault {
   Duration at{0};
   FaultKind kind = FaultKind::kKillHost;
@@ -37,6 +45,11 @@
 // In order of time; faults overlap.
 std::vector<Fault> PlanFaults(unsigned int seed, Duration length);
 
+// Disturbances of the contact with the store beside which servers leave without
+// notice. There is time between them in which hosts are in touch again and held
+// to the bounds.
+std::vector<Fault> PlanContactFaults(unsigned int seed, Duration length);
+
 }  // namespace toucanhollow
 
 #endif  // SOAK_PLAN_FAULTS_H_
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -9,7 +9,10 @@
 #include "soak/soak_site.h"
 
 DEFINE_uint32(seed, 1, "seed of the faults and of the callers' requests");
-DEFINE_double(seconds, 8, "how long faults begin");
+DEFINE_double(seconds, 8, "how long faults of all kinds begin");
+DEFINE_double(contact_seconds,
+              14,
+              "how long faults of the contact with the store begin after that");
 DEFINE_string(program, "build/bin/toucanhollow", "the program under test");
 DEFINE_string(directory, "run/soak", "settings and logs go here");
 
@@ -21,6 +24,8 @@
   options.seed = FLAGS_seed;
   options.faults_for = toucanhollow::Duration(
       static_cast<toucanhollow::Duration::rep>(FLAGS_seconds * 1e6));
+  options.contact_faults_for = toucanhollow::Duration(
+      static_cast<toucanhollow::Duration::rep>(FLAGS_contact_seconds * 1e6));
   options.program = FLAGS_program;
   options.directory = FLAGS_directory + "/seed-" + std::to_string(FLAGS_seed);
   std::filesystem::remove_all(options.directory);
@@ -31,7 +36,9 @@
   std::cout << "seed " << FLAGS_seed << ": " << ledger.requests.size()
             << " requests, " << ledger.answered << " answered, "
             << ledger.refused << " refused, " << ledger.failed
-            << " failed or left, " << ledger.broken.size()
+            << " failed or left; " << ledger.checked_leavings
+            << " servers left, " << ledger.allowed_late_arrivals
+            << " late requests allowed; " << ledger.broken.size()
             << " promises broken\n";
   for (const std::string& broken : ledger.broken) {
     std::cout << "  " << broken << "\n";
--- a/soak/soak_server.cc
+++ b/soak/soak_server.cc
@@ -40,7 +40,7 @@
 void SoakServer::Restart(std::string id) {
   this->own_id = std::move(id);
   this->arrived.clear();
-  this->forbidden_at.reset();
+  this->left_at.reset();
   std::vector<std::uint64_t> numbers;
   for (const auto& [number, session] : this->sessions) {
     numbers.push_back(number);
@@ -98,9 +98,9 @@
     return;
   }
   this->CheckRate(EventLoop::Now());
-  if (this->forbidden_at && EventLoop::Now() > *this->forbidden_at) {
-    this->ledger.broken.push_back("request " + id +
-                                  ": reached a server that had left");
+  if (this->left_at) {
+    NoteArrivalAfterLeaving(this->ledger, this->own_id, id, *this->left_at,
+                            EventLoop::Now());
   }
   NoteRun(this->ledger, this->own_id, head, body);
   this->Run(number, head);
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -38,8 +38,9 @@
   // Requests that arrive until then may have been held up on the way, so their
   // number in a second is not checked.
   void IgnoreRateUntil(TimePoint time) { this->rate_ignored_until = time; }
-  // No request may come after this time.
-  void ForbidAfter(std::optional<TimePoint> time) { this->forbidden_at = time; }
+  // The store acknowledged at this time, while it was stable, that the server
+  // leaves. Requests are held against it.
+  void SetLeft(std::optional<TimePoint> time) { this->left_at = time; }
 
  private:
   struct Session {
@@ -60,7 +61,7 @@
   EventLoop& loop;
   Ledger& ledger;
   std::string own_id;
-  std::optional<TimePoint> forbidden_at;
+  std::optional<TimePoint> left_at;
   TimePoint rate_ignored_until;
   std::deque<TimePoint> arrived;  // in the last second
   int to_break = 0;
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -2,8 +2,10 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <iomanip>
 #include <utility>
 
 namespace toucanhollow {
@@ -18,11 +20,16 @@
 constexpr Duration kLapse = Seconds(3);
 constexpr Duration kRestartPause = Milliseconds(300);
 constexpr Duration kGrace = Seconds(4);
-// The bounds that the settings state, as the platform does.
-constexpr Duration kDrainBound = Seconds(2);
-constexpr Duration kContactBound = Seconds(3);
-// Time from the last fault to the end; the last second of it must be served.
-constexpr Duration kCalm = Seconds(6);
+// A server that leaves without notice serves on for so long.
+constexpr Duration kServesOn = Milliseconds(3000);
+constexpr int kServesOnSpreadMs = 2500;
+// From the begin of a cut to the restart of another host.
+constexpr Duration kRestartAfter = Milliseconds(300);
+// Between the two parts of a run.
+constexpr Duration kPause = Seconds(4);
+// Time from the begin of the last fault to the end. The longest fault lasts
+// 5.5 s, and the second after this time must be served.
+constexpr Duration kCalm = Seconds(9);
 constexpr double kServedWhenCalm = 0.9;
 // UDP, of entry hosts and of agents.
 constexpr std::uint16_t kReportPort = 18083;
@@ -35,6 +42,10 @@
          std::to_string(1 + pid % kOctet) + "." + std::to_string(number);
 }
 
+double ToSeconds(WallTime time) {
+  return std::chrono::duration<double>(time.time_since_epoch()).count();
+}
+
 std::string HostIp(int host) {
   return OwnIp(10 + host);
 }
@@ -72,13 +83,18 @@
   SoakServer server;
   FaultProxy link;
   TimePoint next_heartbeat;
+  // It has told the store that it leaves, or has been removed.
   bool draining = false;
+  bool removed = false;
+  // When its link was last disturbed, which may have held requests up.
+  TimePoint link_disturbed_at;
 
   Server(EventLoop& loop, Ledger& ledger, const std::string& id)
       : server(loop, ledger, id), link(loop, {"127.0.0.1", server.Port()}) {}
 };
 
 struct SoakSite::Host {
+  std::size_t number;
   std::string ip;
   FaultProxy store_link;
   std::unique_ptr<ChildProcess> process;
@@ -88,19 +104,27 @@
   bool paused = false;
   bool expected_to_end = false;
 
-  Host(EventLoop& loop, std::uint16_t store_port, std::string ip)
-      : ip(std::move(ip)), store_link(loop, {"127.0.0.1", store_port}) {}
+  Host(EventLoop& loop,
+       std::size_t number,
+       std::uint16_t store_port,
+       std::string ip)
+      : number(number),
+        ip(std::move(ip)),
+        store_link(loop, {"127.0.0.1", store_port}) {}
 };
 
 SoakSite::SoakSite(EventLoop& loop, SoakOptions options)
-    : loop(loop), options(std::move(options)), store(loop) {
+    : loop(loop),
+      options(std::move(options)),
+      fault_log(this->options.directory + "/faults.log"),
+      store(loop) {
   for (int i = 0; i < kServers; ++i) {
     this->servers.push_back(std::make_unique<Server>(
         loop, this->ledger, "i-" + std::to_string(this->next_server++)));
   }
   for (int i = 0; i < kHosts; ++i) {
-    this->hosts.push_back(
-        std::make_unique<Host>(loop, this->store.Port(), HostIp(i)));
+    this->hosts.push_back(std::make_unique<Host>(
+        loop, static_cast<std::size_t>(i), this->store.Port(), HostIp(i)));
   }
 }
 
@@ -147,13 +171,63 @@
                                                  std::move(action)));
 }
 
-void SoakSite::NoteDisturbance() {
-  this->disturbed_at = EventLoop::Now();
-  for (const auto& server : this->servers) {
-    server->server.ForbidAfter(std::nullopt);
+void SoakSite::NoteDisturbance(const Host& host, Duration lasts) {
+  TimePoint& until = this->ledger.disturbed_until[host.number];
+  until = std::max(until, EventLoop::Now() + lasts);
+}
+
+void SoakSite::NoteStoreDisturbance() {
+  this->store_disturbed_at = EventLoop::Now();
+  for (const auto& host : this->hosts) {
+    this->NoteDisturbance(*host);
   }
 }
 
+void SoakSite::DisturbLink(Server& server) {
+  server.link_disturbed_at = EventLoop::Now();
+  server.server.SetLeft(std::nullopt);
+}
+
+void SoakSite::NoteLeft(Server& server) {
+  const TimePoint now = EventLoop::Now();
+  const bool store_is_stable =
+      this->outages == 0 && now - this->store_disturbed_at > kContactBound;
+  if (store_is_stable && now - server.link_disturbed_at > kContactBound) {
+    server.server.SetLeft(now);
+    ++this->ledger.checked_leavings;
+  }
+}
+
+// Its entry is removed without notice, and it serves on for a while.
+void SoakSite::RemoveServer(Server& server, unsigned int draw) {
+  if (server.draining) {
+    return;
+  }
+  server.draining = true;
+  server.removed = true;
+  this->store.Put("keyed.servers", server.server.id(), std::nullopt);
+  this->NoteLeft(server);
+  this->After(kServesOn + Milliseconds(draw % kServesOnSpreadMs),
+              [this, &server] { this->RestartServer(server); });
+}
+
+void SoakSite::TerminateHost(Host& host) {
+  this->NoteDisturbance(host);
+  host.expected_to_end = true;
+  host.process->Signal(SIGTERM);
+  host.kill_at = EventLoop::Now() + kGrace;
+  host.start_at = EventLoop::Now() + kRestartPause;
+}
+
+void SoakSite::CutFromStore(Host& host, ProxyMode mode, Duration time) {
+  this->NoteDisturbance(host, time);
+  host.store_link.SetMode(mode);
+  this->After(time, [this, &host] {
+    this->NoteDisturbance(host);
+    host.store_link.SetMode(ProxyMode::kPass);
+  });
+}
+
 void SoakSite::Heartbeat(Server& server, const std::string& state) {
   server.next_heartbeat = EventLoop::Now() + kHeartbeat;
   this->store.Put("keyed.servers", server.server.id(),
@@ -169,10 +243,7 @@
   }
   server.draining = true;
   this->Heartbeat(server, "draining");
-  const TimePoint now = EventLoop::Now();
-  if (this->outages == 0 && now - this->disturbed_at > kContactBound) {
-    server.server.ForbidAfter(now + kDrainBound);
-  }
+  this->NoteLeft(server);
   this->After(2 * kDrainBound, [this, &server] {
     this->store.Put("keyed.servers", server.server.id(), std::nullopt);
     this->RestartServer(server);
@@ -183,6 +254,7 @@
 void SoakSite::RestartServer(Server& server) {
   const std::string old = server.server.id();
   server.draining = false;
+  server.removed = false;
   server.server.Restart("i-" + std::to_string(this->next_server++));
   this->Heartbeat(server, "ready");
   this->After(kLapse, [this, old] {
@@ -190,6 +262,12 @@
   });
 }
 
+void SoakSite::Schedule(const std::vector<Fault>& faults) {
+  for (const Fault& fault : faults) {
+    this->After(fault.at, [this, fault] { this->Begin(fault); });
+  }
+}
+
 void SoakSite::Publish() {
   this->store.Put("keyed.op", "config", ConfigText(this->version++));
 }
@@ -198,56 +276,58 @@
   Host& host = *this->hosts[fault.which % this->hosts.size()];
   Server& server = *this->servers[fault.which % this->servers.size()];
   const TimePoint now = EventLoop::Now();
+  // With the time of the processes' logs.
+  this->fault_log << "{\"time\":" << std::fixed << std::setprecision(3)
+                  << ToSeconds(EventLoop::WallNow()) << ",\"fault\":\""
+                  << FaultName(fault.kind) << "\",\"host\":" << host.number
+                  << ",\"server\":\"" << server.server.id()
+                  << "\",\"for_ms\":" << ToMilliseconds(fault.lasts)
+                  << ",\"mode\":" << static_cast<int>(fault.mode) << "}"
+                  << std::endl;
   switch (fault.kind) {
     case FaultKind::kKillHost:
-      this->NoteDisturbance();
+      this->NoteDisturbance(host);
       host.disturbed_at = now;
       host.expected_to_end = true;
       host.process->Signal(SIGKILL);
       host.start_at = now + kRestartPause;
       break;
     case FaultKind::kTerminateHost:
-      this->NoteDisturbance();
-      host.expected_to_end = true;
-      host.process->Signal(SIGTERM);
-      host.kill_at = now + kGrace;
-      host.start_at = now + kRestartPause;
+      this->TerminateHost(host);
       break;
     case FaultKind::kPauseHost:
-      this->NoteDisturbance();
+      this->NoteDisturbance(host, fault.lasts);
       host.disturbed_at = now;
       host.paused = true;
       host.process->Signal(SIGSTOP);
       this->After(fault.lasts, [this, &host] {
-        this->NoteDisturbance();
+        this->NoteDisturbance(host);
         host.disturbed_at = EventLoop::Now();
         host.paused = false;
         host.process->Signal(SIGCONT);
       });
       break;
     case FaultKind::kStoreDown:
-      this->NoteDisturbance();
+      this->NoteStoreDisturbance();
       ++this->outages;
       this->store.SetDown(true);
       this->After(fault.lasts, [this] {
-        this->NoteDisturbance();
+        this->NoteStoreDisturbance();
         --this->outages;
         this->store.SetDown(this->outages > 0);
       });
       break;
     case FaultKind::kStoreLink:
-      this->NoteDisturbance();
-      host.store_link.SetMode(fault.mode);
-      this->After(fault.lasts, [this, &host] {
-        this->NoteDisturbance();
-        host.store_link.SetMode(ProxyMode::kPass);
-      });
+      this->CutFromStore(host, fault.mode, fault.lasts);
       break;
     case FaultKind::kServerLink:
+      this->DisturbLink(server);
       server.link.SetMode(fault.mode);
       server.server.IgnoreRateUntil(now + fault.lasts + Seconds(1));
-      this->After(fault.lasts,
-                  [&server] { server.link.SetMode(ProxyMode::kPass); });
+      this->After(fault.lasts, [this, &server] {
+        this->DisturbLink(server);
+        server.link.SetMode(ProxyMode::kPass);
+      });
       break;
     case FaultKind::kStoreCompact:
       this->store.Compact("keyed.servers");
@@ -265,6 +345,30 @@
     case FaultKind::kConfigure:
       this->Publish();
       break;
+    case FaultKind::kSilenceStore:
+      for (const auto& silenced : this->hosts) {
+        // One host, or all at once.
+        if (fault.which % 2 == 0 || silenced.get() == &host) {
+          this->NoteDisturbance(*silenced);
+          silenced->store_link.SilenceOpenConnections();
+        }
+      }
+      break;
+    case FaultKind::kSilenceServer:
+      this->DisturbLink(server);
+      server.server.IgnoreRateUntil(now + Seconds(1));
+      server.link.SilenceOpenConnections();
+      break;
+    case FaultKind::kRemoveServer:
+      this->RemoveServer(server, fault.which);
+      break;
+    case FaultKind::kCutBesideRestart: {
+      Host& other = *this->hosts[(fault.which + 1) % this->hosts.size()];
+      this->CutFromStore(host, fault.mode, fault.lasts);
+      this->After(kRestartAfter,
+                  [this, &other] { this->TerminateHost(other); });
+      break;
+    }
   }
 }
 
@@ -274,7 +378,7 @@
     this->prompts->Tick();
   }
   for (const auto& server : this->servers) {
-    if (now >= server->next_heartbeat) {
+    if (now >= server->next_heartbeat && !server->removed) {
       this->Heartbeat(*server, server->draining ? "draining" : "ready");
     }
   }
@@ -296,6 +400,7 @@
     if (host->start_at && now >= *host->start_at) {
       host->start_at.reset();
       host->kill_at.reset();
+      this->NoteDisturbance(*host);
       host->process->Start();
       if (host->paused) {
         // The pause was meant for the process before it.
@@ -349,11 +454,11 @@
   this->prompts->Start();
   this->callers = std::make_unique<CallerLoad>(
       this->loop, this->ledger, std::move(views), this->options.seed, kCallers);
-  for (const Fault& fault :
-       PlanFaults(this->options.seed, this->options.faults_for)) {
-    this->After(fault.at, [this, fault] { this->Begin(fault); });
-  }
-  this->RunFor(this->options.faults_for + kCalm);
+  this->Schedule(PlanFaults(this->options.seed, this->options.faults_for));
+  this->RunFor(this->options.faults_for + kPause);
+  this->Schedule(
+      PlanContactFaults(this->options.seed, this->options.contact_faults_for));
+  this->RunFor(this->options.contact_faults_for + kCalm);
   this->CheckRecovery();
   this->callers->Finish();
   this->RunFor(Milliseconds(200));
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -4,6 +4,7 @@
 #define SOAK_SOAK_SITE_H_
 
 #include <cstdint>
+#include <fstream>
 #include <memory>
 #include <string>
 #include <vector>
@@ -21,7 +22,10 @@
 
 struct SoakOptions {
   unsigned int seed = 1;
+  // How long faults of all kinds begin, and then those of the contact with the
+  // store alone.
   Duration faults_for = Seconds(8);
+  Duration contact_faults_for = Seconds(14);
   std::string program;
   // Settings and logs go here; it must exist.
   std::string directory;
@@ -41,6 +45,7 @@
 
   void StartHosts();
   void RunFor(Duration time);
+  void Schedule(const std::vector<Fault>& faults);
   void Begin(const Fault& fault);
   void Tick();
   void Heartbeat(Server& server, const std::string& state);
@@ -48,12 +53,22 @@
   void RestartServer(Server& server);
   void Publish();
   void CheckRecovery();
-  // Ends the check of a drain that this fault may excuse.
-  void NoteDisturbance();
+  // The host is disturbed now and for this time, and has to be in touch again
+  // for a while before it is held to the bounds.
+  void NoteDisturbance(const Host& host, Duration lasts = Duration(0));
+  void NoteStoreDisturbance();
+  void DisturbLink(Server& server);
+  // Requests that arrive later are checked, if the store and the server's link
+  // are stable.
+  void NoteLeft(Server& server);
+  void RemoveServer(Server& server, unsigned int draw);
+  void TerminateHost(Host& host);
+  void CutFromStore(Host& host, ProxyMode mode, Duration time);
   void After(Duration delay, std::function<void()> action);
 
   EventLoop& loop;
   SoakOptions options;
+  std::ofstream fault_log;
   Ledger ledger;
   PlatformStoreStandIn store;
   std::vector<std::unique_ptr<Server>> servers;
@@ -64,7 +79,7 @@
   int version = 1;
   int next_server = 1;
   int outages = 0;
-  TimePoint disturbed_at;
+  TimePoint store_disturbed_at;
 };
 
 }  // namespace toucanhollow
