Keep exceptions out of libev and libmicrohttpd

What callers saw: an exception that is not a std::exception, or one that was thrown while the first one was reported, ended the process; one thrown in the callbacks of libmicrohttpd beside the handler unwound that library. Cause: RunGuarded caught std::exception only, called the handler unguarded, and the callbacks of the HTTP server other than its handler were not guarded. Both libraries are written in C. Change: RunGuarded is public, catches everything and cannot throw; a report that fails is noted on standard error without allocating. All callbacks of libmicrohttpd use it: a request whose callback fails is ended, the server goes on.

--- a/packages/event_loop/event_loop.cc
+++ b/packages/event_loop/event_loop.cc
@@ -2,6 +2,7 @@
 
 #include <ev.h>
 #include <time.h>
+#include <unistd.h>
 
 #include <exception>
 #include <iostream>
@@ -25,11 +26,34 @@
   this->uncaught_handler = std::move(handler);
 }
 
-void detail::ReportUncaughtException(struct ev_loop* loop,
-                                     std::string_view what) {
-  const auto* handler =
-      static_cast<std::function<void(std::string_view)>*>(ev_userdata(loop));
-  (*handler)(what);
+namespace {
+
+void CallHandler(struct ev_loop* loop, const std::exception_ptr& exception) {
+  const auto& handler =
+      *static_cast<std::function<void(std::string_view)>*>(ev_userdata(loop));
+  try {
+    std::rethrow_exception(exception);
+  } catch (const std::exception& error) {
+    handler(error.what());
+  } catch (...) {
+    handler("an exception that is not a std::exception");
+  }
+}
+
+}  // namespace
+
+void detail::ReportUncaughtException(
+    struct ev_loop* loop,
+    const std::exception_ptr& exception) noexcept {
+  try {
+    CallHandler(loop, exception);
+  } catch (...) {
+    // The handler allocates memory, which may be what was missing.
+    constexpr std::string_view kText =
+        "an exception could not be reported to its handler\n";
+    [[maybe_unused]] const ssize_t written =
+        write(STDERR_FILENO, kText.data(), kText.size());
+  }
 }
 
 EventLoop::~EventLoop() {
@@ -68,16 +92,6 @@
   return static_cast<double>(duration.count()) / 1e6;
 }
 
-// libev is written in C, so no exception may escape a callback that it calls.
-template <typename Callback>
-void RunGuarded(struct ev_loop* loop, const Callback& callback) {
-  try {
-    callback();
-  } catch (const std::exception& error) {
-    detail::ReportUncaughtException(loop, error.what());
-  }
-}
-
 int ToEvents(IoWatcher::Interest interest) {
   return ((interest & IoWatcher::kRead) != 0 ? EV_READ : 0) |
          ((interest & IoWatcher::kWrite) != 0 ? EV_WRITE : 0);
--- a/packages/event_loop/event_loop.h
+++ b/packages/event_loop/event_loop.h
@@ -3,6 +3,7 @@
 #ifndef EVENT_LOOP_EVENT_LOOP_H_
 #define EVENT_LOOP_EVENT_LOOP_H_
 
+#include <exception>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -30,10 +31,10 @@
   static BootTime BootNow();
   static WallTime WallNow();
 
-  // Sets the handler that is called with the text of each std::exception that
-  // escapes a callback of the loop. The loop continues, because one unexpected
-  // error must not end a process that serves other requests. The default
-  // handler writes the text to standard error.
+  // Sets the handler that is called with the text of each exception that
+  // escapes a callback of the loop, whatever its type. The loop continues,
+  // because one unexpected error must not end a process that serves other
+  // requests. The default handler writes the text to standard error.
   void SetUncaughtExceptionHandler(
       std::function<void(std::string_view what)> handler);
 
@@ -50,10 +51,26 @@
 namespace detail {
 
 // Passes an exception that escaped a callback of the loop to its handler.
-void ReportUncaughtException(struct ev_loop* loop, std::string_view what);
+void ReportUncaughtException(struct ev_loop* loop,
+                             const std::exception_ptr& exception) noexcept;
 
 }  // namespace detail
 
+// Calls `callback` and passes an exception that escapes it to the handler of
+// the loop. Returns false if there was one. Callbacks that a C library calls
+// need this: an exception that unwinds the library leaves it in an undefined
+// state.
+template <typename Callback>
+bool RunGuarded(struct ev_loop* loop, const Callback& callback) noexcept {
+  try {
+    callback();
+    return true;
+  } catch (...) {
+    detail::ReportUncaughtException(loop, std::current_exception());
+    return false;
+  }
+}
+
 // Watches a file descriptor until destroyed.
 class IoWatcher {
  public:
--- a/packages/event_loop/event_loop_test.cc
+++ b/packages/event_loop/event_loop_test.cc
@@ -70,5 +70,35 @@
   CHECK(reported == std::vector<std::string>{"posted", "timer"});
 }
 
+// Guards against a process that ends because of an exception of a type that the
+// standard library does not know.
+TEST_CASE("an exception that is no std::exception is reported as well") {
+  EventLoop loop;
+  std::vector<std::string> reported;
+  loop.SetUncaughtExceptionHandler(
+      [&](std::string_view what) { reported.emplace_back(what); });
+  Post(loop, [] { throw 7; });
+  const Timer stop(loop, Milliseconds(20), Duration(0), [&] { loop.Stop(); });
+  loop.Run();
+  CHECK(reported ==
+        std::vector<std::string>{"an exception that is not a std::exception"});
+}
+
+// Guards against a process that ends because the report of an exception fails,
+// for example for lack of memory.
+TEST_CASE("an exception of the handler does not end the loop") {
+  EventLoop loop;
+  loop.SetUncaughtExceptionHandler(
+      [](std::string_view) { throw std::bad_alloc(); });
+  Post(loop, [] { throw std::runtime_error("posted"); });
+  int later = 0;
+  const Timer stop(loop, Milliseconds(20), Duration(0), [&] {
+    ++later;
+    loop.Stop();
+  });
+  loop.Run();
+  CHECK(later == 1);
+}
+
 }  // namespace
 }  // namespace toucanhollow
--- a/packages/http_server/http_server.cc
+++ b/packages/http_server/http_server.cc
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <array>
-#include <exception>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -186,6 +185,7 @@
   void ResumeRequest(std::uint64_t request_id);
   void CloseTimedOutConnections();
   void HandleHangups();
+  Connection* AddConnection(MHD_Connection* mhd);
   MhdRequest* AddMhdRequest(MHD_Connection* mhd, const char* uri);
   MHD_Result OnRequestPart(MhdRequest* mhd_request,
                            const char* url,
@@ -305,9 +305,21 @@
   }
 }
 
+Connection* HttpServer::Core::AddConnection(MHD_Connection* mhd) {
+  auto connection = std::make_unique<Connection>();
+  connection->file_descriptor =
+      MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_CONNECTION_FD)
+          ->connect_fd;
+  connection->idle_since = EventLoop::Now();
+  Connection* key = connection.get();
+  this->connections.emplace(key, std::move(connection));
+  return key;
+}
+
 MhdRequest* HttpServer::Core::AddMhdRequest(MHD_Connection* mhd,
                                             const char* uri) {
-  auto* mhd_request = new MhdRequest;
+  auto new_request = std::make_unique<MhdRequest>();
+  MhdRequest* mhd_request = new_request.get();
   mhd_request->mhd = mhd;
   mhd_request->id = this->next_request_id++;
   mhd_request->exchange = std::make_shared<HttpExchange>();
@@ -320,7 +332,7 @@
     mhd_request->exchange->request.query = text.substr(query_mark + 1);
   }
   this->mhd_requests.emplace(mhd_request->id, mhd_request);
-  return mhd_request;
+  return new_request.release();
 }
 
 MHD_Result HttpServer::Core::OnRequestPart(MhdRequest* mhd_request,
@@ -334,6 +346,9 @@
     const auto* info = MHD_get_connection_info(
         mhd_request->mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
     mhd_request->connection = static_cast<Connection*>(info->socket_context);
+    if (mhd_request->connection == nullptr) {
+      return MHD_NO;
+    }
     mhd_request->connection->in_request = true;
     mhd_request->connection->reading_since = EventLoop::Now();
     exchange.request.method = method;
@@ -385,15 +400,11 @@
     epoll_ctl(this->hangup_epoll, EPOLL_CTL_ADD,
               mhd_request->connection->file_descriptor, &event);
     const auto writer = std::make_shared<HttpResponseWriter>(exchange);
-    try {
+    const bool handled = RunGuarded(this->loop.raw(), [&] {
       this->handler(std::move(exchange->request), writer);
-    } catch (const std::exception& error) {
-      // The exception must not propagate into libmicrohttpd, which is written
-      // in C.
-      detail::ReportUncaughtException(this->loop.raw(), error.what());
-      if (!exchange->started) {
-        writer->Respond(500, {}, "");
-      }
+    });
+    if (!handled && !exchange->started) {
+      writer->Respond(500, {}, "");
     }
   }
   if (exchange->aborted) {
@@ -505,21 +516,36 @@
       +[](void* context, MHD_Connection*, const char* url, const char* method,
           const char*, const char* data, std::size_t* size,
           void** mhd_request) {
-        return Core::FromContext(context)->OnRequestPart(
-            static_cast<MhdRequest*>(*mhd_request), url, method, data, size);
+        Core* core = Core::FromContext(context);
+        MHD_Result result = MHD_NO;
+        RunGuarded(core->loop.raw(), [&] {
+          if (*mhd_request != nullptr) {
+            result = core->OnRequestPart(static_cast<MhdRequest*>(*mhd_request),
+                                         url, method, data, size);
+          }
+        });
+        return result;
       },
       core.get(), MHD_OPTION_SOCK_ADDR,
       reinterpret_cast<const sockaddr*>(&address), MHD_OPTION_URI_LOG_CALLBACK,
       +[](void* context, const char* uri, MHD_Connection* mhd) -> void* {
-        return Core::FromContext(context)->AddMhdRequest(mhd, uri);
+        Core* core = Core::FromContext(context);
+        // A request without state is refused when its header is complete.
+        MhdRequest* added = nullptr;
+        RunGuarded(core->loop.raw(),
+                   [&] { added = core->AddMhdRequest(mhd, uri); });
+        return added;
       },
       core.get(), MHD_OPTION_NOTIFY_COMPLETED,
       +[](void* context, MHD_Connection*, void** mhd_request,
           MHD_RequestTerminationCode code) {
         if (*mhd_request != nullptr) {
-          Core::FromContext(context)->OnCompleted(
-              static_cast<MhdRequest*>(std::exchange(*mhd_request, nullptr)),
-              code);
+          Core* core = Core::FromContext(context);
+          RunGuarded(core->loop.raw(), [&] {
+            core->OnCompleted(
+                static_cast<MhdRequest*>(std::exchange(*mhd_request, nullptr)),
+                code);
+          });
         }
       },
       core.get(), MHD_OPTION_NOTIFY_CONNECTION,
@@ -527,14 +553,8 @@
           MHD_ConnectionNotificationCode code) {
         Core* core = Core::FromContext(context);
         if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-          auto connection = std::make_unique<Connection>();
-          connection->file_descriptor =
-              MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_CONNECTION_FD)
-                  ->connect_fd;
-          connection->idle_since = EventLoop::Now();
-          Connection* key = connection.get();
-          *socket_context = key;
-          core->connections.emplace(key, std::move(connection));
+          RunGuarded(core->loop.raw(),
+                     [&] { *socket_context = core->AddConnection(mhd); });
         } else {
           core->connections.erase(static_cast<Connection*>(*socket_context));
         }
--- a/packages/http_server/http_server_test.cc
+++ b/packages/http_server/http_server_test.cc
@@ -298,5 +298,51 @@
   CHECK(streamed.body == "first last");
 }
 
+// Guards against a process that ends, or a server that stops serving, because a
+// callback that libmicrohttpd calls threw.
+TEST_CASE("a callback that throws ends its request only") {
+  Fixture fixture;
+  std::vector<std::string> reported;
+  fixture.loop.SetUncaughtExceptionHandler(
+      [&](std::string_view what) { reported.emplace_back(what); });
+  HttpServerOptions options;
+  options.max_body_bytes = 10;
+  options.error_body = [](int) -> std::string { throw std::bad_alloc(); };
+  std::shared_ptr<HttpResponseWriter> stored_writer;
+  fixture.Listen(
+      [&](const HttpRequest& request, const auto& writer) {
+        if (request.path == "/throw") {
+          throw 7;
+        }
+        if (request.path == "/store") {
+          writer->OnCallerDisconnected(
+              [] { throw std::runtime_error("disconnected"); });
+          writer->Start(200, {});
+          writer->Write("first ");
+          stored_writer = writer;
+          return;
+        }
+        writer->Respond(200, {}, "");
+      },
+      options);
+  CHECK(fixture.Fetch(fixture.MakeCall("GET", "/throw")).status == 500);
+  HttpCall large = fixture.MakeCall("POST", "/");
+  large.body = std::string(11, 'b');
+  CHECK(fixture.Fetch(large).end == HttpEnd::kBroken);
+  HttpCallbacks callbacks;
+  callbacks.on_data = [&](std::string_view) { fixture.loop.Stop(); };
+  const HttpCallId id = fixture.client.Start(fixture.MakeCall("GET", "/store"),
+                                             std::move(callbacks));
+  fixture.loop.Run();
+  fixture.client.Cancel(id);
+  const Timer settled(fixture.loop, Milliseconds(200), Duration(0),
+                      [&] { fixture.loop.Stop(); });
+  fixture.loop.Run();
+  CHECK(reported.size() == 3);
+  CHECK(reported.back() == "disconnected");
+  CHECK(fixture.Fetch(fixture.MakeCall("GET", "/")).status == 200);
+  CHECK(fixture.server->OpenRequests() == 0);
+}
+
 }  // namespace
 }  // namespace toucanhollow
