Keep exceptions out of libcurl

What callers saw: the process ended with "libcurl accepts a call" at the first call after an exception in a callback of an earlier one. Cause: libcurl calls the header, body, socket and timer callbacks, and an exception unwound it while its handle was marked as busy, for good; it then refuses each further call, which was an internal check. An exception in on_done also lost the reports of the other calls that had ended in the same turn. A handle that libcurl could not allocate was an internal check as well. Change: each callback is guarded; a call whose callback throws ends as broken. on_done is guarded for each call. A missing handle is std::bad_alloc. Result: two new cases of http_client_test: the first aborts before, both pass.

--- a/packages/http_client/http_client.cc
+++ b/packages/http_client/http_client.cc
@@ -3,7 +3,7 @@
 #include <curl/curl.h>
 
 #include <algorithm>
-
+#include <new>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -20,6 +20,7 @@
   HttpCallId id = 0;
   HttpCall request;
   HttpCallbacks callbacks;
+  struct ev_loop* loop = nullptr;
   CURL* easy = nullptr;
   curl_slist* header_list = nullptr;
   bool added = false;
@@ -45,12 +46,7 @@
   return text.substr(first, text.find_last_not_of(kSpace) - first + 1);
 }
 
-std::size_t OnHeaderLine(char* data,
-                         std::size_t size,
-                         std::size_t count,
-                         void* context) {
-  auto* call = static_cast<ActiveCall*>(context);
-  const std::string_view line(data, size * count);
+std::size_t HandleHeaderLine(ActiveCall* call, std::string_view line) {
   call->header_bytes += line.size();
   if (call->cancelled || call->header_bytes > kMaxHeaderBytes) {
     call->too_large = !call->cancelled;
@@ -78,12 +74,7 @@
   return line.size();
 }
 
-std::size_t OnBody(char* data,
-                   std::size_t size,
-                   std::size_t count,
-                   void* context) {
-  auto* call = static_cast<ActiveCall*>(context);
-  const std::string_view bytes(data, size * count);
+std::size_t HandleBody(ActiveCall* call, std::string_view bytes) {
   call->body_bytes += bytes.size();
   if (call->cancelled || call->body_bytes > call->request.max_response_bytes) {
     call->too_large = !call->cancelled;
@@ -97,6 +88,21 @@
   return bytes.size();
 }
 
+// Adapts a handler to the type that libcurl calls. After an exception the call
+// ends as if its connection had broken.
+template <std::size_t (*kHandler)(ActiveCall*, std::string_view)>
+std::size_t HandleGuarded(char* data,
+                          std::size_t size,
+                          std::size_t count,
+                          void* context) {
+  auto* call = static_cast<ActiveCall*>(context);
+  std::size_t handled = 0;
+  const bool succeeded = RunGuarded(call->loop, [&] {
+    handled = kHandler(call, std::string_view(data, size * count));
+  });
+  return succeeded ? handled : CURL_WRITEFUNC_ERROR;
+}
+
 // libcurl interprets 0 as its default timeout, so timeouts below 1 ms are
 // rounded up to 1 ms.
 std::int64_t ToTimeoutMs(Duration duration) {
@@ -147,9 +153,10 @@
         call.header_list, (header.name + ": " + header.value).c_str());
   }
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call.header_list);
-  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeaderLine);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION,
+                   HandleGuarded<HandleHeaderLine>);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &call);
-  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, HandleGuarded<HandleBody>);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &call);
   curl_easy_setopt(easy, CURLOPT_PRIVATE, &call);
 }
@@ -208,7 +215,9 @@
   curl_multi_setopt(
       this->multi, CURLMOPT_SOCKETFUNCTION,
       +[](CURL*, curl_socket_t socket, int poll_events, void* context, void*) {
-        static_cast<Core*>(context)->WatchSocket(socket, poll_events);
+        auto* core = static_cast<Core*>(context);
+        RunGuarded(core->loop.raw(),
+                   [&] { core->WatchSocket(socket, poll_events); });
         return 0;
       });
   curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
@@ -216,7 +225,8 @@
       this->multi, CURLMOPT_TIMERFUNCTION,
       // NOLINTNEXTLINE(google-runtime-int): libcurl declares this type.
       +[](CURLM*, long timeout_ms, void* context) {
-        static_cast<Core*>(context)->SetTimer(timeout_ms);
+        auto* core = static_cast<Core*>(context);
+        RunGuarded(core->loop.raw(), [&] { core->SetTimer(timeout_ms); });
         return 0;
       });
   curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
@@ -302,7 +312,10 @@
       call->outcome.error = curl_easy_strerror(code);
     }
     if (!call->cancelled && call->callbacks.on_done) {
-      call->callbacks.on_done(std::move(call->outcome));
+      // An exception must not keep the other calls from being reported.
+      RunGuarded(this->loop.raw(), [&call] {
+        call->callbacks.on_done(std::move(call->outcome));
+      });
     }
   }
 }
@@ -352,8 +365,11 @@
   active_call.id = this->core->next_id++;
   active_call.request = std::move(call);
   active_call.callbacks = std::move(callbacks);
+  active_call.loop = this->core->loop.raw();
   active_call.easy = curl_easy_init();
-  InternalCheck(active_call.easy != nullptr, "libcurl easy handle is created");
+  if (active_call.easy == nullptr) {
+    throw std::bad_alloc();
+  }
   ConfigureEasy(active_call);
   this->core->calls.emplace(active_call.id, std::move(new_call));
   if (this->core->in_libcurl) {
--- a/packages/http_client/http_client_test.cc
+++ b/packages/http_client/http_client_test.cc
@@ -220,5 +220,68 @@
   CHECK(fixture.client.OpenCalls() == 0);
 }
 
+// Guards against a client that makes no further call after an exception of a
+// callback: an exception that unwinds libcurl leaves its handle locked.
+TEST_CASE("a call whose callback throws ends and later calls succeed") {
+  Fixture fixture;
+  fixture.server.response = kOkResponse;
+  int reported = 0;
+  fixture.loop.SetUncaughtExceptionHandler(
+      [&](std::string_view) { ++reported; });
+  const auto fail = [](auto&&...) { throw std::bad_alloc(); };
+  HttpCallbacks in_header;
+  in_header.on_header = fail;
+  HttpCallbacks in_body;
+  in_body.on_data = fail;
+  HttpCallbacks at_end;
+  at_end.on_done = fail;
+  for (HttpCallbacks* failing : {&in_header, &in_body, &at_end}) {
+    HttpOutcome outcome;
+    const bool fails_at_end = failing == &at_end;
+    if (!fails_at_end) {
+      failing->on_done = [&](HttpOutcome ended) {
+        outcome = std::move(ended);
+        fixture.loop.Stop();
+      };
+    }
+    const Timer limit(fixture.loop, Milliseconds(fails_at_end ? 200 : 5000),
+                      Duration(0), [&] { fixture.loop.Stop(); });
+    fixture.client.Start(fixture.MakeCall(), *failing);
+    fixture.loop.Run();
+    if (!fails_at_end) {
+      CHECK(outcome.end == HttpEnd::kBroken);
+      CHECK(outcome.maybe_sent);
+    }
+    CHECK(fixture.client.OpenCalls() == 0);
+    CHECK(fixture.Fetch(fixture.MakeCall()).status == 200);
+  }
+  CHECK(reported == 3);
+}
+
+// Guards against calls that are never reported because the callback of another
+// call, which ended in the same turn, threw.
+TEST_CASE("an exception at the end of a call leaves the others alone") {
+  Fixture fixture;
+  fixture.loop.SetUncaughtExceptionHandler([](std::string_view) {});
+  fixture.server.accept_watcher.reset();
+  shutdown(fixture.server.listener, SHUT_RDWR);
+  int ended = 0;
+  constexpr int kCalls = 8;
+  for (int i = 0; i < kCalls; ++i) {
+    HttpCallbacks callbacks;
+    callbacks.on_done = [&](const HttpOutcome&) {
+      if (++ended == kCalls) {
+        fixture.loop.Stop();
+      }
+      throw std::runtime_error("ended");
+    };
+    fixture.client.Start(fixture.MakeCall(), std::move(callbacks));
+  }
+  const Timer limit(fixture.loop, Seconds(5), Duration(0),
+                    [&] { fixture.loop.Stop(); });
+  fixture.loop.Run();
+  CHECK(ended == kCalls);
+}
+
 }  // namespace
 }  // namespace toucanhollow
