Destroy posted functions with the event loop

Cause: a function that was posted in the last turn before the loop stopped was never run and never destroyed, with all that it owned. Nothing in it was owed to a caller, by reading each use: hosts stop only when no session or request is left, and the uses add or remove calls, erase ended objects or dispatch to sessions that are gone. Running them is not possible: several capture objects that no longer exist. Change: the loop owns the posted functions and destroys those that have not run.

--- a/packages/event_loop/event_loop.cc
+++ b/packages/event_loop/event_loop.cc
@@ -56,7 +56,20 @@
   }
 }
 
+struct detail::PostedFunction {
+  ev_timer watcher;
+  std::function<void()> function;
+  std::list<PostedFunction>* owner;
+  std::list<PostedFunction>::iterator position;
+};
+
 EventLoop::~EventLoop() {
+  // Destroying a function may post another one.
+  while (!this->posted.empty()) {
+    std::list<detail::PostedFunction> first;
+    first.splice(first.begin(), this->posted, this->posted.begin());
+    ev_timer_stop(this->loop, &first.front().watcher);
+  }
   ev_loop_destroy(this->loop);
 }
 
@@ -200,21 +213,22 @@
 }
 
 void Post(EventLoop& loop, std::function<void()> function) {
-  struct PostedFunction {
-    ev_timer watcher;
-    std::function<void()> function;
-  };
-  auto* posted = new PostedFunction{{}, std::move(function)};
+  auto& posted = loop.posted;
+  const auto added = posted.insert(posted.end(), detail::PostedFunction{});
+  added->function = std::move(function);
+  added->owner = &posted;
+  added->position = added;
   ev_timer_init(
-      &posted->watcher,
+      &added->watcher,
       [](struct ev_loop* loop, ev_timer* watcher, int) {
-        const std::unique_ptr<PostedFunction> owned(
-            static_cast<PostedFunction*>(watcher->data));
-        RunGuarded(loop, owned->function);
+        auto* added = static_cast<detail::PostedFunction*>(watcher->data);
+        std::list<detail::PostedFunction> running;
+        running.splice(running.begin(), *added->owner, added->position);
+        RunGuarded(loop, running.front().function);
       },
       0.0, 0.0);
-  posted->watcher.data = posted;
-  ev_timer_start(loop.raw(), &posted->watcher);
+  added->watcher.data = &*added;
+  ev_timer_start(loop.raw(), &added->watcher);
 }
 
 }  // namespace toucanhollow
--- a/packages/event_loop/event_loop.h
+++ b/packages/event_loop/event_loop.h
@@ -5,6 +5,7 @@
 
 #include <exception>
 #include <functional>
+#include <list>
 #include <memory>
 #include <string_view>
 
@@ -14,6 +15,10 @@
 
 namespace toucanhollow {
 
+namespace detail {
+struct PostedFunction;
+}  // namespace detail
+
 class EventLoop {
  public:
   EventLoop();
@@ -44,8 +49,12 @@
   }
 
  private:
+  friend void Post(EventLoop& loop, std::function<void()> function);
+
   struct ev_loop* loop;
   std::function<void(std::string_view)> uncaught_handler;
+  // Functions that were posted and have not run.
+  std::list<detail::PostedFunction> posted;
 };
 
 namespace detail {
@@ -115,7 +124,9 @@
   std::unique_ptr<State> state;
 };
 
-// Calls the function from the loop after the current callback has returned.
+// Calls the function from the loop after the current callback has returned. A
+// function that has not run when the loop is destroyed is destroyed without
+// being called, because the objects that it uses may be gone.
 void Post(EventLoop& loop, std::function<void()> function);
 
 }  // namespace toucanhollow
--- a/packages/event_loop/event_loop_test.cc
+++ b/packages/event_loop/event_loop_test.cc
@@ -100,5 +100,38 @@
   CHECK(later == 1);
 }
 
+// Guards against functions that are leaked, with all that they own, when the
+// loop stops in the same turn, and against one that runs after its owner.
+TEST_CASE("a posted function that has not run is destroyed with the loop") {
+  const auto owned = std::make_shared<int>(0);
+  int calls = 0;
+  {
+    EventLoop loop;
+    const Timer timer(loop, Duration(0), Duration(0), [&] {
+      Post(loop, [&calls, owned] { ++calls; });
+      loop.Stop();
+    });
+    loop.Run();
+    CHECK(owned.use_count() == 2);
+  }
+  CHECK(owned.use_count() == 1);
+  CHECK(calls == 0);
+}
+
+// Guards against a posted function whose destruction posts another one while
+// the loop is destroyed.
+TEST_CASE("destroying a posted function may post") {
+  int destroyed = 0;
+  {
+    EventLoop loop;
+    const std::shared_ptr<int> owned(&destroyed, [&loop](int* count) {
+      Post(loop, [count] { ++*count; });
+      ++*count;
+    });
+    Post(loop, [owned] { static_cast<void>(owned); });
+  }
+  CHECK(destroyed == 1);
+}
+
 }  // namespace
 }  // namespace toucanhollow
