Pause a listener while no descriptor is free

What callers saw: nothing but a slow host: at the limit of open descriptors the loop did nothing but fail to accept, as the listening socket stays readable. An error of one connection (ECONNABORTED) ended the turn for those behind it. Change: without descriptors or memory the listener is not watched for 50 ms; the connections stay in the backlog and are accepted later. Errors of one connection are passed over.

--- a/packages/http_stream/tcp_connection.cc
+++ b/packages/http_stream/tcp_connection.cc
@@ -20,6 +20,9 @@
 // Maximum connections accepted in one event-loop callback.
 constexpr int kMaxAcceptsPerCallback = 32;
 constexpr int kListenBacklog = 511;
+// Without a free descriptor the listening socket stays readable, so it is not
+// watched for this long after a failed accept.
+constexpr Duration kAcceptPause = Milliseconds(50);
 // The connection fails when sent bytes stay unacknowledged this long. Callers
 // wait at most 8 s, so a peer that is silent for longer cannot serve them in
 // time.
@@ -286,7 +289,7 @@
     EventLoop& loop,
     const Address& address,
     std::function<void(int socket)> on_accept) {
-  std::unique_ptr<TcpListener> listener(new TcpListener());
+  std::unique_ptr<TcpListener> listener(new TcpListener(loop));
   listener->socket =
       ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const int on = 1;
@@ -314,18 +317,40 @@
   for (int i = 0; i < max_count; ++i) {
     const int accepted =
         accept4(this->socket, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (accepted < 0) {
-      return;
+    if (accepted >= 0) {
+      this->on_accept(accepted);
+      continue;
+    }
+    switch (errno) {
+      case EAGAIN:
+        return;
+      case EMFILE:
+      case ENFILE:
+      case ENOBUFS:
+      case ENOMEM:
+        this->Pause();
+        return;
+      default:
+        // Errors of one connection, such as ECONNABORTED, are returned by
+        // accept as well. The connections behind it are unharmed.
+        break;
     }
-    this->on_accept(accepted);
   }
 }
 
+void TcpListener::Pause() {
+  this->watcher->SetInterest(IoWatcher::kNone);
+  this->resume_timer = std::make_unique<Timer>(
+      this->loop, kAcceptPause, Duration(0),
+      [this] { this->watcher->SetInterest(IoWatcher::kRead); });
+}
+
 void TcpListener::AcceptAllPending() {
   this->AcceptUpTo(kListenBacklog);
 }
 
 TcpListener::~TcpListener() {
+  this->resume_timer.reset();
   this->watcher.reset();
   if (this->socket >= 0) {
     close(this->socket);
--- a/packages/http_stream/tcp_connection.h
+++ b/packages/http_stream/tcp_connection.h
@@ -76,13 +76,17 @@
   void AcceptAllPending();
 
  private:
-  TcpListener() = default;
+  explicit TcpListener(EventLoop& loop) : loop(loop) {}
   // Accepts at most `max_count` connections from the backlog.
   void AcceptUpTo(int max_count);
+  // Leaves the connections in the backlog for a short time.
+  void Pause();
 
+  EventLoop& loop;
   int socket = -1;
   std::function<void(int socket)> on_accept;
   std::unique_ptr<IoWatcher> watcher;
+  std::unique_ptr<Timer> resume_timer;
 };
 
 }  // namespace toucanhollow
