Copy callbacks inside the guard of the event loop

Cause: the copy that lets a watcher be destroyed in its own callback may allocate, and did so outside RunGuarded, in a function that libev calls. Change: the copy is inside. No test: the standard library gives no way to make this allocation fail alone.

--- a/packages/event_loop/event_loop.cc
+++ b/packages/event_loop/event_loop.cc
@@ -131,9 +131,11 @@
         auto* self = static_cast<State*>(watcher->data);
         const int ready = ((events & EV_READ) != 0 ? kRead : kNone) |
                           ((events & EV_WRITE) != 0 ? kWrite : kNone);
-        // The callback may destroy this watcher.
-        const auto callback = self->ready;
-        RunGuarded(loop, [&] { callback(static_cast<Interest>(ready)); });
+        RunGuarded(loop, [self, ready] {
+          // The callback may destroy this watcher.
+          const auto callback = self->ready;
+          callback(static_cast<Interest>(ready));
+        });
       },
       file_descriptor, ToEvents(interest));
   this->state->watcher.data = this->state.get();
@@ -171,8 +173,10 @@
   ev_timer_init(
       &this->state->watcher,
       [](struct ev_loop* loop, ev_timer* watcher, int) {
-        const auto callback = static_cast<State*>(watcher->data)->expired;
-        RunGuarded(loop, callback);
+        RunGuarded(loop, [watcher] {
+          const auto callback = static_cast<State*>(watcher->data)->expired;
+          callback();
+        });
       },
       ToSeconds(delay), ToSeconds(repeat));
   this->state->watcher.data = this->state.get();
@@ -200,8 +204,10 @@
   ev_signal_init(
       &this->state->watcher,
       [](struct ev_loop* loop, ev_signal* watcher, int) {
-        const auto callback = static_cast<State*>(watcher->data)->received;
-        RunGuarded(loop, callback);
+        RunGuarded(loop, [watcher] {
+          const auto callback = static_cast<State*>(watcher->data)->received;
+          callback();
+        });
       },
       signal);
   this->state->watcher.data = this->state.get();
