Write logs without blocking and without changing shared descriptors

What callers saw: a process of the own interface stands still once the pipe of its standard error is full. A relay made the standard output that it shares with others non-blocking, so that a blocking write of another process with the same pipe or terminal failed with EAGAIN. Cause: log_text wrote with std::cerr; json_log set O_NONBLOCK, which is a flag of the open file description, not of the descriptor. Lines that do not fit are dropped and counted, as before.

--- a/packages/json_log/json_log.cc
+++ b/packages/json_log/json_log.cc
@@ -1,12 +1,12 @@
 #include "json_log/json_log.h"
 
-#include <fcntl.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <chrono>
+#include <memory>
 #include <utility>
 
 #include <boost/log/core.hpp>
@@ -16,6 +16,8 @@
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/make_shared.hpp>
 
+#include "line_output/line_output.h"
+
 namespace toucanhollow {
 namespace {
 
@@ -46,8 +48,6 @@
   double tokens = 0;
   TimePoint refilled_at = {};
   std::int64_t dropped = 0;
-  // Rest of a line that standard output has accepted only in part.
-  std::string unwritten = {};
 };
 
 LogState& State() {
@@ -55,32 +55,6 @@
   return state;
 }
 
-// Writes as much as standard output accepts without blocking. Only the rest of
-// a partly written line is buffered; other lines that do not fit are dropped.
-void WriteNonBlocking(std::string_view line) {
-  LogState& state = State();
-  if (!state.unwritten.empty()) {
-    const ssize_t written =
-        write(STDOUT_FILENO, state.unwritten.data(), state.unwritten.size());
-    state.unwritten.erase(
-        0, static_cast<std::size_t>(std::max<ssize_t>(written, 0)));
-    if (!state.unwritten.empty()) {
-      ++state.dropped;
-      return;
-    }
-  }
-  std::string text(line);
-  text += '\n';
-  const ssize_t written = write(STDOUT_FILENO, text.data(), text.size());
-  if (written <= 0) {
-    ++state.dropped;
-    return;
-  }
-  if (static_cast<std::size_t>(written) < text.size()) {
-    state.unwritten = text.substr(static_cast<std::size_t>(written));
-  }
-}
-
 void InstallSink(LineWriter writer,
                  std::string_view process,
                  const LogRateLimit& rate_limit) {
@@ -191,9 +165,12 @@
 }  // namespace
 
 void StartJsonLog(std::string_view process, const LogRateLimit& rate_limit) {
-  const int flags = fcntl(STDOUT_FILENO, F_GETFL);
-  fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
-  InstallSink(WriteNonBlocking, process, rate_limit);
+  const auto output = std::make_shared<LineOutput>(STDOUT_FILENO);
+  InstallSink(
+      [output](std::string_view line) {
+        State().dropped += output->WriteLine(line) ? 0 : 1;
+      },
+      process, rate_limit);
 }
 
 void StartJsonLogTo(std::function<void(std::string_view line)> sink,
--- a/packages/json_log/json_log_test.cc
+++ b/packages/json_log/json_log_test.cc
@@ -1,5 +1,9 @@
 #include "json_log/json_log.h"
 
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
 #include <string>
 #include <vector>
 
@@ -37,5 +41,30 @@
         std::string::npos);
 }
 
+// Guards against other processes that write to the same standard output, as the
+// shell that started this one, and fail because it has become non-blocking; and
+// against a loop that blocks once nobody reads it.
+TEST_CASE("a full standard output is shared, drops lines and blocks nobody") {
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  const int before = dup(STDOUT_FILENO);
+  REQUIRE(dup2(ends[1], STDOUT_FILENO) == STDOUT_FILENO);
+  // A write that blocks ends the test program.
+  alarm(20);
+  StartJsonLog("p", {1e6, 1e6});
+  const std::string text(1000, 'x');
+  for (int i = 0; i < 1000; ++i) {
+    LogJson("e", {{"text", text}}, {}, TimePoint(Seconds(1)));
+  }
+  alarm(0);
+  const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+  StartJsonLogTo([](std::string_view) {}, "p", {});
+  REQUIRE(dup2(before, STDOUT_FILENO) == STDOUT_FILENO);
+  close(before);
+  CHECK((flags & O_NONBLOCK) == 0);
+  close(ends[0]);
+  close(ends[1]);
+}
+
 }  // namespace
 }  // namespace toucanhollow
--- a/packages/log_text/log.cc
+++ b/packages/log_text/log.cc
@@ -1,6 +1,9 @@
 #include "log_text/log.h"
 
-#include <iostream>
+#include <unistd.h>
+
+#include <cstdint>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -12,6 +15,8 @@
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/make_shared.hpp>
 
+#include "line_output/line_output.h"
+
 namespace toucanhollow {
 namespace {
 
@@ -65,12 +70,22 @@
 
 void StartLog(std::string_view process, Severity level) {
   InstallSink(
-      [name = std::string(process)](std::string_view line) {
-        const auto now = boost::posix_time::microsec_clock::universal_time();
+      [name = std::string(process),
+       output = std::make_shared<LineOutput>(STDERR_FILENO),
+       dropped = std::int64_t{0}](std::string_view line) mutable {
+        const std::string time = boost::posix_time::to_iso_extended_string(
+            boost::posix_time::microsec_clock::universal_time());
+        if (dropped > 0 &&
+            output->WriteLine(time + " WARNING " + name + " [log] " +
+                              std::to_string(dropped) +
+                              " lines were dropped")) {
+          dropped = 0;
+        }
         const std::size_t space = line.find(' ');
-        std::cerr << boost::posix_time::to_iso_extended_string(now) << ' '
-                  << line.substr(0, space) << ' ' << name << line.substr(space)
-                  << '\n';
+        const bool written =
+            output->WriteLine(time + ' ' + std::string(line.substr(0, space)) +
+                              ' ' + name + std::string(line.substr(space)));
+        dropped += written ? 0 : 1;
       },
       level);
 }
--- a/packages/log_text/log.h
+++ b/packages/log_text/log.h
@@ -11,6 +11,8 @@
 
 // Starts logging to standard error at the given level and above. Example line:
 // "2026-12-04T05:00:00.123456 INFO entry-1 [link] connected to draft-1".
+// Logging never blocks: lines that standard error cannot accept without
+// blocking are dropped and counted in a later line.
 void StartLog(std::string_view process, Severity level);
 
 // Starts logging to `sink` instead, without time and process name; for tests.
--- a/packages/log_text/log_text_test.cc
+++ b/packages/log_text/log_text_test.cc
@@ -1,3 +1,6 @@
+#include <unistd.h>
+
+#include <array>
 #include <string>
 #include <vector>
 
@@ -21,5 +24,26 @@
                      "WARNING [caller] bad path /a?INFO [x] forged"});
 }
 
+// Guards against a process that stands still because nobody reads its log.
+TEST_CASE("a full standard error blocks nobody") {
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  const int before = dup(STDERR_FILENO);
+  REQUIRE(dup2(ends[1], STDERR_FILENO) == STDERR_FILENO);
+  StartLog("p", Severity::kInfo);
+  // A write that blocks ends the test program.
+  alarm(10);
+  const std::string text(1000, 'x');
+  for (int i = 0; i < 1000; ++i) {
+    Log(Severity::kInfo, "link", text);
+  }
+  alarm(0);
+  StartLogTo([](std::string_view) {}, Severity::kInfo);
+  REQUIRE(dup2(before, STDERR_FILENO) == STDERR_FILENO);
+  close(before);
+  close(ends[0]);
+  close(ends[1]);
+}
+
 }  // namespace
 }  // namespace toucanhollow
