Count callers by the descriptors that the process really has

What callers saw: with a soft limit below limits.descriptors, which is 1,024 on usual machines, the host accepted callers until no descriptor was left, refused their requests for lack of connections to servers, answered no readiness probe and used a processor for failing accepts. With limits.descriptors at 260 or less it was ready and refused everyone. Cause: the settings' number was taken without asking the system, and 260 descriptors are kept for other uses whatever the number. Change: each role raises the soft limit to what it wants or to the hard limit. The number of sessions follows from the lower of the settings' number and the limit in effect, and at most half of it is kept for other uses. The line "started" says how many sessions there are. Descriptors 0 to 2 that are closed are opened on /dev/null first, as otherwise a socket becomes standard output and receives the log.

--- a/apps/toucanhollow.cc
+++ b/apps/toucanhollow.cc
@@ -18,6 +18,7 @@
 #include "map_task/rank_agent.h"
 #include "platform/engine_calls.h"
 #include "platform/platform_codec.h"
+#include "process_limits/descriptors.h"
 #include "relay/relay_host.h"
 #include "relay/relay_settings.h"
 #include "session/process_context.h"
@@ -33,6 +34,10 @@
 namespace toucanhollow {
 namespace {
 
+// File descriptors of a process of the own interface beside the connections of
+// its callers: links, the log, files.
+constexpr std::size_t kOtherDescriptors = 1024;
+
 constexpr int kExitFailure = 1;
 constexpr int kExitUsage = 2;
 
@@ -106,6 +111,7 @@
     return 0;
   }
   std::signal(SIGPIPE, SIG_IGN);
+  RaiseDescriptorLimit(settings.value().max_descriptors);
   StartJsonLog(settings.value().process.value, LogRateLimit{});
   EventLoop loop;
   LogUncaughtExceptions(loop);
@@ -167,6 +173,7 @@
     return 0;
   }
   std::signal(SIGPIPE, SIG_IGN);
+  RaiseDescriptorLimit(settings->limits.connections + kOtherDescriptors);
   StartLog(settings->process.value, ToSeverity(settings->log_level));
   EventLoop loop;
   ProcessContext context(loop, *settings);
@@ -179,6 +186,7 @@
 }  // namespace toucanhollow
 
 int main(int argc, char** argv) {
+  toucanhollow::OpenStandardDescriptors();
   gflags::SetUsageMessage(
       "toucanhollow --role=entry_host|endpoint|relay|rank_agent "
       "--settings=FILE "
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -2,11 +2,14 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
 #include "json_log/json_log.h"
+#include "process_limits/descriptors.h"
 #include "relay/agent_address.h"
+#include "relay/max_sessions.h"
 
 namespace toucanhollow {
 namespace {
@@ -21,11 +24,6 @@
 // Open requests are aborted this long before the grace time ends, so that the
 // process can still close its connections properly.
 constexpr Duration kGraceMargin = Milliseconds(300);
-// File descriptors for other uses than callers: files, the store, peers.
-constexpr std::size_t kReservedDescriptors = 260;
-// One for the caller's connection and one for a connection to a server.
-constexpr std::size_t kDescriptorsPerCaller = 2;
-
 }  // namespace
 
 RelayHost::RelayHost(EventLoop& loop,
@@ -122,6 +120,8 @@
 
 Result<bool> RelayHost::Start() {
   this->started_at = EventLoop::Now();
+  this->max_sessions =
+      MaxSessions(std::min(this->settings.max_descriptors, DescriptorLimit()));
   this->view_task = std::make_unique<PlatformViewTask>(
       this->loop, this->codec, this->settings,
       [this] { this->OnViewChange(); });
@@ -197,8 +197,10 @@
       {this->settings.control.ip, this->settings.rank_call_port}));
   this->sweep_timer = std::make_unique<Timer>(
       this->loop, kSweepPeriod, kSweepPeriod, [this] { this->Sweep(); });
-  LogJsonNow("started", {{"data_centre",
-                          std::string_view(this->settings.data_centre.value)}});
+  LogJsonNow(
+      "started",
+      {{"data_centre", std::string_view(this->settings.data_centre.value)},
+       {"max_sessions", static_cast<std::int64_t>(this->max_sessions)}});
   return true;
 }
 
@@ -211,11 +213,7 @@
 }
 
 void RelayHost::OnAccept(int socket) {
-  const std::size_t max_sessions =
-      (this->settings.max_descriptors - kReservedDescriptors) /
-      kDescriptorsPerCaller;
-  if (this->settings.max_descriptors <= kReservedDescriptors ||
-      this->sessions.size() >= max_sessions) {
+  if (this->sessions.size() >= this->max_sessions) {
     this->metrics.Count("sessions_refused_total");
     close(socket);
     return;
--- a/packages/relay/relay_host.h
+++ b/packages/relay/relay_host.h
@@ -3,6 +3,7 @@
 #ifndef RELAY_RELAY_HOST_H_
 #define RELAY_RELAY_HOST_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -75,6 +76,7 @@
   std::unique_ptr<HttpServer> metrics_server;
   std::map<std::uint64_t, std::unique_ptr<CallerSession>> sessions;
   std::uint64_t next_session = 1;
+  std::size_t max_sessions = 0;
   std::unique_ptr<Timer> sweep_timer;
   TimePoint started_at;
   std::optional<TimePoint> shutdown_started_at;
--- a/standins/platform/platform_relay_test.cc
+++ b/standins/platform/platform_relay_test.cc
@@ -77,6 +77,17 @@
   CHECK(Ask(site, Request("GET", "/s/x", "r4")).status == 200);
 }
 
+// Guards against a host that is ready and refuses everyone, because it keeps
+// more descriptors for other uses than it has.
+TEST_CASE("a host with the fewest descriptors serves callers") {
+  Site site;
+  site.settings.max_descriptors = 64;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  CHECK(Ask(site, Request("GET", "/s/x", "r1")).status == 200);
+}
+
 // Guards against a second run of what may run once.
 TEST_CASE("an unsafe request whose answer is lost ends as unknown") {
   Site site;
