Send and bind datagrams to IPv4 addresses only

Cause: the result of inet_pton was not looked at, so an address that is not IPv4 was taken for 0.0.0.0: a socket was bound to all networks, and a datagram was sent to this machine. Settings and server records are checked before; addresses that other hosts name are not. Change: Bind fails with kSettingsInvalid, Send drops the datagram. Result: the new case of datagram_test fails before and passes.

--- a/packages/datagram/datagram_socket.cc
+++ b/packages/datagram/datagram_socket.cc
@@ -8,6 +8,7 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -21,11 +22,14 @@
 // loop's other watchers.
 constexpr int kMaxDatagramsPerCallback = 128;
 
-sockaddr_in ToSockaddr(const Address& address) {
+// Returns nothing if the address is not an IPv4 address.
+std::optional<sockaddr_in> ToSockaddr(const Address& address) {
   sockaddr_in socket_address{};
   socket_address.sin_family = AF_INET;
   socket_address.sin_port = htons(address.port);
-  inet_pton(AF_INET, address.ip.c_str(), &socket_address.sin_addr);
+  if (inet_pton(AF_INET, address.ip.c_str(), &socket_address.sin_addr) != 1) {
+    return std::nullopt;
+  }
   return socket_address;
 }
 
@@ -41,12 +45,18 @@
     EventLoop& loop,
     const Address& address,
     ReceiveCallback on_receive) {
+  const std::optional<sockaddr_in> socket_address = ToSockaddr(address);
+  if (!socket_address) {
+    return MakeFailure(ResultCode::kSettingsInvalid,
+                       "cannot bind UDP port " + std::to_string(address.port) +
+                           " of '" + address.ip +
+                           "', which is not an IPv4 address");
+  }
   const int socket =
       ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const sockaddr_in socket_address = ToSockaddr(address);
   if (socket < 0 ||
-      bind(socket, reinterpret_cast<const sockaddr*>(&socket_address),
-           sizeof(socket_address)) != 0) {
+      bind(socket, reinterpret_cast<const sockaddr*>(&*socket_address),
+           sizeof(*socket_address)) != 0) {
     const std::string reason = std::strerror(errno);
     if (socket >= 0) {
       close(socket);
@@ -76,10 +86,12 @@
 }
 
 void DatagramSocket::Send(const Address& to, std::string_view bytes) {
-  const sockaddr_in socket_address = ToSockaddr(to);
-  sendto(this->socket, bytes.data(), bytes.size(), 0,
-         reinterpret_cast<const sockaddr*>(&socket_address),
-         sizeof(socket_address));
+  const std::optional<sockaddr_in> socket_address = ToSockaddr(to);
+  if (socket_address) {
+    sendto(this->socket, bytes.data(), bytes.size(), 0,
+           reinterpret_cast<const sockaddr*>(&*socket_address),
+           sizeof(*socket_address));
+  }
 }
 
 Address DatagramSocket::BoundAddress() const {
--- a/packages/datagram/datagram_socket_test.cc
+++ b/packages/datagram/datagram_socket_test.cc
@@ -44,5 +44,27 @@
   CHECK(second.error().code == ResultCode::kSettingsInvalid);
 }
 
+// Guards against an address that is taken for 0.0.0.0: a socket that is bound
+// to it receives from all networks, and what is sent to it reaches this
+// machine.
+TEST_CASE("an address that is not IPv4 is neither bound nor sent to") {
+  EventLoop loop;
+  const auto ignore = [](const Address&, std::string_view) {};
+  const auto bound = DatagramSocket::Bind(loop, {"localhost", 0}, ignore);
+  REQUIRE_FALSE(bound);
+  CHECK(bound.error().code == ResultCode::kSettingsInvalid);
+  int received = 0;
+  auto receiver = DatagramSocket::Bind(
+      loop, {"127.0.0.1", 0},
+      [&](const Address&, std::string_view) { ++received; });
+  REQUIRE(receiver);
+  auto sender = DatagramSocket::Bind(loop, {"127.0.0.1", 0}, ignore);
+  REQUIRE(sender);
+  sender.value()->Send({"", receiver.value()->BoundAddress().port}, "x");
+  const Timer end(loop, Milliseconds(100), Duration(0), [&] { loop.Stop(); });
+  loop.Run();
+  CHECK(received == 0);
+}
+
 }  // namespace
 }  // namespace toucanhollow
