--- a/packages/event_loop/event_loop.cc
+++ b/packages/event_loop/event_loop.cc
@@ -2,6 +2,7 @@
 
 #include <ev.h>
 #include <time.h>
+#include <unistd.h>
 
 #include <exception>
 #include <iostream>
@@ -25,14 +26,50 @@
   this->uncaught_handler = std::move(handler);
 }
 
-void detail::ReportUncaughtException(struct ev_loop* loop,
-                                     std::string_view what) {
-  const auto* handler =
-      static_cast<std::function<void(std::string_view)>*>(ev_userdata(loop));
-  (*handler)(what);
+namespace {
+
+void CallHandler(struct ev_loop* loop, const std::exception_ptr& exception) {
+  const auto& handler =
+      *static_cast<std::function<void(std::string_view)>*>(ev_userdata(loop));
+  try {
+    std::rethrow_exception(exception);
+  } catch (const std::exception& error) {
+    handler(error.what());
+  } catch (...) {
+    handler("an exception that is not a std::exception");
+  }
+}
+
+}  // namespace
+
+void detail::ReportUncaughtException(
+    struct ev_loop* loop,
+    const std::exception_ptr& exception) noexcept {
+  try {
+    CallHandler(loop, exception);
+  } catch (...) {
+    // The handler allocates memory, which may be what was missing.
+    constexpr std::string_view kText =
+        "an exception could not be reported to its handler\n";
+    [[maybe_unused]] const ssize_t written =
+        write(STDERR_FILENO, kText.data(), kText.size());
+  }
 }
 
+struct detail::PostedFunction {
+  ev_timer watcher;
+  std::function<void()> function;
+  std::list<PostedFunction>* owner;
+  std::list<PostedFunction>::iterator position;
+};
+
 EventLoop::~EventLoop() {
+  // Destroying a function may post another one.
+  while (!this->posted.empty()) {
+    std::list<detail::PostedFunction> first;
+    first.splice(first.begin(), this->posted, this->posted.begin());
+    ev_timer_stop(this->loop, &first.front().watcher);
+  }
   ev_loop_destroy(this->loop);
 }
 
@@ -68,16 +105,6 @@
   return static_cast<double>(duration.count()) / 1e6;
 }
 
-// libev is written in C, so no exception may escape a callback that it calls.
-template <typename Callback>
-void RunGuarded(struct ev_loop* loop, const Callback& callback) {
-  try {
-    callback();
-  } catch (const std::exception& error) {
-    detail::ReportUncaughtException(loop, error.what());
-  }
-}
-
 int ToEvents(IoWatcher::Interest interest) {
   return ((interest & IoWatcher::kRead) != 0 ? EV_READ : 0) |
          ((interest & IoWatcher::kWrite) != 0 ? EV_WRITE : 0);
@@ -104,9 +131,11 @@
         auto* self = static_cast<State*>(watcher->data);
         const int ready = ((events & EV_READ) != 0 ? kRead : kNone) |
                           ((events & EV_WRITE) != 0 ? kWrite : kNone);
-        // The callback may destroy this watcher.
-        const auto callback = self->ready;
-        RunGuarded(loop, [&] { callback(static_cast<Interest>(ready)); });
+        RunGuarded(loop, [self, ready] {
+          // The callback may destroy this watcher.
+          const auto callback = self->ready;
+          callback(static_cast<Interest>(ready));
+        });
       },
       file_descriptor, ToEvents(interest));
   this->state->watcher.data = this->state.get();
@@ -144,8 +173,10 @@
   ev_timer_init(
       &this->state->watcher,
       [](struct ev_loop* loop, ev_timer* watcher, int) {
-        const auto callback = static_cast<State*>(watcher->data)->expired;
-        RunGuarded(loop, callback);
+        RunGuarded(loop, [watcher] {
+          const auto callback = static_cast<State*>(watcher->data)->expired;
+          callback();
+        });
       },
       ToSeconds(delay), ToSeconds(repeat));
   this->state->watcher.data = this->state.get();
@@ -173,8 +204,10 @@
   ev_signal_init(
       &this->state->watcher,
       [](struct ev_loop* loop, ev_signal* watcher, int) {
-        const auto callback = static_cast<State*>(watcher->data)->received;
-        RunGuarded(loop, callback);
+        RunGuarded(loop, [watcher] {
+          const auto callback = static_cast<State*>(watcher->data)->received;
+          callback();
+        });
       },
       signal);
   this->state->watcher.data = this->state.get();
@@ -186,21 +219,22 @@
 }
 
 void Post(EventLoop& loop, std::function<void()> function) {
-  struct PostedFunction {
-    ev_timer watcher;
-    std::function<void()> function;
-  };
-  auto* posted = new PostedFunction{{}, std::move(function)};
+  auto& posted = loop.posted;
+  const auto added = posted.insert(posted.end(), detail::PostedFunction{});
+  added->function = std::move(function);
+  added->owner = &posted;
+  added->position = added;
   ev_timer_init(
-      &posted->watcher,
+      &added->watcher,
       [](struct ev_loop* loop, ev_timer* watcher, int) {
-        const std::unique_ptr<PostedFunction> owned(
-            static_cast<PostedFunction*>(watcher->data));
-        RunGuarded(loop, owned->function);
+        auto* added = static_cast<detail::PostedFunction*>(watcher->data);
+        std::list<detail::PostedFunction> running;
+        running.splice(running.begin(), *added->owner, added->position);
+        RunGuarded(loop, running.front().function);
       },
       0.0, 0.0);
-  posted->watcher.data = posted;
-  ev_timer_start(loop.raw(), &posted->watcher);
+  added->watcher.data = &*added;
+  ev_timer_start(loop.raw(), &added->watcher);
 }
 
 }  // namespace toucanhollow
--- a/packages/event_loop/event_loop_test.cc
+++ b/packages/event_loop/event_loop_test.cc
@@ -70,5 +70,68 @@
   CHECK(reported == std::vector<std::string>{"posted", "timer"});
 }
 
+// Guards against a process that ends because of an exception of a type that the
+// standard library does not know.
+TEST_CASE("an exception that is no std::exception is reported as well") {
+  EventLoop loop;
+  std::vector<std::string> reported;
+  loop.SetUncaughtExceptionHandler(
+      [&](std::string_view what) { reported.emplace_back(what); });
+  Post(loop, [] { throw 7; });
+  const Timer stop(loop, Milliseconds(20), Duration(0), [&] { loop.Stop(); });
+  loop.Run();
+  CHECK(reported ==
+        std::vector<std::string>{"an exception that is not a std::exception"});
+}
+
+// Guards against a process that ends because the report of an exception fails,
+// for example for lack of memory.
+TEST_CASE("an exception of the handler does not end the loop") {
+  EventLoop loop;
+  loop.SetUncaughtExceptionHandler(
+      [](std::string_view) { throw std::bad_alloc(); });
+  Post(loop, [] { throw std::runtime_error("posted"); });
+  int later = 0;
+  const Timer stop(loop, Milliseconds(20), Duration(0), [&] {
+    ++later;
+    loop.Stop();
+  });
+  loop.Run();
+  CHECK(later == 1);
+}
+
+// Guards against functions that are leaked, with all that they own, when the
+// loop stops in the same turn, and against one that runs after its owner.
+TEST_CASE("a posted function that has not run is destroyed with the loop") {
+  const auto owned = std::make_shared<int>(0);
+  int calls = 0;
+  {
+    EventLoop loop;
+    const Timer timer(loop, Duration(0), Duration(0), [&] {
+      Post(loop, [&calls, owned] { ++calls; });
+      loop.Stop();
+    });
+    loop.Run();
+    CHECK(owned.use_count() == 2);
+  }
+  CHECK(owned.use_count() == 1);
+  CHECK(calls == 0);
+}
+
+// Guards against a posted function whose destruction posts another one while
+// the loop is destroyed.
+TEST_CASE("destroying a posted function may post") {
+  int destroyed = 0;
+  {
+    EventLoop loop;
+    const std::shared_ptr<int> owned(&destroyed, [&loop](int* count) {
+      Post(loop, [count] { ++*count; });
+      ++*count;
+    });
+    Post(loop, [owned] { static_cast<void>(owned); });
+  }
+  CHECK(destroyed == 1);
+}
+
 }  // namespace
 }  // namespace toucanhollow
