Refuse requests whose body has no clear end

A request whose Transfer-Encoding does not end with "chunked", or has a coding with a parameter before it, was run without its body and answered 200; its body was read as further requests and run. Cause: Beast takes every Transfer-Encoding that it does not understand for no body, and the session parses the rest of the bytes as the next request. The parser looked at lengths only. Change: CheckRequestFraming decides on all header lines (RFC 9112, 6.1 and 6.3). A request is accepted with one Content-Length of digits, with the coding "chunked" alone in HTTP/1.1, or without a body. Codings that end with "chunked" but have others before it get 501, everything else 400, and the session closes without parsing what follows. Lists with empty elements ("chunked,") are refused too: RFC 9110, 5.6.1, has recipients ignore these, but senders must not generate them, and programs disagree on where such a body ends. RequestParser::done() is false for a request that is refused, so that users that do not look at the problem do not run it either.

--- a/packages/http_message/http_message.cc
+++ b/packages/http_message/http_message.cc
@@ -10,10 +10,6 @@
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
-bool EqualsIgnoringCase(std::string_view left, std::string_view right) {
-  return std::ranges::equal(left, right, {}, ToLower, ToLower);
-}
-
 int HexDigitValue(char c) {
   const char lower = ToLower(c);
   if (lower >= '0' && lower <= '9') {
@@ -39,9 +35,13 @@
 
 }  // namespace
 
+bool IsSameHeaderName(std::string_view left, std::string_view right) {
+  return std::ranges::equal(left, right, {}, ToLower, ToLower);
+}
+
 std::string_view FindHeader(const HttpHeaders& headers, std::string_view name) {
   for (const HttpHeader& header : headers) {
-    if (EqualsIgnoringCase(header.name, name)) {
+    if (IsSameHeaderName(header.name, name)) {
       return header.value;
     }
   }
--- a/packages/http_message/http_message.h
+++ b/packages/http_message/http_message.h
@@ -20,6 +20,9 @@
 
 using HttpHeaders = std::vector<HttpHeader>;
 
+// Returns true if the names are equal ignoring case.
+bool IsSameHeaderName(std::string_view left, std::string_view right);
+
 // Returns the value of the first header with this name, ignoring case, or an
 // empty view if there is none.
 std::string_view FindHeader(const HttpHeaders& headers, std::string_view name);
--- a/packages/http_stream/http_stream_test.cc
+++ b/packages/http_stream/http_stream_test.cc
@@ -70,6 +70,117 @@
         ParseProblem::kMalformed);
 }
 
+// Guards against a body whose end the parser takes for its beginning, so that a
+// request hidden in it is run.
+TEST_CASE("requests with an unclear transfer coding are refused") {
+  const std::string start = "POST /a HTTP/1.1\r\nHost: h\r\n";
+  const std::string hidden =
+      "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+  const auto problem_of = [&](const std::string& codings) {
+    const std::string bytes = start + codings + "\r\n" + hidden;
+    for (std::size_t split = 0; split <= bytes.size(); ++split) {
+      RequestParser parser(ParserLimits{});
+      parser.Feed(bytes.substr(0, split));
+      parser.Feed(bytes.substr(split));
+      INFO("split at " << split);
+      REQUIRE(parser.problem() == FindRequestProblem(bytes));
+      REQUIRE_FALSE(parser.done());
+    }
+    return FindRequestProblem(bytes);
+  };
+  for (const char* coding :
+       {"gzip", "identity", "chunked, gzip", "xchunked", "chunked;q=1", "",
+        "chunked, chunked", "gzip, chunked, chunked", "chunked,", ", chunked",
+        "\"chunked\"", "chunked gzip", "chunked\x0b"}) {
+    INFO(coding);
+    CHECK(problem_of("Transfer-Encoding: " + std::string(coding) + "\r\n") ==
+          ParseProblem::kMalformed);
+  }
+  CHECK(problem_of("Transfer-Encoding: chunked\r\n"
+                   "Transfer-Encoding: gzip\r\n") == ParseProblem::kMalformed);
+  CHECK(problem_of("Transfer-Encoding: chunked\r\n"
+                   "Transfer-Encoding: chunked\r\n") ==
+        ParseProblem::kMalformed);
+  CHECK(problem_of("Transfer-Encoding: gzip\r\nContent-Length: 3\r\n") ==
+        ParseProblem::kMalformed);
+  // The end of these bodies is clear, but nobody decodes them here.
+  const std::string chunks = "\r\n3\r\nabc\r\n0\r\n\r\n";
+  CHECK(FindRequestProblem(start + "Transfer-Encoding: gzip;level=9, chunked" +
+                           "\r\n" + chunks) == ParseProblem::kUnknownCoding);
+  CHECK(FindRequestProblem(start +
+                           "Transfer-Encoding: gzip\r\n"
+                           "Transfer-Encoding: chunked\r\n" +
+                           chunks) == ParseProblem::kUnknownCoding);
+  CHECK(FindRequestProblem("POST /a HTTP/1.0\r\nHost: h\r\n"
+                           "Transfer-Encoding: chunked\r\n" +
+                           chunks) == ParseProblem::kMalformed);
+  for (const char* plain : {"chunked", "Chunked", " CHUNKED\t"}) {
+    INFO(plain);
+    CHECK(FindRequestProblem(start + "Transfer-Encoding:" + plain + "\r\n" +
+                             chunks) == ParseProblem::kNone);
+  }
+}
+
+// Guards against lengths that other programs read differently.
+TEST_CASE("requests with an unclear length are refused") {
+  const std::string start = "POST /a HTTP/1.1\r\nHost: h\r\n";
+  for (const char* length : {"+3", "-3", "0x3", "3, 3", "3 3", "3;", "", "3.0",
+                             "1e1", "three", "18446744073709551619"}) {
+    INFO(length);
+    CHECK(FindRequestProblem(start + "Content-Length: " + length +
+                             "\r\n\r\nabc") == ParseProblem::kMalformed);
+  }
+  CHECK(FindRequestProblem(start + "Content-Length: 3\r\n"
+                                   "Content-Length: 3\r\n\r\nabc") ==
+        ParseProblem::kMalformed);
+}
+
+// Guards against chunks whose size other programs read differently.
+TEST_CASE("requests with unclear chunks are refused") {
+  const std::string start =
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const char* chunks :
+       {"+3\r\nabc\r\n0\r\n\r\n", "0x3\r\nabc\r\n0\r\n\r\n",
+        "-3\r\nabc\r\n0\r\n\r\n", "3\nabc\n0\n\n", "3\r\nabcd\r\n0\r\n\r\n",
+        "3\r\nabc0\r\n\r\n", "10000000000000003\r\nabc\r\n0\r\n\r\n"}) {
+    INFO(chunks);
+    RequestParser parser(ParserLimits{});
+    parser.Feed(start + chunks + "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(parser.problem() == ParseProblem::kMalformed);
+    CHECK_FALSE(parser.done());
+  }
+}
+
+// Guards against a body that is taken for the next request because the request
+// offers another protocol.
+TEST_CASE("a request that offers an upgrade keeps its body") {
+  RequestParser parser(ParserLimits{});
+  parser.Feed(
+      "POST /a HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\n"
+      "Upgrade: h2c\r\nContent-Length: 3\r\n\r\nabcrest");
+  REQUIRE(parser.done());
+  CHECK(parser.problem() == ParseProblem::kNone);
+  CHECK(parser.TakeBody() == "abc");
+  CHECK(parser.TakeUnparsedBytes() == "rest");
+}
+
+// Guards against refusing lengths and chunks as callers send them.
+TEST_CASE("requests with a clear length are accepted") {
+  const std::string start = "POST /a HTTP/1.1\r\nHost: h\r\n";
+  for (const char* rest :
+       {"\r\n", "Content-Length: 0\r\n\r\n", "Content-Length: 3\r\n\r\nabc",
+        "content-length:\t 0003 \r\n\r\nabc",
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "transfer-encoding:Chunked \r\n\r\n3;a=b\r\nabc\r\n0\r\nX: y\r\n\r\n",
+        "TE: trailers\r\nTransfer-Encoding: chunked\r\n\r\n00\r\n\r\n"}) {
+    INFO(rest);
+    RequestParser parser(ParserLimits{});
+    parser.Feed(start + rest);
+    CHECK(parser.problem() == ParseProblem::kNone);
+    CHECK(parser.done());
+  }
+}
+
 // Guards against pipelined bytes that are lost or parsed as part of a body.
 TEST_CASE("bytes after a request are returned for the next one") {
   RequestParser parser(ParserLimits{});
--- a/packages/http_stream/message_parser.cc
+++ b/packages/http_stream/message_parser.cc
@@ -14,6 +14,7 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include "http_message/body_framing.h"
 #include "http_stream/write_message.h"
 
 namespace boost {
@@ -50,6 +51,9 @@
 // a chunk header, and the trailer.
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64 * 1024;
 
+// Beast's number of HTTP/1.1.
+constexpr int kHttp11 = 11;
+
 std::string ToString(BeastText text) {
   return {text.data(), text.size()};
 }
@@ -70,6 +74,7 @@
  public:
   Head head;
   std::string body;
+  bool is_http_1_0 = false;
   bool has_length = false;
   std::uint64_t length = 0;
   // Total bytes of the names and values of the trailer fields.
@@ -83,9 +88,10 @@
   void on_request_impl(http::verb /*verb*/,
                        BeastText method,
                        BeastText target,
-                       int /*version*/,
+                       int version,
                        error_code& error) override {
     error = {};
+    this->is_http_1_0 = version < kHttp11;
     if constexpr (IsRequest) {
       this->head.method = ToString(method);
       this->head.target = ToString(target);
@@ -250,6 +256,18 @@
   if (head.target.empty() || head.target.front() != '/' ||
       CountHeaders(head.headers, "Host") != 1) {
     state.problem = ParseProblem::kMalformed;
+    return;
+  }
+  // Beast takes codings that do not end with "chunked" for no body.
+  switch (CheckRequestFraming(head.headers, state.parser.is_http_1_0)) {
+    case BodyFraming::kClear:
+      break;
+    case BodyFraming::kUnknownCoding:
+      state.problem = ParseProblem::kUnknownCoding;
+      break;
+    case BodyFraming::kAmbiguous:
+      state.problem = ParseProblem::kMalformed;
+      break;
   }
 }
 
@@ -260,7 +278,8 @@
   return this->state->parser.is_header_done();
 }
 bool RequestParser::done() const {
-  return this->state->parser.is_done();
+  return this->state->problem == ParseProblem::kNone &&
+         this->state->parser.is_done();
 }
 ParseProblem RequestParser::problem() const {
   return this->state->problem;
--- a/packages/http_stream/message_parser.h
+++ b/packages/http_stream/message_parser.h
@@ -20,6 +20,8 @@
   kMalformed,
   kHeaderTooLarge,
   kBodyTooLarge,
+  // Requests only: the body has a transfer coding that is not decoded.
+  kUnknownCoding,
 };
 
 struct ParserLimits {
@@ -30,8 +32,8 @@
 };
 
 // Parses one request. Refuses syntax that intermediaries interpret differently
-// (request smuggling): repeated Content-Length headers, Content-Length together
-// with chunked encoding, folded header lines, and bare line feeds.
+// (request smuggling): an unclear length of the body (see
+// CheckRequestFraming), folded header lines, and bare line feeds.
 class RequestParser {
  public:
   explicit RequestParser(ParserLimits limits);
--- a/packages/http_stream/write_message.cc
+++ b/packages/http_stream/write_message.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <charconv>
 #include <utility>
 #include <vector>
@@ -97,6 +96,8 @@
       return "Payload Too Large";
     case 431:
       return "Request Header Fields Too Large";
+    case 501:
+      return "Not Implemented";
     case 502:
       return "Bad Gateway";
     case 503:
@@ -108,12 +109,6 @@
   }
 }
 
-bool IsSameHeaderName(std::string_view left, std::string_view right) {
-  return std::ranges::equal(left, right, [](unsigned char a, unsigned char b) {
-    return std::tolower(a) == std::tolower(b);
-  });
-}
-
 HttpHeaders RemoveHopByHopHeaders(const HttpHeaders& headers) {
   std::vector<std::string> removed_names(kHopByHopHeaders.begin(),
                                          kHopByHopHeaders.end());
--- a/packages/http_stream/write_message.h
+++ b/packages/http_stream/write_message.h
@@ -32,9 +32,6 @@
 // including those that a "Connection" header lists.
 HttpHeaders RemoveHopByHopHeaders(const HttpHeaders& headers);
 
-// Returns true if the names are equal ignoring case.
-bool IsSameHeaderName(std::string_view left, std::string_view right);
-
 }  // namespace toucanhollow
 
 #endif  // HTTP_STREAM_WRITE_MESSAGE_H_
--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -100,6 +100,9 @@
     case ParseProblem::kBodyTooLarge:
       this->RefuseInput(413, "body too large");
       return;
+    case ParseProblem::kUnknownCoding:
+      this->RefuseInput(501, "unknown transfer coding");
+      return;
   }
   if (this->parser->done()) {
     this->StartRequest();
--- a/standins/platform/platform_relay_test.cc
+++ b/standins/platform/platform_relay_test.cc
@@ -395,6 +395,37 @@
   CHECK(site.first.runs["r1"] + site.first.runs["r2"] == 0);
 }
 
+// Guards against a request that is hidden in the body of another one.
+TEST_CASE("requests with an unclear length are not run and end the session") {
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  const std::size_t ran_before = site.first.runs.size();
+  const std::string hidden = Request("POST", "/u/x", "hidden", "", "payment");
+  const std::string chunk = "3\r\nabc\r\n0\r\n\r\n";
+  for (const auto& [status, framing] : std::vector<std::pair<int, std::string>>{
+           {400, "Transfer-Encoding: gzip\r\n"},
+           {400, "Transfer-Encoding: identity\r\n"},
+           {400, "Transfer-Encoding: chunked, gzip\r\n"},
+           {400, "Transfer-Encoding: xchunked\r\n"},
+           {400, "Transfer-Encoding: chunked,\r\n"},
+           {400, "Content-Length: 3, 3\r\n"},
+           {501, "Transfer-Encoding: gzip;level=9, chunked\r\n"}}) {
+    INFO(framing);
+    Caller caller(site.loop, site.settings.callers.port);
+    caller.connection->Write(Request("POST", "/u/x", "outer", framing) +
+                             (status == 400 ? "" : chunk) + hidden);
+    REQUIRE(site.RunUntil([&] { return caller.parser.done(); }));
+    CHECK(caller.parser.head().status == status);
+    CHECK(FindHeader(caller.parser.head().headers, "Connection") == "close");
+    // What arrives after the response is not read as a request either.
+    caller.connection->Write(hidden);
+    CHECK(site.RunUntil([&] { return caller.ended; }));
+    CHECK(site.first.runs.size() == ran_before);
+  }
+}
+
 // Guards against an answer in flight that a stopping host cuts, and against a
 // kept connection that closes although no answer announced it.
 TEST_CASE("a stopping host finishes what it took") {
