Refuse responses with a transfer coding that is not decoded

A server's response with "Transfer-Encoding: gzip", or "gzip, chunked", was passed on as a success with its body coded and the header removed; with a Content-Length beside it, the length was used although it does not apply. Cause: as for requests, Beast ignores codings that it does not understand. Change: such a response is malformed before its head is passed on: the request is repeated if it may be, and answered 502 otherwise. Result: "a response with an unclear transfer coding is malformed" of http_stream_test and "an answer with an unknown transfer coding is not passed on" of standin_platform_test fail on (200 with the coded body) and pass.

--- a/packages/http_stream/http_stream_test.cc
+++ b/packages/http_stream/http_stream_test.cc
@@ -223,6 +223,43 @@
   CHECK(parser.TakeBody() == "abc");
 }
 
+// Guards against a coded body that is passed on as the body itself, and against
+// one whose end is taken from a length that does not apply.
+TEST_CASE("a response with an unclear transfer coding is malformed") {
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  const std::string body = "\r\n3\r\nabc\r\n0\r\n\r\n";
+  for (const char* framing :
+       {"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: identity\r\n",
+        "Transfer-Encoding: chunked, gzip\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: gzip;level=9, chunked\r\n",
+        "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: chunked,\r\n",
+        "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: gzip\r\nContent-Length: 3\r\n",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"}) {
+    INFO(framing);
+    const std::string bytes = start + framing + body;
+    for (std::size_t split = 0; split <= bytes.size(); ++split) {
+      ResponseParser parser(true);
+      parser.Feed(bytes.substr(0, split));
+      parser.Feed(bytes.substr(split));
+      parser.FeedEndOfStream();
+      INFO("split at " << split);
+      REQUIRE(parser.problem() == ParseProblem::kMalformed);
+      REQUIRE_FALSE(parser.head_done());
+      REQUIRE_FALSE(parser.done());
+    }
+  }
+  ResponseParser old_version(true);
+  old_version.Feed("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + body);
+  CHECK(old_version.problem() == ParseProblem::kMalformed);
+  ResponseParser plain(true);
+  plain.Feed(start + "transfer-encoding:Chunked\t\r\n" + body);
+  CHECK(plain.done());
+  CHECK(plain.TakeBody() == "abc");
+}
+
 // Guards against an interim response that is returned as the final one.
 TEST_CASE("interim responses are skipped") {
   ResponseParser parser(true);
--- a/packages/http_stream/message_parser.cc
+++ b/packages/http_stream/message_parser.cc
@@ -99,9 +99,10 @@
   }
   void on_response_impl(int status,
                         BeastText reason,
-                        int /*version*/,
+                        int version,
                         error_code& error) override {
     error = {};
+    this->is_http_1_0 = version < kHttp11;
     if constexpr (!IsRequest) {
       this->head.status = status;
       this->head.reason = ToString(reason);
@@ -301,6 +302,7 @@
   std::string pending;
   // Total bytes of the interim responses skipped so far.
   std::size_t interim_bytes = 0;
+  bool head_done = false;
   ParseProblem problem = ParseProblem::kNone;
 
   void StartNextResponse() {
@@ -345,8 +347,15 @@
       state.StartNextResponse();
       continue;
     }
-    if (!had_head && state.parser->is_header_done()) {
+    if (!had_head && state.parser->is_header_done() && !state.IsInterim()) {
       ResponseHead& head = state.parser->head;
+      // Beast does not decode other codings than "chunked".
+      if (CheckResponseFraming(head.headers, state.parser->is_http_1_0) !=
+          BodyFraming::kClear) {
+        state.problem = ParseProblem::kMalformed;
+        return;
+      }
+      state.head_done = true;
       head.keep_alive = state.parser->keep_alive();
       head.ends_with_connection = state.parser->need_eof();
       if (state.parser->has_length) {
@@ -382,10 +391,10 @@
 }
 
 bool ResponseParser::head_done() const {
-  return this->state->parser->is_header_done() && !this->state->IsInterim();
+  return this->state->head_done;
 }
 bool ResponseParser::done() const {
-  return this->state->parser->is_done() && !this->state->IsInterim();
+  return this->state->head_done && this->state->parser->is_done();
 }
 ParseProblem ResponseParser::problem() const {
   return this->state->problem;
--- a/standins/platform/unframed_answer_test.cc
+++ b/standins/platform/unframed_answer_test.cc
@@ -76,6 +76,26 @@
   CHECK(site.first.runs["r2"] == 1);
 }
 
+// Guards against a coded body that is passed on as the server's own.
+TEST_CASE("an answer with an unknown transfer coding is not passed on") {
+  UnframedSite site;
+  for (const char* coding : {"gzip", "gzip, chunked", "chunked, gzip"}) {
+    INFO(coding);
+    ScriptedAnswer answer;
+    answer.bytes = std::string(kSealedHead) + "Transfer-Encoding: " + coding +
+                   "\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+    answer.close = true;
+    site.first.script.push_back(answer);
+    const Answered safe = Ask(site, Request("GET", "/s/x", "r1"));
+    CHECK(safe.status == 200);
+    CHECK(safe.body == "ok");
+    site.first.script.push_back(answer);
+    const Answered unsafe =
+        Ask(site, Request("POST", "/u/x", "r2", "", "payment"));
+    CHECK(unsafe.status == 502);
+  }
+}
+
 // Guards against a large answer, which is forwarded as it comes, that looks
 // complete although it broke off.
 TEST_CASE("a large answer without length that is reset does not look whole") {
