Refuse requests with an unclear end at the own interface

What callers saw: nothing; found while looking for the same cause elsewhere. Cause: libmicrohttpd reads the first Transfer-Encoding and the first Content-Length only, takes "Content-Length : 3" for a header of another name and the body for the next request, reads a body with an unknown coding until the connection ends, and puts a folded line into the name of its header. Change: HttpServer checks the framing with the rule of the relay, and refuses names with a space or a colon, bare carriage returns in values, and "chunked " with a space, which libmicrohttpd does not read. The response is 400 or 501 and the connection ends.

--- a/packages/http_server/http_server.cc
+++ b/packages/http_server/http_server.cc
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "base/check.h"
+#include "http_message/body_framing.h"
 #include "http_server/http_exchange.h"
 
 namespace toucanhollow {
@@ -51,12 +52,16 @@
 
 std::string_view GetErrorText(int status) {
   switch (status) {
+    case 400:
+      return "malformed request\n";
     case 408:
       return "request not received in time\n";
     case 413:
       return "body too large\n";
     case 431:
       return "header too large\n";
+    case 501:
+      return "unknown transfer coding\n";
     default:
       return "error\n";
   }
@@ -79,6 +84,37 @@
   return bytes;
 }
 
+// libmicrohttpd takes "Content-Length : 3" for a header of another name, puts a
+// folded line into the name of its header, and keeps bare carriage returns.
+bool IsUnclearLine(const HttpHeader& header) {
+  return header.name.find_first_of(" \t:") != std::string::npos ||
+         header.value.find('\r') != std::string::npos;
+}
+
+// libmicrohttpd takes "chunked " for an unknown coding, whose body it reads
+// until the connection ends.
+bool EndsWithSpace(std::string_view value) {
+  return value.ends_with(' ') || value.ends_with('\t');
+}
+
+// Returns the status that refuses a request whose body has no clear end.
+std::optional<int> FindFramingError(const HttpHeaders& headers,
+                                    std::string_view version) {
+  if (std::ranges::any_of(headers, IsUnclearLine) ||
+      EndsWithSpace(FindHeader(headers, "Transfer-Encoding"))) {
+    return 400;
+  }
+  switch (CheckRequestFraming(headers, version != MHD_HTTP_VERSION_1_1)) {
+    case BodyFraming::kClear:
+      break;
+    case BodyFraming::kUnknownCoding:
+      return 501;
+    case BodyFraming::kAmbiguous:
+      return 400;
+  }
+  return std::nullopt;
+}
+
 void AddHeaders(MHD_Response* response,
                 const HttpHeaders& headers,
                 bool close_connection) {
@@ -190,6 +226,7 @@
   MHD_Result OnRequestPart(MhdRequest* mhd_request,
                            const char* url,
                            const char* method,
+                           const char* version,
                            const char* data,
                            std::size_t* size);
   MHD_Result OnCompleteRequest(MhdRequest* mhd_request);
@@ -326,6 +363,7 @@
 MHD_Result HttpServer::Core::OnRequestPart(MhdRequest* mhd_request,
                                            const char* url,
                                            const char* method,
+                                           const char* version,
                                            const char* data,
                                            std::size_t* size) {
   HttpExchange& exchange = *mhd_request->exchange;
@@ -343,6 +381,11 @@
     if (CountHeaderBytes(exchange.request) > this->options.max_header_bytes) {
       return QueueError(mhd_request->mhd, this->options, 431);
     }
+    const auto framing_error =
+        FindFramingError(exchange.request.headers, version);
+    if (framing_error.has_value()) {
+      return QueueError(mhd_request->mhd, this->options, *framing_error);
+    }
     const auto length =
         ParseDecimal(FindHeader(exchange.request.headers, "Content-Length"));
     if (length.has_value() &&
@@ -503,10 +546,11 @@
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, core->options.port, nullptr,
       nullptr,
       +[](void* context, MHD_Connection*, const char* url, const char* method,
-          const char*, const char* data, std::size_t* size,
+          const char* version, const char* data, std::size_t* size,
           void** mhd_request) {
         return Core::FromContext(context)->OnRequestPart(
-            static_cast<MhdRequest*>(*mhd_request), url, method, data, size);
+            static_cast<MhdRequest*>(*mhd_request), url, method, version, data,
+            size);
       },
       core.get(), MHD_OPTION_SOCK_ADDR,
       reinterpret_cast<const sockaddr*>(&address), MHD_OPTION_URI_LOG_CALLBACK,
--- a/packages/http_server/http_server_test.cc
+++ b/packages/http_server/http_server_test.cc
@@ -217,6 +217,56 @@
   CHECK(fixture.Fetch(call).status == 431);
 }
 
+// Guards against a request that is hidden in the body of another one, whose end
+// this server and a proxy before it find at different places.
+TEST_CASE(
+    "requests with an unclear length receive 400 and the connection ends") {
+  Fixture fixture;
+  std::vector<std::string> handled;
+  fixture.Listen([&handled](const HttpRequest& request, const auto& writer) {
+    handled.push_back(request.path);
+    writer->Respond(200, {{"Connection", "close"}}, "ok");
+  });
+  const std::string hidden =
+      "GET /hidden HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+  const auto send = [&](const std::string& framing, const std::string& body) {
+    handled.clear();
+    return fixture.SendRaw("POST /outer HTTP/1.1\r\nHost: h\r\n" + framing +
+                           "\r\n" + body);
+  };
+  for (const char* framing :
+       {"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: identity\r\n",
+        "Transfer-Encoding: chunked, gzip\r\n",
+        "Transfer-Encoding: xchunked\r\n",
+        "Transfer-Encoding: gzip\r\nContent-Length: 3\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+        "Content-Length: 0\r\nContent-Length: 3\r\n", "Content-Length: +3\r\n",
+        "Content-Length: 3, 3\r\n", "Content-Length : 3\r\n",
+        "X: y\r\n Content-Length: 3\r\n", "X: y\rContent-Length: 3\r\n",
+        "Transfer-Encoding : chunked\r\n", "Transfer-Encoding\t: chunked\r\n",
+        "Transfer-Encoding:\r\n", "Transfer-Encoding: chunked\x0b\r\n",
+        "Transfer-Encoding: chunked,\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n"}) {
+    INFO(framing);
+    CHECK(send(framing, hidden).starts_with("HTTP/1.1 400"));
+    CHECK(handled.empty());
+  }
+  CHECK(send("Transfer-Encoding: gzip, chunked\r\n",
+             "3\r\nabc\r\n0\r\n\r\n" + hidden)
+            .starts_with("HTTP/1.1 501"));
+  CHECK(handled.empty());
+  // libmicrohttpd does not read these chunks.
+  CHECK(send("Transfer-Encoding: chunked \r\n", "3\r\nabc\r\n0\r\n\r\n")
+            .starts_with("HTTP/1.1 400"));
+  CHECK(handled.empty());
+  for (const char* framing :
+       {"Transfer-Encoding: chunked\r\n", "transfer-encoding:\tChunked\r\n"}) {
+    INFO(framing);
+    CHECK(send(framing, "3\r\nabc\r\n0\r\n\r\n").starts_with("HTTP/1.1 200"));
+    CHECK(handled == std::vector<std::string>{"/outer"});
+  }
+}
+
 // Guards against callers that occupy a connection by sending slowly.
 TEST_CASE("a slow request receives 408") {
   Fixture fixture;
