Close connections behind the last answer without a reset

Callers lost an answer that was on its way when its connection was closed with bytes unread: a refusal of a body that was still being sent (413, 431, 400, 408), and a broken stream whose caller had sent its next request. The kernel answers such a close with a reset, and 500 ms after a refusal the connection was closed whatever still came.

A closing connection now shuts its sending side down behind the queued bytes and reads on until the caller closes too, sends nothing for 500 ms, or 2 s have passed. A broken stream ends the same way instead of dropping queued bytes; it still lacks its last chunk.

Callers that close at the announced end free their connection after a round trip instead of after up to 500 ms.

--- a/packages/http_stream/http_stream_test.cc
+++ b/packages/http_stream/http_stream_test.cc
@@ -2,6 +2,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <memory>
 #include <random>
@@ -169,6 +170,40 @@
   close(accepted);
 }
 
+// Guards against a shutdown that overtakes queued bytes, and against bytes of
+// the peer that are lost after it.
+TEST_CASE("a connection that finishes writing sends everything and reads on") {
+  EventLoop loop;
+  std::array<int, 2> sockets{};
+  REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, sockets.data()) ==
+          0);
+  TcpConnection connection(loop, sockets[0]);
+  std::string received;
+  connection.SetCallbacks({nullptr,
+                           [&](std::string_view bytes) { received += bytes; },
+                           nullptr, nullptr});
+  const std::string large(1000000, 'a');
+  connection.Write(large);
+  REQUIRE(connection.unsent() > 0);
+  connection.FinishWriting();
+  std::size_t read_bytes = 0;
+  bool ended = false;
+  std::vector<char> buffer(65536);
+  for (int i = 0; i < 1000 && !ended; ++i) {
+    const ssize_t count = recv(sockets[1], buffer.data(), buffer.size(), 0);
+    read_bytes += count > 0 ? static_cast<std::size_t>(count) : 0;
+    ended = count == 0;
+    const Timer timer(loop, Milliseconds(1), Duration(0), [&] { loop.Stop(); });
+    loop.Run();
+  }
+  CHECK(ended);
+  CHECK(read_bytes == large.size());
+  REQUIRE(send(sockets[1], "late", 4, MSG_NOSIGNAL) == 4);
+  connection.ReadPending();
+  CHECK(received == "late");
+  close(sockets[1]);
+}
+
 TEST_CASE("chunks start with their length in hexadecimal") {
   CHECK(WriteChunk(std::string(26, 'x')) ==
         "1a\r\n" + std::string(26, 'x') + "\r\n");
--- a/packages/http_stream/tcp_connection.cc
+++ b/packages/http_stream/tcp_connection.cc
@@ -49,6 +49,7 @@
   bool ended = false;
   bool reading = true;
   bool any_sent = false;
+  bool finish_writing = false;
   std::string send_buffer;
   std::size_t sent_offset = 0;
   IoWatcher::Interest interest = IoWatcher::kNone;
@@ -64,6 +65,7 @@
   void OnReady(IoWatcher::Interest ready);
   void FinishConnect();
   void Flush();
+  void ShutdownIfFinished();
   void Read();
   void UpdateInterest();
 };
@@ -165,6 +167,7 @@
     this->send_buffer.clear();
     this->sent_offset = 0;
   }
+  this->ShutdownIfFinished();
   this->UpdateInterest();
   if (drained && !this->ended && this->callbacks.on_drained) {
     const auto callback = this->callbacks.on_drained;
@@ -172,6 +175,12 @@
   }
 }
 
+void TcpConnection::State::ShutdownIfFinished() {
+  if (this->finish_writing && this->socket >= 0 && this->send_buffer.empty()) {
+    shutdown(this->socket, SHUT_WR);
+  }
+}
+
 void TcpConnection::State::Read() {
   static thread_local std::array<char, kMaxReadBytes> buffer;
   const ssize_t byte_count =
@@ -265,6 +274,18 @@
   state.UpdateInterest();
 }
 
+void TcpConnection::FinishWriting() {
+  this->state->finish_writing = true;
+  this->state->ShutdownIfFinished();
+}
+
+void TcpConnection::ReadPending() {
+  const std::shared_ptr<State> state = this->state;
+  if (state->connected && state->reading && !state->ended) {
+    state->Read();
+  }
+}
+
 std::size_t TcpConnection::unsent() const {
   return this->state->send_buffer.size() - this->state->sent_offset;
 }
--- a/packages/http_stream/tcp_connection.h
+++ b/packages/http_stream/tcp_connection.h
@@ -49,6 +49,13 @@
   void ResetOnClose();
   // Sends as many bytes as the kernel accepts now and queues the others.
   void Write(std::string_view bytes);
+  // Shuts the sending side down once all queued bytes have been sent. The peer
+  // then reads the end of the stream after them. Nothing may be written after
+  // this call.
+  void FinishWriting();
+  // Reads once and delivers what has arrived, or the end of the connection,
+  // without waiting for the event loop. No effect while reading is paused.
+  void ReadPending();
   // Returns the number of queued bytes that the kernel has not accepted yet.
   std::size_t unsent() const;
   // Returns false as long as no byte passed to Write can have left this host.
--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -15,9 +15,12 @@
 // Callers reuse connections until close to the idle timeout. Closing this much
 // later keeps the close from racing with such a request.
 constexpr Duration kIdleMargin = Seconds(2);
-// Time for the caller to read the last response and close first. A close while
-// bytes are unread would reset the connection and lose the response.
+// A closing connection is read until its caller closes too, or has sent nothing
+// for this long. A close while bytes are unread would reset the connection and
+// lose the response.
 constexpr Duration kCloseWait = Milliseconds(500);
+// Limits the time for a caller that goes on sending.
+constexpr Duration kMaxCloseWait = Seconds(2);
 // For this long after a caller connected or was answered, a request of it may
 // be in flight.
 constexpr Duration kRequestInFlightTime = Milliseconds(500);
@@ -38,12 +41,7 @@
       idle_timeout(this->Limits().idle_timeout) {
   this->connection->SetCallbacks(
       {nullptr, [this](std::string_view bytes) { this->OnData(bytes); },
-       [this] {
-         if (this->request != nullptr) {
-           const auto active_request = this->request;
-           active_request->OnOutputDrained();
-         }
-       },
+       [this] { this->OnOutputDrained(); },
        [this](ConnectionEnd) { this->OnEnd(); }});
 }
 
@@ -62,6 +60,8 @@
 void CallerSession::OnData(std::string_view bytes) {
   switch (this->phase) {
     case Phase::kClosing:
+      this->waiting_since = EventLoop::Now();
+      return;
     case Phase::kClosed:
       return;
     case Phase::kResponding:
@@ -141,7 +141,10 @@
     this->connection->Write(LastChunk());
     this->FinishResponse();
   };
-  sink.abort = [this] { this->Close(); };
+  sink.abort = [this] {
+    this->request.reset();
+    this->BeginClosing();
+  };
   sink.unsent_bytes = [this] { return this->connection->unsent(); };
   ++this->request_count;
   constexpr std::uint64_t kMaxRequestsPerSession = 1U << 20U;
@@ -207,8 +210,21 @@
 
 void CallerSession::BeginClosing() {
   this->phase = Phase::kClosing;
-  this->waiting_since = EventLoop::Now();
+  this->closing_since = EventLoop::Now();
+  this->waiting_since = this->closing_since;
   this->connection->SetReading(true);
+  this->connection->FinishWriting();
+}
+
+void CallerSession::OnOutputDrained() {
+  if (this->phase == Phase::kClosing) {
+    this->closing_since = EventLoop::Now();
+    this->waiting_since = this->closing_since;
+  }
+  // The call may finish the request, which resets `this->request`.
+  if (const auto active_request = this->request) {
+    active_request->OnOutputDrained();
+  }
 }
 
 void CallerSession::OnEnd() {
@@ -263,7 +279,8 @@
       }
       return;
     case Phase::kClosing:
-      if (waited > kCloseWait && this->connection->unsent() == 0) {
+      if (this->connection->unsent() == 0 &&
+          (waited > kCloseWait || now - this->closing_since > kMaxCloseWait)) {
         this->Close();
       }
       return;
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -41,6 +41,7 @@
 
   void OnData(std::string_view bytes);
   void OnEnd();
+  void OnOutputDrained();
   void Advance();
   void StartRequest();
   void RefuseInput(int status, std::string_view why);
@@ -49,6 +50,8 @@
                 HttpHeaders headers,
                 std::string_view framing);
   void FinishResponse();
+  // Closes the sending side behind the queued bytes and waits for the caller to
+  // close.
   void BeginClosing();
   void Close();
   const IngressLimits& Limits() const;
@@ -69,8 +72,11 @@
   std::uint64_t request_count = 0;
   // Bytes of later requests that arrived while a request is being answered.
   std::string pipelined_bytes;
-  // Start of the phase, or when the last part of a request body arrived.
+  // Start of the phase, or when the last part of a request body, or bytes on a
+  // closing connection, arrived.
   TimePoint waiting_since;
+  // When the last bytes for the caller were handed to the kernel.
+  TimePoint closing_since;
   Duration idle_timeout;
 };
 
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -52,8 +52,8 @@
       send_head;
   std::function<void(std::string_view bytes)> send_chunk;
   std::function<void()> finish;
-  // Closes the connection, which shows the caller that the response is
-  // incomplete.
+  // Closes the connection behind the bytes that were sent, which shows the
+  // caller that the response is incomplete.
   std::function<void()> abort;
   // Number of bytes that are queued for the caller.
   std::function<std::size_t()> unsent_bytes;
--- a/standins/platform/sealed_server_stand_in.cc
+++ b/standins/platform/sealed_server_stand_in.cc
@@ -40,6 +40,10 @@
   return this->listener->Port();
 }
 
+void SealedServerStandIn::CloseSessions() {
+  this->sessions.clear();
+}
+
 void SealedServerStandIn::Accept(int socket) {
   const std::uint64_t number = this->next_session++;
   Session& session = this->sessions[number];
--- a/standins/platform/sealed_server_stand_in.h
+++ b/standins/platform/sealed_server_stand_in.h
@@ -40,6 +40,8 @@
   explicit SealedServerStandIn(EventLoop& loop);
 
   std::uint16_t Port() const;
+  // Closes all connections, as at the end of its process.
+  void CloseSessions();
   // Answers for the next requests; then a sealed "ok" each.
   std::deque<ScriptedAnswer> script;
   // Heads and bodies of the requests that it ran, in order.
