Answer pipelined requests before a stopping host closes

A request that a host had read together with the one before it was dropped when it began to stop meanwhile: the first answer announced the close, and the second request got none.

The close is announced with the answer to the last request that was read.

Before: stop_test.cc, "a pipelined request is answered", no second answer. After: passes.

--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -170,7 +170,9 @@
   } else {
     headers.push_back({"Content-Length", std::string(framing)});
   }
-  if (this->draining || !this->caller_keeps_alive) {
+  // A request that was read behind this one is answered before the close.
+  const bool close = this->draining && this->pipelined_bytes.empty();
+  if (close || !this->caller_keeps_alive) {
     this->close_announced = true;
     headers.push_back({"Connection", "close"});
   }
--- a/standins/platform/stop_test.cc
+++ b/standins/platform/stop_test.cc
@@ -135,6 +135,28 @@
   CHECK(caller.parser.TakeBody() == "id: 1\ndata: a\n\n");
 }
 
+// Guards against a request that was read with the one before it and is dropped
+// when the first answer announces the close.
+TEST_CASE("a pipelined request is answered before its connection closes") {
+  StopSite site(Milliseconds(3000));
+  ScriptedAnswer slow;
+  slow.later = SealedAnswer("slow").bytes;
+  slow.delay = Milliseconds(300);
+  site.first.script = {slow};
+  const auto caller =
+      site.Send(Request("GET", "/s/x", "r1") + Request("GET", "/s/x", "r2"));
+  REQUIRE(site.RunUntil([&] { return site.first.runs.contains("r1"); }));
+  site.Stop();
+  REQUIRE(site.RunUntil([&] { return caller->ended; }));
+  REQUIRE(HasWholeAnswer(*caller, 200));
+  CHECK(FindHeader(caller->parser.head().headers, "Connection").empty());
+  ResponseParser second(true);
+  second.Feed(caller->parser.TakeUnparsedBytes());
+  REQUIRE(second.done());
+  CHECK(second.head().status == 200);
+  CHECK(FindHeader(second.head().headers, "Connection") == "close");
+}
+
 // Guards against bodies that stop arriving when the host stops, with a caller
 // that waits for an interim response.
 TEST_CASE("a body that is still arriving is read on during a stop") {
