Serve requests that have arrived before closing idle connections

A stopping host closed connections that had been quiet for 500 ms, and hosts in ordinary operation those that reached the idle timeout, without looking whether a request lay in the kernel's buffer. The loop runs timers before the reads of the same iteration, so a loop that had been busy or was not scheduled for a while reset such requests; callers go on using connections until they are closed.

An idle connection is now read once before it closes, a request that is found is served, and the close is an orderly one that is read on behind.

--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -247,10 +247,23 @@
   this->on_closed();
 }
 
-bool CallerSession::IsDrained(TimePoint now) const {
-  return this->phase == Phase::kClosed ||
-         (this->phase == Phase::kIdle && this->connection->unsent() == 0 &&
-          now - this->waiting_since > kRequestInFlightTime);
+bool CallerSession::IsClosed() const {
+  return this->phase == Phase::kClosed;
+}
+
+bool CallerSession::IsQuiet(TimePoint now) const {
+  return this->phase == Phase::kIdle && this->connection->unsent() == 0 &&
+         now - this->waiting_since > kRequestInFlightTime;
+}
+
+void CallerSession::CloseIfIdle() {
+  if (this->phase != Phase::kIdle) {
+    return;
+  }
+  this->connection->ReadPending();
+  if (this->phase == Phase::kIdle) {
+    this->BeginClosing();
+  }
 }
 
 void CallerSession::StartDraining() {
@@ -277,7 +290,7 @@
     case Phase::kIdle:
       if (waited > std::max(this->idle_timeout, this->Limits().idle_timeout) +
                        kIdleMargin) {
-        this->Close();
+        this->CloseIfIdle();
       }
       return;
     case Phase::kClosing:
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -32,9 +32,13 @@
   void StartDraining();
   // Closes the connection at once and cancels its request, if there is one.
   void Abort(std::string_view reason);
-  // True if closing the connection loses nothing: no request is being read or
-  // answered, none can be in flight, and all bytes of the responses were sent.
-  bool IsDrained(TimePoint now) const;
+  bool IsClosed() const;
+  // True if no request is being read or answered, none is likely to be on its
+  // way, and all bytes of the responses were sent.
+  bool IsQuiet(TimePoint now) const;
+  // Begins to close the connection if no request is being read or answered. A
+  // request that the event loop has not delivered yet is served first.
+  void CloseIfIdle();
 
  private:
   enum class Phase { kIdle, kReading, kResponding, kClosing, kClosed };
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -284,11 +284,12 @@
   const bool grace_nearly_over =
       since_shutdown >= this->settings.grace - kGraceMargin;
   for (CallerSession* session : open) {
-    if (session->IsDrained(now) || grace_nearly_over) {
+    if (grace_nearly_over) {
       session->Abort("the process is shutting down");
-    } else {
-      busy = true;
+    } else if (session->IsQuiet(now)) {
+      session->CloseIfIdle();
     }
+    busy = busy || !session->IsClosed();
   }
   if (!busy && this->on_drained) {
     LogJsonNow("stopped", {{"cut", grace_nearly_over}});
--- a/standins/platform/stop_test.cc
+++ b/standins/platform/stop_test.cc
@@ -97,6 +97,50 @@
   return caller.parser.done() && caller.parser.head().status == status;
 }
 
+// Guards against idle connections that are closed although a request lies in
+// the kernel's buffer: callers go on using them until the host is gone. The
+// loop stands still while a request is sent, so that the request has arrived
+// when the loop's timers are due.
+TEST_CASE("a request on an open connection is answered until the host ends") {
+  StopSite site(Milliseconds(4000));
+  constexpr std::size_t kCallers = 40;
+  std::vector<std::unique_ptr<SocketCaller>> callers;
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    callers.push_back(std::make_unique<SocketCaller>(site.settings.callers));
+    callers.back()->Send(Request("GET", "/s/x", "a" + std::to_string(i)));
+  }
+  site.RunFor(Milliseconds(100));
+  for (const auto& caller : callers) {
+    caller->Poll();
+    REQUIRE(caller->status() == 200);
+  }
+  site.Stop();
+  std::size_t sent = 0;
+  std::size_t answered = 0;
+  std::size_t reset = 0;
+  for (const auto& caller : callers) {
+    caller->Poll();
+    const bool open = caller->end() == SocketCaller::End::kOpen;
+    if (open && !site.stopped) {
+      caller->ExpectResponse();
+      ++sent;
+      REQUIRE(
+          caller->Send(LongRequest("GET", "/s/x", "b" + std::to_string(sent))));
+    }
+    std::this_thread::sleep_for(Milliseconds(60));
+    site.RunFor(Milliseconds(20));
+    caller->Poll();
+    if (open) {
+      answered += caller->status() == 200 || caller->status() == 503 ? 1 : 0;
+    }
+    reset += caller->end() == SocketCaller::End::kReset ? 1 : 0;
+  }
+  CHECK(sent > kCallers / 2);
+  CHECK(answered == sent);
+  CHECK(reset == 0);
+  CHECK(site.RunUntil([&] { return site.stopped; }));
+}
+
 // Guards against an answer that is lost because the connection is reset with
 // bytes of the request unread.
 TEST_CASE("a refusal of a long body reaches its caller") {
