Answer open requests before the grace time ends

300 ms before the end of its grace time a stopping host closed every connection: requests at a server, in the queue, waiting for a permit or for the word on a crashed server, and half-read ones got no answer, and a stream lost the bytes that were still queued.

PlanStop gives a stop three steps. The last sixth of the grace time, at most 1 s, is kept for its end: by then each request has its final answer, 503 if no server can have run it, else 504, and a stream ends visibly incomplete; a request that has not arrived is refused with 503. The rest of that time lets the answers be sent and read. The deadline that a server is told lies within the grace time too.

--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -179,7 +179,9 @@
   this->connection->Write(WriteResponseHead(status, reason, headers));
 }
 
-void CallerSession::RefuseInput(int status, std::string_view why) {
+void CallerSession::RefuseInput(int status,
+                                std::string_view why,
+                                HttpHeaders headers) {
   LogJsonNow("input_refused",
              {{"session", static_cast<std::int64_t>(this->number)},
               {"status", static_cast<std::int64_t>(status)},
@@ -187,7 +189,7 @@
   this->context.metrics.Count("input_refused_total",
                               "status=\"" + std::to_string(status) + "\"");
   this->draining = true;
-  this->SendHead(status, "", {}, "0");
+  this->SendHead(status, "", std::move(headers), "0");
   this->BeginClosing();
 }
 
@@ -266,8 +268,23 @@
   }
 }
 
-void CallerSession::StartDraining() {
+void CallerSession::EndInput() {
+  if (this->phase == Phase::kReading) {
+    this->connection->ReadPending();
+  }
+  this->CloseIfIdle();
+  if (this->phase == Phase::kReading) {
+    this->RefuseInput(
+        503, "the host stops before the request has arrived",
+        this->context.codec.relay_response_headers({}, Duration(0)));
+  }
+}
+
+void CallerSession::StartDraining(TimePoint now) {
   this->draining = true;
+  if (this->request != nullptr) {
+    this->request->LimitToStop(now);
+  }
 }
 
 void CallerSession::Abort(std::string_view reason) {
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -28,8 +28,9 @@
   // Enforces the time limits: refuses requests that arrive too slowly, and
   // closes idle and closing connections. To be called periodically.
   void Sweep(TimePoint now);
-  // Makes the next response that begins the last one of this connection.
-  void StartDraining();
+  // Makes the next response that begins the last one of this connection, and
+  // ends an open request before the host does.
+  void StartDraining(TimePoint now);
   // Closes the connection at once and cancels its request, if there is one.
   void Abort(std::string_view reason);
   bool IsClosed() const;
@@ -39,6 +40,8 @@
   // Begins to close the connection if no request is being read or answered. A
   // request that the event loop has not delivered yet is served first.
   void CloseIfIdle();
+  // As CloseIfIdle, and refuses a request that has not arrived completely.
+  void EndInput();
 
  private:
   enum class Phase { kIdle, kReading, kResponding, kClosing, kClosed };
@@ -48,7 +51,7 @@
   void OnOutputDrained();
   void Advance();
   void StartRequest();
-  void RefuseInput(int status, std::string_view why);
+  void RefuseInput(int status, std::string_view why, HttpHeaders headers = {});
   void SendHead(int status,
                 std::string_view reason,
                 HttpHeaders headers,
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -15,12 +15,6 @@
 // A host that has just started is not ready before it knows the quarantines of
 // the others, but no longer than this.
 constexpr Duration kQuarantineWait = Seconds(1);
-// After SIGTERM the external load balancer needs two failed probes, one a
-// second, before it stops sending connections.
-constexpr Duration kBalancerLag = Milliseconds(2600);
-// Open requests are aborted this long before the grace time ends, so that the
-// process can still close its connections properly.
-constexpr Duration kGraceMargin = Milliseconds(300);
 // File descriptors for other uses than callers: files, the store, peers.
 constexpr std::size_t kReservedDescriptors = 260;
 // One for the caller's connection and one for a connection to a server.
@@ -44,8 +38,7 @@
 RelayHost::~RelayHost() = default;
 
 bool RelayHost::IsReady() const {
-  return !this->shutdown_started_at &&
-         this->view_task->view().traffic != nullptr &&
+  return !this->stop && this->view_task->view().traffic != nullptr &&
          this->KnowsQuarantines(EventLoop::Now());
 }
 
@@ -231,10 +224,10 @@
   auto session = std::make_unique<CallerSession>(
       RelayContext{this->loop, this->codec, this->dispatcher, this->quarantine,
                    this->metrics, this->view_task->view(),
-                   this->observed_timeouts},
+                   this->observed_timeouts, this->stop},
       socket, number, closed);
-  if (this->shutdown_started_at) {
-    session->StartDraining();
+  if (this->stop) {
+    session->StartDraining(EventLoop::Now());
   }
   this->sessions.emplace(number, std::move(session));
 }
@@ -246,53 +239,59 @@
   for (const auto& [number, session] : this->sessions) {
     session->Sweep(now);
   }
-  if (this->shutdown_started_at) {
-    this->FinishShutdownIfDrained(now);
+  if (this->stop) {
+    this->AdvanceShutdown(now);
   }
 }
 
 void RelayHost::Shutdown(std::function<void()> done) {
-  if (this->shutdown_started_at) {
+  if (this->stop) {
     return;
   }
-  this->shutdown_started_at = EventLoop::Now();
+  const TimePoint now = EventLoop::Now();
+  this->stop = PlanStop(now, this->settings.grace);
   this->maps->Leave();
   this->on_drained = std::move(done);
   for (const auto& [number, session] : this->sessions) {
-    session->StartDraining();
+    session->StartDraining(now);
   }
   LogJsonNow("stopping",
              {{"sessions", static_cast<std::int64_t>(this->sessions.size())}});
 }
 
-void RelayHost::FinishShutdownIfDrained(TimePoint now) {
-  const Duration since_shutdown = now - *this->shutdown_started_at;
-  if (since_shutdown < kBalancerLag) {
-    return;
-  }
-  if (this->listener != nullptr) {
+void RelayHost::AdvanceListener(TimePoint now) {
+  if (this->listener != nullptr && now >= this->stop->listen_until) {
     // Closing the listener would reset connections that are established but not
     // yet accepted.
     this->listener->AcceptAllPending();
     this->listener.reset();
   }
+}
+
+void RelayHost::AdvanceShutdown(TimePoint now) {
+  this->AdvanceListener(now);
+  if (this->listener != nullptr) {
+    return;
+  }
   std::vector<CallerSession*> open;
   for (const auto& [number, session] : this->sessions) {
     open.push_back(session.get());
   }
+  std::int64_t cut = 0;
   bool busy = false;
-  const bool grace_nearly_over =
-      since_shutdown >= this->settings.grace - kGraceMargin;
   for (CallerSession* session : open) {
-    if (grace_nearly_over) {
+    if (now >= this->stop->close_by && !session->IsClosed()) {
+      ++cut;
       session->Abort("the process is shutting down");
+    } else if (now >= this->stop->answer_by) {
+      session->EndInput();
     } else if (session->IsQuiet(now)) {
       session->CloseIfIdle();
     }
     busy = busy || !session->IsClosed();
   }
   if (!busy && this->on_drained) {
-    LogJsonNow("stopped", {{"cut", grace_nearly_over}});
+    LogJsonNow("stopped", {{"cut", cut}});
     const auto done = std::exchange(this->on_drained, nullptr);
     done();
   }
--- a/packages/relay/relay_host.h
+++ b/packages/relay/relay_host.h
@@ -24,6 +24,7 @@
 #include "relay/quarantine_store_task.h"
 #include "relay/relay_codec.h"
 #include "relay/relay_settings.h"
+#include "relay/stop_schedule.h"
 
 namespace toucanhollow {
 
@@ -38,14 +39,16 @@
   // Opens the sockets. Fails with kSettingsInvalid.
   Result<bool> Start();
   // Stops accepting requests, finishes those in flight and then calls `done`.
-  // Requests still open shortly before the grace time ends are aborted.
+  // Requests still open shortly before the grace time ends get a final answer.
   void Shutdown(std::function<void()> done);
 
  private:
   void OnAccept(int socket);
   void OnViewChange();
   void Sweep();
-  void FinishShutdownIfDrained(TimePoint now);
+  void AdvanceShutdown(TimePoint now);
+  // Closes the listener once callers have no reason to connect any more.
+  void AdvanceListener(TimePoint now);
   bool IsReady() const;
   // True once this host knows which prompts crash servers, or cannot learn it.
   bool KnowsQuarantines(TimePoint now) const;
@@ -77,7 +80,8 @@
   std::uint64_t next_session = 1;
   std::unique_ptr<Timer> sweep_timer;
   TimePoint started_at;
-  std::optional<TimePoint> shutdown_started_at;
+  // Set once the host has begun to stop.
+  std::optional<StopSchedule> stop;
   std::function<void()> on_drained;
   // Callbacks keep a weak pointer to this, which expires with this object.
   std::shared_ptr<int> alive = std::make_shared<int>(0);
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -28,6 +28,8 @@
 constexpr Duration kMinTimeLeft = Milliseconds(20);
 // Retry-After time of refusals that are not caused by load.
 constexpr Duration kShortRetryAfter = Milliseconds(500);
+// Retry-After time of a stopping host: others serve the caller at once.
+constexpr Duration kStopRetryAfter{0};
 // Retry-After time while the service is halted: a model group that broke needs
 // seconds to form again.
 constexpr Duration kHaltedRetryAfter = Seconds(5);
@@ -101,19 +103,37 @@
   if (this->metadata.deadline) {
     time_left = std::min(time_left, *this->metadata.deadline);
   }
-  this->deadline = this->arrived_at + time_left;
+  TimePoint deadline = this->arrived_at + time_left;
   this->is_caller_retry =
       this->metadata.deadline &&
       IsCallerRetry(this->context.observed_timeouts, this->route->name,
                     *this->metadata.deadline);
+  if (this->context.stop) {
+    deadline = std::min(deadline, this->context.stop->answer_by);
+  }
+  this->SetDeadline(deadline, now);
+  this->context.dispatcher.RecordRequest(this->service);
+  this->Place();
+}
+
+void RelayedRequest::SetDeadline(TimePoint deadline, TimePoint now) {
+  this->deadline = deadline;
   this->deadline_timer = std::make_unique<Timer>(
       this->context.loop, std::max(this->deadline - now, Duration(0)),
       Duration(0), [this] {
         const auto self = this->shared_from_this();
         this->OnDeadline();
       });
-  this->context.dispatcher.RecordRequest(this->service);
-  this->Place();
+}
+
+void RelayedRequest::LimitToStop(TimePoint now) {
+  if (!this->finished && this->context.stop->answer_by < this->deadline) {
+    this->SetDeadline(this->context.stop->answer_by, now);
+  }
+}
+
+bool RelayedRequest::EndsWithHost() const {
+  return this->context.stop && this->deadline == this->context.stop->answer_by;
 }
 
 bool RelayedRequest::HasRepeatableRoute() const {
@@ -575,8 +595,11 @@
   }
   this->ReleaseServer(AttemptResult::kLost);
   this->EndIsolation();
+  const bool host_ends = this->EndsWithHost();
   if (this->response_started || this->maybe_ran) {
-    this->Fail(504, "deadline");
+    this->Fail(504, host_ends ? "the host stops" : "deadline");
+  } else if (host_ends) {
+    this->Refuse(503, "the host stops", kStopRetryAfter);
   } else {
     this->Refuse(503, "the deadline passed before the request was sent",
                  kShortRetryAfter);
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -23,6 +23,7 @@
 #include "relay/prompt_quarantine.h"
 #include "relay/relay_codec.h"
 #include "relay/server_attempt.h"
+#include "relay/stop_schedule.h"
 #include "traffic/caller_retry.h"
 #include "traffic/event_splitter.h"
 
@@ -36,6 +37,8 @@
   Metrics& metrics;
   const PlatformView& view;
   ObservedTimeouts& observed_timeouts;
+  // Set once the host has begun to stop.
+  const std::optional<StopSchedule>& stop;
 };
 
 // Writes the response to the caller's connection. Any of the calls may destroy
@@ -69,6 +72,8 @@
                  ResponseSink sink);
 
   void Start();
+  // Ends the request in time before the host does, which has begun to stop.
+  void LimitToStop(TimePoint now);
   // Stops all work. The sink is not called any more.
   void Cancel(std::string_view reason);
   // To be called when all bytes queued for the caller have been sent; resumes
@@ -85,6 +90,9 @@
   // a stream, and kRaw forwards its bytes as they come.
   enum class ResponseMode { kUndecided, kDiscard, kBuffer, kEvents, kRaw };
 
+  void SetDeadline(TimePoint deadline, TimePoint now);
+  // True if the deadline is the host's end and not the caller's own.
+  bool EndsWithHost() const;
   void Place();
   void Send(const Placement& placement);
   ServerRequestMetadata MakeServerMetadata(const ServerConnectionPool& pool,
--- /dev/null
+++ b/packages/relay/stop_schedule.cc
@@ -0,0 +1,35 @@
+#include "relay/stop_schedule.h"
+
+#include <algorithm>
+
+namespace toucanhollow {
+namespace {
+
+// The external load balancer needs two failed probes, one a second, before it
+// stops sending connections.
+constexpr Duration kBalancerLag = Milliseconds(2600);
+// Part of a short grace time after which the host does not wait for the load
+// balancer any longer.
+constexpr double kListenFraction = 2.0 / 3;
+// Time between the last answers and the kill, in which answers are sent and
+// read, and connections closed. A sixth of the grace time is the part in which
+// the platform expects requests to be cut.
+constexpr Duration kMaxEndTime = Milliseconds(1000);
+constexpr int kEndTimeDivisor = 6;
+// Part of that time that is kept for the end of the process itself.
+constexpr int kExitTimeDivisor = 4;
+
+}  // namespace
+
+StopSchedule PlanStop(TimePoint stop_at, Duration grace) {
+  const Duration end_time = std::min(kMaxEndTime, grace / kEndTimeDivisor);
+  const auto listen_time =
+      std::chrono::duration_cast<Duration>(grace * kListenFraction);
+  StopSchedule stop;
+  stop.listen_until = stop_at + std::min(kBalancerLag, listen_time);
+  stop.answer_by = stop_at + grace - end_time;
+  stop.close_by = stop_at + grace - end_time / kExitTimeDivisor;
+  return stop;
+}
+
+}  // namespace toucanhollow
--- a/standins/platform/stop_test.cc
+++ b/standins/platform/stop_test.cc
@@ -66,9 +66,13 @@
   bool stopped = false;
   TimePoint stop_at;
 
-  explicit StopSite(Duration grace) {
+  // `service` is added to the entry of the service.
+  explicit StopSite(Duration grace, const std::string& service = "") {
     this->settings.grace = grace;
+    // Agents listen on the host's port for reports, at their own addresses.
+    this->settings.control.ip = "127.0.0.3";
     std::string config = ConfigText(1, "\"k1\"");
+    ReplaceAll(config, R"("max_conns":96)", R"("max_conns":96)" + service);
     ReplaceAll(config, R"("timeout_ms":800)", R"("timeout_ms":6000)");
     ReplaceAll(config, R"("timeout_ms":3000)", R"("timeout_ms":6000)");
     ReplaceAll(config, R"("max_body_bytes":1000)",
@@ -76,9 +80,10 @@
     this->store.Put("keyed.op", "config", config);
     this->List("i-1", this->first, "ready");
     this->Start();
-    REQUIRE(Serves(*this));
   }
 
+  void WaitUntilServing() { REQUIRE(Serves(*this)); }
+
   std::unique_ptr<Caller> Send(const std::string& bytes) {
     auto caller = std::make_unique<Caller>(this->loop, this->settings.callers);
     caller->connection->Write(bytes);
@@ -97,12 +102,150 @@
   return caller.parser.done() && caller.parser.head().status == status;
 }
 
+// Guards against connections that are closed without an answer when the grace
+// time ends: at a server, in the queue, while the request arrives, and in a
+// stream.
+TEST_CASE("the end of the grace time answers every open request") {
+  StopSite site(Milliseconds(2000));
+  site.WaitUntilServing();
+  site.first.script = {Silence(), Silence(), BegunStream()};
+  // The server takes twelve at once. The next caller is taken for one that was
+  // refused before, as it has less time than the others, and waits for 2 s.
+  const auto unsafe = site.Send(LongRequest("POST", "/u/x", "r1", "", "b"));
+  REQUIRE(site.RunUntil([&] { return site.first.runs.contains("r1"); }));
+  const auto safe = site.Send(LongRequest("GET", "/s/x", "r2"));
+  REQUIRE(site.RunUntil([&] { return site.first.runs.contains("r2"); }));
+  const auto stream = site.Send(LongRequest("POST", "/m/x", "r3", "", "p"));
+  REQUIRE(site.RunUntil([&] { return stream->parser.head_done(); }));
+  std::vector<std::unique_ptr<Caller>> others;
+  for (std::size_t i = 3; i < 12; ++i) {
+    site.first.script.push_back(Silence());
+    others.push_back(
+        site.Send(LongRequest("GET", "/s/x", "o" + std::to_string(i))));
+  }
+  REQUIRE(site.RunUntil([&] { return site.first.runs.size() == 13; }));
+  std::string retry = LongRequest("GET", "/s/x", "r4");
+  retry.replace(retry.find(kLongDeadline), kLongDeadline.size(), "4700");
+  const auto waiting = site.Send(retry);
+  const std::string whole = LongRequest("POST", "/u/x", "r5", "", "the body");
+  const auto half = site.Send(whole.substr(0, whole.size() - 4));
+  site.RunFor(Milliseconds(50));
+  REQUIRE_FALSE(waiting->parser.head_done());
+  site.Stop();
+  REQUIRE(site.RunUntil([&] { return site.stopped; }));
+  CHECK(site.SinceStop() < site.settings.grace);
+  // What each caller is owed is on its way before the process ends.
+  site.RunFor(Milliseconds(50));
+  CHECK(HasWholeAnswer(*unsafe, 504));
+  CHECK(HasWholeAnswer(*safe, 504));
+  CHECK(HasWholeAnswer(*waiting, 503));
+  CHECK(site.first.runs["r4"] == 0);
+  CHECK(HasWholeAnswer(*half, 503));
+  CHECK(site.first.runs["r5"] == 0);
+  CHECK(stream->ended);
+  CHECK_FALSE(stream->parser.done());
+  CHECK(stream->parser.TakeBody() == "id: 1\ndata: a\n\n");
+  for (const auto& other : others) {
+    CHECK(HasWholeAnswer(*other, 504));
+  }
+}
+
+// Guards against a stream that waits for another server when the grace time
+// ends, and against one that is ended as if it were whole.
+TEST_CASE("a stream that waits for another server ends with the grace time") {
+  StopSite site(Milliseconds(2000));
+  site.WaitUntilServing();
+  site.first.script = {BegunStream()};
+  const auto stream = site.Send(LongRequest("POST", "/m/x", "r1", "", "p"));
+  REQUIRE(site.RunUntil([&] { return stream->parser.head_done(); }));
+  site.Stop();
+  site.RunFor(Milliseconds(700));
+  site.List("i-1", site.first, "draining");
+  site.RunFor(Milliseconds(100));
+  site.first.CloseSessions();
+  REQUIRE(site.RunUntil([&] { return site.stopped; }));
+  site.RunFor(Milliseconds(50));
+  CHECK(site.SinceStop() < site.settings.grace);
+  CHECK(stream->ended);
+  CHECK_FALSE(stream->parser.done());
+  CHECK(stream->parser.TakeBody() == "id: 1\ndata: a\n\n");
+}
+
+// An engine whose agent does not answer.
+constexpr const char* kEngine =
+    R"(,"engine":{"slots":6,"sets":1,"places":4,"spare":1})";
+
+// Guards against a request that is forgotten while it is found out whether its
+// server has crashed.
+TEST_CASE("the end of the grace time answers a request of a lost server") {
+  StopSite site(Milliseconds(2000), kEngine);
+  site.WaitUntilServing();
+  site.first.script = {Silence()};
+  const auto caller = site.Send(
+      LongRequest("POST", "/u/x", "r1",
+                  "X-Toucanhollow-Prompt-Prefix: 5c1e:800,91bd:410\r\n", "b"));
+  REQUIRE(site.RunUntil([&] { return site.first.runs.contains("r1"); }));
+  site.Stop();
+  site.RunFor(Milliseconds(1560));
+  site.first.CloseSessions();
+  CHECK(site.RunUntil([&] { return caller->parser.done(); }));
+  CHECK(HasWholeAnswer(*caller, 504));
+  CHECK(site.SinceStop() < Milliseconds(1800));
+  CHECK(site.RunUntil([&] { return site.stopped; }));
+}
+
+// Guards against a request that is forgotten while it waits for a permit, or
+// for its turn to ask for one.
+TEST_CASE("the end of the grace time answers requests without a permit") {
+  StopSite site(Milliseconds(1000),
+                std::string(kEngine) + R"(,"cold_s":3,"cold_per_s":20)");
+  site.RunFor(Milliseconds(700));
+  // The next callers have less time, so they are taken for ones that were
+  // refused before, and wait.
+  CHECK(Ask(site, LongRequest("POST", "/u/x", "r0", "", "b")).status == 503);
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (int i = 0; i < 8; ++i) {
+    std::string request =
+        LongRequest("POST", "/u/x", "w" + std::to_string(i), "", "b");
+    request.replace(request.find(kLongDeadline), kLongDeadline.size(), "4700");
+    callers.push_back(site.Send(request));
+  }
+  site.RunFor(Milliseconds(50));
+  site.Stop();
+  site.RunFor(Milliseconds(300));
+  for (const auto& caller : callers) {
+    CHECK_FALSE(caller->parser.head_done());
+  }
+  REQUIRE(site.RunUntil([&] { return site.stopped; }));
+  site.RunFor(Milliseconds(50));
+  CHECK(site.SinceStop() < site.settings.grace);
+  for (const auto& caller : callers) {
+    CHECK(HasWholeAnswer(*caller, 503));
+  }
+  CHECK(site.first.runs.empty());
+}
+
+// Guards against a server that works for longer than the host lives.
+TEST_CASE("a server is told no more time than the stopping host has") {
+  StopSite site(Milliseconds(3000));
+  site.WaitUntilServing();
+  Caller kept(site.loop, site.settings.callers);
+  site.Stop();
+  kept.connection->Write(LongRequest("GET", "/s/x", "r1"));
+  REQUIRE(site.RunUntil([&] { return kept.parser.done(); }));
+  CHECK(HasWholeAnswer(kept, 200));
+  const std::string told(FindHeader(site.first.heads.back().headers,
+                                    "X-Toucanhollow-Deadline-Ms"));
+  CHECK(std::stoi(told) < 3000);
+}
+
 // Guards against idle connections that are closed although a request lies in
 // the kernel's buffer: callers go on using them until the host is gone. The
 // loop stands still while a request is sent, so that the request has arrived
 // when the loop's timers are due.
 TEST_CASE("a request on an open connection is answered until the host ends") {
   StopSite site(Milliseconds(4000));
+  site.WaitUntilServing();
   constexpr std::size_t kCallers = 40;
   std::vector<std::unique_ptr<SocketCaller>> callers;
   for (std::size_t i = 0; i < kCallers; ++i) {
@@ -145,6 +288,7 @@
 // bytes of the request unread.
 TEST_CASE("a refusal of a long body reaches its caller") {
   StopSite site(Milliseconds(4000));
+  site.WaitUntilServing();
   SocketCaller caller(site.settings.callers);
   REQUIRE(
       caller.Send(Request("POST", "/u/x", "r1", "Content-Length: 3000000\r\n") +
@@ -165,6 +309,7 @@
 // because the caller has sent its next request already.
 TEST_CASE("a broken stream delivers what was passed on") {
   StopSite site(Milliseconds(4000));
+  site.WaitUntilServing();
   ScriptedAnswer broken = BegunStream();
   broken.later = "zz\r\n";
   broken.delay = Milliseconds(50);
@@ -183,6 +328,7 @@
 // when the first answer announces the close.
 TEST_CASE("a pipelined request is answered before its connection closes") {
   StopSite site(Milliseconds(3000));
+  site.WaitUntilServing();
   ScriptedAnswer slow;
   slow.later = SealedAnswer("slow").bytes;
   slow.delay = Milliseconds(300);
@@ -205,6 +351,7 @@
 // that waits for an interim response.
 TEST_CASE("a body that is still arriving is read on during a stop") {
   StopSite site(Milliseconds(3000));
+  site.WaitUntilServing();
   const std::string chunked = Request("POST", "/u/x", "r1",
                                       "Transfer-Encoding: chunked\r\n"
                                       "Expect: 100-continue\r\n");
