Keep idle connections while a stopping host has other work

From 2.6 s after the stop, a connection closed 500 ms after its last answer, although other requests kept the process up for seconds. Callers with longer pauses met a close that nothing had announced.

Idle connections now close only when no request is open, or when the answers are due. Callers that come back until then are served and told of the close. The process ends no later than before: it already waited for its requests.

Before: stop_test.cc, "idle connections stay open while the host has work", closed within 4 s. After: passes.

--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -253,9 +253,19 @@
   return this->phase == Phase::kClosed;
 }
 
-bool CallerSession::IsQuiet(TimePoint now) const {
-  return this->phase == Phase::kIdle && this->connection->unsent() == 0 &&
-         now - this->waiting_since > kRequestInFlightTime;
+bool CallerSession::HasWork(TimePoint now) const {
+  switch (this->phase) {
+    case Phase::kReading:
+    case Phase::kResponding:
+      return true;
+    case Phase::kIdle:
+      return this->connection->unsent() > 0 ||
+             now - this->waiting_since <= kRequestInFlightTime;
+    case Phase::kClosing:
+    case Phase::kClosed:
+      break;
+  }
+  return false;
 }
 
 void CallerSession::CloseIfIdle() {
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -34,9 +34,9 @@
   // Closes the connection at once and cancels its request, if there is one.
   void Abort(std::string_view reason);
   bool IsClosed() const;
-  // True if no request is being read or answered, none is likely to be on its
-  // way, and all bytes of the responses were sent.
-  bool IsQuiet(TimePoint now) const;
+  // True while a request is being read or answered, or is likely to be on its
+  // way.
+  bool HasWork(TimePoint now) const;
   // Begins to close the connection if no request is being read or answered. A
   // request that the event loop has not delivered yet is served first.
   void CloseIfIdle();
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -277,23 +278,27 @@
   for (const auto& [number, session] : this->sessions) {
     open.push_back(session.get());
   }
+  // While other requests keep the process up anyway, closing an idle connection
+  // only costs its caller the next request.
+  const bool has_work = std::ranges::any_of(
+      open,
+      [now](const CallerSession* session) { return session->HasWork(now); });
   std::int64_t cut = 0;
-  bool busy = false;
   for (CallerSession* session : open) {
     if (now >= this->stop->close_by && !session->IsClosed()) {
       ++cut;
       session->Abort("the process is shutting down");
     } else if (now >= this->stop->answer_by) {
       session->EndInput();
-    } else if (session->IsQuiet(now)) {
+    } else if (!has_work) {
       session->CloseIfIdle();
     }
-    busy = busy || !session->IsClosed();
   }
-  if (!busy && this->on_drained) {
+  const bool done = std::ranges::all_of(
+      open, [](const CallerSession* session) { return session->IsClosed(); });
+  if (done && this->on_drained) {
     LogJsonNow("stopped", {{"cut", cut}});
-    const auto done = std::exchange(this->on_drained, nullptr);
-    done();
+    std::exchange(this->on_drained, nullptr)();
   }
 }
 
--- a/standins/platform/stop_test.cc
+++ b/standins/platform/stop_test.cc
@@ -284,6 +284,28 @@
   CHECK(site.RunUntil([&] { return site.stopped; }));
 }
 
+// Guards against idle connections that close while other requests keep the host
+// up anyway.
+TEST_CASE("idle connections stay open while the host has work") {
+  StopSite site(Milliseconds(6000));
+  site.WaitUntilServing();
+  site.first.script = {Silence()};
+  const auto busy = site.Send(LongRequest("GET", "/s/x", "r1"));
+  REQUIRE(site.RunUntil([&] { return site.first.runs.contains("r1"); }));
+  Caller idle(site.loop, site.settings.callers);
+  site.Stop();
+  site.RunFor(Milliseconds(4000));
+  REQUIRE_FALSE(idle.ended);
+  idle.connection->Write(Request("GET", "/s/x", "r2"));
+  CHECK(site.RunUntil([&] { return idle.parser.done(); }));
+  CHECK(HasWholeAnswer(idle, 200));
+  CHECK(FindHeader(idle.parser.head().headers, "Connection") == "close");
+  // Without other work, the host is gone long before its grace time ends.
+  busy->connection.reset();
+  CHECK(site.RunUntil([&] { return site.stopped; }));
+  CHECK(site.SinceStop() < Milliseconds(5500));
+}
+
 // Guards against an answer that is lost because the connection is reset with
 // bytes of the request unread.
 TEST_CASE("a refusal of a long body reaches its caller") {
