--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -15,9 +15,12 @@
 // Callers reuse connections until close to the idle timeout. Closing this much
 // later keeps the close from racing with such a request.
 constexpr Duration kIdleMargin = Seconds(2);
-// Time for the caller to read the last response and close first. A close while
-// bytes are unread would reset the connection and lose the response.
+// A closing connection is read until its caller closes too, or has sent nothing
+// for this long. A close while bytes are unread would reset the connection and
+// lose the response.
 constexpr Duration kCloseWait = Milliseconds(500);
+// Limits the time for a caller that goes on sending.
+constexpr Duration kMaxCloseWait = Seconds(2);
 // For this long after a caller connected or was answered, a request of it may
 // be in flight.
 constexpr Duration kRequestInFlightTime = Milliseconds(500);
@@ -38,12 +41,7 @@
       idle_timeout(this->Limits().idle_timeout) {
   this->connection->SetCallbacks(
       {nullptr, [this](std::string_view bytes) { this->OnData(bytes); },
-       [this] {
-         if (this->request != nullptr) {
-           const auto active_request = this->request;
-           active_request->OnOutputDrained();
-         }
-       },
+       [this] { this->OnOutputDrained(); },
        [this](ConnectionEnd) { this->OnEnd(); }});
 }
 
@@ -62,6 +60,8 @@
 void CallerSession::OnData(std::string_view bytes) {
   switch (this->phase) {
     case Phase::kClosing:
+      this->waiting_since = EventLoop::Now();
+      return;
     case Phase::kClosed:
       return;
     case Phase::kResponding:
@@ -144,7 +144,10 @@
     this->connection->Write(LastChunk());
     this->FinishResponse();
   };
-  sink.abort = [this] { this->Close(); };
+  sink.abort = [this] {
+    this->request.reset();
+    this->BeginClosing();
+  };
   sink.unsent_bytes = [this] { return this->connection->unsent(); };
   ++this->request_count;
   constexpr std::uint64_t kMaxRequestsPerSession = 1U << 20U;
@@ -170,14 +173,18 @@
   } else {
     headers.push_back({"Content-Length", std::string(framing)});
   }
-  if (this->draining || !this->caller_keeps_alive) {
+  // A request that was read behind this one is answered before the close.
+  const bool close = this->draining && this->pipelined_bytes.empty();
+  if (close || !this->caller_keeps_alive) {
     this->close_announced = true;
     headers.push_back({"Connection", "close"});
   }
   this->connection->Write(WriteResponseHead(status, reason, headers));
 }
 
-void CallerSession::RefuseInput(int status, std::string_view why) {
+void CallerSession::RefuseInput(int status,
+                                std::string_view why,
+                                HttpHeaders headers) {
   LogJsonNow("input_refused",
              {{"session", static_cast<std::int64_t>(this->number)},
               {"status", static_cast<std::int64_t>(status)},
@@ -185,7 +192,7 @@
   this->context.metrics.Count("input_refused_total",
                               "status=\"" + std::to_string(status) + "\"");
   this->draining = true;
-  this->SendHead(status, "", {}, "0");
+  this->SendHead(status, "", std::move(headers), "0");
   this->BeginClosing();
 }
 
@@ -210,8 +217,21 @@
 
 void CallerSession::BeginClosing() {
   this->phase = Phase::kClosing;
-  this->waiting_since = EventLoop::Now();
+  this->closing_since = EventLoop::Now();
+  this->waiting_since = this->closing_since;
   this->connection->SetReading(true);
+  this->connection->FinishWriting();
+}
+
+void CallerSession::OnOutputDrained() {
+  if (this->phase == Phase::kClosing) {
+    this->closing_since = EventLoop::Now();
+    this->waiting_since = this->closing_since;
+  }
+  // The call may finish the request, which resets `this->request`.
+  if (const auto active_request = this->request) {
+    active_request->OnOutputDrained();
+  }
 }
 
 void CallerSession::OnEnd() {
@@ -232,14 +252,52 @@
   this->on_closed();
 }
 
-bool CallerSession::IsDrained(TimePoint now) const {
-  return this->phase == Phase::kClosed ||
-         (this->phase == Phase::kIdle && this->connection->unsent() == 0 &&
-          now - this->waiting_since > kRequestInFlightTime);
+bool CallerSession::IsClosed() const {
+  return this->phase == Phase::kClosed;
+}
+
+bool CallerSession::HasWork(TimePoint now) const {
+  switch (this->phase) {
+    case Phase::kReading:
+    case Phase::kResponding:
+      return true;
+    case Phase::kIdle:
+      return this->connection->unsent() > 0 ||
+             now - this->waiting_since <= kRequestInFlightTime;
+    case Phase::kClosing:
+    case Phase::kClosed:
+      break;
+  }
+  return false;
+}
+
+void CallerSession::CloseIfIdle() {
+  if (this->phase != Phase::kIdle) {
+    return;
+  }
+  this->connection->ReadPending();
+  if (this->phase == Phase::kIdle) {
+    this->BeginClosing();
+  }
+}
+
+void CallerSession::EndInput() {
+  if (this->phase == Phase::kReading) {
+    this->connection->ReadPending();
+  }
+  this->CloseIfIdle();
+  if (this->phase == Phase::kReading) {
+    this->RefuseInput(
+        503, "the host stops before the request has arrived",
+        this->context.codec.relay_response_headers({}, Duration(0)));
+  }
 }
 
-void CallerSession::StartDraining() {
+void CallerSession::StartDraining(TimePoint now) {
   this->draining = true;
+  if (this->request != nullptr) {
+    this->request->LimitToStop(now);
+  }
 }
 
 void CallerSession::Abort(std::string_view reason) {
@@ -262,11 +320,12 @@
     case Phase::kIdle:
       if (waited > std::max(this->idle_timeout, this->Limits().idle_timeout) +
                        kIdleMargin) {
-        this->Close();
+        this->CloseIfIdle();
       }
       return;
     case Phase::kClosing:
-      if (waited > kCloseWait && this->connection->unsent() == 0) {
+      if (this->connection->unsent() == 0 &&
+          (waited > kCloseWait || now - this->closing_since > kMaxCloseWait)) {
         this->Close();
       }
       return;
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -28,27 +28,37 @@
   // Enforces the time limits: refuses requests that arrive too slowly, and
   // closes idle and closing connections. To be called periodically.
   void Sweep(TimePoint now);
-  // Makes the next response that begins the last one of this connection.
-  void StartDraining();
+  // Makes the next response that begins the last one of this connection, and
+  // ends an open request before the host does.
+  void StartDraining(TimePoint now);
   // Closes the connection at once and cancels its request, if there is one.
   void Abort(std::string_view reason);
-  // True if closing the connection loses nothing: no request is being read or
-  // answered, none can be in flight, and all bytes of the responses were sent.
-  bool IsDrained(TimePoint now) const;
+  bool IsClosed() const;
+  // True while a request is being read or answered, or is likely to be on its
+  // way.
+  bool HasWork(TimePoint now) const;
+  // Begins to close the connection if no request is being read or answered. A
+  // request that the event loop has not delivered yet is served first.
+  void CloseIfIdle();
+  // As CloseIfIdle, and refuses a request that has not arrived completely.
+  void EndInput();
 
  private:
   enum class Phase { kIdle, kReading, kResponding, kClosing, kClosed };
 
   void OnData(std::string_view bytes);
   void OnEnd();
+  void OnOutputDrained();
   void Advance();
   void StartRequest();
-  void RefuseInput(int status, std::string_view why);
+  void RefuseInput(int status, std::string_view why, HttpHeaders headers = {});
   void SendHead(int status,
                 std::string_view reason,
                 HttpHeaders headers,
                 std::string_view framing);
   void FinishResponse();
+  // Closes the sending side behind the queued bytes and waits for the caller to
+  // close.
   void BeginClosing();
   void Close();
   const IngressLimits& Limits() const;
@@ -69,8 +79,11 @@
   std::uint64_t request_count = 0;
   // Bytes of later requests that arrived while a request is being answered.
   std::string pipelined_bytes;
-  // Start of the phase, or when the last part of a request body arrived.
+  // Start of the phase, or when the last part of a request body, or bytes on a
+  // closing connection, arrived.
   TimePoint waiting_since;
+  // When the last bytes for the caller were handed to the kernel.
+  TimePoint closing_since;
   Duration idle_timeout;
 };
 
