Call no handler of an HTTP server that is being destroyed

In the relay the handlers of readiness and counters can read its map of sessions after that is destroyed. Cause: the destructor runs libmicrohttpd once more, which reads requests that have arrived and calls the handler. Servers are members of the objects that their handlers use, so some of these are gone by then. Change: the destructor drops the handler and the callbacks of open requests first. Result: the new case of http_server_test fails before (two calls) and passes.

--- a/packages/http_server/http_server.cc
+++ b/packages/http_server/http_server.cc
@@ -208,9 +208,12 @@
   this->watcher.reset();
   this->hangup_watcher.reset();
   if (this->daemon != nullptr) {
+    // Requests that have arrived are still read by MHD_run.
+    this->handler = nullptr;
     // MHD_stop_daemon requires that no connection is suspended.
     for (const auto& [id, mhd_request] : this->mhd_requests) {
       mhd_request->exchange->aborted = true;
+      mhd_request->exchange->on_caller_disconnected = nullptr;
       if (std::exchange(mhd_request->exchange->suspended, false)) {
         MHD_resume_connection(mhd_request->mhd);
       }
@@ -393,6 +396,9 @@
     return QueueError(mhd_request->mhd, this->options, 413);
   }
   if (!exchange->handler_called) {
+    if (!this->handler) {
+      return MHD_NO;
+    }
     exchange->handler_called = true;
     epoll_event event{};
     event.events = EPOLLRDHUP | EPOLLONESHOT;
--- a/packages/http_server/http_server.h
+++ b/packages/http_server/http_server.h
@@ -43,6 +43,8 @@
 using HttpHandler = std::function<void(HttpRequest request,
                                        std::shared_ptr<HttpResponseWriter>)>;
 
+// The destructor closes all connections; no callback is called after it has
+// begun.
 class HttpServer {
  public:
   // Fails with kSettingsInvalid if the address or port cannot be bound.
--- a/packages/http_server/http_server_test.cc
+++ b/packages/http_server/http_server_test.cc
@@ -344,5 +344,46 @@
   CHECK(fixture.server->OpenRequests() == 0);
 }
 
+// Guards against a handler that uses objects which are gone, as the server is
+// destroyed after them: requests that have arrived were handled while it ends.
+TEST_CASE("a server that is destroyed calls nothing back") {
+  Fixture fixture;
+  int handled = 0;
+  int disconnected = 0;
+  std::shared_ptr<HttpResponseWriter> stored_writer;
+  fixture.Listen([&](const HttpRequest& request, const auto& writer) {
+    ++handled;
+    if (request.path == "/store") {
+      writer->OnCallerDisconnected([&] { ++disconnected; });
+      writer->Start(200, {});
+      writer->Write("first ");
+      stored_writer = writer;
+      return;
+    }
+    writer->Respond(200, {}, "");
+  });
+  HttpCallbacks callbacks;
+  callbacks.on_data = [&](std::string_view) { fixture.loop.Stop(); };
+  fixture.client.Start(fixture.MakeCall("GET", "/store"), std::move(callbacks));
+  fixture.loop.Run();
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(fixture.server->Port());
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) ==
+          0);
+  const Timer accepted(fixture.loop, Milliseconds(50), Duration(0),
+                       [&] { fixture.loop.Stop(); });
+  fixture.loop.Run();
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  REQUIRE(send(fd, request.data(), request.size(), 0) ==
+          static_cast<ssize_t>(request.size()));
+  fixture.server.reset();
+  CHECK(handled == 1);
+  CHECK(disconnected == 0);
+  close(fd);
+}
+
 }  // namespace
 }  // namespace toucanhollow
