Let a datagram socket be destroyed in its own callback

Cause: the loop that reads datagrams used the socket after each callback. No callback of today destroys its socket, so nobody saw this. Change: the loop holds a copy of the callback and ends with the socket. Result: the new case of datagram_test is a use after free for the address sanitizer before, and passes.

--- a/packages/datagram/datagram_socket.cc
+++ b/packages/datagram/datagram_socket.cc
@@ -106,7 +106,10 @@
   // All sockets of a thread share one buffer, because it is large and its
   // content is needed only during the callback.
   thread_local std::vector<char> buffer(kMaxDatagramBytes);
-  for (int i = 0; i < kMaxDatagramsPerCallback; ++i) {
+  // The callback may destroy this socket.
+  const auto callback = this->on_receive;
+  const std::weak_ptr<int> token = this->alive;
+  for (int i = 0; i < kMaxDatagramsPerCallback && !token.expired(); ++i) {
     sockaddr_in socket_address{};
     socklen_t size = sizeof(socket_address);
     const ssize_t byte_count =
@@ -115,8 +118,8 @@
     if (byte_count < 0) {
       return;
     }
-    this->on_receive(ToAddress(socket_address),
-                     {buffer.data(), static_cast<std::size_t>(byte_count)});
+    callback(ToAddress(socket_address),
+             {buffer.data(), static_cast<std::size_t>(byte_count)});
   }
 }
 
--- a/packages/datagram/datagram_socket.h
+++ b/packages/datagram/datagram_socket.h
@@ -12,6 +12,7 @@
 
 namespace toucanhollow {
 
+// May be destroyed inside its own callback.
 class DatagramSocket {
  public:
   using ReceiveCallback =
@@ -39,6 +40,8 @@
   int socket;
   ReceiveCallback on_receive;
   std::unique_ptr<IoWatcher> watcher;
+  // Expires with this object.
+  std::shared_ptr<int> alive = std::make_shared<int>(0);
 };
 
 }  // namespace toucanhollow
--- a/packages/datagram/datagram_socket_test.cc
+++ b/packages/datagram/datagram_socket_test.cc
@@ -1,5 +1,6 @@
 #include "datagram/datagram_socket.h"
 
+#include <memory>
 #include <string>
 
 #include <catch2/catch.hpp>
@@ -66,5 +67,28 @@
   CHECK(received == 0);
 }
 
+// Guards against a socket that is read after its callback has destroyed it.
+TEST_CASE("a socket can be destroyed in its own callback") {
+  EventLoop loop;
+  int received = 0;
+  std::unique_ptr<DatagramSocket> receiver;
+  auto opened = DatagramSocket::Bind(loop, {"127.0.0.1", 0},
+                                     [&](const Address&, std::string_view) {
+                                       ++received;
+                                       receiver.reset();
+                                     });
+  REQUIRE(opened);
+  receiver = std::move(opened).value();
+  auto sender = DatagramSocket::Bind(loop, {"127.0.0.1", 0},
+                                     [](const Address&, std::string_view) {});
+  REQUIRE(sender);
+  const Address address = receiver->BoundAddress();
+  sender.value()->Send(address, "1");
+  sender.value()->Send(address, "2");
+  const Timer end(loop, Milliseconds(100), Duration(0), [&] { loop.Stop(); });
+  loop.Run();
+  CHECK(received == 1);
+}
+
 }  // namespace
 }  // namespace toucanhollow
