Pause a link listener while no descriptor is free

Cause: at the limit of open descriptors the listening socket stays readable, so the loop did nothing but fail to accept. A connection that websocketpp could not create was used. Change: the listener is not watched for 50 ms after such a failure; a connection that could not be created is closed.

--- a/packages/link/link.cc
+++ b/packages/link/link.cc
@@ -57,6 +57,9 @@
 
 constexpr std::size_t kBufferBytes = std::size_t{64} << 10;
 constexpr int kListenBacklog = 1024;
+// Without a free descriptor the listening socket stays readable, so it is not
+// watched for this long after a failed accept.
+constexpr Duration kAcceptPause = Milliseconds(50);
 
 bool ParseAddress(const std::string& address, int port, sockaddr_in* parsed) {
   *parsed = {};
@@ -487,15 +490,29 @@
   int port = 0;
   std::string error;
   std::unique_ptr<IoWatcher> watcher;
+  std::unique_ptr<Timer> resume_timer;
 
   void Accept();
+  // Leaves the connections in the backlog for a short time.
+  void Pause();
 };
 
+void LinkListener::State::Pause() {
+  this->watcher->SetInterest(IoWatcher::kNone);
+  this->resume_timer = std::make_unique<Timer>(
+      *this->loop, kAcceptPause, Duration(0),
+      [this] { this->watcher->SetInterest(IoWatcher::kRead); });
+}
+
 void LinkListener::State::Accept() {
   for (;;) {
     const int accepted_socket = accept4(this->file_descriptor, nullptr, nullptr,
                                         SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (accepted_socket < 0) {
+      if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
+          errno == ENOMEM) {
+        this->Pause();
+      }
       return;
     }
     SetNoDelay(accepted_socket);
@@ -505,6 +522,10 @@
     const auto endpoint = std::make_shared<Server>();
     const auto connection = AttachHandlers<Server>(
         state, endpoint, [&endpoint] { return endpoint->get_connection(); });
+    if (!connection) {
+      // The destructor of `state` closes the socket.
+      continue;
+    }
     StartWatching(state, IoWatcher::kRead);
     state->StartTimeout("the WebSocket handshake timed out");
     state->events = this->accepted(std::make_shared<Link>(state));
@@ -546,6 +567,7 @@
 }
 
 LinkListener::~LinkListener() {
+  this->state->resume_timer.reset();
   this->state->watcher.reset();
   if (this->state->file_descriptor >= 0) {
     close(this->state->file_descriptor);
--- a/packages/link/link_test.cc
+++ b/packages/link/link_test.cc
@@ -1,5 +1,10 @@
 #include "link/link.h"
 
+#include <fcntl.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <ctime>
 #include <functional>
 #include <memory>
 #include <string>
@@ -147,5 +152,45 @@
   CHECK_FALSE(reason.empty());
 }
 
+// Guards against a loop that does nothing but fail to accept while the process
+// has no free descriptor.
+TEST_CASE("a link listener without descriptors waits and accepts later") {
+  EventLoop loop;
+  int accepted = 0;
+  LinkListener listener(loop, "127.0.0.1", 0, {}, [&](std::shared_ptr<Link>) {
+    ++accepted;
+    return LinkEvents{};
+  });
+  REQUIRE(listener.Error().empty());
+  const auto client =
+      Link::Connect(loop, "127.0.0.1", listener.Port(), {}, LinkEvents{});
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  rlimit low = before;
+  low.rlim_cur = 100;
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &low) == 0);
+  std::vector<int> taken;
+  for (int opened = open("/dev/null", O_RDONLY); opened >= 0;
+       opened = open("/dev/null", O_RDONLY)) {
+    taken.push_back(opened);
+  }
+  const auto run_for = [&loop](Duration time) {
+    const Timer end(loop, time, Duration(0), [&loop] { loop.Stop(); });
+    loop.Run();
+  };
+  const std::clock_t begin = std::clock();
+  run_for(Milliseconds(500));
+  const double used_s =
+      static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC;
+  CHECK(accepted == 0);
+  CHECK(used_s < 0.1);
+  for (const int descriptor : taken) {
+    close(descriptor);
+  }
+  run_for(Milliseconds(500));
+  setrlimit(RLIMIT_NOFILE, &before);
+  CHECK(accepted == 1);
+}
+
 }  // namespace
 }  // namespace toucanhollow
