End requests that an exception has kept from ending

What callers saw: a request whose head made the codec fail, or whose refusal could not be made, got no answer and no end of its connection, though the exception was reported. Cause: the deadline's timer is set after the head is read and fires once, and nothing else ends a request. Each session is swept on its own.

--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -268,6 +268,11 @@
       }
       return;
     case Phase::kResponding: {
+      if (this->request == nullptr) {
+        // An exception has kept the request from being created.
+        this->Close();
+        return;
+      }
       // Keeps the request alive: the call may finish it, which resets
       // `this->request`.
       const auto active_request = this->request;
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -242,7 +242,9 @@
   this->view_task->SetCoordinating(this->maps->IsCoordinator());
   this->quarantine.Sweep(now);
   for (const auto& [number, session] : this->sessions) {
-    session->Sweep(now);
+    // An exception of one session must not keep the others from being swept.
+    RunGuarded(this->loop.raw(),
+               [swept = session.get(), now] { swept->Sweep(now); });
   }
   if (this->shutdown_started_at) {
     this->FinishShutdownIfDrained(now);
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -39,6 +39,9 @@
 // connection can be reused. Beyond that, the connection is closed.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{64} * 1024;
 constexpr Duration kMaxDiscardTime = Milliseconds(250);
+// A request that is still open this long after its deadline was kept from
+// ending by an exception.
+constexpr Duration kOverdueMargin = Milliseconds(200);
 
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
@@ -356,7 +359,26 @@
   this->OnEnd(AttemptEnd::kTruncated, why, not_run);
 }
 
+void RelayedRequest::EndOverdue() {
+  // The outcome is logged before the response is sent.
+  const bool answer_is_lost = this->finished;
+  try {
+    this->OnDeadline();
+  } catch (...) {
+    this->finished = true;
+    this->sink.abort();
+    throw;
+  }
+  if (answer_is_lost) {
+    this->sink.abort();
+  }
+}
+
 void RelayedRequest::Sweep(TimePoint now) {
+  if (now - this->deadline > kOverdueMargin) {
+    this->EndOverdue();
+    return;
+  }
   if (this->attempt != nullptr && this->mode == ResponseMode::kDiscard &&
       now - this->discard_started_at > kMaxDiscardTime) {
     this->AbandonDiscarded("a discarded response did not end in time");
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -103,6 +103,9 @@
              bool known_not_run = false);
   void OnComplete();
   void OnDeadline();
+  // Ends a request that an exception has kept from ending, without an answer
+  // if there can be none.
+  void EndOverdue();
   // Ends the use of the server. The result of an attempt whose request was
   // never written is kSettled.
   void ReleaseServer(AttemptResult result);
@@ -140,6 +143,7 @@
   ServiceName service;
   // Of the prompt, as by IdentifyParts.
   std::vector<PartId> prompt_parts;
+  // Long past until Start has read it.
   TimePoint deadline;
   std::unique_ptr<Timer> deadline_timer;
 
