--- a/packages/link/link_test.cc
+++ b/packages/link/link_test.cc
@@ -157,10 +157,11 @@
 TEST_CASE("a link listener without descriptors waits and accepts later") {
   EventLoop loop;
   int accepted = 0;
-  LinkListener listener(loop, "127.0.0.1", 0, {}, [&](std::shared_ptr<Link>) {
-    ++accepted;
-    return LinkEvents{};
-  });
+  LinkListener listener(loop, "127.0.0.1", 0, {},
+                        [&](const std::shared_ptr<Link>&) {
+                          ++accepted;
+                          return LinkEvents{};
+                        });
   REQUIRE(listener.Error().empty());
   const auto client =
       Link::Connect(loop, "127.0.0.1", listener.Port(), {}, LinkEvents{});
