Answer probes when idle connections take all places

What callers saw: 32 connections to the readiness address that send nothing, or no whole request, as a prober leaves them that gives up, kept every probe waiting for up to 60 s; the balancer then takes the host for dead. Cause: the HTTP server accepts no more than max_connections and closes a silent one after 60 s. Change: on these addresses the connection that has waited longest for a complete request is closed when the last place is taken. The new case of http_server_test fails without the change and passes.

--- a/packages/http_server/http_server.cc
+++ b/packages/http_server/http_server.cc
@@ -184,6 +184,7 @@
   void PostDaemonRun();
   void ResumeRequest(std::uint64_t request_id);
   void CloseTimedOutConnections();
+  void CloseLongestIdle();
   void HandleHangups();
   Connection* AddConnection(MHD_Connection* mhd);
   MhdRequest* AddMhdRequest(MHD_Connection* mhd, const char* uri);
@@ -287,6 +288,23 @@
   this->RunDaemon();
 }
 
+void HttpServer::Core::CloseLongestIdle() {
+  Connection* longest = nullptr;
+  for (const auto& [key, connection] : this->connections) {
+    const bool waits = !connection->in_request || connection->reading_since;
+    if (waits && !connection->closing &&
+        (longest == nullptr || connection->idle_since < longest->idle_since)) {
+      longest = connection.get();
+    }
+  }
+  if (longest != nullptr) {
+    longest->closing = true;
+    // libmicrohttpd then reads the end of the stream and closes the socket.
+    shutdown(longest->file_descriptor, SHUT_RDWR);
+    this->PostDaemonRun();
+  }
+}
+
 void HttpServer::Core::HandleHangups() {
   std::array<epoll_event, 64> events{};
   const int count = epoll_wait(this->hangup_epoll, events.data(),
@@ -316,6 +334,10 @@
   connection->idle_since = EventLoop::Now();
   Connection* key = connection.get();
   this->connections.emplace(key, std::move(connection));
+  if (this->options.closes_idle_when_full &&
+      this->connections.size() >= this->options.max_connections) {
+    this->CloseLongestIdle();
+  }
   return key;
 }
 
--- a/packages/http_server/http_server.h
+++ b/packages/http_server/http_server.h
@@ -37,6 +37,10 @@
   std::function<std::string(int status)> error_body;
   // Further connections wait in the backlog of the listening socket.
   unsigned int max_connections = 4096;
+  // Closes the connection that has waited longest for a complete request when
+  // the last place is taken, so that callers which connect and send nothing
+  // keep nobody out.
+  bool closes_idle_when_full = false;
 };
 
 // Called with a complete request. The writer may outlive the call.
--- a/packages/http_server/http_server_test.cc
+++ b/packages/http_server/http_server_test.cc
@@ -385,5 +385,38 @@
   close(fd);
 }
 
+// Guards against probes that are not answered because others have connected and
+// send nothing, or send no complete request.
+TEST_CASE("connections without a request keep nobody out") {
+  Fixture fixture;
+  HttpServerOptions options;
+  options.max_connections = 4;
+  options.closes_idle_when_full = true;
+  fixture.Listen([](const HttpRequest&,
+                    const auto& writer) { writer->Respond(200, {}, ""); },
+                 options);
+  const std::string sent = GENERATE("", "GET / HTT");
+  std::vector<int> held;
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(fixture.server->Port());
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  for (int i = 0; i < 12; ++i) {
+    held.push_back(socket(AF_INET, SOCK_STREAM, 0));
+    REQUIRE(connect(held.back(), reinterpret_cast<sockaddr*>(&address),
+                    sizeof(address)) == 0);
+    send(held.back(), sent.data(), sent.size(), MSG_NOSIGNAL);
+  }
+  const Timer settled(fixture.loop, Milliseconds(100), Duration(0),
+                      [&] { fixture.loop.Stop(); });
+  fixture.loop.Run();
+  HttpCall probe = fixture.MakeCall("GET", "/");
+  probe.total_timeout = Seconds(3);
+  CHECK(fixture.Fetch(probe).status == 200);
+  for (const int fd : held) {
+    close(fd);
+  }
+}
+
 }  // namespace
 }  // namespace toucanhollow
--- a/packages/map_task/rank_agent.cc
+++ b/packages/map_task/rank_agent.cc
@@ -82,6 +82,7 @@
   options.address = this->settings.metrics.ip;
   options.port = this->settings.metrics.port;
   options.max_connections = 8;
+  options.closes_idle_when_full = true;
   auto listening = HttpServer::Listen(
       this->loop, options,
       [this](const HttpRequest&,
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -115,6 +115,7 @@
   options.address = address.ip;
   options.port = address.port;
   options.max_connections = 32;
+  options.closes_idle_when_full = true;
   return HttpServer::Listen(this->loop, std::move(options), std::move(handler));
 }
 
