End a connection whose bytes were lost to an exception

What callers saw: at the limit of memory a request was taken with a hole in its body: two of 200 callers that had sent only a part of a body got 431 "header too large", for bytes of the body that were read as the head of a next request. An answer could lack bytes in the same way. Cause: when the handler of received bytes threw, and when bytes could not be queued, the exception was reported and the connection went on without them. Change: the first ends the connection as a reset, so that its session, attempt or pool ends what it was doing; the second shuts it down and sends nothing more. Result: two new cases of http_stream_test fail before and pass. 200 callers with all but one byte of 4 MB each against a process with 260 MB of address space: 653 exceptions and 2 answers 431 before, 181 and none now; served on afterwards in both. standin_platform_test passes (66 cases).

--- a/packages/http_stream/tcp_connection.cc
+++ b/packages/http_stream/tcp_connection.cc
@@ -52,6 +52,7 @@
   bool ended = false;
   bool reading = true;
   bool any_sent = false;
+  bool write_failed = false;
   std::string send_buffer;
   std::size_t sent_offset = 0;
   IoWatcher::Interest interest = IoWatcher::kNone;
@@ -182,7 +183,14 @@
   if (byte_count > 0) {
     if (this->callbacks.on_data) {
       const auto callback = this->callbacks.on_data;
-      callback({buffer.data(), static_cast<std::size_t>(byte_count)});
+      try {
+        callback({buffer.data(), static_cast<std::size_t>(byte_count)});
+      } catch (...) {
+        // What follows must not be taken for the continuation of bytes that
+        // were lost.
+        this->End(ConnectionEnd::kReset);
+        throw;
+      }
     }
     return;
   }
@@ -242,10 +250,18 @@
 
 void TcpConnection::Write(std::string_view bytes) {
   State& state = *this->state;
-  if (state.ended || bytes.empty()) {
+  if (state.ended || state.write_failed || bytes.empty()) {
     return;
   }
-  state.send_buffer.append(bytes);
+  try {
+    state.send_buffer.append(bytes);
+  } catch (...) {
+    // The peer must not get what is written later without these bytes. The loop
+    // notices the shutdown and reports the end.
+    state.write_failed = true;
+    shutdown(state.socket, SHUT_RDWR);
+    throw;
+  }
   if (!state.connected) {
     return;
   }
