--- a/packages/http_server/http_server.cc
+++ b/packages/http_server/http_server.cc
@@ -220,6 +220,7 @@
   void PostDaemonRun();
   void ResumeRequest(std::uint64_t request_id);
   void CloseTimedOutConnections();
+  void CloseLongestIdle();
   void HandleHangups();
   Connection* AddConnection(MHD_Connection* mhd);
   MhdRequest* AddMhdRequest(MHD_Connection* mhd, const char* uri);
@@ -245,9 +246,12 @@
   this->watcher.reset();
   this->hangup_watcher.reset();
   if (this->daemon != nullptr) {
+    // Requests that have arrived are still read by MHD_run.
+    this->handler = nullptr;
     // MHD_stop_daemon requires that no connection is suspended.
     for (const auto& [id, mhd_request] : this->mhd_requests) {
       mhd_request->exchange->aborted = true;
+      mhd_request->exchange->on_caller_disconnected = nullptr;
       if (std::exchange(mhd_request->exchange->suspended, false)) {
         MHD_resume_connection(mhd_request->mhd);
       }
@@ -321,6 +325,23 @@
   this->RunDaemon();
 }
 
+void HttpServer::Core::CloseLongestIdle() {
+  Connection* longest = nullptr;
+  for (const auto& [key, connection] : this->connections) {
+    const bool waits = !connection->in_request || connection->reading_since;
+    if (waits && !connection->closing &&
+        (longest == nullptr || connection->idle_since < longest->idle_since)) {
+      longest = connection.get();
+    }
+  }
+  if (longest != nullptr) {
+    longest->closing = true;
+    // libmicrohttpd then reads the end of the stream and closes the socket.
+    shutdown(longest->file_descriptor, SHUT_RDWR);
+    this->PostDaemonRun();
+  }
+}
+
 void HttpServer::Core::HandleHangups() {
   std::array<epoll_event, 64> events{};
   const int count = epoll_wait(this->hangup_epoll, events.data(),
@@ -350,6 +371,10 @@
   connection->idle_since = EventLoop::Now();
   Connection* key = connection.get();
   this->connections.emplace(key, std::move(connection));
+  if (this->options.closes_idle_when_full &&
+      this->connections.size() >= this->options.max_connections) {
+    this->CloseLongestIdle();
+  }
   return key;
 }
 
@@ -436,6 +461,9 @@
     return QueueError(mhd_request->mhd, this->options, 413);
   }
   if (!exchange->handler_called) {
+    if (!this->handler) {
+      return MHD_NO;
+    }
     exchange->handler_called = true;
     epoll_event event{};
     event.events = EPOLLRDHUP | EPOLLONESHOT;
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -108,6 +108,7 @@
   options.address = address.ip;
   options.port = address.port;
   options.max_connections = 32;
+  options.closes_idle_when_full = true;
   return HttpServer::Listen(this->loop, std::move(options), std::move(handler));
 }
 
@@ -235,7 +236,9 @@
   this->view_task->SetCoordinating(this->maps->IsCoordinator());
   this->quarantine.Sweep(now);
   for (const auto& [number, session] : this->sessions) {
-    session->Sweep(now);
+    // An exception of one session must not keep the others from being swept.
+    RunGuarded(this->loop.raw(),
+               [swept = session.get(), now] { swept->Sweep(now); });
   }
   if (this->stop) {
     this->AdvanceShutdown(now);
