--- a/soak/prompt_site.h
+++ b/soak/prompt_site.h
@@ -16,9 +16,9 @@
 #include "event_loop/event_loop.h"
 #include "soak/caller_load.h"
 #include "soak/check_promises.h"
-#include "soak/child_process.h"
 #include "standins/platform/crashing_engine_stand_in.h"
 #include "standins/platform/platform_store_stand_in.h"
+#include "standins/process/child_process.h"
 
 namespace toucanhollow {
 
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -11,12 +11,12 @@
 
 #include "soak/caller_load.h"
 #include "soak/check_promises.h"
-#include "soak/child_process.h"
 #include "soak/plan_faults.h"
 #include "soak/prompt_site.h"
 #include "soak/soak_server.h"
 #include "standins/fault_proxy/fault_proxy.h"
 #include "standins/platform/platform_store_stand_in.h"
+#include "standins/process/child_process.h"
 
 namespace toucanhollow {
 
--- a/soak/child_process.cc
+++ b/standins/process/child_process.cc
@@ -1,4 +1,4 @@
-#include "soak/child_process.h"
+#include "standins/process/child_process.h"
 
 #include <fcntl.h>
 #include <sys/wait.h>
@@ -30,14 +30,14 @@
   }
   raw.push_back(nullptr);
   this->pid = fork();
-  InternalCheck(this->pid >= 0, "the soak can start a process");
+  InternalCheck(this->pid >= 0, "a child process can be started");
   if (this->pid == 0) {
     constexpr mode_t kReadable = 0644;
     const int log = open(this->log_file.c_str(),
                          O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kReadable);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
-    // Sockets of the soak must not stay open in its children.
+    // Sockets of the parent must not stay open in the child.
     constexpr int kMostDescriptors = 4096;
     for (int fd = STDERR_FILENO + 1; fd < kMostDescriptors; ++fd) {
       close(fd);
--- a/soak/child_process.h
+++ b/standins/process/child_process.h
@@ -1,6 +1,6 @@
 // ChildProcess: one process of the system under test, controlled by signals.
-#ifndef SOAK_CHILD_PROCESS_H_
-#define SOAK_CHILD_PROCESS_H_
+#ifndef STANDINS_PROCESS_CHILD_PROCESS_H_
+#define STANDINS_PROCESS_CHILD_PROCESS_H_
 
 #include <sys/types.h>
 
@@ -34,4 +34,4 @@
 
 }  // namespace toucanhollow
 
-#endif  // SOAK_CHILD_PROCESS_H_
+#endif  // STANDINS_PROCESS_CHILD_PROCESS_H_
