Handle signals from the first instructions of a process

Seen: SIGHUP ended a relay or an agent that had just started, and SIGTERM or SIGINT ended it by the signal instead of with status 0. A relay that was ended in its start had a listening socket, and the connections that the kernel had taken were reset. SIGINT ended both roles at any time without a drain, and SIGHUP ended the processes of the product's own interface. A process whose parent blocked SIGTERM could not be stopped.

Cause: the handlers were installed after Start() had opened the sockets, and libev neither blocks nor unblocks signals.

Evidence: process_test starts the real program and sends signals from its first instructions on.

The watchers are created before the settings are read, then the signals are unblocked, whatever the parent had set. The steps of the start run in the loop, where signals are handled first, so that a stop before the ports are open ends the process at once with status 0, and one after it drains. The signals are blocked again after the loop, as libev restores their default actions. SIGINT is a stop in all roles. Every end is logged as "exiting" with its reason, and each signal as "signal_received" or "reloaded". Closed standard descriptors are opened on /dev/null, so that no socket gets the number of standard output.

--- /dev/null
+++ b/apps/process_signals_test.cc
@@ -0,0 +1,233 @@
+// Signals that reach the real program at any time of its life.
+#include <array>
+#include <csignal>
+#include <memory>
+#include <random>
+#include <semaphore>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "apps/process_site.h"
+#include "standins/platform/relay_site.h"
+
+namespace toucanhollow {
+namespace {
+
+// Signals are sent this long after the first instructions, once for each
+// process.
+constexpr int kMoments = 20;
+constexpr Duration kMomentStep = Duration(600);
+
+constexpr std::array<ProcessRole, 4> kRoles = {
+    ProcessRole::kRelay, ProcessRole::kRankAgent, ProcessRole::kEntryHost,
+    ProcessRole::kEndpoint};
+
+struct Started {
+  std::vector<std::unique_ptr<TestProcess>> processes;
+
+  // Starts one process for each moment and sends it one of the signals then, in
+  // turns. Returns the number of those that it reached.
+  int SignalAtEachMoment(ProcessRole role, const std::vector<int>& signals) {
+    int reached = 0;
+    for (int moment = 0; moment < kMoments; ++moment) {
+      auto process = std::make_unique<TestProcess>(role, 1 + moment);
+      process->Start();
+      reached += process->WaitForFirstInstructions() ? 1 : 0;
+      std::this_thread::sleep_for(moment * kMomentStep);
+      process->Signal(
+          signals[static_cast<std::size_t>(moment) % signals.size()]);
+      this->processes.push_back(std::move(process));
+    }
+    return reached;
+  }
+};
+
+int ThreadsOf(TestProcess& process) {
+  process.Start();
+  REQUIRE(process.WaitForStart());
+  return process.CountThreads();
+}
+
+// Guards against a reload that ends a process which has no handler yet.
+TEST_CASE("SIGHUP at any moment of the start ends no process") {
+  for (const ProcessRole role : kRoles) {
+    Started started;
+    REQUIRE(started.SignalAtEachMoment(role, {SIGHUP}) == kMoments);
+    for (const auto& process : started.processes) {
+      INFO(process->Log());
+      CHECK(process->WaitForStart());
+      const auto count_reloads = [&] {
+        return process->CountInLog("\"event\":\"reloaded\"") +
+               process->CountInLog("reloaded phase=");
+      };
+      WaitUntil([&] { return count_reloads() > 0 || !process->IsRunning(); });
+      CHECK(count_reloads() == 1);
+      CHECK(process->IsRunning());
+    }
+  }
+}
+
+// Guards against a stop during the start that counts as a crash.
+TEST_CASE("SIGTERM or SIGINT at any moment of the start is an ordinary stop") {
+  for (const ProcessRole role : kRoles) {
+    Started started;
+    REQUIRE(started.SignalAtEachMoment(role, {SIGTERM, SIGINT}) == kMoments);
+    for (const auto& process : started.processes) {
+      CHECK(WaitUntil([&] { return !process->IsRunning(); }));
+      INFO(process->Log());
+      CHECK(process->HasExitedWith(0));
+      CHECK(process->CountInLog("exiting") == 1);
+    }
+  }
+}
+
+// Guards against a listening socket that is opened before a stop is orderly:
+// the connections that the kernel has taken are reset.
+TEST_CASE("a connection taken before SIGTERM at the start is answered") {
+  std::vector<std::unique_ptr<TestProcess>> processes;
+  std::vector<std::thread> callers;
+  std::vector<std::string> answers(kMoments);
+  for (int i = 0; i < kMoments; ++i) {
+    processes.push_back(
+        std::make_unique<TestProcess>(ProcessRole::kRelay, 1 + i));
+    TestProcess& process = *processes.back();
+    process.Start();
+    std::string& answer = answers[static_cast<std::size_t>(i)];
+    std::binary_semaphore sent(0);
+    callers.emplace_back([&process, &answer, &sent] {
+      answer = AskAsSoonAsItListens(process.ip, kCallerPort,
+                                    Request("GET", "/s/x", "a"), [&] {
+                                      process.Signal(SIGTERM);
+                                      sent.release();
+                                    });
+    });
+    sent.acquire();
+  }
+  for (int i = 0; i < kMoments; ++i) {
+    const auto index = static_cast<std::size_t>(i);
+    callers[index].join();
+    CHECK(answers[index].starts_with("HTTP/1.1 503"));
+    CHECK(WaitUntil([&] { return !processes[index]->IsRunning(); }));
+    INFO(processes[index]->Log());
+    CHECK(processes[index]->HasExitedWith(0));
+  }
+}
+
+// Guards against a second signal that cuts a drain short, and against one of
+// another kind that ends the process by its default action.
+TEST_CASE("further signals during a drain change nothing") {
+  Site site;
+  site.Configure();
+  TestProcess process(ProcessRole::kRelay, 1, site.store.Port());
+  process.Start();
+  REQUIRE(site.RunUntil([&] { return process.HasStarted(); }, Seconds(20)));
+  const Address callers{process.ip, kCallerPort};
+  const auto ask = [&](const std::string& id) {
+    auto caller = std::make_unique<Caller>(site.loop, callers);
+    caller->connection->Write(Request("GET", "/s/x", id));
+    return caller;
+  };
+  REQUIRE(site.RunUntil(
+      [&] {
+        const auto caller = ask("warm");
+        site.RunUntil([&] { return caller->parser.done() || caller->ended; });
+        return caller->parser.done() && caller->parser.head().status == 200;
+      },
+      Seconds(20)));
+  ScriptedAnswer slow = SealedAnswer("slow");
+  slow.later = std::exchange(slow.bytes, "");
+  slow.delay = Milliseconds(700);
+  site.first.script.push_back(slow);
+  const std::size_t before = site.first.arrivals.size();
+  const auto caller = ask("slow");
+  REQUIRE(site.RunUntil([&] { return site.first.arrivals.size() > before; }));
+  process.Signal(SIGTERM);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP, SIGPIPE, SIGINT}) {
+    site.RunFor(Milliseconds(50));
+    process.Signal(signal);
+  }
+  REQUIRE(
+      site.RunUntil([&] { return caller->parser.done() || caller->ended; }));
+  CHECK(caller->parser.done());
+  CHECK(caller->parser.TakeBody() == "slow");
+  REQUIRE(site.RunUntil([&] { return !process.IsRunning(); }, Seconds(20)));
+  INFO(process.Log());
+  CHECK(process.HasExitedWith(0));
+}
+
+// Guards against a process that cannot be stopped because its parent blocks or
+// ignores the signals that it starts it with.
+TEST_CASE("signals that the parent blocks or ignores stop a process") {
+  for (const ProcessRole role : kRoles) {
+    TestProcess process(role, 1);
+    sigset_t blocked;
+    sigset_t before;
+    sigemptyset(&blocked);
+    sigaddset(&blocked, SIGTERM);
+    sigprocmask(SIG_BLOCK, &blocked, &before);
+    const auto interrupt = std::signal(SIGINT, SIG_IGN);
+    process.Start();
+    std::signal(SIGINT, interrupt);
+    sigprocmask(SIG_SETMASK, &before, nullptr);
+    REQUIRE(process.WaitForStart());
+    process.Signal(SIGTERM);
+    CHECK(WaitUntil([&] { return !process.IsRunning(); }));
+    CHECK(process.HasExitedWith(0));
+  }
+}
+
+// Guards against a thread of a library that takes a signal in place of the
+// loop's.
+TEST_CASE("a process has one thread") {
+  for (const ProcessRole role : kRoles) {
+    TestProcess process(role, 1);
+    CHECK(ThreadsOf(process) == 1);
+  }
+}
+
+// Guards against signals that overlap, and against one that is left over from
+// the process before it.
+TEST_CASE("signals in series with restarts end a process only by a stop") {
+  constexpr int kProcesses = 6;
+  constexpr int kRounds = 2;
+  constexpr int kMaxPauseMs = 25;
+  const std::vector<int> harmless = {SIGHUP, SIGPIPE};
+  std::mt19937 random(1);
+  const auto draw = [&](int count) {
+    return static_cast<int>(random() % static_cast<unsigned int>(count));
+  };
+  std::vector<std::unique_ptr<TestProcess>> processes;
+  processes.reserve(kProcesses);
+  for (int i = 0; i < kProcesses; ++i) {
+    processes.push_back(std::make_unique<TestProcess>(
+        i % 2 == 0 ? ProcessRole::kRelay : ProcessRole::kRankAgent, 1 + i));
+  }
+  for (int round = 0; round < kRounds; ++round) {
+    for (const auto& process : processes) {
+      process->Start();
+      CHECK(process->WaitForFirstInstructions());
+      for (int i = draw(4); i > 0; --i) {
+        process->Signal(harmless[static_cast<std::size_t>(draw(2))]);
+        std::this_thread::sleep_for(Milliseconds(draw(kMaxPauseMs)));
+      }
+      CHECK(process->IsRunning());
+      process->Signal(draw(2) == 0 ? SIGTERM : SIGINT);
+      for (const int signal : {SIGHUP, SIGINT, SIGTERM, SIGPIPE}) {
+        std::this_thread::sleep_for(Milliseconds(draw(kMaxPauseMs)));
+        process->Signal(signal);
+      }
+    }
+    for (const auto& process : processes) {
+      CHECK(WaitUntil([&] { return !process->IsRunning(); }));
+      INFO(process->Log());
+      CHECK(process->HasExitedWith(0));
+    }
+  }
+}
+
+}  // namespace
+}  // namespace toucanhollow
--- /dev/null
+++ b/apps/run_process.cc
@@ -0,0 +1,183 @@
+#include "apps/run_process.h"
+
+#include <csignal>
+#include <exception>
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "base/time.h"
+#include "event_loop/process_signals.h"
+#include "settings/settings_file.h"
+
+namespace toucanhollow {
+namespace {
+
+enum class Phase { kReadingSettings, kStarting, kRunning, kStopping, kEnded };
+
+std::string_view PhaseName(Phase phase) {
+  switch (phase) {
+    case Phase::kReadingSettings:
+      return "reading_settings";
+    case Phase::kStarting:
+      return "starting";
+    case Phase::kRunning:
+      return "running";
+    case Phase::kStopping:
+      return "stopping";
+    case Phase::kEnded:
+      return "ended";
+  }
+  return "";
+}
+
+class ProcessRun {
+ public:
+  ProcessRun(EventLoop& loop, std::string settings_file, ProcessSteps steps)
+      : loop(loop),
+        settings_file(std::move(settings_file)),
+        steps(std::move(steps)),
+        began_at(EventLoop::Now()) {}
+
+  int Run();
+
+ private:
+  void OnStop(std::string_view signal);
+  void OnReload();
+  void ReadSettings();
+  std::vector<Failure> LoadSettings();
+  void StartDaemon();
+  Result<bool> TryStart();
+  void Retry(Duration delay, void (ProcessRun::*step)());
+  void End(int exit_status, std::string_view reason);
+  std::int64_t ElapsedMs(TimePoint since) const;
+
+  EventLoop& loop;
+  std::string settings_file;
+  ProcessSteps steps;
+  TimePoint began_at;
+  Phase phase = Phase::kReadingSettings;
+  std::unique_ptr<Timer> retry_timer;
+  std::string stop_signal;
+  std::optional<TimePoint> stopped_at;
+  int status = kExitFailure;
+};
+
+int ProcessRun::Run() {
+  const SignalWatcher terminate(this->loop, SIGTERM,
+                                [this] { this->OnStop("SIGTERM"); });
+  const SignalWatcher interrupt(this->loop, SIGINT,
+                                [this] { this->OnStop("SIGINT"); });
+  const SignalWatcher reload(this->loop, SIGHUP, [this] { this->OnReload(); });
+  // The steps run in the loop, so that signals are handled between them.
+  this->Retry(Duration(0), &ProcessRun::ReadSettings);
+  UnblockProcessSignals();
+  this->loop.Run();
+  // The watchers restore the default actions of their signals.
+  BlockProcessSignals();
+  return this->status;
+}
+
+std::int64_t ProcessRun::ElapsedMs(TimePoint since) const {
+  return static_cast<std::int64_t>(ToMilliseconds(EventLoop::Now() - since));
+}
+
+void ProcessRun::OnStop(std::string_view signal) {
+  this->steps.log("signal_received",
+                  {{"signal", signal},
+                   {"phase", PhaseName(this->phase)},
+                   {"since_start_ms", this->ElapsedMs(this->began_at)}});
+  if (this->stopped_at || this->phase == Phase::kEnded) {
+    return;
+  }
+  this->stopped_at = EventLoop::Now();
+  this->stop_signal = signal;
+  if (this->phase != Phase::kRunning) {
+    this->End(kExitSuccess, signal);
+    return;
+  }
+  this->phase = Phase::kStopping;
+  this->steps.shutdown([this] { this->End(kExitSuccess, this->stop_signal); });
+}
+
+// The settings are written before each start, and none can change while the
+// process runs, so that there is nothing to reload.
+void ProcessRun::OnReload() {
+  this->steps.log("reloaded", {{"phase", PhaseName(this->phase)}});
+}
+
+void ProcessRun::Retry(Duration delay, void (ProcessRun::*step)()) {
+  this->retry_timer = std::make_unique<Timer>(
+      this->loop, delay, Duration(0), [this, step] { (this->*step)(); });
+}
+
+std::vector<Failure> ProcessRun::LoadSettings() try {
+  const Result<std::string> text = ReadSettingsFile(this->settings_file);
+  if (!text) {
+    return {text.error()};
+  }
+  return this->steps.parse(text.value());
+} catch (const std::exception& error) {
+  return {MakeFailure(ResultCode::kSettingsUnreadable, error.what())};
+}
+
+void ProcessRun::ReadSettings() {
+  if (this->phase != Phase::kReadingSettings) {
+    return;
+  }
+  const std::vector<Failure> mistakes = this->LoadSettings();
+  if (mistakes.empty()) {
+    this->phase = Phase::kStarting;
+    this->StartDaemon();
+    return;
+  }
+  const std::string reason = FormatFailure(mistakes.front());
+  for (const Failure& mistake : mistakes) {
+    std::cerr << FormatFailure(mistake) << "\n";
+  }
+  this->End(kExitUsage, reason);
+}
+
+Result<bool> ProcessRun::TryStart() try {
+  return this->steps.start();
+} catch (const std::exception& error) {
+  return MakeFailure(ResultCode::kSettingsInvalid, error.what());
+}
+
+void ProcessRun::StartDaemon() {
+  if (this->phase != Phase::kStarting) {
+    return;
+  }
+  const Result<bool> started = this->TryStart();
+  if (started) {
+    this->phase = Phase::kRunning;
+    return;
+  }
+  const std::string reason = FormatFailure(started.error());
+  std::cerr << reason << "\n";
+  this->End(kExitFailure, reason);
+}
+
+void ProcessRun::End(int exit_status, std::string_view reason) {
+  this->phase = Phase::kEnded;
+  this->status = exit_status;
+  const std::int64_t since_stop =
+      this->stopped_at ? this->ElapsedMs(*this->stopped_at) : 0;
+  this->steps.log("exiting",
+                  {{"status", static_cast<std::int64_t>(exit_status)},
+                   {"reason", reason},
+                   {"since_start_ms", this->ElapsedMs(this->began_at)},
+                   {"since_signal_ms", since_stop}});
+  this->loop.Stop();
+}
+
+}  // namespace
+
+int RunProcess(EventLoop& loop,
+               const std::string& settings_file,
+               ProcessSteps steps) {
+  return ProcessRun(loop, settings_file, std::move(steps)).Run();
+}
+
+}  // namespace toucanhollow
--- a/apps/toucanhollow.cc
+++ b/apps/toucanhollow.cc
@@ -1,16 +1,23 @@
 // Runs one process of the load balancer, in the role that --role names: an
 // entry host, an endpoint agent, a relay or a rank agent.
-#include <csignal>
-#include <fstream>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <exception>
+#include <functional>
 #include <iostream>
 #include <memory>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <utility>
+#include <variant>
+#include <vector>
 
 #include <gflags/gflags.h>
 
 #include "agent/endpoint_agent.h"
+#include "apps/run_process.h"
 #include "entry/entry_host.h"
 #include "event_loop/event_loop.h"
 #include "json_log/json_log.h"
@@ -22,6 +29,7 @@
 #include "relay/relay_settings.h"
 #include "session/process_context.h"
 #include "settings/parse_settings.h"
+#include "settings/settings_file.h"
 
 DEFINE_string(role,
               "",
@@ -33,9 +41,6 @@
 namespace toucanhollow {
 namespace {
 
-constexpr int kExitFailure = 1;
-constexpr int kExitUsage = 2;
-
 Severity ToSeverity(LogLevel level) {
   switch (level) {
     case LogLevel::kDebug:
@@ -50,44 +55,60 @@
   return Severity::kError;
 }
 
-std::optional<Settings> ReadSettings() {
-  SettingsReport report = LoadSettings(FLAGS_settings);
-  for (const Failure& failure : report.mistakes) {
-    std::cerr << FormatFailure(failure) << "\n";
-  }
-  if (report.settings) {
-    const std::string role =
-        report.settings->role == Role::kEntryHost ? "entry_host" : "endpoint";
-    if (!FLAGS_role.empty() && FLAGS_role != role) {
-      std::cerr << "--role is " << FLAGS_role
-                << " but the settings file is for "
-                << "role " << role << "; start with --role=" << role << "\n";
-      return std::nullopt;
+// Opens /dev/null in place of standard descriptors that the parent process has
+// closed. The first socket would otherwise get the number of standard output,
+// and log lines would be written to it.
+void OpenStandardDescriptors() {
+  for (int fd = STDIN_FILENO; fd <= STDERR_FILENO; ++fd) {
+    if (fcntl(fd, F_GETFD) < 0) {
+      open("/dev/null", O_RDWR);
     }
   }
-  return std::move(report.settings);
 }
 
+using ParseStep = std::function<std::vector<Failure>(const std::string& text)>;
+
+// Replaces the daemon and starts it. A daemon that does not start is destroyed,
+// which closes the ports that it could open.
 template <typename Daemon>
-int RunUntilDrained(EventLoop& loop, ProcessContext& context) {
-  Daemon daemon(context);
-  const Result<bool> started = daemon.Start();
+Result<bool> StartDaemon(std::unique_ptr<Daemon>& daemon,
+                         std::unique_ptr<Daemon> next) {
+  daemon = std::move(next);
+  Result<bool> started = daemon->Start();
   if (!started) {
-    Log(Severity::kError, "main", FormatFailure(started.error()));
-    return kExitFailure;
-  }
-  Event joined;
-  joined.kind = EventKind::kJoined;
-  context.Record(std::move(joined));
-  const auto shut_down = [&] { daemon.Shutdown([&] { loop.Stop(); }); };
-  const SignalWatcher terminate(loop, SIGTERM, shut_down);
-  const SignalWatcher interrupt(loop, SIGINT, shut_down);
-  loop.Run();
-  Log(Severity::kInfo, "main", "shutdown is complete; no request is in flight");
-  return 0;
+    daemon.reset();
+  }
+  return started;
+}
+
+int CheckSettings(const ParseStep& parse) {
+  const Result<std::string> text = ReadSettingsFile(FLAGS_settings);
+  const std::vector<Failure> mistakes =
+      text ? parse(text.value()) : std::vector<Failure>{text.error()};
+  for (const Failure& mistake : mistakes) {
+    std::cerr << FormatFailure(mistake) << "\n";
+  }
+  if (!mistakes.empty()) {
+    return kExitUsage;
+  }
+  std::cout << "the settings are valid\n";
+  return kExitSuccess;
+}
+
+// Stores the settings, or returns the mistake.
+template <typename ParsedSettings>
+std::vector<Failure> KeepSettings(Result<ParsedSettings> parsed,
+                                  std::optional<ParsedSettings>& settings) {
+  if (!parsed) {
+    return {parsed.error()};
+  }
+  settings = std::move(parsed).value();
+  return {};
 }
 
-void LogUncaughtExceptions(EventLoop& loop) {
+void StartPlatformLog(EventLoop& loop) {
+  // Until the settings give the name of the process.
+  StartJsonLog(FLAGS_role, LogRateLimit{});
   loop.SetUncaughtExceptionHandler([](std::string_view what) {
     LogJsonNow("unexpected_error", {{"what", what}});
   });
@@ -96,59 +117,136 @@
 // Runs a relay: an entry host on the users' platform. It reads RelaySettings
 // instead of Settings.
 int RunRelay() {
-  const Result<RelaySettings> settings = LoadRelaySettings(FLAGS_settings);
-  if (!settings) {
-    std::cerr << FormatFailure(settings.error()) << "\n";
-    return kExitUsage;
-  }
+  std::optional<RelaySettings> settings;
+  const ParseStep parse = [&](const std::string& text) {
+    return KeepSettings(ParseRelaySettings(text), settings);
+  };
   if (FLAGS_check) {
-    std::cout << "the settings are valid\n";
-    return 0;
+    return CheckSettings(parse);
   }
-  std::signal(SIGPIPE, SIG_IGN);
-  StartJsonLog(settings.value().process.value, LogRateLimit{});
   EventLoop loop;
-  LogUncaughtExceptions(loop);
-  RelayHost host(loop, settings.value(), PlatformCodec(),
-                 platform::EngineCodec());
-  const Result<bool> started = host.Start();
-  if (!started) {
-    std::cerr << FormatFailure(started.error()) << "\n";
-    return kExitFailure;
-  }
-  const SignalWatcher terminate(
-      loop, SIGTERM, [&] { host.Shutdown([&loop] { loop.Stop(); }); });
-  // The platform writes the settings before each start, and none can change
-  // while the process runs, so SIGHUP has nothing to reload and is only logged.
-  const SignalWatcher reload(loop, SIGHUP, [] { LogJsonNow("reloaded", {}); });
-  loop.Run();
-  return 0;
+  StartPlatformLog(loop);
+  std::unique_ptr<RelayHost> host;
+  ProcessSteps steps;
+  steps.parse = parse;
+  steps.start = [&] {
+    StartJsonLog(settings->process.value, LogRateLimit{});
+    return StartDaemon(
+        host, std::make_unique<RelayHost>(loop, *settings, PlatformCodec(),
+                                          platform::EngineCodec()));
+  };
+  steps.shutdown = [&](std::function<void()> done) {
+    host->Shutdown(std::move(done));
+  };
+  steps.log = LogJsonNow;
+  return RunProcess(loop, FLAGS_settings, std::move(steps));
 }
 
 // Runs the agent of one model engine (rank) on the users' platform.
 int RunRankAgent() {
-  std::ifstream file(FLAGS_settings);
-  std::ostringstream text;
-  text << file.rdbuf();
-  const Result<RankAgentSettings> settings = ParseRankAgentSettings(text.str());
-  if (!settings) {
-    std::cerr << FormatFailure(settings.error()) << "\n";
-    return kExitUsage;
+  std::optional<RankAgentSettings> settings;
+  const ParseStep parse = [&](const std::string& text) {
+    return KeepSettings(ParseRankAgentSettings(text), settings);
+  };
+  if (FLAGS_check) {
+    return CheckSettings(parse);
   }
-  std::signal(SIGPIPE, SIG_IGN);
-  StartJsonLog(settings.value().process, LogRateLimit{});
   EventLoop loop;
-  LogUncaughtExceptions(loop);
-  RankAgent agent(loop, settings.value(), platform::EngineCodec());
-  const Result<bool> started = agent.Start();
-  if (!started) {
-    std::cerr << FormatFailure(started.error()) << "\n";
-    return kExitFailure;
+  StartPlatformLog(loop);
+  std::unique_ptr<RankAgent> agent;
+  ProcessSteps steps;
+  steps.parse = parse;
+  steps.start = [&] {
+    StartJsonLog(settings->process, LogRateLimit{});
+    return StartDaemon(agent, std::make_unique<RankAgent>(
+                                  loop, *settings, platform::EngineCodec()));
+  };
+  // An agent holds no work of its own that would have to be finished.
+  steps.shutdown = [](const std::function<void()>& done) { done(); };
+  steps.log = LogJsonNow;
+  return RunProcess(loop, FLAGS_settings, std::move(steps));
+}
+
+std::vector<Failure> ParseOwnSettings(const std::string& text,
+                                      std::optional<Settings>& settings) {
+  SettingsReport report = ParseSettings(text);
+  if (!report.settings) {
+    return report.mistakes;
+  }
+  const std::string role =
+      report.settings->role == Role::kEntryHost ? "entry_host" : "endpoint";
+  if (!FLAGS_role.empty() && FLAGS_role != role) {
+    return {MakeFailure(ResultCode::kSettingsInvalid,
+                        "--role is " + FLAGS_role +
+                            " but the settings file is for role " + role +
+                            "; start with --role=" + role)};
   }
-  const SignalWatcher terminate(loop, SIGTERM, [&loop] { loop.Stop(); });
-  const SignalWatcher reload(loop, SIGHUP, [] { LogJsonNow("reloaded", {}); });
-  loop.Run();
-  return 0;
+  settings = std::move(report.settings);
+  return {};
+}
+
+void LogFields(std::string_view event, std::initializer_list<LogField> fields) {
+  std::ostringstream text;
+  text << event;
+  for (const LogField& field : fields) {
+    text << ' ' << field.name << '=';
+    std::visit([&text](const auto& value) { text << value; }, field.value);
+  }
+  Log(Severity::kInfo, "main", text.str());
+}
+
+// The process of the product's own interface; one of the daemons is set.
+struct OwnProcess {
+  std::unique_ptr<ProcessContext> context;
+  std::unique_ptr<EntryHost> entry_host;
+  std::unique_ptr<EndpointAgent> agent;
+};
+
+Result<bool> StartOwnProcess(OwnProcess& process,
+                             EventLoop& loop,
+                             const Settings& settings) {
+  StartLog(settings.process.value, ToSeverity(settings.log_level));
+  if (process.context == nullptr) {
+    process.context = std::make_unique<ProcessContext>(loop, settings);
+  }
+  ProcessContext& context = *process.context;
+  Result<bool> started =
+      settings.role == Role::kEntryHost
+          ? StartDaemon(process.entry_host,
+                        std::make_unique<EntryHost>(context))
+          : StartDaemon(process.agent,
+                        std::make_unique<EndpointAgent>(context));
+  if (started) {
+    Event joined;
+    joined.kind = EventKind::kJoined;
+    context.Record(std::move(joined));
+  }
+  return started;
+}
+
+int RunOwnInterface() {
+  std::optional<Settings> settings;
+  const ParseStep parse = [&](const std::string& text) {
+    return ParseOwnSettings(text, settings);
+  };
+  if (FLAGS_check) {
+    return CheckSettings(parse);
+  }
+  StartLog("toucanhollow", Severity::kInfo);
+  EventLoop loop;
+  OwnProcess process;
+  ProcessSteps steps;
+  steps.parse = parse;
+  steps.start = [&] { return StartOwnProcess(process, loop, *settings); };
+  steps.shutdown = [&](std::function<void()> done) {
+    if (process.entry_host != nullptr) {
+      process.entry_host->Shutdown(std::move(done));
+    } else {
+      process.agent->Shutdown(std::move(done));
+    }
+  };
+  steps.log = LogFields;
+  return RunProcess(loop, FLAGS_settings, std::move(steps));
 }
 
 int Main() {
@@ -158,31 +256,24 @@
   if (FLAGS_role == "relay") {
     return RunRelay();
   }
-  const std::optional<Settings> settings = ReadSettings();
-  if (!settings) {
-    return kExitUsage;
-  }
-  if (FLAGS_check) {
-    std::cout << "the settings are valid\n";
-    return 0;
-  }
-  std::signal(SIGPIPE, SIG_IGN);
-  StartLog(settings->process.value, ToSeverity(settings->log_level));
-  EventLoop loop;
-  ProcessContext context(loop, *settings);
-  return settings->role == Role::kEntryHost
-             ? RunUntilDrained<EntryHost>(loop, context)
-             : RunUntilDrained<EndpointAgent>(loop, context);
+  return RunOwnInterface();
 }
 
 }  // namespace
 }  // namespace toucanhollow
 
 int main(int argc, char** argv) {
+  toucanhollow::OpenStandardDescriptors();
   gflags::SetUsageMessage(
       "toucanhollow --role=entry_host|endpoint|relay|rank_agent "
       "--settings=FILE "
       "[--check]");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  return toucanhollow::Main();
+  try {
+    return toucanhollow::Main();
+  } catch (const std::exception& error) {
+    std::cerr << "the process ends because of an unexpected error: "
+              << error.what() << "\n";
+    return toucanhollow::kExitFailure;
+  }
 }
--- a/packages/event_loop/event_loop.cc
+++ b/packages/event_loop/event_loop.cc
@@ -177,6 +177,9 @@
         RunGuarded(loop, callback);
       },
       signal);
+  // A stop that arrived before this turn of the loop is handled before the
+  // turn's other events.
+  ev_set_priority(&this->state->watcher, EV_MAXPRI);
   this->state->watcher.data = this->state.get();
   ev_signal_start(this->state->loop, &this->state->watcher);
 }
--- a/packages/event_loop/event_loop.h
+++ b/packages/event_loop/event_loop.h
@@ -87,7 +87,9 @@
   std::unique_ptr<State> state;
 };
 
-// Calls back when the process receives the signal, until destroyed.
+// Calls back when the process receives the signal, until destroyed. The signal
+// then has its default action again. Signals are handled before other events of
+// the same turn of the loop.
 class SignalWatcher {
  public:
   SignalWatcher(EventLoop& loop, int signal, std::function<void()> received);
--- a/packages/settings/settings_test.cc
+++ b/packages/settings/settings_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "settings/parse_settings.h"
+#include "settings/settings_file.h"
 
 namespace toucanhollow {
 namespace {
@@ -88,6 +89,19 @@
   CHECK(report.mistakes[0].code == ResultCode::kSettingsUnreadable);
 }
 
+// Guards against a directory or a missing file that is taken for empty
+// settings.
+TEST_CASE("a settings file that cannot be read is reported") {
+  for (const std::string path : {"no/such/file.ini", "/"}) {
+    const Result<std::string> text = ReadSettingsFile(path);
+    REQUIRE_FALSE(text);
+    CHECK(text.error().code == ResultCode::kSettingsUnreadable);
+  }
+  CHECK(HasWholeLastLine(""));
+  CHECK(HasWholeLastLine("a = 1\n"));
+  CHECK_FALSE(HasWholeLastLine("a = 1"));
+}
+
 // Guards against a documentation page that differs from the table in the
 // code. `toucanhollowctl settings` prints the table for the page.
 TEST_CASE("docs/settings.md matches the settings table") {
--- a/standins/process/child_process.cc
+++ b/standins/process/child_process.cc
@@ -1,6 +1,7 @@
 #include "standins/process/child_process.h"
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -17,8 +18,8 @@
 
 ChildProcess::~ChildProcess() {
   if (this->IsRunning()) {
-    kill(this->pid, SIGKILL);
-    waitpid(this->pid, &this->wait_status, 0);
+    kill(this->child, SIGKILL);
+    waitpid(this->child, &this->wait_status, 0);
   }
 }
 
@@ -29,9 +30,11 @@
     raw.push_back(argument.data());
   }
   raw.push_back(nullptr);
-  this->pid = fork();
-  InternalCheck(this->pid >= 0, "a child process can be started");
-  if (this->pid == 0) {
+  this->child = fork();
+  InternalCheck(this->child >= 0, "a child process can be started");
+  if (this->child == 0) {
+    // A test that is killed leaves no processes behind.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     constexpr mode_t kReadable = 0644;
     const int log = open(this->log_file.c_str(),
                          O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kReadable);
@@ -50,16 +53,16 @@
 
 void ChildProcess::Signal(int signal) {
   if (this->IsRunning()) {
-    kill(this->pid, signal);
+    kill(this->child, signal);
   }
 }
 
 bool ChildProcess::IsRunning() {
-  if (this->pid <= 0) {
+  if (this->child <= 0) {
     return false;
   }
-  if (waitpid(this->pid, &this->wait_status, WNOHANG) == this->pid) {
-    this->pid = -1;
+  if (waitpid(this->child, &this->wait_status, WNOHANG) == this->child) {
+    this->child = -1;
     return false;
   }
   return true;
--- a/standins/process/child_process.h
+++ b/standins/process/child_process.h
@@ -22,13 +22,15 @@
   void Signal(int signal);
   // True until the process has ended; collects its status then.
   bool IsRunning();
+  // The process id while it runs, otherwise -1.
+  pid_t pid() const { return this->child; }
   // How it ended, as waitpid gives it.
   int status() const { return this->wait_status; }
 
  private:
   std::vector<std::string> arguments;
   std::string log_file;
-  pid_t pid = -1;
+  pid_t child = -1;
   int wait_status = 0;
 };
 
