Wait for held ports instead of exiting

Seen: a process that found one of its ports held exited with status 1: a relay started while the one before it drained, and any process whose port had been given to a connection of another program.

Cause: Start() fails on the first port that cannot be opened, and main returned. The metrics port, without which requests are served as well, was no exception. The relay opened the port for callers before the one for calls to agents, so that a held port of the latter reset connections that the kernel had taken.

Change: a start that fails is repeated every 100 ms with a new daemon, which opens all needed ports or none, and logs "start_delayed" with the port. A stop meanwhile ends the process with status 0. MetricsServer opens the metrics port once it is free. The port for callers is opened last. SO_REUSEPORT is not set, so that no connection is taken from the process that drains.

--- a/apps/run_process.cc
+++ b/apps/run_process.cc
@@ -14,6 +14,10 @@
 namespace toucanhollow {
 namespace {
 
+constexpr Duration kStartRetryPeriod = Milliseconds(100);
+// An unchanged reason for a delayed start is logged again after this time.
+constexpr Duration kDelayReportPeriod = Seconds(10);
+
 enum class Phase { kReadingSettings, kStarting, kRunning, kStopping, kEnded };
 
 std::string_view PhaseName(Phase phase) {
@@ -49,6 +53,7 @@
   std::vector<Failure> LoadSettings();
   void StartDaemon();
   Result<bool> TryStart();
+  void ReportDelay(std::string_view event, const std::string& reason);
   void Retry(Duration delay, void (ProcessRun::*step)());
   void End(int exit_status, std::string_view reason);
   std::int64_t ElapsedMs(TimePoint since) const;
@@ -59,6 +64,8 @@
   TimePoint began_at;
   Phase phase = Phase::kReadingSettings;
   std::unique_ptr<Timer> retry_timer;
+  std::string reported_delay;
+  TimePoint delay_reported_at;
   std::string stop_signal;
   std::optional<TimePoint> stopped_at;
   int status = kExitFailure;
@@ -112,6 +119,19 @@
       this->loop, delay, Duration(0), [this, step] { (this->*step)(); });
 }
 
+void ProcessRun::ReportDelay(std::string_view event,
+                             const std::string& reason) {
+  const TimePoint now = EventLoop::Now();
+  if (reason == this->reported_delay &&
+      now - this->delay_reported_at < kDelayReportPeriod) {
+    return;
+  }
+  this->reported_delay = reason;
+  this->delay_reported_at = now;
+  this->steps.log(event, {{"detail", std::string_view(reason)},
+                          {"since_start_ms", this->ElapsedMs(this->began_at)}});
+}
+
 std::vector<Failure> ProcessRun::LoadSettings() try {
   const Result<std::string> text = ReadSettingsFile(this->settings_file);
   if (!text) {
@@ -154,9 +174,8 @@
     this->phase = Phase::kRunning;
     return;
   }
-  const std::string reason = FormatFailure(started.error());
-  std::cerr << reason << "\n";
-  this->End(kExitFailure, reason);
+  this->ReportDelay("start_delayed", FormatFailure(started.error()));
+  this->Retry(kStartRetryPeriod, &ProcessRun::StartDaemon);
 }
 
 void ProcessRun::End(int exit_status, std::string_view reason) {
--- a/apps/run_process.h
+++ b/apps/run_process.h
@@ -22,7 +22,7 @@
 struct ProcessSteps {
   // Parses the settings and keeps them; returns every mistake.
   std::function<std::vector<Failure>(const std::string& text)> parse;
-  // Creates the daemon and opens its ports.
+  // Creates the daemon and opens its ports. After a failure it is called again.
   std::function<Result<bool>()> start;
   // Finishes the work of a started daemon, then calls `done`.
   std::function<void(std::function<void()> done)> shutdown;
@@ -33,10 +33,10 @@
 
 // Reads the settings, starts the daemon and runs the loop until the process is
 // stopped by SIGTERM or SIGINT. A process that has not started yet stops at
-// once. Returns the exit status: kExitSuccess after a stop, kExitUsage for wrong
-// settings, kExitFailure if the daemon does not start. All are logged as
-// "exiting". The process signals have to be blocked,
-// and are blocked again when the function returns.
+// once. A start that fails is repeated until it succeeds, because an earlier
+// process may still hold a port. Returns the exit status: kExitSuccess after a
+// stop, kExitUsage for wrong settings. Both are logged as "exiting". The process
+// signals have to be blocked, and are blocked again when the function returns.
 int RunProcess(EventLoop& loop,
                const std::string& settings_file,
                ProcessSteps steps);
--- a/packages/map_task/rank_agent.cc
+++ b/packages/map_task/rank_agent.cc
@@ -78,19 +78,9 @@
                            });
   BOOST_OUTCOME_TRY(bound, std::move(opened));
   this->socket = std::move(bound);
-  HttpServerOptions options;
-  options.address = this->settings.metrics.ip;
-  options.port = this->settings.metrics.port;
-  options.max_connections = 8;
-  auto listening = HttpServer::Listen(
-      this->loop, options,
-      [this](const HttpRequest&,
-             const std::shared_ptr<HttpResponseWriter>& writer) {
-        writer->Respond(200, {{"Content-Type", "text/plain"}},
-                        this->metrics.FormatText());
-      });
-  BOOST_OUTCOME_TRY(metrics_server, std::move(listening));
-  this->metrics_server = std::move(metrics_server);
+  this->metrics_server = std::make_unique<MetricsServer>(
+      this->loop, this->settings.metrics,
+      [this] { return this->metrics.FormatText(); });
   LogJsonNow("started", {});
   return true;
 }
--- a/packages/map_task/rank_agent.h
+++ b/packages/map_task/rank_agent.h
@@ -14,9 +14,9 @@
 #include "datagram/datagram_socket.h"
 #include "event_loop/event_loop.h"
 #include "http_client/http_client.h"
-#include "http_server/http_server.h"
 #include "map_task/rank_engine_client.h"
 #include "metrics/metrics.h"
+#include "metrics_server/metrics_server.h"
 #include "permit/answer_permit_request.h"
 
 namespace toucanhollow {
@@ -39,7 +39,8 @@
             RankAgentSettings settings,
             const EngineMapCodec& codec);
 
-  // Opens the UDP and metrics sockets. Fails with kSettingsInvalid.
+  // Opens the sockets. Fails with kSettingsInvalid if the UDP port is held; the
+  // port of the metrics may follow later.
   Result<bool> Start();
 
  private:
@@ -62,7 +63,7 @@
   PermitIssuer permit_issuer;
   std::map<Address, Requester> requesters;
   std::unique_ptr<DatagramSocket> socket;
-  std::unique_ptr<HttpServer> metrics_server;
+  std::unique_ptr<MetricsServer> metrics_server;
 };
 
 }  // namespace toucanhollow
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -110,14 +110,48 @@
       });
 }
 
-Result<std::unique_ptr<HttpServer>> RelayHost::ListenHttp(
-    const Address& address,
-    HttpHandler handler) {
+Result<bool> RelayHost::ListenReadiness() {
   HttpServerOptions options;
-  options.address = address.ip;
-  options.port = address.port;
+  options.address = this->settings.readiness.ip;
+  options.port = this->settings.readiness.port;
   options.max_connections = 32;
-  return HttpServer::Listen(this->loop, std::move(options), std::move(handler));
+  auto opened = HttpServer::Listen(
+      this->loop, std::move(options),
+      [this](const HttpRequest&,
+             const std::shared_ptr<HttpResponseWriter>& writer) {
+        writer->Respond(this->IsReady() ? 200 : 503, {}, "");
+      });
+  BOOST_OUTCOME_TRY(server, std::move(opened));
+  this->readiness_server = std::move(server);
+  return true;
+}
+
+std::string RelayHost::FormatMetrics() {
+  this->metrics.SetGauge("sessions",
+                         static_cast<double>(this->sessions.size()));
+  this->metrics.SetGauge(
+      "waiting_requests",
+      static_cast<double>(this->dispatcher.waiting_requests()));
+  return this->metrics.FormatText();
+}
+
+void RelayHost::MakeMapTask() {
+  // The start time makes a restarted process a new member, so that two
+  // coordinators never share a name within one generation.
+  const std::string member =
+      this->settings.process.value + "." +
+      std::to_string(EventLoop::WallNow().time_since_epoch().count());
+  this->maps = std::make_unique<GroupMapTask>(
+      this->loop, this->client, this->engine_codec,
+      CoordinatorElectionSettings{this->settings.store,
+                                  this->settings.store_partitions, member},
+      GroupMapCallbacks{[this] { return this->ListExpertParallelServices(); },
+                        [this](const GroupRegistry& groups) {
+                          this->dispatcher.UpdateGroups(groups);
+                        },
+                        [this](const std::set<std::string>& servers) {
+                          this->dispatcher.SetSlowServers(servers);
+                        }});
 }
 
 Result<bool> RelayHost::Start() {
@@ -150,51 +184,20 @@
   BOOST_OUTCOME_TRYV(this->peers->Start());
   BOOST_OUTCOME_TRYV(this->permits.Open(
       {this->settings.control.ip, this->settings.permit_port}));
-  auto readiness = this->ListenHttp(
-      this->settings.readiness,
-      [this](const HttpRequest&,
-             const std::shared_ptr<HttpResponseWriter>& writer) {
-        writer->Respond(this->IsReady() ? 200 : 503, {}, "");
-      });
-  BOOST_OUTCOME_TRY(opened_readiness_server, std::move(readiness));
-  this->readiness_server = std::move(opened_readiness_server);
-  auto counters = this->ListenHttp(
-      {this->settings.control.ip, this->settings.metrics_port},
-      [this](const HttpRequest&,
-             const std::shared_ptr<HttpResponseWriter>& writer) {
-        this->metrics.SetGauge("sessions",
-                               static_cast<double>(this->sessions.size()));
-        this->metrics.SetGauge(
-            "waiting_requests",
-            static_cast<double>(this->dispatcher.waiting_requests()));
-        writer->Respond(200, {{"Content-Type", "text/plain"}},
-                        this->metrics.FormatText());
-      });
-  BOOST_OUTCOME_TRY(opened_metrics_server, std::move(counters));
-  this->metrics_server = std::move(opened_metrics_server);
+  this->MakeMapTask();
+  BOOST_OUTCOME_TRYV(this->maps->Start(
+      {this->settings.control.ip, this->settings.rank_call_port}));
+  BOOST_OUTCOME_TRYV(this->ListenReadiness());
+  // Connections are taken from here on, so that nothing may fail afterwards.
   auto listening =
       TcpListener::Listen(this->loop, this->settings.callers,
                           [this](int socket) { this->OnAccept(socket); });
   BOOST_OUTCOME_TRY(opened_listener, std::move(listening));
   this->listener = std::move(opened_listener);
-  // The start time makes a restarted process a new member, so that two
-  // coordinators never share a name within one generation.
-  const std::string member =
-      this->settings.process.value + "." +
-      std::to_string(EventLoop::WallNow().time_since_epoch().count());
-  this->maps = std::make_unique<GroupMapTask>(
-      this->loop, this->client, this->engine_codec,
-      CoordinatorElectionSettings{this->settings.store,
-                                  this->settings.store_partitions, member},
-      GroupMapCallbacks{[this] { return this->ListExpertParallelServices(); },
-                        [this](const GroupRegistry& groups) {
-                          this->dispatcher.UpdateGroups(groups);
-                        },
-                        [this](const std::set<std::string>& servers) {
-                          this->dispatcher.SetSlowServers(servers);
-                        }});
-  BOOST_OUTCOME_TRYV(this->maps->Start(
-      {this->settings.control.ip, this->settings.rank_call_port}));
+  this->metrics_server = std::make_unique<MetricsServer>(
+      this->loop,
+      Address{this->settings.control.ip, this->settings.metrics_port},
+      [this] { return this->FormatMetrics(); });
   this->sweep_timer = std::make_unique<Timer>(
       this->loop, kSweepPeriod, kSweepPeriod, [this] { this->Sweep(); });
   LogJsonNow("started", {{"data_centre",
--- a/packages/relay/relay_host.h
+++ b/packages/relay/relay_host.h
@@ -15,6 +15,7 @@
 #include "http_stream/tcp_connection.h"
 #include "map_task/group_map_task.h"
 #include "metrics/metrics.h"
+#include "metrics_server/metrics_server.h"
 #include "permit/permit_client.h"
 #include "relay/caller_session.h"
 #include "relay/dispatcher.h"
@@ -35,7 +36,9 @@
             const EngineMapCodec& engine_codec);
   ~RelayHost();
 
-  // Opens the sockets. Fails with kSettingsInvalid.
+  // Opens the sockets, that for callers last. Fails with kSettingsInvalid if a
+  // port is held, except for that of the metrics, which may follow later. The
+  // object must then be destroyed before the loop runs again.
   Result<bool> Start();
   // Stops accepting requests, finishes those in flight and then calls `done`.
   // Requests still open shortly before the grace time ends are aborted.
@@ -53,8 +56,9 @@
   // Asks the agent beside the server whether the server still runs.
   void CheckEngine(const ListedServer& server,
                    std::function<void(EngineState state)> done);
-  Result<std::unique_ptr<HttpServer>> ListenHttp(const Address& address,
-                                                 HttpHandler handler);
+  Result<bool> ListenReadiness();
+  std::string FormatMetrics();
+  void MakeMapTask();
 
   EventLoop& loop;
   RelaySettings settings;
@@ -72,7 +76,7 @@
   std::unique_ptr<GroupMapTask> maps;
   std::unique_ptr<TcpListener> listener;
   std::unique_ptr<HttpServer> readiness_server;
-  std::unique_ptr<HttpServer> metrics_server;
+  std::unique_ptr<MetricsServer> metrics_server;
   std::map<std::uint64_t, std::unique_ptr<CallerSession>> sessions;
   std::uint64_t next_session = 1;
   std::unique_ptr<Timer> sweep_timer;
