Start although the settings are being written or have empty bounds

Seen: a process that read its settings while they were written, or found a number empty that the platform had no value for, exited with status 2 and so ended by itself. A file that was cut off in its last value was taken for whole, with a shorter port or bound for the life of the process.

Change: a file that is unreadable, cut off or wrong is read again every 50 ms for 2 s, logged as "settings_incomplete"; then the process ends with status 2 and its mistake in "exiting". A last line without a line end is accepted once the file has not changed for 0.5 s. Numbers with a default may be empty; a missing one stays a mistake, as the file may be incomplete.

--- /dev/null
+++ b/apps/process_settings_test.cc
@@ -0,0 +1,101 @@
+// Starts of the real program with a settings file that is being written.
+#include <array>
+#include <csignal>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "apps/process_site.h"
+
+namespace toucanhollow {
+namespace {
+
+constexpr std::array<ProcessRole, 4> kRoles = {
+    ProcessRole::kRelay, ProcessRole::kRankAgent, ProcessRole::kEntryHost,
+    ProcessRole::kEndpoint};
+
+bool WaitForIncompleteSettings(TestProcess& process) {
+  WaitUntil([&] {
+    return process.CountInLog("settings_incomplete") > 0 ||
+           !process.IsRunning();
+  });
+  return process.IsRunning();
+}
+
+// Guards against a process that ends because it read its settings while they
+// were written.
+TEST_CASE("a process starts once its settings file is complete") {
+  for (const ProcessRole role : kRoles) {
+    TestProcess process(role, 1);
+    process.WriteSettings("");
+    process.Start();
+    REQUIRE(WaitForIncompleteSettings(process));
+    process.WriteSettings(process.settings.substr(0, 40));
+    std::this_thread::sleep_for(Milliseconds(100));
+    CHECK(process.IsRunning());
+    process.WriteSettings(process.settings);
+    CHECK(process.WaitForStart());
+  }
+}
+
+// Guards against a port that is taken for a shorter one because its last digit
+// was not written yet.
+TEST_CASE("a value that is cut off is not used") {
+  TestProcess process(ProcessRole::kRelay, 1);
+  const std::string& text = process.settings;
+  process.WriteSettings(text.substr(0, text.size() - 2));
+  process.Start();
+  REQUIRE(WaitForIncompleteSettings(process));
+  process.WriteSettings(text);
+  REQUIRE(process.WaitForStart());
+  CHECK(!AskAsSoonAsItListens(process.ip, kReadinessPort,
+                              "GET / HTTP/1.1\r\nHost: h\r\n"
+                              "Connection: close\r\n\r\n",
+                              [] {})
+             .empty());
+  const std::string request =
+      "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+  CHECK(AskAsSoonAsItListens(process.ip, kCallerPort, request, [] {
+        }).starts_with("HTTP/1.1 "));
+}
+
+// Guards against a start that waits for a last line end that never comes.
+TEST_CASE("a last line without a line end is accepted if it stays") {
+  TestProcess process(ProcessRole::kRankAgent, 1);
+  const std::string& text = process.settings;
+  process.WriteSettings(text.substr(0, text.size() - 1));
+  process.Start();
+  CHECK(process.WaitForStart());
+}
+
+// Guards against an exit without its reason, and a stop that is not heard.
+TEST_CASE("settings that stay wrong end the process with their mistake") {
+  std::vector<std::unique_ptr<TestProcess>> all_wrong;
+  for (const ProcessRole role : kRoles) {
+    all_wrong.push_back(std::make_unique<TestProcess>(role, 1));
+    TestProcess stopped(role, 2);
+    for (TestProcess* process : {all_wrong.back().get(), &stopped}) {
+      process->WriteSettings("[process]\n");
+      process->Start();
+      REQUIRE(WaitForIncompleteSettings(*process));
+    }
+    stopped.Signal(SIGTERM);
+    CHECK(WaitUntil([&] { return !stopped.IsRunning(); }));
+    CHECK(stopped.HasExitedWith(0));
+  }
+  for (const auto& wrong : all_wrong) {
+    CHECK(WaitUntil([&] { return !wrong->IsRunning(); }));
+    INFO(wrong->Log());
+    CHECK(wrong->HasExitedWith(2));
+    CHECK(wrong->CountInLog("exiting") == 1);
+    CHECK(wrong->CountInLog("process.name: missing") +
+              wrong->CountInLog("[process] name: missing") >
+          0);
+  }
+}
+
+}  // namespace
+}  // namespace toucanhollow
--- a/apps/run_process.cc
+++ b/apps/run_process.cc
@@ -14,6 +14,11 @@
 namespace toucanhollow {
 namespace {
 
+constexpr Duration kSettingsWait = Seconds(2);
+constexpr Duration kSettingsRetryPeriod = Milliseconds(50);
+// A last line without a line end is accepted if the file does not change for so
+// long.
+constexpr Duration kUnfinishedLineWait = Milliseconds(500);
 constexpr Duration kStartRetryPeriod = Milliseconds(100);
 // An unchanged reason for a delayed start is logged again after this time.
 constexpr Duration kDelayReportPeriod = Seconds(10);
@@ -64,6 +69,8 @@
   TimePoint began_at;
   Phase phase = Phase::kReadingSettings;
   std::unique_ptr<Timer> retry_timer;
+  std::string last_text;
+  TimePoint text_changed_at;
   std::string reported_delay;
   TimePoint delay_reported_at;
   std::string stop_signal;
@@ -137,6 +144,17 @@
   if (!text) {
     return {text.error()};
   }
+  const TimePoint now = EventLoop::Now();
+  if (text.value() != this->last_text) {
+    this->last_text = text.value();
+    this->text_changed_at = now;
+  }
+  if (!HasWholeLastLine(this->last_text) &&
+      now - this->text_changed_at < kUnfinishedLineWait) {
+    return {MakeFailure(
+        ResultCode::kSettingsUnreadable,
+        "the last line of " + this->settings_file + " has no line end")};
+  }
   return this->steps.parse(text.value());
 } catch (const std::exception& error) {
   return {MakeFailure(ResultCode::kSettingsUnreadable, error.what())};
@@ -153,6 +171,11 @@
     return;
   }
   const std::string reason = FormatFailure(mistakes.front());
+  if (EventLoop::Now() - this->began_at < kSettingsWait) {
+    this->ReportDelay("settings_incomplete", reason);
+    this->Retry(kSettingsRetryPeriod, &ProcessRun::ReadSettings);
+    return;
+  }
   for (const Failure& mistake : mistakes) {
     std::cerr << FormatFailure(mistake) << "\n";
   }
--- a/apps/run_process.h
+++ b/apps/run_process.h
@@ -33,10 +33,12 @@
 
 // Reads the settings, starts the daemon and runs the loop until the process is
 // stopped by SIGTERM or SIGINT. A process that has not started yet stops at
-// once. A start that fails is repeated until it succeeds, because an earlier
-// process may still hold a port. Returns the exit status: kExitSuccess after a
-// stop, kExitUsage for wrong settings. Both are logged as "exiting". The process
-// signals have to be blocked, and are blocked again when the function returns.
+// once. Settings that are incomplete or have mistakes are read again for
+// kSettingsWait, as they may be being written. A start that fails is repeated
+// until it succeeds, because an earlier process may still hold a port. Returns
+// the exit status: kExitSuccess after a stop, kExitUsage for settings that stay
+// wrong. Both are logged as "exiting". The process signals have to be blocked,
+// and are blocked again when the function returns.
 int RunProcess(EventLoop& loop,
                const std::string& settings_file,
                ProcessSteps steps);
--- a/packages/relay/relay_settings.cc
+++ b/packages/relay/relay_settings.cc
@@ -1,7 +1,6 @@
 #include "relay/relay_settings.h"
 
 #include <charconv>
-#include <fstream>
 #include <sstream>
 
 #include <boost/property_tree/ini_parser.hpp>
@@ -67,11 +66,33 @@
 }
 
 // The platform writes an empty value for a field that it does not have.
+bool IsEmpty(const ptree& tree, const std::string& field) {
+  const auto value = tree.get_optional<std::string>(field);
+  return value && value->empty();
+}
+
 bool HasValue(const ptree& tree, const std::string& field) {
   const auto value = tree.get_optional<std::string>(field);
   return value && !value->empty();
 }
 
+// Like ReadNumber, with a default for an empty value. A missing field is a
+// mistake, because the file may be incomplete.
+Result<double> ReadNumberOr(const ptree& tree,
+                            const std::string& field,
+                            double low,
+                            double high,
+                            double default_value) {
+  if (IsEmpty(tree, field)) {
+    return default_value;
+  }
+  return ReadNumber(tree, field, low, high);
+}
+
+double ToSeconds(Duration duration) {
+  return ToMilliseconds(duration) / 1000;
+}
+
 Duration ToDuration(double seconds) {
   return Duration(static_cast<Duration::rep>(seconds * 1e6));
 }
@@ -127,42 +148,41 @@
   }
   BOOST_OUTCOME_TRY(seeds, ReadAddresses(tree, "peers.seeds"));
   settings.seeds = seeds;
-  BOOST_OUTCOME_TRY(descriptors,
-                    ReadNumber(tree, "limits.descriptors", 64, 1 << 20));
+  BOOST_OUTCOME_TRY(
+      descriptors, ReadNumberOr(tree, "limits.descriptors", 64, 1 << 20,
+                                static_cast<double>(settings.max_descriptors)));
   settings.max_descriptors = static_cast<std::size_t>(descriptors);
   BOOST_OUTCOME_TRY(grace_s,
-                    ReadNumber(tree, "shutdown.grace_s", 0.5, kMaxSeconds));
+                    ReadNumberOr(tree, "shutdown.grace_s", 0.5, kMaxSeconds,
+                                 ToSeconds(settings.grace)));
   settings.grace = ToDuration(grace_s);
-  BOOST_OUTCOME_TRY(drain_ms, ReadNumber(tree, "bounds.drain_ms", 100, 3.6e6));
+  BOOST_OUTCOME_TRY(drain_ms,
+                    ReadNumberOr(tree, "bounds.drain_ms", 100, 3.6e6,
+                                 ToMilliseconds(settings.drain_bound)));
   settings.drain_bound = ToDuration(drain_ms / 1000);
   BOOST_OUTCOME_TRY(contact_ms,
-                    ReadNumber(tree, "bounds.contact_ms", 1000, 3.6e6));
+                    ReadNumberOr(tree, "bounds.contact_ms", 1000, 3.6e6,
+                                 ToMilliseconds(settings.contact_bound)));
   settings.contact_bound = ToDuration(contact_ms / 1000);
-  BOOST_OUTCOME_TRY(retry_ratio, ReadNumber(tree, "retries.ratio", 0, 1));
-  settings.retry.ratio = retry_ratio;
+  RetryBound& retry = settings.retry;
+  BOOST_OUTCOME_TRY(retry_ratio,
+                    ReadNumberOr(tree, "retries.ratio", 0, 1, retry.ratio));
+  retry.ratio = retry_ratio;
   BOOST_OUTCOME_TRY(window_s,
-                    ReadNumber(tree, "retries.window_s", 0.1, kMaxSeconds));
-  settings.retry.window = ToDuration(window_s);
-  BOOST_OUTCOME_TRY(retry_slack, ReadNumber(tree, "retries.slack", 0, 1e6));
-  settings.retry.slack = retry_slack;
-  BOOST_OUTCOME_TRY(cold_burst_factor,
-                    ReadNumber(tree, "cold.burst_factor", 0, 100));
-  settings.cold.burst_factor = cold_burst_factor;
-  BOOST_OUTCOME_TRY(cold_slack, ReadNumber(tree, "cold.slack", 0, 1e6));
-  settings.cold.slack = cold_slack;
+                    ReadNumberOr(tree, "retries.window_s", 0.1, kMaxSeconds,
+                                 ToSeconds(retry.window)));
+  retry.window = ToDuration(window_s);
+  BOOST_OUTCOME_TRY(retry_slack,
+                    ReadNumberOr(tree, "retries.slack", 0, 1e6, retry.slack));
+  retry.slack = retry_slack;
+  ColdBound& cold = settings.cold;
+  BOOST_OUTCOME_TRY(cold_burst_factor, ReadNumberOr(tree, "cold.burst_factor",
+                                                    0, 100, cold.burst_factor));
+  cold.burst_factor = cold_burst_factor;
+  BOOST_OUTCOME_TRY(cold_slack,
+                    ReadNumberOr(tree, "cold.slack", 0, 1e6, cold.slack));
+  cold.slack = cold_slack;
   return settings;
 }
 
-Result<RelaySettings> LoadRelaySettings(const std::string& file) {
-  std::ifstream stream(file);
-  if (!stream) {
-    return MakeFailure(ResultCode::kSettingsUnreadable,
-                       "cannot open the settings file \"" + file +
-                           "\"; pass a readable file with --settings");
-  }
-  std::ostringstream text;
-  text << stream.rdbuf();
-  return ParseRelaySettings(text.str());
-}
-
 }  // namespace toucanhollow
--- a/packages/relay/relay_settings.h
+++ b/packages/relay/relay_settings.h
@@ -45,13 +45,9 @@
 
 // Parses an INI text. Fails with kSettingsInvalid; the detail names the field
 // and the remedy. Unknown fields are ignored, because the platform may add
-// some.
+// some. A number that is present and empty has its default.
 Result<RelaySettings> ParseRelaySettings(const std::string& text);
 
-// Reads and parses a settings file. Fails with kSettingsUnreadable or
-// kSettingsInvalid.
-Result<RelaySettings> LoadRelaySettings(const std::string& file);
-
 }  // namespace toucanhollow
 
 #endif  // RELAY_RELAY_SETTINGS_H_
--- a/packages/relay/relay_test.cc
+++ b/packages/relay/relay_test.cc
@@ -58,6 +58,27 @@
   CHECK(seeds.value().seeds.empty());
 }
 
+// Guards against a host that does not start because the platform has no value
+// for a bound, and against one that takes an incomplete file for complete.
+TEST_CASE("a bound without a value has its default and must not be missing") {
+  const RelaySettings defaults;
+  for (const std::string field :
+       {"descriptors = 4200", "grace_s = 8.0", "ratio = 0.2", "window_s = 10",
+        "slack = 88", "burst_factor = 1.5", "slack = 5", "drain_ms = 2000",
+        "contact_ms = 3000"}) {
+    const std::string name = field.substr(0, field.find(' '));
+    INFO(field);
+    CHECK(ParseRelaySettings(SettingsWith(field, name + " =")));
+    CHECK_FALSE(ParseRelaySettings(SettingsWith(field, "")));
+  }
+  CHECK(ParseRelaySettings(SettingsWith("grace_s = 8.0", "grace_s ="))
+            .value()
+            .grace == defaults.grace);
+  CHECK(ParseRelaySettings(SettingsWith("contact_ms = 3000", "contact_ms ="))
+            .value()
+            .contact_bound == defaults.contact_bound);
+}
+
 // Guards against a host that starts although a field could not be parsed.
 TEST_CASE("a settings error names its field and the remedy") {
   const auto detail = [](const std::string& text) {
