Test log files at the size limit and closed standard descriptors

A process whose log file reached the limit on file sizes was ended by SIGXFSZ, in all four roles. One whose parent had closed its standard output gave the number of standard output to a socket or an epoll descriptor. Both were mended with the signals of the start; these cases guard them.

--- a/apps/process_signals_test.cc
+++ b/apps/process_signals_test.cc
@@ -1,4 +1,6 @@
 // Signals that reach the real program at any time of its life.
+#include <unistd.h>
+
 #include <array>
 #include <csignal>
 #include <memory>
@@ -180,6 +182,39 @@
   }
 }
 
+// Guards against a log file that ends the process when it reaches the limit on
+// file sizes.
+TEST_CASE("a log file of the maximum size ends no process") {
+  for (const ProcessRole role : kRoles) {
+    TestProcess process(role, 1, "ulimit -f 1");
+    process.Start();
+    REQUIRE(process.WaitForStart());
+    constexpr int kLines = 30;
+    for (int i = 0; i < kLines; ++i) {
+      process.Signal(SIGHUP);
+      std::this_thread::sleep_for(Milliseconds(5));
+    }
+    CHECK(process.IsRunning());
+  }
+}
+
+// Guards against log lines in the connection of a caller, whose socket has the
+// number of the standard output that the parent closed.
+TEST_CASE("a closed standard output is replaced") {
+  for (const ProcessRole role :
+       {ProcessRole::kRelay, ProcessRole::kEntryHost}) {
+    TestProcess process(role, 1, "exec <&- >&- 2>&-");
+    process.Start();
+    CHECK(AskAsSoonAsItListens(
+              process.ip, kCallerPort,
+              Request("GET", "/s/x", "a", "Connection: close\r\n"), [] {})
+              .starts_with("HTTP/1.1 "));
+    for (const int descriptor : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO}) {
+      CHECK(process.DescriptorTarget(descriptor) == "/dev/null");
+    }
+  }
+}
+
 // Guards against a thread of a library that takes a signal in place of the
 // loop's.
 TEST_CASE("a process has one thread") {
--- a/apps/process_site.cc
+++ b/apps/process_site.cc
@@ -14,6 +14,7 @@
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <system_error>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -116,17 +117,39 @@
          std::to_string(next++);
 }
 
+std::vector<std::string> Arguments(const std::string& commands,
+                                   ProcessRole role,
+                                   const std::string& settings_file) {
+  std::vector<std::string> arguments;
+  if (!commands.empty()) {
+    arguments = {"/bin/sh", "-c", commands + "; exec \"$0\" \"$@\""};
+  }
+  arguments.push_back(Program());
+  arguments.push_back("--role=" + RoleName(role));
+  arguments.push_back("--settings=" + settings_file);
+  return arguments;
+}
+
 }  // namespace
 
 TestProcess::TestProcess(ProcessRole role, int number, std::uint16_t store_port)
+    : TestProcess(role, number, store_port, "") {}
+
+TestProcess::TestProcess(ProcessRole role,
+                         int number,
+                         const std::string& commands)
+    : TestProcess(role, number, 1, commands) {}
+
+TestProcess::TestProcess(ProcessRole role,
+                         int number,
+                         std::uint16_t store_port,
+                         const std::string& commands)
     : ip(OwnIp(number)),
       settings(SettingsText(role, ip, store_port)),
       role(role),
       settings_file(FileName(role, ip) + ".ini"),
       log_file(settings_file + ".log"),
-      child({Program(), "--role=" + RoleName(role),
-             "--settings=" + settings_file},
-            log_file) {
+      child(Arguments(commands, role, settings_file), log_file) {
   this->WriteSettings(this->settings);
 }
 
@@ -201,6 +224,14 @@
   return std::atoi(this->StatusField("Threads").c_str());
 }
 
+std::string TestProcess::DescriptorTarget(int descriptor) const {
+  std::error_code error;
+  return std::filesystem::read_symlink("/proc/" +
+                                           std::to_string(this->child.pid()) +
+                                           "/fd/" + std::to_string(descriptor),
+                                       error);
+}
+
 std::string AskAsSoonAsItListens(const std::string& ip,
                                  std::uint16_t port,
                                  const std::string& bytes,
--- a/apps/process_site.h
+++ b/apps/process_site.h
@@ -30,6 +30,8 @@
   // Writes the settings and does not start the process. Processes with the same
   // number share an address.
   TestProcess(ProcessRole role, int number, std::uint16_t store_port = 1);
+  // A shell runs the commands before it becomes the process.
+  TestProcess(ProcessRole role, int number, const std::string& commands);
 
   void Start() { this->child.Start(); }
   void Signal(int signal) { this->child.Signal(signal); }
@@ -50,11 +52,17 @@
   bool WaitForFirstInstructions();
   // Number of threads, 0 if the process is gone.
   int CountThreads() const;
+  // The file that a descriptor of the process is open on.
+  std::string DescriptorTarget(int descriptor) const;
 
   std::string ip;
   std::string settings;
 
  private:
+  TestProcess(ProcessRole role,
+              int number,
+              std::uint16_t store_port,
+              const std::string& commands);
   std::string StatusField(const std::string& name) const;
 
   ProcessRole role;
