--- a/apps/process_ports_test.cc
+++ b/apps/process_ports_test.cc
@@ -109,6 +109,22 @@
   CHECK(second.CountInLog("\"event\":\"start_delayed\"") > 0);
 }
 
+// Guards against an agent that exits because the one before it is not gone.
+TEST_CASE("an agent takes over from one that is killed on the same ports") {
+  TestProcess first(ProcessRole::kRankAgent, 1);
+  TestProcess second(ProcessRole::kRankAgent, 1);
+  first.Start();
+  REQUIRE(first.WaitForStart());
+  second.Start();
+  REQUIRE(WaitUntil([&] {
+    return second.CountInLog("start_delayed") > 0 || !second.IsRunning();
+  }));
+  CHECK_FALSE(second.HasStarted());
+  first.Signal(SIGKILL);
+  CHECK(second.WaitForStart());
+  CHECK(AskForMetrics(second).starts_with("HTTP/1.1 200"));
+}
+
 // Guards against a process that does not serve because only its metrics port is
 // held.
 TEST_CASE("a process serves while its metrics port is held") {
