--- a/soak/child_process.h
+++ b/standins/process/child_process.h
@@ -1,6 +1,6 @@
 // ChildProcess: one process of the system under test, controlled by signals.
-#ifndef SOAK_CHILD_PROCESS_H_
-#define SOAK_CHILD_PROCESS_H_
+#ifndef STANDINS_PROCESS_CHILD_PROCESS_H_
+#define STANDINS_PROCESS_CHILD_PROCESS_H_
 
 #include <sys/types.h>
 
@@ -22,16 +22,18 @@
   void Signal(int signal);
   // True until the process has ended; collects its status then.
   bool IsRunning();
+  // The process id while it runs, otherwise -1.
+  pid_t pid() const { return this->child; }
   // How it ended, as waitpid gives it.
   int status() const { return this->wait_status; }
 
  private:
   std::vector<std::string> arguments;
   std::string log_file;
-  pid_t pid = -1;
+  pid_t child = -1;
   int wait_status = 0;
 };
 
 }  // namespace toucanhollow
 
-#endif  // SOAK_CHILD_PROCESS_H_
+#endif  // STANDINS_PROCESS_CHILD_PROCESS_H_
