Refuse at once what may outlast a stopping host

Late in a stop, a request on a kept connection was passed on to a server whatever time it needed, and cut when the host ended.

Before: stop_test.cc, "what cannot be served before the end is refused at once", the request was passed on. After: refused within 200 ms, while one that ends in time is served.

--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -109,7 +109,14 @@
       IsCallerRetry(this->context.observed_timeouts, this->route->name,
                     *this->metadata.deadline);
   if (this->context.stop) {
-    deadline = std::min(deadline, this->context.stop->answer_by);
+    const std::optional<TimePoint> limited =
+        LimitDeadline(*this->context.stop, *this->route, deadline, now);
+    if (!limited) {
+      this->Refuse(503, "the host stops before it could serve the request",
+                   kStopRetryAfter);
+      return;
+    }
+    deadline = *limited;
   }
   this->SetDeadline(deadline, now);
   this->context.dispatcher.RecordRequest(this->service);
--- a/packages/relay/stop_schedule.cc
+++ b/packages/relay/stop_schedule.cc
@@ -18,6 +18,9 @@
 constexpr int kEndTimeDivisor = 6;
 // Part of that time that is kept for the end of the process itself.
 constexpr int kExitTimeDivisor = 4;
+// A request that is not a stream is expected to take at most this many times
+// its target latency.
+constexpr int kExpectedTargetLatencies = 2;
 
 }  // namespace
 
@@ -32,4 +35,23 @@
   return stop;
 }
 
+std::optional<TimePoint> LimitDeadline(const StopSchedule& stop,
+                                       const Route& route,
+                                       TimePoint deadline,
+                                       TimePoint now) {
+  if (deadline <= stop.answer_by) {
+    return deadline;
+  }
+  // The load balancer may send a refused caller back to this host.
+  const bool others_are_asked = now >= stop.listen_until;
+  // How long a stream lasts is not known.
+  const bool may_outlast =
+      route.kind == RouteKind::kStream ||
+      stop.answer_by - now < route.target_latency * kExpectedTargetLatencies;
+  if (now >= stop.answer_by || (others_are_asked && may_outlast)) {
+    return std::nullopt;
+  }
+  return stop.answer_by;
+}
+
 }  // namespace toucanhollow
--- a/packages/relay/stop_schedule.h
+++ b/packages/relay/stop_schedule.h
@@ -1,8 +1,11 @@
-// StopSchedule: the steps of a planned stop.
+// StopSchedule: the steps of a planned stop, and how its end limits requests.
 #ifndef RELAY_STOP_SCHEDULE_H_
 #define RELAY_STOP_SCHEDULE_H_
 
+#include <optional>
+
 #include "base/time.h"
+#include "traffic/traffic_config.h"
 
 namespace toucanhollow {
 
@@ -21,6 +24,14 @@
 // `grace` is the time from the stop to the kill.
 StopSchedule PlanStop(TimePoint stop_at, Duration grace);
 
+// Returns the deadline of a request that arrives at a stopping host, given the
+// one that it would have. Returns nothing if the request is to be refused at
+// once: it may outlast the host, and another host has the time to serve it.
+std::optional<TimePoint> LimitDeadline(const StopSchedule& stop,
+                                       const Route& route,
+                                       TimePoint deadline,
+                                       TimePoint now);
+
 }  // namespace toucanhollow
 
 #endif  // RELAY_STOP_SCHEDULE_H_
--- a/standins/platform/stop_test.cc
+++ b/standins/platform/stop_test.cc
@@ -225,6 +225,41 @@
   CHECK(site.first.runs.empty());
 }
 
+// Guards against requests that are passed on late in the grace time and cut
+// with it, although another host could have served them.
+TEST_CASE("what cannot be served before the end is refused at once") {
+  StopSite site(Milliseconds(3000));
+  site.WaitUntilServing();
+  Caller kept(site.loop, site.settings.callers);
+  kept.connection->Write(Request("GET", "/s/x", "r1"));
+  REQUIRE(site.RunUntil([&] { return kept.parser.done(); }));
+  Caller kept_short(site.loop, site.settings.callers);
+  kept_short.connection->Write(Request("GET", "/s/x", "r2"));
+  REQUIRE(site.RunUntil([&] { return kept_short.parser.done(); }));
+  // It keeps the host from ending.
+  site.first.script = {Silence()};
+  const auto busy = site.Send(LongRequest("GET", "/s/x", "r3"));
+  REQUIRE(site.RunUntil([&] { return site.first.runs.contains("r3"); }));
+  site.Stop();
+  site.RunFor(Milliseconds(2200));
+  kept.parser = ResponseParser(true);
+  kept.connection->Write(LongRequest("POST", "/m/x", "late", "", "p"));
+  kept_short.parser = ResponseParser(true);
+  std::string request = Request("GET", "/s/x", "short");
+  request.replace(request.find("1500"), 4, "200");
+  kept_short.connection->Write(request);
+  const TimePoint sent_at = EventLoop::Now();
+  CHECK(site.RunUntil([&] { return kept.parser.done(); }));
+  CHECK(EventLoop::Now() - sent_at < Milliseconds(200));
+  REQUIRE(HasWholeAnswer(kept, 503));
+  const HttpHeaders& headers = kept.parser.head().headers;
+  CHECK(FindHeader(headers, "Connection") == "close");
+  CHECK_FALSE(FindHeader(headers, "Retry-After").empty());
+  CHECK(site.first.runs["late"] == 0);
+  CHECK(HasWholeAnswer(kept_short, 200));
+  CHECK(site.RunUntil([&] { return site.stopped; }));
+}
+
 // Guards against a server that works for longer than the host lives.
 TEST_CASE("a server is told no more time than the stopping host has") {
   StopSite site(Milliseconds(3000));
