Close the listener of a stopping host without resetting connections

On several cores the kernel goes on establishing connections between the last accept and the close of the listening socket, and the close resets them: the caller has a connection, has sent its request and gets no answer.

A stopping listener first attaches a socket filter that drops packets which open a connection (SYN without ACK) and lets handshakes in progress end. 200 ms later the backlog is accepted and the listener closed. A caller whose packet is dropped sends it again after a second and finds no listener, or the next one. Where the kernel refuses the filter, the listener closes as before.

--- a/packages/http_stream/tcp_connection.cc
+++ b/packages/http_stream/tcp_connection.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -342,6 +343,22 @@
   }
 }
 
+void TcpListener::RefuseNewConnections() {
+  // The program is loaded at the start of the TCP header.
+  constexpr std::uint32_t kFlagsOffset = 13;
+  constexpr std::uint32_t kAllBytes = 0xffffffff;
+  std::array<sock_filter, 5> program = {{
+      BPF_STMT(BPF_LD | BPF_B | BPF_ABS, kFlagsOffset),
+      BPF_STMT(BPF_ALU | BPF_AND | BPF_K, TH_SYN | TH_ACK),
+      BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, TH_SYN, 0, 1),
+      BPF_STMT(BPF_RET | BPF_K, 0),
+      BPF_STMT(BPF_RET | BPF_K, kAllBytes),
+  }};
+  const sock_fprog filter{program.size(), program.data()};
+  setsockopt(this->socket, SOL_SOCKET, SO_ATTACH_FILTER, &filter,
+             sizeof(filter));
+}
+
 void TcpListener::AcceptAllPending() {
   this->AcceptUpTo(kListenBacklog);
 }
--- a/packages/http_stream/tcp_connection.h
+++ b/packages/http_stream/tcp_connection.h
@@ -79,6 +79,10 @@
       std::function<void(int socket)> on_accept);
   ~TcpListener();
   std::uint16_t Port() const;
+  // Makes the kernel ignore new connections, which then find no listener or the
+  // next one when they are tried again. Connections that are being established
+  // are still accepted. Has no effect where the kernel does not support it.
+  void RefuseNewConnections();
   // Accepts the connections that are in the backlog now.
   void AcceptAllPending();
 
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -261,9 +261,14 @@
 }
 
 void RelayHost::AdvanceListener(TimePoint now) {
-  if (this->listener != nullptr && now >= this->stop->listen_until) {
-    // Closing the listener would reset connections that are established but not
-    // yet accepted.
+  if (this->listener == nullptr || now < this->stop->listen_until) {
+    return;
+  }
+  if (!std::exchange(this->refuses_connections, true)) {
+    this->listener->RefuseNewConnections();
+  }
+  if (now >= this->stop->accept_until) {
+    // Closing the listener resets connections that are not yet accepted.
     this->listener->AcceptAllPending();
     this->listener.reset();
   }
--- a/packages/relay/relay_host.h
+++ b/packages/relay/relay_host.h
@@ -74,6 +74,7 @@
   std::unique_ptr<QuarantineStoreTask> quarantine_store;
   std::unique_ptr<GroupMapTask> maps;
   std::unique_ptr<TcpListener> listener;
+  bool refuses_connections = false;
   std::unique_ptr<HttpServer> readiness_server;
   std::unique_ptr<HttpServer> metrics_server;
   std::map<std::uint64_t, std::unique_ptr<CallerSession>> sessions;
--- a/packages/relay/stop_schedule.cc
+++ b/packages/relay/stop_schedule.cc
@@ -11,6 +11,8 @@
 // Part of a short grace time after which the host does not wait for the load
 // balancer any longer.
 constexpr double kListenFraction = 2.0 / 3;
+// Time in which a connection that a caller has begun is established.
+constexpr Duration kHandshakeTime = Milliseconds(200);
 // Time between the last answers and the kill, in which answers are sent and
 // read, and connections closed. A sixth of the grace time is the part in which
 // the platform expects requests to be cut.
@@ -31,6 +33,8 @@
   StopSchedule stop;
   stop.listen_until = stop_at + std::min(kBalancerLag, listen_time);
   stop.answer_by = stop_at + grace - end_time;
+  stop.accept_until =
+      std::min(stop.listen_until + kHandshakeTime, stop.answer_by);
   stop.close_by = stop_at + grace - end_time / kExitTimeDivisor;
   return stop;
 }
--- a/packages/relay/stop_schedule.h
+++ b/packages/relay/stop_schedule.h
@@ -13,6 +13,8 @@
 struct StopSchedule {
   // Callers may connect until then. Later connections go to other hosts.
   TimePoint listen_until;
+  // Connections that were being established are accepted until then.
+  TimePoint accept_until;
   // Every request has its final answer by then.
   TimePoint answer_by;
   // The answers have been sent and the connections closed by then.
--- a/packages/relay/stop_schedule_test.cc
+++ b/packages/relay/stop_schedule_test.cc
@@ -21,7 +21,8 @@
        {Milliseconds(500), Seconds(2), Seconds(4), Seconds(8), Seconds(60)}) {
     const StopSchedule stop = PlanStop(kStop, grace);
     INFO(ToMilliseconds(grace));
-    CHECK(stop.listen_until < stop.answer_by);
+    CHECK(stop.listen_until < stop.accept_until);
+    CHECK(stop.accept_until <= stop.answer_by);
     CHECK(stop.answer_by < stop.close_by);
     CHECK(stop.close_by < kStop + grace);
     CHECK(stop.answer_by >= kStop + grace - grace / 6);
--- a/standins/platform/socket_caller.h
+++ b/standins/platform/socket_caller.h
@@ -4,6 +4,7 @@
 #define STANDINS_PLATFORM_SOCKET_CALLER_H_
 
 #include <arpa/inet.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -13,6 +14,7 @@
 #include <string_view>
 
 #include "base/address.h"
+#include "base/time.h"
 #include "http_stream/message_parser.h"
 
 namespace toucanhollow {
@@ -65,6 +67,11 @@
       }
     }
   }
+  // Waits until there is something to read, or the time has passed.
+  void WaitForData(Duration time) const {
+    pollfd watched{this->socket, POLLIN, 0};
+    poll(&watched, 1, static_cast<int>(ToMilliseconds(time)));
+  }
   // How the connection has ended, as of the last Poll.
   End end() const {
     return this->send_failed ? End::kReset : this->connection_end;
