Tell callers beyond the session limit that they are not served

A host with as many connections as its descriptors allow closed further ones at once. That reset them, mostly with their request on its way, and told the caller nothing of whether it ran.

Up to 32 connections beyond the limit are kept until their first bytes come, at most 500 ms, and answered with 503, Retry-After and Connection: close.

Before: stop_test.cc, "a connection over the limit is told that it was not served", reset without an answer. After: 503, and callers below the limit are served on.

--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -24,6 +24,8 @@
 // For this long after a caller connected or was answered, a request of it may
 // be in flight.
 constexpr Duration kRequestInFlightTime = Milliseconds(500);
+// Retry-After time of a host with too many connections.
+constexpr Duration kRefusedRetryAfter = Milliseconds(500);
 // Longest time between two parts of a request body.
 constexpr Duration kBodyStallTimeout = Seconds(5);
 
@@ -71,6 +73,12 @@
       }
       return;
     case Phase::kIdle:
+      if (this->refuses_requests) {
+        this->RefuseInput(
+            503, "too many connections",
+            this->context.codec.relay_response_headers({}, kRefusedRetryAfter));
+        return;
+      }
       this->phase = Phase::kReading;
       this->waiting_since = EventLoop::Now();
       this->continue_sent = false;
@@ -297,6 +305,10 @@
   }
 }
 
+void CallerSession::RefuseRequests() {
+  this->refuses_requests = true;
+}
+
 void CallerSession::Abort(std::string_view reason) {
   if (this->request != nullptr) {
     const auto cancelled_request = std::move(this->request);
@@ -315,8 +327,11 @@
       }
       return;
     case Phase::kIdle:
-      if (waited > std::max(this->idle_timeout, this->Limits().idle_timeout) +
-                       kIdleMargin) {
+      if (waited >
+          (this->refuses_requests
+               ? kRequestInFlightTime
+               : std::max(this->idle_timeout, this->Limits().idle_timeout) +
+                     kIdleMargin)) {
         this->CloseIfIdle();
       }
       return;
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -31,6 +31,9 @@
   // Makes the next response that begins the last one of this connection, and
   // ends an open request before the host does.
   void StartDraining(TimePoint now);
+  // Makes the connection one that refuses its first request with 503, for a
+  // host with too many connections.
+  void RefuseRequests();
   // Closes the connection at once and cancels its request, if there is one.
   void Abort(std::string_view reason);
   bool IsClosed() const;
@@ -71,6 +74,7 @@
   std::shared_ptr<RelayedRequest> request;
   Phase phase = Phase::kIdle;
   bool draining = false;
+  bool refuses_requests = false;
   // The head of the current response carried "Connection: close".
   bool close_announced = false;
   bool continue_sent = false;
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -20,6 +20,9 @@
 constexpr std::size_t kReservedDescriptors = 260;
 // One for the caller's connection and one for a connection to a server.
 constexpr std::size_t kDescriptorsPerCaller = 2;
+// Connections beyond the limit that are open to be told so. Further ones are
+// closed without an answer.
+constexpr std::size_t kMaxRefusedSessions = 32;
 
 }  // namespace
 
@@ -208,11 +211,15 @@
   const std::size_t max_sessions =
       (this->settings.max_descriptors - kReservedDescriptors) /
       kDescriptorsPerCaller;
-  if (this->settings.max_descriptors <= kReservedDescriptors ||
-      this->sessions.size() >= max_sessions) {
+  const bool over_limit =
+      this->settings.max_descriptors <= kReservedDescriptors ||
+      this->sessions.size() >= max_sessions;
+  if (over_limit) {
     this->metrics.Count("sessions_refused_total");
-    close(socket);
-    return;
+    if (this->sessions.size() >= max_sessions + kMaxRefusedSessions) {
+      close(socket);
+      return;
+    }
   }
   const std::uint64_t number = this->next_session++;
   const auto closed = [this, number] {
@@ -227,6 +234,9 @@
                    this->metrics, this->view_task->view(),
                    this->observed_timeouts, this->stop},
       socket, number, closed);
+  if (over_limit) {
+    session->RefuseRequests();
+  }
   if (this->stop) {
     session->StartDraining(EventLoop::Now());
   }
--- a/standins/platform/stop_test.cc
+++ b/standins/platform/stop_test.cc
@@ -426,5 +426,37 @@
   CHECK(site.RunUntil([&] { return caller->ended; }));
 }
 
+// Guards against connections over the limit that are reset without an answer.
+TEST_CASE("a connection over the limit is told that it was not served") {
+  constexpr int kAsked = 200;
+  Site site;
+  site.settings.max_descriptors = 264;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  std::vector<std::unique_ptr<SocketCaller>> callers;
+  int status = 200;
+  while (status == 200 && callers.size() < kAsked) {
+    const std::string id = "r" + std::to_string(callers.size());
+    callers.push_back(std::make_unique<SocketCaller>(site.settings.callers));
+    REQUIRE(callers.back()->Send(Request("POST", "/u/x", id, "", "b")));
+    site.RunUntil([&] {
+      callers.back()->Poll();
+      return callers.back()->parser.done() ||
+             callers.back()->end() != SocketCaller::End::kOpen;
+    });
+    status = callers.back()->status();
+  }
+  CHECK(status == 503);
+  CHECK(callers.back()->end() != SocketCaller::End::kReset);
+  CHECK(site.first.runs["r" + std::to_string(callers.size() - 1)] == 0);
+  // The callers that were there before are still served.
+  callers.front()->ExpectResponse();
+  REQUIRE(callers.front()->Send(Request("GET", "/s/x", "again")));
+  site.RunFor(Milliseconds(100));
+  callers.front()->Poll();
+  CHECK(callers.front()->status() == 200);
+}
+
 }  // namespace
 }  // namespace toucanhollow
