Give the processes of stop tests a loopback address of their own

One of the cases failed once when all test programs ran on a busy machine: the program did not serve within 5 s of its start; a port that was free when it was probed can be taken by another process before the program binds it. The program's log is now shown when it does not serve.

--- a/standins/platform/relay_process.h
+++ b/standins/platform/relay_process.h
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <fstream>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -27,12 +28,25 @@
          "toucanhollow";
 }
 
+// A loopback address of this process alone: ports of other tests do not meet
+// those of the program.
+inline std::string OwnLoopbackIp() {
+  constexpr int kOctet = 200;
+  const int pid = getpid();
+  return "127." + std::to_string(1 + pid / kOctet % kOctet) + "." +
+         std::to_string(1 + pid % kOctet) + ".9";
+}
+
 struct RelayProcess : Site {
   std::filesystem::path directory;
   std::unique_ptr<ChildProcess> process;
 
   explicit RelayProcess(Duration grace) {
     this->settings.grace = grace;
+    for (Address* address : {&this->settings.callers, &this->settings.readiness,
+                             &this->settings.control}) {
+      address->ip = OwnLoopbackIp();
+    }
     std::string pattern =
         (std::filesystem::temp_directory_path() / "relay_XXXXXX").string();
     REQUIRE(mkdtemp(pattern.data()) != nullptr);
@@ -64,7 +78,11 @@
                                  "--settings=" + file},
         this->directory / "relay.log");
     this->process->Start();
-    REQUIRE(Serves(*this));
+    const bool serves = Serves(*this);
+    std::ostringstream log;
+    log << std::ifstream(this->directory / "relay.log").rdbuf();
+    INFO(log.str());
+    REQUIRE(serves);
   }
   ~RelayProcess() {
     this->process.reset();
--- a/standins/platform/relay_site.h
+++ b/standins/platform/relay_site.h
@@ -167,7 +167,7 @@
 };
 
 inline Answered Ask(Site& site, const std::string& bytes) {
-  Caller caller(site.loop, site.settings.callers.port);
+  Caller caller(site.loop, site.settings.callers);
   caller.connection->Write(bytes);
   site.RunUntil([&] { return caller.parser.done() || caller.ended; });
   if (!caller.parser.done()) {
