Accept the backlog before an HTTP server closes its listener

The backlog is now accepted first and handed to libmicrohttpd.

Before: http_server_test, "connections in the backlog are served after the stop", no answer for any of 40. After: all are answered.

--- a/packages/http_server/http_server.cc
+++ b/packages/http_server/http_server.cc
@@ -1,6 +1,7 @@
 #include "http_server/http_server.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <microhttpd.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -186,6 +187,9 @@
   void ResumeRequest(std::uint64_t request_id);
   void CloseTimedOutConnections();
   void HandleHangups();
+  // Accepts the connections in the backlog, which the close of the listening
+  // socket would reset.
+  void AcceptAllPending(int listener);
   MhdRequest* AddMhdRequest(MHD_Connection* mhd, const char* uri);
   MHD_Result OnRequestPart(MhdRequest* mhd_request,
                            const char* url,
@@ -305,6 +309,22 @@
   }
 }
 
+void HttpServer::Core::AcceptAllPending(int listener) {
+  fcntl(listener, F_SETFL, fcntl(listener, F_GETFL) | O_NONBLOCK);
+  for (;;) {
+    sockaddr_in address{};
+    socklen_t size = sizeof(address);
+    auto* raw = reinterpret_cast<sockaddr*>(&address);
+    const int accepted =
+        accept4(listener, raw, &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted < 0) {
+      return;
+    }
+    // On failure libmicrohttpd closes the socket.
+    MHD_add_connection(this->daemon, accepted, raw, size);
+  }
+}
+
 MhdRequest* HttpServer::Core::AddMhdRequest(MHD_Connection* mhd,
                                             const char* uri) {
   auto* mhd_request = new MhdRequest;
@@ -467,6 +487,7 @@
   }
   const MHD_socket listener = MHD_quiesce_daemon(this->core->daemon);
   if (listener != MHD_INVALID_SOCKET) {
+    this->core->AcceptAllPending(listener);
     close(listener);
   }
   for (const auto& [key, connection] : this->core->connections) {
--- a/packages/http_server/http_server_test.cc
+++ b/packages/http_server/http_server_test.cc
@@ -4,6 +4,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
+
 #include <catch2/catch.hpp>
 
 #include "http_client/http_client.h"
@@ -298,5 +300,40 @@
   CHECK(streamed.body == "first last");
 }
 
+// Guards against connections that the kernel has established and the server has
+// not accepted when it closes its listener.
+TEST_CASE("connections in the backlog are served after the stop") {
+  Fixture fixture;
+  fixture.Listen([](const HttpRequest&, const auto& writer) {
+    writer->Respond(200, {}, "");
+  });
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(fixture.server->Port());
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  std::array<int, 40> callers{};
+  for (int& caller : callers) {
+    caller = socket(AF_INET, SOCK_STREAM, 0);
+    REQUIRE(connect(caller, reinterpret_cast<sockaddr*>(&address),
+                    sizeof(address)) == 0);
+    REQUIRE(send(caller, request.data(), request.size(), 0) ==
+            static_cast<ssize_t>(request.size()));
+  }
+  fixture.server->StopAccepting();
+  const Timer served(fixture.loop, Milliseconds(300), Duration(0),
+                     [&] { fixture.loop.Stop(); });
+  fixture.loop.Run();
+  for (const int caller : callers) {
+    std::array<char, 256> buffer{};
+    const ssize_t count =
+        recv(caller, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    REQUIRE(count > 0);
+    CHECK(std::string_view(buffer.data(), static_cast<std::size_t>(count))
+              .starts_with("HTTP/1.1 200"));
+    close(caller);
+  }
+}
+
 }  // namespace
 }  // namespace toucanhollow
