--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -18,6 +18,9 @@
 // A host that has just started is not ready before it knows the quarantines of
 // the others, but no longer than this.
 constexpr Duration kQuarantineWait = Seconds(1);
+// Connections beyond the limit that are open to be told so. Further ones are
+// closed without an answer.
+constexpr std::size_t kMaxRefusedSessions = 32;
 
 }  // namespace
 
@@ -213,10 +216,13 @@
 }
 
 void RelayHost::OnAccept(int socket) {
-  if (this->sessions.size() >= this->max_sessions) {
+  const bool over_limit = this->sessions.size() >= this->max_sessions;
+  if (over_limit) {
     this->metrics.Count("sessions_refused_total");
-    close(socket);
-    return;
+    if (this->sessions.size() >= this->max_sessions + kMaxRefusedSessions) {
+      close(socket);
+      return;
+    }
   }
   const std::uint64_t number = this->next_session++;
   const auto closed = [this, number] {
@@ -231,6 +237,9 @@
                    this->metrics, this->view_task->view(),
                    this->observed_timeouts, this->stop},
       socket, number, closed);
+  if (over_limit) {
+    session->RefuseRequests();
+  }
   if (this->stop) {
     session->StartDraining(EventLoop::Now());
   }
@@ -267,9 +276,14 @@
 }
 
 void RelayHost::AdvanceListener(TimePoint now) {
-  if (this->listener != nullptr && now >= this->stop->listen_until) {
-    // Closing the listener would reset connections that are established but not
-    // yet accepted.
+  if (this->listener == nullptr || now < this->stop->listen_until) {
+    return;
+  }
+  if (!std::exchange(this->refuses_connections, true)) {
+    this->listener->RefuseNewConnections();
+  }
+  if (now >= this->stop->accept_until) {
+    // Closing the listener resets connections that are not yet accepted.
     this->listener->AcceptAllPending();
     this->listener.reset();
   }
--- a/standins/platform/stop_test.cc
+++ b/standins/platform/stop_test.cc
@@ -225,6 +225,41 @@
   CHECK(site.first.runs.empty());
 }
 
+// Guards against requests that are passed on late in the grace time and cut
+// with it, although another host could have served them.
+TEST_CASE("what cannot be served before the end is refused at once") {
+  StopSite site(Milliseconds(3000));
+  site.WaitUntilServing();
+  Caller kept(site.loop, site.settings.callers);
+  kept.connection->Write(Request("GET", "/s/x", "r1"));
+  REQUIRE(site.RunUntil([&] { return kept.parser.done(); }));
+  Caller kept_short(site.loop, site.settings.callers);
+  kept_short.connection->Write(Request("GET", "/s/x", "r2"));
+  REQUIRE(site.RunUntil([&] { return kept_short.parser.done(); }));
+  // It keeps the host from ending.
+  site.first.script = {Silence()};
+  const auto busy = site.Send(LongRequest("GET", "/s/x", "r3"));
+  REQUIRE(site.RunUntil([&] { return site.first.runs.contains("r3"); }));
+  site.Stop();
+  site.RunFor(Milliseconds(2200));
+  kept.parser = ResponseParser(true);
+  kept.connection->Write(LongRequest("POST", "/m/x", "late", "", "p"));
+  kept_short.parser = ResponseParser(true);
+  std::string request = Request("GET", "/s/x", "short");
+  request.replace(request.find("1500"), 4, "200");
+  kept_short.connection->Write(request);
+  const TimePoint sent_at = EventLoop::Now();
+  CHECK(site.RunUntil([&] { return kept.parser.done(); }));
+  CHECK(EventLoop::Now() - sent_at < Milliseconds(200));
+  REQUIRE(HasWholeAnswer(kept, 503));
+  const HttpHeaders& headers = kept.parser.head().headers;
+  CHECK(FindHeader(headers, "Connection") == "close");
+  CHECK_FALSE(FindHeader(headers, "Retry-After").empty());
+  CHECK(site.first.runs["late"] == 0);
+  CHECK(HasWholeAnswer(kept_short, 200));
+  CHECK(site.RunUntil([&] { return site.stopped; }));
+}
+
 // Guards against a server that works for longer than the host lives.
 TEST_CASE("a server is told no more time than the stopping host has") {
   StopSite site(Milliseconds(3000));
@@ -391,5 +426,55 @@
   CHECK(site.RunUntil([&] { return caller->ended; }));
 }
 
+// Guards against connections over the limit that are reset without an answer.
+TEST_CASE("a connection over the limit is told that it was not served") {
+  constexpr int kAsked = 200;
+  Site site;
+  site.settings.max_descriptors = 264;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  std::vector<std::unique_ptr<SocketCaller>> callers;
+  int status = 200;
+  while (status == 200 && callers.size() < kAsked) {
+    const std::string id = "r" + std::to_string(callers.size());
+    callers.push_back(std::make_unique<SocketCaller>(site.settings.callers));
+    REQUIRE(callers.back()->Send(Request("POST", "/u/x", id, "", "b")));
+    site.RunUntil([&] {
+      callers.back()->Poll();
+      return callers.back()->parser.done() ||
+             callers.back()->end() != SocketCaller::End::kOpen;
+    });
+    status = callers.back()->status();
+  }
+  CHECK(status == 503);
+  CHECK(callers.back()->end() != SocketCaller::End::kReset);
+  CHECK(site.first.runs["r" + std::to_string(callers.size() - 1)] == 0);
+  // The callers that were there before are still served.
+  callers.front()->ExpectResponse();
+  REQUIRE(callers.front()->Send(Request("GET", "/s/x", "again")));
+  site.RunFor(Milliseconds(100));
+  callers.front()->Poll();
+  CHECK(callers.front()->status() == 200);
+}
+
+// The end of a caller's sending side counts as its leaving: the two cannot be
+// told apart, and the server's work must end with its caller.
+TEST_CASE("a caller that shuts its sending side down has left") {
+  StopSite site(Milliseconds(4000));
+  site.WaitUntilServing();
+  site.first.script = {Silence()};
+  const int closed = site.first.closed_by_caller;
+  SocketCaller caller(site.settings.callers);
+  REQUIRE(caller.Send(LongRequest("GET", "/s/x", "r1")));
+  REQUIRE(site.RunUntil([&] { return site.first.runs.contains("r1"); }));
+  caller.HalfClose();
+  CHECK(site.RunUntil([&] { return site.first.closed_by_caller > closed; }));
+  site.RunFor(Milliseconds(20));
+  caller.Poll();
+  CHECK(caller.end() == SocketCaller::End::kOrderly);
+  CHECK(caller.status() == 0);
+}
+
 }  // namespace
 }  // namespace toucanhollow
