--- a/packages/http_server/http_server_test.cc
+++ b/packages/http_server/http_server_test.cc
@@ -4,6 +4,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
+
 #include <catch2/catch.hpp>
 
 #include "http_client/http_client.h"
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -147,6 +147,9 @@
                         },
                         [this](const std::set<std::string>& servers) {
                           this->dispatcher.SetSlowServers(servers);
+                        },
+                        [this](const JoinAnswer& answer) {
+                          this->peers->OnJoined(answer);
                         }});
 }
 
