Let ranks of the stand-in of model groups end and come back

The soak plays model groups, so their stand-in needs addresses of its own for each rank, requests beside those of the engine's interface, and ranks that end and start again. A rank that ends stops the passes of its group, and the group forms again in a new epoch when all ranks are back. Requests that a server still handles while it is destroyed are dropped.

The stand-in of the store can give the coordinator's partition to one member at a time: the first that joins, until it leaves or is silent for its lifetime. Several hosts were all coordinators before.

--- a/standins/platform/engine_group_stand_in.cc
+++ b/standins/platform/engine_group_stand_in.cc
@@ -21,19 +21,48 @@
     : loop(loop), shape(shape), ranks(shape.ranks) {
   for (int i = 0; i < shape.ranks; ++i) {
     this->ranks[i].map = this->FirstMap();
-    auto listening = HttpServer::Listen(
-        loop, {},
-        [this, i](const HttpRequest& request,
-                  const std::shared_ptr<HttpResponseWriter>& writer) {
-          this->Handle(i, request, writer);
-        });
-    InternalCheck(listening.has_value(), "the engine stand-in listens");
-    this->ranks[i].server = std::move(listening.value());
+    this->Listen(i);
   }
   this->passes = std::make_unique<Timer>(loop, kPass, kPass,
                                          [this] { this->BeginPass(); });
 }
 
+void EngineGroupStandIn::Listen(int rank) {
+  HttpServerOptions options;
+  if (!this->shape.ips.empty()) {
+    options.address = this->shape.ips.at(rank);
+  }
+  options.port = this->ranks[rank].port;
+  auto listening = HttpServer::Listen(
+      this->loop, std::move(options),
+      [this, rank](const HttpRequest& request,
+                   const std::shared_ptr<HttpResponseWriter>& writer) {
+        this->Handle(rank, request, writer);
+      });
+  InternalCheck(listening.has_value(), "the engine stand-in listens");
+  this->ranks[rank].server = std::move(listening.value());
+  this->ranks[rank].port = this->ranks[rank].server->Port();
+}
+
+void EngineGroupStandIn::StopRank(int rank) {
+  this->ranks.at(rank).stopping = true;
+  this->ranks.at(rank).server.reset();
+  this->open = false;
+  this->still = true;
+}
+
+void EngineGroupStandIn::StartRank(int rank) {
+  this->ranks.at(rank).stopping = false;
+  this->Listen(rank);
+  if (std::ranges::all_of(this->ranks, [](const Rank& each) {
+        return each.server != nullptr;
+      })) {
+    this->FormAgain();
+    this->open = true;
+    this->still = false;
+  }
+}
+
 LayerSetMaps EngineGroupStandIn::FirstMap() const {
   return LayerSetMaps(
       this->shape.sets,
@@ -58,6 +87,9 @@
     int rank,
     const HttpRequest& request,
     const std::shared_ptr<HttpResponseWriter>& writer) {
+  if (this->ranks[rank].stopping) {
+    return;
+  }
   if (request.path == "/v1/report") {
     writer->Respond(200, {}, this->Report(rank));
   } else if (request.path == "/v1/picked") {
@@ -73,6 +105,8 @@
       return;
     }
     writer->Respond(this->Accept(rank, order), {}, "");
+  } else if (this->serve) {
+    this->serve(rank, request, writer);
   } else {
     writer->Respond(404, {}, "");
   }
--- a/standins/platform/engine_group_stand_in.h
+++ b/standins/platform/engine_group_stand_in.h
@@ -4,6 +4,7 @@
 #define STANDINS_PLATFORM_ENGINE_GROUP_STAND_IN_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -24,14 +25,27 @@
   int sets = 2;
   int experts = 16;
   int places = 5;
+  // Where each rank listens; the loopback address if empty.
+  std::vector<std::string> ips = {};
 };
 
 class EngineGroupStandIn {
  public:
   EngineGroupStandIn(EventLoop& loop, const EngineGroupShape& shape);
 
-  std::uint16_t Port(int rank) const {
-    return this->ranks.at(rank).server->Port();
+  std::uint16_t Port(int rank) const { return this->ranks.at(rank).port; }
+  // Handles requests other than those of the engine's own interface, which get
+  // 404 if it is empty.
+  std::function<void(int rank,
+                     const HttpRequest& request,
+                     const std::shared_ptr<HttpResponseWriter>& writer)>
+      serve;
+  // The rank ends: its port is closed, and no pass begins without it.
+  void StopRank(int rank);
+  // The rank is back on its port, and the group forms again if all are there.
+  void StartRank(int rank);
+  bool IsRunning(int rank) const {
+    return this->ranks.at(rank).server != nullptr;
   }
   // How often each expert is chosen in a pass, by set.
   std::vector<std::vector<double>> demand;
@@ -61,6 +75,9 @@
  private:
   struct Rank {
     std::unique_ptr<HttpServer> server;
+    std::uint16_t port = 0;
+    // Requests that a server still handles while it is destroyed are dropped.
+    bool stopping = false;
     std::int64_t sequence = 0;
     std::int64_t version = 0;
     std::int64_t highest = 0;
@@ -71,6 +88,7 @@
     std::optional<std::int64_t> held;
   };
 
+  void Listen(int rank);
   void Handle(int rank,
               const HttpRequest& request,
               const std::shared_ptr<HttpResponseWriter>& writer);
--- a/standins/platform/platform_store_stand_in.cc
+++ b/standins/platform/platform_store_stand_in.cc
@@ -110,17 +110,45 @@
   } else if (request.path == "/v1/log-join") {
     this->joins.push_back(EventLoop::Now());
     json parts = json::array();
-    if (this->coordinator) {
+    if (this->coordinator && this->Join(request)) {
       parts.push_back({"coordinator", this->given_partition, 0});
     }
     writer->Respond(
         200, {},
         json{{"generation", this->generation}, {"parts", parts}}.dump());
   } else {
+    if (request.path == "/v1/log-leave") {
+      this->Leave(request);
+    }
     writer->Respond(200, {}, "{}");
   }
 }
 
+bool PlatformStoreStandIn::Join(const HttpRequest& request) {
+  if (!this->elects_member) {
+    return true;
+  }
+  const TimePoint now = EventLoop::Now();
+  const json body = json::parse(request.body);
+  const auto member = body.at("member").get<std::string>();
+  if (member != this->holder && now >= this->held_until) {
+    this->holder = member;
+    ++this->generation;
+  }
+  if (member == this->holder) {
+    this->held_until =
+        now + Milliseconds(body.at("ttl_ms").get<std::int64_t>());
+  }
+  return member == this->holder;
+}
+
+void PlatformStoreStandIn::Leave(const HttpRequest& request) {
+  if (json::parse(request.body).at("member") == this->holder) {
+    this->holder.clear();
+    this->held_until = {};
+  }
+}
+
 // The body holds one record of a keyed topic.
 void PlatformStoreStandIn::Append(const HttpRequest& request,
                                   HttpResponseWriter& writer) {
--- a/standins/platform/platform_store_stand_in.h
+++ b/standins/platform/platform_store_stand_in.h
@@ -32,6 +32,9 @@
   // Whether members of groups are given a partition, and which one.
   void SetCoordinator(bool gives) { this->coordinator = gives; }
   int given_partition = 0;
+  // One member at a time is given it: the first that joins, until it leaves or
+  // has been silent for the lifetime that it asked for.
+  bool elects_member = false;
   // Reads of this topic are answered 503.
   std::string unreadable_topic;
   // The generation that members are told.
@@ -62,6 +65,9 @@
   void Read(const HttpRequest& request,
             const std::shared_ptr<HttpResponseWriter>& writer);
   void Append(const HttpRequest& request, HttpResponseWriter& writer);
+  // True if the member that joins holds the partition.
+  bool Join(const HttpRequest& request);
+  void Leave(const HttpRequest& request);
   std::string Page(const Topic& topic, std::int64_t from) const;
   std::string Newest(const Topic& topic) const;
 
@@ -69,6 +75,9 @@
   std::unique_ptr<HttpServer> server;
   bool down = false;
   bool coordinator = false;
+  // The member that holds the partition, and until when without a join.
+  std::string holder;
+  TimePoint held_until;
   std::map<std::string, Topic> topics;
   std::map<std::uint64_t, WaitingRead> waiting;
   std::uint64_t next_read = 1;
