--- a/soak/caller_load.cc
+++ b/soak/caller_load.cc
@@ -1,59 +1,42 @@
 #include "soak/caller_load.h"
 
+#include <deque>
 #include <utility>
 
 namespace toucanhollow {
 namespace {
 
-constexpr Duration kShortestPause = Milliseconds(5);
-constexpr int kPauseSpreadMs = 40;
 constexpr Duration kReconnectPause = Milliseconds(40);
-// Half a second after the longest timeout of a route (3 s), with room for a
-// machine that is busy with other work.
-constexpr Duration kAnswerBound = Milliseconds(4500);
-// One caller in so many leaves early.
-constexpr int kLeavesOneIn = 40;
+// Half a second after the timeout of the route, with room for a machine that is
+// busy with other work.
+constexpr Duration kAnswerSlack = Milliseconds(1500);
 constexpr Duration kLeavesAfter = Milliseconds(30);
-
-std::string_view MethodOf(RequestKind kind) {
-  return kind == RequestKind::kSafe ? "GET" : "POST";
-}
-
-std::string_view TargetOf(RequestKind kind) {
-  switch (kind) {
-    case RequestKind::kSafe:
-      return "/s/read?x=%41";
-    case RequestKind::kUnsafe:
-      return "/u/write";
-    case RequestKind::kStream:
-      return "/m/draft";
-  }
-  return "";
-}
-
-std::string ToBytes(const std::string& id, const SentRequest& request) {
-  std::string bytes(MethodOf(request.kind));
-  bytes += " " + request.target +
-           " HTTP/1.1\r\nHost: h\r\nX-Toucanhollow-Request-Id: " + id +
-           "\r\nX-Toucanhollow-Deadline-Ms: 4000\r\n"
-           "Authorization: Token k1\r\n";
-  if (!request.body.empty()) {
-    bytes += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
-  }
-  return bytes + "\r\n" + request.body;
-}
+// One request in so many on a kept connection is followed by another at once.
+constexpr unsigned int kPairOneIn = 12;
 
 }  // namespace
 
 struct CallerLoad::Caller {
+  // A request under way.
+  struct Waiting {
+    std::string id;
+    std::optional<TimePoint> whole_at;
+    bool on_used_connection = false;
+    bool on_idle_connection = false;
+  };
+
+  bool keeps_connection = false;
   std::size_t host = 0;
   std::unique_ptr<TcpConnection> connection;
+  // Some request was answered on the connection.
+  bool was_used = false;
+  bool close_announced = false;
+  std::deque<Waiting> waiting;
   ResponseParser parser{true};
-  // The request under way; empty between requests.
-  std::string id;
   std::string body;
   std::unique_ptr<Timer> pause;
   std::unique_ptr<Timer> patience;
+  std::unique_ptr<Timer> second_half;
 };
 
 CallerLoad::CallerLoad(EventLoop& loop,
@@ -64,6 +47,7 @@
     : loop(loop), ledger(ledger), hosts(std::move(hosts)), random(seed) {
   for (int i = 0; i < callers; ++i) {
     this->callers.push_back(std::make_unique<Caller>());
+    this->callers.back()->keeps_connection = i % 2 == 0;
     this->Later(*this->callers.back(), Milliseconds(10 + i));
   }
 }
@@ -77,12 +61,17 @@
 
 void CallerLoad::Connect(Caller& caller) {
   caller.host = this->random() % this->hosts.size();
+  caller.was_used = false;
+  caller.close_announced = false;
+  caller.parser = ResponseParser(true);
+  caller.body.clear();
   caller.connection = std::make_unique<TcpConnection>(
       this->loop, this->hosts[caller.host].address);
   caller.connection->SetCallbacks(
       {nullptr,
        [this, &caller](std::string_view bytes) { this->OnData(caller, bytes); },
-       nullptr, [this, &caller](ConnectionEnd) { this->OnEnd(caller); }});
+       nullptr,
+       [this, &caller](ConnectionEnd how) { this->OnEnd(caller, how); }});
 }
 
 void CallerLoad::Ask(Caller& caller) {
@@ -92,68 +81,144 @@
   if (caller.connection == nullptr) {
     this->Connect(caller);
   }
-  constexpr unsigned int kKinds = 3;
-  SentRequest request;
-  request.kind = static_cast<RequestKind>(this->random() % kKinds);
-  request.target = TargetOf(request.kind);
-  caller.id = "r" + std::to_string(this->next_id++);
-  if (request.kind != RequestKind::kSafe) {
-    request.body = "body of " + caller.id;
+  PlannedRequest planned = PlanRequest(this->random);
+  const bool pair = caller.keeps_connection && this->random() % kPairOneIn == 0;
+  if (pair) {
+    planned.second_half_after = Duration(0);
+  }
+  const bool close = !caller.keeps_connection && this->random() % 2 == 0;
+  Duration bound = planned.timeout;
+  this->Send(caller, planned, close);
+  if (pair) {
+    PlannedRequest second = PlanRequest(this->random);
+    second.second_half_after = Duration(0);
+    bound += second.timeout;
+    this->Send(caller, second, false);
   }
-  request.sent_at = EventLoop::Now();
+  const Duration wait = planned.leaves
+                            ? kLeavesAfter
+                            : bound + planned.second_half_after + kAnswerSlack;
+  caller.patience = std::make_unique<Timer>(
+      this->loop, wait, Duration(0), [this, &caller, leaves = planned.leaves] {
+        if (!leaves) {
+          this->GiveUp(caller);
+        }
+        this->OnEnd(caller, std::nullopt);
+      });
+}
+
+void CallerLoad::Send(Caller& caller,
+                      const PlannedRequest& planned,
+                      bool close) {
+  const TimePoint now = EventLoop::Now();
+  SentRequest request;
+  request.kind = planned.kind;
+  request.target = planned.target;
+  request.sent_at = now;
+  request.timeout = planned.timeout;
   request.host = caller.host;
-  caller.parser = ResponseParser(true);
-  caller.body.clear();
-  const std::string bytes = ToBytes(caller.id, request);
-  this->ledger.requests.emplace(caller.id, std::move(request));
-  const bool leaves = this->random() % kLeavesOneIn == 0;
-  caller.patience =
-      std::make_unique<Timer>(this->loop, leaves ? kLeavesAfter : kAnswerBound,
-                              Duration(0), [this, &caller, leaves] {
-                                if (!leaves) {
-                                  this->GiveUp(caller);
-                                }
-                                this->OnEnd(caller);
-                              });
+  Caller::Waiting waiting;
+  waiting.id = "r" + std::to_string(this->next_id++);
+  waiting.on_used_connection = caller.was_used || !caller.waiting.empty();
+  waiting.on_idle_connection = caller.was_used && caller.waiting.empty();
+  if (planned.form != BodyForm::kNone) {
+    request.body = "body of " + waiting.id;
+  }
+  std::string bytes = RequestBytes(waiting.id, planned, request.body, close);
+  if (planned.second_half_after == Duration(0)) {
+    waiting.whole_at = now;
+  } else {
+    const std::size_t first = bytes.size() - request.body.size() / 2;
+    caller.second_half = std::make_unique<Timer>(
+        this->loop, planned.second_half_after, Duration(0),
+        [&caller, rest = bytes.substr(first)] {
+          caller.waiting.back().whole_at = EventLoop::Now();
+          caller.connection->Write(rest);
+        });
+    bytes.resize(first);
+  }
+  this->ledger.requests.emplace(waiting.id, std::move(request));
+  caller.waiting.push_back(std::move(waiting));
   caller.connection->Write(bytes);
 }
 
 void CallerLoad::GiveUp(Caller& caller) {
-  const SentRequest& request = this->ledger.requests.at(caller.id);
-  if (this->hosts[caller.host].disturbed_at() < request.sent_at) {
-    this->ledger.broken.push_back("request " + caller.id +
-                                  ": no answer long after its timeout");
-  }
+  const std::string& id = caller.waiting.front().id;
+  const SentRequest& request = this->ledger.requests.at(id);
+  NoteGivenUp(this->ledger, "request " + id, request.sent_at,
+              this->hosts[caller.host].disturbed_at());
 }
 
 void CallerLoad::OnData(Caller& caller, std::string_view bytes) {
-  if (caller.id.empty()) {
-    this->ledger.broken.push_back("bytes came with no request under way");
-    return;
-  }
-  caller.parser.Feed(bytes);
-  caller.body += caller.parser.TakeBody();
-  if (!caller.parser.done()) {
-    return;
+  std::string rest(bytes);
+  while (!rest.empty() && caller.connection != nullptr) {
+    if (caller.waiting.empty()) {
+      NoteBroken(this->ledger, "bytes came with no request under way");
+      return;
+    }
+    caller.parser.Feed(rest);
+    caller.body += caller.parser.TakeBody();
+    if (!caller.parser.done()) {
+      return;
+    }
+    rest = caller.parser.TakeUnparsedBytes();
+    this->OnAnswer(caller);
   }
-  caller.patience.reset();
+}
+
+void CallerLoad::OnAnswer(Caller& caller) {
   const ResponseHead head = caller.parser.head();
-  NoteAnswer(this->ledger, std::exchange(caller.id, {}), head, caller.body);
-  const std::string_view kept = FindHeader(head.headers, "Connection");
-  if (kept == "close") {
-    this->OnEnd(caller);
-    return;
+  const Caller::Waiting answered = caller.waiting.front();
+  caller.waiting.pop_front();
+  NoteAnswer(this->ledger, answered.id, head, std::exchange(caller.body, {}));
+  caller.parser = ResponseParser(true);
+  caller.was_used = true;
+  caller.close_announced = FindHeader(head.headers, "Connection") == "close";
+  if (caller.close_announced || !caller.keeps_connection ||
+      !answered.whole_at) {
+    this->OnEnd(caller, ConnectionEnd::kOrderly);
+  } else if (caller.waiting.empty()) {
+    caller.patience.reset();
+    this->Later(caller, PlanPause(this->random));
   }
-  this->Later(caller,
-              kShortestPause + Milliseconds(this->random() % kPauseSpreadMs));
 }
 
-void CallerLoad::OnEnd(Caller& caller) {
-  if (!caller.id.empty()) {
-    NoteNoAnswer(this->ledger);
-    caller.id.clear();
+// `how` is empty if the caller leaves.
+void CallerLoad::OnEnd(Caller& caller, std::optional<ConnectionEnd> how) {
+  const HostView& host = this->hosts[caller.host];
+  std::optional<RequestEndKind> before;
+  for (const Caller::Waiting& waiting : caller.waiting) {
+    const SentRequest& request = this->ledger.requests.at(waiting.id);
+    RequestEnd end;
+    end.sent_at = request.sent_at;
+    end.whole_at = waiting.whole_at;
+    end.ended_at = EventLoop::Now();
+    end.timeout = request.timeout;
+    end.caller_left = !how;
+    end.not_connected = how == ConnectionEnd::kNotConnected;
+    end.on_used_connection = waiting.on_used_connection;
+    end.on_idle_connection = waiting.on_idle_connection;
+    end.close_announced = caller.close_announced;
+    end.behind = before;
+    end.ran = !request.ran_at.empty();
+    end.finished_at = request.finished_at;
+    end.server_broke = request.server_broke;
+    end.host_disturbed_at = host.disturbed_at();
+    end.host_stopping_since = host.stopping_since();
+    end.grace = host.grace;
+    before = NoteNoAnswer(this->ledger,
+                          "request " + waiting.id + " " + request.target +
+                              " to host " + std::to_string(request.host),
+                          end);
   }
+  this->Disconnect(caller);
+  this->Later(caller, kReconnectPause);
+}
+
+void CallerLoad::Disconnect(Caller& caller) {
+  caller.waiting.clear();
   caller.patience.reset();
+  caller.second_half.reset();
   if (caller.connection != nullptr) {
     caller.connection->SetCallbacks({});
     // The connection may be calling.
@@ -161,7 +226,6 @@
         std::move(caller.connection));
     Post(this->loop, [ended] {});
   }
-  this->Later(caller, kReconnectPause);
 }
 
 }  // namespace toucanhollow
--- a/soak/caller_load.h
+++ b/soak/caller_load.h
@@ -1,11 +1,13 @@
-// CallerLoad: callers that keep their connections, ask one request after
-// another, and tell the ledger what they got.
+// CallerLoad: callers that ask one request after another, or two at once, and
+// tell the ledger what they got. Every second one keeps its connection until
+// the host announces its close or is gone; the others connect for each request.
 #ifndef SOAK_CALLER_LOAD_H_
 #define SOAK_CALLER_LOAD_H_
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -15,14 +17,18 @@
 #include "http_stream/message_parser.h"
 #include "http_stream/tcp_connection.h"
 #include "soak/check_promises.h"
+#include "soak/request_plan.h"
 
 namespace toucanhollow {
 
 // An entry host as callers see it.
 struct HostView {
   Address address;
-  // The last time that the soak stopped, paused or killed it.
+  // The last time that the soak paused or killed it.
   std::function<TimePoint()> disturbed_at;
+  // When its process was told to end; empty if it was not.
+  std::function<std::optional<TimePoint>()> stopping_since;
+  Duration grace{0};
 };
 
 class CallerLoad {
@@ -41,9 +47,13 @@
 
   void Connect(Caller& caller);
   void Ask(Caller& caller);
+  void Send(Caller& caller, const PlannedRequest& planned, bool close);
   void OnData(Caller& caller, std::string_view bytes);
-  void OnEnd(Caller& caller);
+  // Takes the answer to the request that waits for it longest.
+  void OnAnswer(Caller& caller);
+  void OnEnd(Caller& caller, std::optional<ConnectionEnd> how);
   void GiveUp(Caller& caller);
+  void Disconnect(Caller& caller);
   void Later(Caller& caller, Duration pause);
 
   EventLoop& loop;
--- a/soak/check_promises.cc
+++ b/soak/check_promises.cc
@@ -1,13 +1,18 @@
 #include "soak/check_promises.h"
 
 #include <algorithm>
+#include <iomanip>
+#include <sstream>
 
+#include "event_loop/event_loop.h"
 #include "http_message/http_message.h"
+#include "soak/fault_log.h"
 
 namespace toucanhollow {
 namespace {
 
 constexpr std::size_t kMaxAttempts = 2;
+constexpr Duration kStall = Milliseconds(250);
 
 std::string Header(const HttpHeaders& headers, std::string_view name) {
   return std::string(FindHeader(headers, name));
@@ -18,7 +23,7 @@
 }
 
 void Break(Ledger& ledger, const std::string& id, const std::string& what) {
-  ledger.broken.push_back("request " + id + ": " + what);
+  NoteBroken(ledger, "request " + id + ": " + what);
 }
 
 std::string WholeStream(const std::string& id) {
@@ -43,8 +48,35 @@
 
 }  // namespace
 
-std::string AnswerBody(const std::string& id) {
-  return "answer of " + id;
+void NoteTick(Ledger& ledger, TimePoint now) {
+  if (ledger.ticked_at != TimePoint() && now - ledger.ticked_at > kStall) {
+    ledger.stalled_at = now;
+    ++ledger.stalls;
+  }
+  ledger.ticked_at = now;
+}
+
+void NoteBroken(Ledger& ledger, const std::string& what) {
+  std::ostringstream text;
+  text << std::fixed << std::setprecision(3) << WallSeconds() << " " << what;
+  ledger.broken.push_back(text.str());
+}
+
+std::int64_t QueryNumber(std::string_view target, std::string_view name) {
+  const std::string field = std::string(name) + "=";
+  const std::size_t found = target.find(field);
+  if (found == std::string_view::npos) {
+    return 0;
+  }
+  const std::string_view value = target.substr(found + field.size());
+  return ParseDecimal(value.substr(0, value.find('&'))).value_or(0);
+}
+
+std::string AnswerBody(const std::string& id, std::string_view target) {
+  std::string body = "answer of " + id;
+  const auto size = static_cast<std::size_t>(QueryNumber(target, "size"));
+  body.append(size > body.size() ? size - body.size() : 0, 'a');
+  return body;
 }
 
 std::string EventText(const std::string& id, int number) {
@@ -120,10 +152,12 @@
   }
   if (success) {
     ++ledger.answered;
-    const std::string expected =
-        request.kind == RequestKind::kStream ? WholeStream(id) : AnswerBody(id);
+    const std::string expected = request.kind == RequestKind::kStream
+                                     ? WholeStream(id)
+                                     : AnswerBody(id, request.target);
     if (body != expected) {
-      Break(ledger, id, "got another body: " + body);
+      constexpr std::size_t kMostShown = 500;
+      Break(ledger, id, "got another body: " + body.substr(0, kMostShown));
     }
     const std::string seal =
         Header(head.headers, "X-Toucanhollow-Response-Seal");
@@ -151,8 +185,41 @@
   }
 }
 
-void NoteNoAnswer(Ledger& ledger) {
-  ++ledger.failed;
+RequestEndKind NoteNoAnswer(Ledger& ledger,
+                            const std::string& what,
+                            RequestEnd end) {
+  NoteTick(ledger, end.ended_at);
+  end.soak_stalled_at = ledger.stalled_at;
+  const RequestEndKind kind = ClassifyRequestEnd(end);
+  ++ledger.ended[kind];
+  if (kind != RequestEndKind::kNotConnected) {
+    ++ledger.failed;
+  }
+  if (kind != RequestEndKind::kLost) {
+    return kind;
+  }
+  std::ostringstream text;
+  text << what << ": its connection ended without a complete answer "
+       << ToMilliseconds(end.ended_at - end.sent_at) << " ms after it was sent";
+  if (end.host_stopping_since) {
+    text << " and " << ToMilliseconds(end.ended_at - *end.host_stopping_since)
+         << " ms after the host was told to end";
+  }
+  text << (end.ran ? "; it had run" : "; no server had seen it")
+       << (end.finished_at ? " to its end" : "")
+       << (end.on_idle_connection ? "; on a kept connection" : "");
+  NoteBroken(ledger, text.str());
+  return kind;
+}
+
+void NoteGivenUp(Ledger& ledger,
+                 const std::string& what,
+                 TimePoint sent_at,
+                 TimePoint host_disturbed_at) {
+  NoteTick(ledger, EventLoop::Now());
+  if (std::max(host_disturbed_at, ledger.stalled_at) < sent_at) {
+    NoteBroken(ledger, what + ": no answer long after its timeout");
+  }
 }
 
 }  // namespace toucanhollow
--- a/soak/check_promises.h
+++ b/soak/check_promises.h
@@ -5,12 +5,14 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/time.h"
 #include "http_stream/message_head.h"
+#include "soak/check_loss.h"
 
 namespace toucanhollow {
 
@@ -29,9 +31,14 @@
   std::string target;
   std::string body;
   TimePoint sent_at;
+  Duration timeout{0};
   std::size_t host = 0;             // that it was sent to
   std::vector<std::string> ran_at;  // servers, in order
   int refused_with = 0;             // a status that promises it never runs
+  // When a server had sent its whole answer.
+  std::optional<TimePoint> finished_at;
+  // One broke off by the soak's doing.
+  bool server_broke = false;
 };
 
 // What the soak knows of all requests, and the promises that were broken.
@@ -47,10 +54,27 @@
   std::int64_t answered = 0;
   std::int64_t refused = 0;
   std::int64_t failed = 0;
+  // When the soak itself last ran, and last stood still for so long that
+  // requests may have ended by that, as on a machine with too much work.
+  TimePoint ticked_at;
+  TimePoint stalled_at;
+  std::int64_t stalls = 0;
+  // Requests that ended without a complete answer.
+  std::map<RequestEndKind, std::int64_t> ended;
 };
 
-// The body that a server gives for a request that is no stream.
-std::string AnswerBody(const std::string& id);
+// To be called periodically, and before each check of what took long.
+void NoteTick(Ledger& ledger, TimePoint now);
+
+// Adds a broken promise, with the time that the processes' logs have too.
+void NoteBroken(Ledger& ledger, const std::string& what);
+
+// The number after `name` and "=" in the query of a target; 0 without one.
+std::int64_t QueryNumber(std::string_view target, std::string_view name);
+
+// The body that a server gives for a request that is no stream. A target with
+// "size" asks for so many bytes.
+std::string AnswerBody(const std::string& id, std::string_view target);
 std::string EventText(const std::string& id, int number);
 
 // A request arrives at a server whose leaving the store acknowledged at
@@ -73,8 +97,17 @@
                 const ResponseHead& head,
                 const std::string& body);
 
-// A caller's connection ended, or it left, before a whole answer.
-void NoteNoAnswer(Ledger& ledger);
+// A caller's connection ended, or it left, before a whole answer. `what` names
+// the request.
+RequestEndKind NoteNoAnswer(Ledger& ledger,
+                            const std::string& what,
+                            RequestEnd end);
+
+// A caller waited for an answer until long after the timeout.
+void NoteGivenUp(Ledger& ledger,
+                 const std::string& what,
+                 TimePoint sent_at,
+                 TimePoint host_disturbed_at);
 
 }  // namespace toucanhollow
 
--- a/soak/child_process.cc
+++ b/soak/child_process.cc
@@ -4,6 +4,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
+#include <cerrno>
 #include <csignal>
 #include <utility>
 
@@ -29,6 +31,9 @@
     raw.push_back(argument.data());
   }
   raw.push_back(nullptr);
+  // The program's start closes the other end.
+  std::array<int, 2> started{};
+  InternalCheck(pipe2(started.data(), O_CLOEXEC) == 0, "a pipe can be opened");
   this->pid = fork();
   InternalCheck(this->pid >= 0, "the soak can start a process");
   if (this->pid == 0) {
@@ -40,12 +45,19 @@
     // Sockets of the soak must not stay open in its children.
     constexpr int kMostDescriptors = 4096;
     for (int fd = STDERR_FILENO + 1; fd < kMostDescriptors; ++fd) {
-      close(fd);
+      if (fd != started[1]) {
+        close(fd);
+      }
     }
     execv(raw[0], raw.data());
     constexpr int kNotStarted = 127;
     _exit(kNotStarted);
   }
+  close(started[1]);
+  char byte = 0;
+  while (read(started[0], &byte, 1) < 0 && errno == EINTR) {
+  }
+  close(started[0]);
 }
 
 void ChildProcess::Signal(int signal) {
--- a/soak/child_process.h
+++ b/soak/child_process.h
@@ -18,6 +18,8 @@
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
 
+  // Returns once the program has begun, so that a signal reaches the program
+  // and not the copy of this process before it.
   void Start();
   void Signal(int signal);
   // True until the process has ended; collects its status then.
--- a/soak/prompt_site.cc
+++ b/soak/prompt_site.cc
@@ -1,14 +1,11 @@
 #include "soak/prompt_site.h"
 
 #include <algorithm>
-#include <csignal>
-#include <fstream>
 #include <utility>
 
 namespace toucanhollow {
 namespace {
 
-constexpr int kServers = 4;
 constexpr char kDeadlyPart[] = "dead0001";
 constexpr Duration kSendPeriod = Milliseconds(15);
 // One request in so many has the deadly part.
@@ -18,6 +15,8 @@
 constexpr unsigned int kShortestGapMs = 100;
 constexpr unsigned int kGapSpreadMs = 1500;
 constexpr unsigned int kDeadlyFromSpreadMs = 3000;
+// A server that leaves serves on for longer than the drain bound.
+constexpr Duration kLeavesAfter = 2 * kDrainBound;
 // Of the platform's pages: after the part has crashed kKnownCrashes servers,
 // and kStableTime later, kMaxLateArrivals requests with it may still reach
 // servers, sent by hosts that were undisturbed for kStableTime.
@@ -25,6 +24,24 @@
 constexpr std::size_t kMaxLateArrivals = 3;
 constexpr Duration kStableTime = Seconds(3);
 
+Prompt DrawPrompt(std::mt19937& random) {
+  Prompt prompt;
+  prompt.sound = random() % kDeadlyOneIn != 0;
+  prompt.parts = "first" + std::to_string(random() % kFirstParts) + ":40,";
+  if (!prompt.sound) {
+    prompt.parts += std::string(kDeadlyPart) + ":160,";
+  }
+  return prompt;
+}
+
+std::string Answer(const std::string&) {
+  std::string text;
+  for (int event = 1; event <= CrashingEngineStandIn::kEvents; ++event) {
+    text += "id: " + std::to_string(event) + "\ndata: x\n\n";
+  }
+  return text;
+}
+
 }  // namespace
 
 std::string PromptServiceText() {
@@ -39,52 +56,53 @@
          R"("service":"draft"})";
 }
 
-struct PromptSite::Sent {
-  std::size_t host = 0;
-  TimePoint sent_at;
-  bool sound = true;
-  bool answered = false;
-  std::unique_ptr<TcpConnection> connection;
-  ResponseParser parser{true};
-};
-
 PromptSite::PromptSite(EventLoop& loop,
+                       FaultLog& log,
                        PlatformStoreStandIn& store,
                        Ledger& ledger,
                        std::vector<HostView> hosts,
-                       PromptOptions options)
+                       ModelSiteOptions options)
     : loop(loop),
+      log(log),
       ledger(ledger),
       hosts(std::move(hosts)),
       options(std::move(options)),
       // The other faults of the soak are drawn from the seed itself.
       random(this->options.seed ^ 0x9e3779b9U) {
-  for (int number = 0; number < kServers; ++number) {
-    const std::string ip = this->options.server_ip(number);
-    this->engines.push_back(
-        std::make_unique<CrashingEngineStandIn>(loop, store, "draft", ip));
-    const std::string name = "agent-" + ip;
-    const std::string file = this->options.directory + "/" + name + ".ini";
-    std::ofstream(file) << "[process]\nname = " << name
-                        << "\n[listen]\nagent = " << ip << ":"
-                        << this->options.agent_port << "\nmetrics = " << ip
-                        << ":" << this->options.agent_port + 1
-                        << "\n[engine]\naddress = " << ip << ":"
-                        << this->engines.back()->address().port << "\n";
-    this->agents.push_back(std::make_unique<ChildProcess>(
-        std::vector<std::string>{this->options.program, "--role=rank_agent",
-                                 "--settings=" + file},
-        this->options.directory + "/" + name + ".log"));
-    this->agents.back()->Start();
+  for (int number = 0; number < this->options.servers; ++number) {
+    this->engines.push_back(std::make_unique<CrashingEngineStandIn>(
+        loop, store, "draft", this->options.server_ip(number)));
+    this->agents.push_back(
+        StartAgent(loop, log, ledger,
+                   {this->options.program, this->options.directory,
+                    this->options.agent_port, this->engines.back()->address(),
+                    this->options.first_signal_after}));
   }
 }
 
 PromptSite::~PromptSite() = default;
 
+std::vector<SupervisedProcess*> PromptSite::Agents() const {
+  std::vector<SupervisedProcess*> all;
+  all.reserve(this->agents.size());
+  for (const auto& agent : this->agents) {
+    all.push_back(agent.get());
+  }
+  return all;
+}
+
 void PromptSite::Start() {
   this->faults_until = EventLoop::Now() + this->options.faults_for;
-  this->send_timer = std::make_unique<Timer>(
-      this->loop, kSendPeriod, kSendPeriod, [this] { this->SendOne(); });
+  PromptLoadOptions load;
+  load.name = "p";
+  load.target = "/p/draft";
+  load.period = kSendPeriod;
+  load.seed = this->random();
+  load.draw = DrawPrompt;
+  load.answer = Answer;
+  load.broke_at = [this] { return this->LastCrash(); };
+  this->load = std::make_unique<PromptLoad>(this->loop, this->ledger,
+                                            this->hosts, std::move(load));
   this->deadly_timer = std::make_unique<Timer>(
       this->loop,
       kFirstFault + Milliseconds(this->random() % kDeadlyFromSpreadMs),
@@ -97,79 +115,47 @@
       this->loop, kFirstFault, Duration(0), [this] { this->DrawFault(); });
 }
 
-void PromptSite::DrawFault() {
-  if (EventLoop::Now() >= this->faults_until) {
-    return;
-  }
-  const unsigned int which = this->random() % kServers;
-  if (this->random() % 2 == 0) {
-    this->agents[which]->Signal(SIGKILL);
-  } else {
-    this->engines[which]->Crash();
-  }
-  this->fault_timer = std::make_unique<Timer>(
-      this->loop, Milliseconds(kShortestGapMs + this->random() % kGapSpreadMs),
-      Duration(0), [this] { this->DrawFault(); });
-}
-
-void PromptSite::Tick() {
-  for (const auto& agent : this->agents) {
-    if (!agent->IsRunning()) {
-      agent->Start();
+TimePoint PromptSite::LastCrash() const {
+  TimePoint last = this->crashed_at;
+  for (const auto& engine : this->engines) {
+    if (!engine->deadly_crashes.empty()) {
+      last = std::max(last, engine->deadly_crashes.back());
     }
   }
+  return last;
 }
 
-void PromptSite::SendOne() {
-  const std::string id = "p" + std::to_string(this->next_id++);
-  auto entry = std::make_unique<Sent>();
-  Sent& sent = *entry;
-  sent.host = this->random() % this->hosts.size();
-  sent.sent_at = EventLoop::Now();
-  sent.sound = this->random() % kDeadlyOneIn != 0;
-  std::string parts =
-      "first" + std::to_string(this->random() % kFirstParts) + ":40,";
-  if (!sent.sound) {
-    parts += std::string(kDeadlyPart) + ":160,";
-  }
-  sent.connection = std::make_unique<TcpConnection>(
-      this->loop, this->hosts[sent.host].address);
-  sent.connection->SetCallbacks({nullptr,
-                                 [this, &sent](std::string_view bytes) {
-                                   sent.parser.Feed(bytes);
-                                   if (sent.parser.done()) {
-                                     this->OnAnswer(sent);
-                                   }
-                                 },
-                                 nullptr, [](ConnectionEnd) {}});
-  sent.connection->Write(
-      "POST /p/draft HTTP/1.1\r\nHost: h\r\nX-Toucanhollow-Request-Id: " + id +
-      "\r\nX-Toucanhollow-Deadline-Ms: 3000\r\n"
-      "X-Toucanhollow-Prompt-Prefix: " +
-      parts + id +
-      ":9\r\nAuthorization: Token k1\r\nConnection: close\r\n\r\n");
-  this->requests.emplace(id, std::move(entry));
+void PromptSite::Crash(CrashingEngineStandIn& engine) {
+  this->log.Note({{"fault", "crash engine"}, {"engine", engine.address().ip}});
+  this->crashed_at = EventLoop::Now();
+  engine.Crash();
 }
 
-void PromptSite::OnAnswer(Sent& sent) {
-  const int status = sent.parser.head().status;
-  sent.answered = status == 200;
-  if (status >= 300 && status < 500) {
-    this->ledger.broken.push_back("a proper prompt got status " +
-                                  std::to_string(status));
+void PromptSite::DrawFault() {
+  if (EventLoop::Now() >= this->faults_until) {
+    return;
   }
-}
-
-double PromptSite::ServedFraction(TimePoint from, TimePoint to) const {
-  double sent = 0;
-  double served = 0;
-  for (const auto& [id, request] : this->requests) {
-    if (request->sound && request->sent_at >= from && request->sent_at < to) {
-      ++sent;
-      served += request->answered ? 1 : 0;
-    }
+  const unsigned int which = this->random() % this->engines.size();
+  CrashingEngineStandIn& engine = *this->engines[which];
+  switch (this->random() % 3) {
+    case 0:
+      this->agents[which]->Kill(Duration(0));
+      break;
+    case 1:
+      this->Crash(engine);
+      break;
+    default:
+      this->log.Note(
+          {{"fault", "engine leaves"}, {"engine", engine.address().ip}});
+      engine.Drain();
+      this->leavings.push_back(
+          std::make_unique<Timer>(this->loop, kLeavesAfter, Duration(0),
+                                  [this, &engine] { this->Crash(engine); }));
+      break;
   }
-  return sent == 0 ? 0 : served / sent;
+  this->fault_timer = std::make_unique<Timer>(
+      this->loop, Milliseconds(kShortestGapMs + this->random() % kGapSpreadMs),
+      Duration(0), [this] { this->DrawFault(); });
 }
 
 void PromptSite::Check() {
@@ -186,17 +172,17 @@
   std::size_t late = 0;
   for (const auto& engine : this->engines) {
     for (const auto& arrival : engine->deadly_arrivals) {
-      const HostView& host =
-          this->hosts[this->requests.at(arrival.request)->host];
+      const HostView& host = this->load->HostOf(arrival.request);
       const bool undisturbed = host.disturbed_at() + kStableTime < arrival.at;
       late += arrival.at > bound_from && undisturbed ? 1 : 0;
     }
   }
   if (late > kMaxLateArrivals) {
-    this->ledger.broken.push_back(
+    NoteBroken(
+        this->ledger,
         std::to_string(late) + " requests with a part that had crashed " +
-        std::to_string(kKnownCrashes) + " servers reached servers later; " +
-        std::to_string(crashes.size()) + " crashed in all");
+            std::to_string(kKnownCrashes) + " servers reached servers later; " +
+            std::to_string(crashes.size()) + " crashed in all");
   }
 }
 
--- a/soak/prompt_site.h
+++ b/soak/prompt_site.h
@@ -4,19 +4,14 @@
 #ifndef SOAK_PROMPT_SITE_H_
 #define SOAK_PROMPT_SITE_H_
 
-#include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <random>
 #include <string>
 #include <vector>
 
-#include "base/address.h"
-#include "event_loop/event_loop.h"
-#include "soak/caller_load.h"
-#include "soak/check_promises.h"
-#include "soak/child_process.h"
+#include "soak/agent_process.h"
+#include "soak/prompt_load.h"
 #include "standins/platform/crashing_engine_stand_in.h"
 #include "standins/platform/platform_store_stand_in.h"
 
@@ -27,13 +22,16 @@
 std::string PromptServiceText();
 std::string PromptRouteText();
 
-struct PromptOptions {
+struct ModelSiteOptions {
   std::string program;
   // Settings and logs go here.
   std::string directory;
   // The address of a model server.
   std::function<std::string(int number)> server_ip;
   std::uint16_t agent_port = 0;
+  // Of the agents.
+  Duration first_signal_after{0};
+  int servers = 4;
   unsigned int seed = 1;
   Duration faults_for = Seconds(8);
 };
@@ -41,40 +39,42 @@
 class PromptSite {
  public:
   PromptSite(EventLoop& loop,
+             FaultLog& log,
              PlatformStoreStandIn& store,
              Ledger& ledger,
              std::vector<HostView> hosts,
-             PromptOptions options);
+             ModelSiteOptions options);
   ~PromptSite();
 
   // Begins to send requests and to break servers and agents.
   void Start();
-  // To be called periodically: restarts agents that were killed.
-  void Tick();
+  std::vector<SupervisedProcess*> Agents() const;
   // The fraction of the sound requests sent in a span that were answered.
-  double ServedFraction(TimePoint from, TimePoint to) const;
+  double ServedFraction(TimePoint from, TimePoint to) const {
+    return this->load->ServedFraction(from, to);
+  }
   // Adds the promises that were broken to the ledger.
   void Check();
 
  private:
-  struct Sent;
-
-  void SendOne();
   void DrawFault();
-  void OnAnswer(Sent& sent);
+  void Crash(CrashingEngineStandIn& engine);
+  // The last time that a server ended.
+  TimePoint LastCrash() const;
 
   EventLoop& loop;
+  FaultLog& log;
   Ledger& ledger;
   std::vector<HostView> hosts;
-  PromptOptions options;
+  ModelSiteOptions options;
   std::mt19937 random;
   std::vector<std::unique_ptr<CrashingEngineStandIn>> engines;
-  std::vector<std::unique_ptr<ChildProcess>> agents;
-  std::map<std::string, std::unique_ptr<Sent>> requests;  // by id
-  std::uint64_t next_id = 1;
-  std::unique_ptr<Timer> send_timer;
+  std::vector<std::unique_ptr<SupervisedProcess>> agents;
+  std::unique_ptr<PromptLoad> load;
   std::unique_ptr<Timer> fault_timer;
   std::unique_ptr<Timer> deadly_timer;
+  std::vector<std::unique_ptr<Timer>> leavings;
+  TimePoint crashed_at;
   TimePoint faults_until;
 };
 
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -13,19 +13,43 @@
 DEFINE_double(contact_seconds,
               14,
               "how long faults of the contact with the store begin after that");
+DEFINE_double(signals_seconds,
+              10,
+              "how long signals come before that, in series");
+DEFINE_double(first_signal_ms,
+              0,
+              "the least time from the start of a process to a signal");
+DEFINE_bool(interrupts, true, "SIGINT is among the signals");
+DEFINE_int32(hosts, 3, "entry hosts, at most 40");
+DEFINE_int32(engines,
+             8,
+             "model servers with an agent each, at most 64; half of them are "
+             "ranks of groups of four");
 DEFINE_string(program, "build/bin/toucanhollow", "the program under test");
 DEFINE_string(directory, "run/soak", "settings and logs go here");
 
+namespace {
+
+toucanhollow::Duration FromSeconds(double seconds) {
+  return toucanhollow::Duration(
+      static_cast<toucanhollow::Duration::rep>(seconds * 1e6));
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
   using toucanhollow::Ledger;
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   std::signal(SIGPIPE, SIG_IGN);
   toucanhollow::SoakOptions options;
   options.seed = FLAGS_seed;
-  options.faults_for = toucanhollow::Duration(
-      static_cast<toucanhollow::Duration::rep>(FLAGS_seconds * 1e6));
-  options.contact_faults_for = toucanhollow::Duration(
-      static_cast<toucanhollow::Duration::rep>(FLAGS_contact_seconds * 1e6));
+  options.signals_for = FromSeconds(FLAGS_signals_seconds);
+  options.faults_for = FromSeconds(FLAGS_seconds);
+  options.contact_faults_for = FromSeconds(FLAGS_contact_seconds);
+  options.first_signal_after = FromSeconds(FLAGS_first_signal_ms / 1000);
+  options.signals.interrupts = FLAGS_interrupts;
+  options.hosts = FLAGS_hosts;
+  options.engines = FLAGS_engines;
   options.program = FLAGS_program;
   options.directory = FLAGS_directory + "/seed-" + std::to_string(FLAGS_seed);
   std::filesystem::remove_all(options.directory);
@@ -38,10 +62,18 @@
             << ledger.refused << " refused, " << ledger.failed
             << " failed or left; " << ledger.checked_leavings
             << " servers left, " << ledger.allowed_late_arrivals
-            << " late requests allowed; " << ledger.broken.size()
-            << " promises broken\n";
+            << " late requests allowed; " << site.MapChanges()
+            << " map changes; stood still " << ledger.stalls << " times; "
+            << ledger.broken.size()
+            << " promises broken\n  ended without an answer:";
+  for (const auto& [kind, count] : ledger.ended) {
+    std::cout << " " << count << " " << toucanhollow::RequestEndName(kind)
+              << ";";
+  }
+  std::cout << "\n";
   for (const std::string& broken : ledger.broken) {
     std::cout << "  " << broken << "\n";
   }
+  std::cout << std::flush;
   return ledger.broken.empty() ? 0 : 1;
 }
--- a/soak/soak_server.cc
+++ b/soak/soak_server.cc
@@ -1,5 +1,6 @@
 #include "soak/soak_server.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -42,7 +43,8 @@
   this->arrived.clear();
   this->left_at.reset();
   std::vector<std::uint64_t> numbers;
-  for (const auto& [number, session] : this->sessions) {
+  for (auto& [number, session] : this->sessions) {
+    this->NoteBroke(session);
     numbers.push_back(number);
   }
   for (const std::uint64_t number : numbers) {
@@ -50,6 +52,28 @@
   }
 }
 
+void SoakServer::SetLinkDisturbed(bool disturbed) {
+  this->link_disturbed = disturbed;
+  for (auto& [number, session] : this->sessions) {
+    this->NoteBroke(session);
+  }
+}
+
+void SoakServer::NoteFinished(Session& session) {
+  const auto request = this->ledger.requests.find(session.request);
+  if (request != this->ledger.requests.end()) {
+    request->second.finished_at = EventLoop::Now();
+  }
+  session.request.clear();
+}
+
+void SoakServer::NoteBroke(Session& session) {
+  const auto request = this->ledger.requests.find(session.request);
+  if (request != this->ledger.requests.end()) {
+    request->second.server_broke = true;
+  }
+}
+
 void SoakServer::Accept(int socket) {
   const std::uint64_t number = this->next_session++;
   Session& session = this->sessions[number];
@@ -103,6 +127,10 @@
                             EventLoop::Now());
   }
   NoteRun(this->ledger, this->own_id, head, body);
+  session.request = id;
+  if (this->link_disturbed) {
+    this->NoteBroke(session);
+  }
   this->Run(number, head);
 }
 
@@ -115,9 +143,9 @@
   }
   this->arrived.push_back(now);
   if (this->arrived.size() > kMaxInOneSecond) {
-    this->ledger.broken.push_back("server " + this->own_id + ": got " +
-                                  std::to_string(this->arrived.size()) +
-                                  " requests in one second");
+    NoteBroken(this->ledger, "server " + this->own_id + ": got " +
+                                 std::to_string(this->arrived.size()) +
+                                 " requests in one second");
     this->arrived.clear();
   }
 }
@@ -131,41 +159,54 @@
 }
 
 void SoakServer::Run(std::uint64_t number, const RequestHead& head) {
-  const std::string id(FindHeader(head.headers, "X-Toucanhollow-Request-Id"));
   Session& session = this->sessions.at(number);
   const bool stream = head.target.starts_with("/m/");
   const auto after =
       ParseDecimal(FindHeader(head.headers, "Last-Event-Id")).value_or(0);
+  const Duration work =
+      std::max(kWork, Milliseconds(QueryNumber(head.target, "work")));
   session.work = std::make_unique<Timer>(
-      this->loop, kWork, Duration(0),
-      [this, number, id, stream, next = static_cast<int>(after) + 1] {
+      this->loop, work, Duration(0),
+      [this, number, stream, target = head.target,
+       next = static_cast<int>(after) + 1] {
         if (!stream) {
-          this->SendAnswer(number, id);
+          this->SendAnswer(number, target);
           return;
         }
-        this->sessions.at(number).connection->Write(
-            Head(id, this->own_id) +
-            "Content-Type: text/event-stream\r\n"
-            "Transfer-Encoding: chunked\r\n\r\n");
-        this->SendEvent(number, id, next);
+        Session& running = this->sessions.at(number);
+        running.connection->Write(Head(running.request, this->own_id) +
+                                  "Content-Type: text/event-stream\r\n"
+                                  "Transfer-Encoding: chunked\r\n\r\n");
+        const Duration pause = Milliseconds(QueryNumber(target, "pause"));
+        this->SendEvent(number, std::max(kEventPause, pause), next);
       });
 }
 
-void SoakServer::SendAnswer(std::uint64_t number, const std::string& id) {
-  const std::string body = AnswerBody(id);
-  std::string bytes = Head(id, this->own_id) +
-                      "Keep-Alive: timeout=5\r\nContent-Length: " +
-                      std::to_string(body.size()) + "\r\n\r\n" + body;
+void SoakServer::SendAnswer(std::uint64_t number, const std::string& target) {
   Session& session = this->sessions.at(number);
+  const std::string body = AnswerBody(session.request, target);
+  const bool unframed = QueryNumber(target, "unframed") != 0;
+  std::string bytes = Head(session.request, this->own_id) +
+                      (unframed ? "Connection: close\r\n"
+                                : "Keep-Alive: timeout=5\r\nContent-Length: " +
+                                      std::to_string(body.size()) + "\r\n") +
+                      "\r\n" + body;
   if (!this->BreaksNow()) {
+    this->NoteFinished(session);
     session.connection->Write(bytes);
+    if (unframed) {
+      this->EndAfterWrite(number);
+    }
     return;
   }
-  switch (this->broken++ % 3) {
+  this->NoteBroke(session);
+  // Other ways would make whole answers of those without a length.
+  switch (unframed ? 0 : this->broken++ % 3) {
     case 0:
       bytes.resize(bytes.size() / 2);
       session.connection->Write(bytes);
-      this->Close(number, false);
+      // An answer without a length that ends in order would be whole.
+      this->Close(number, unframed);
       return;
     case 1:
       // A header line without end, until the caller closes.
@@ -189,25 +230,37 @@
   }
 }
 
-void SoakServer::SendEvent(std::uint64_t number,
-                           const std::string& id,
-                           int event) {
+// The close marks the end of an answer that has neither length nor chunks.
+void SoakServer::EndAfterWrite(std::uint64_t number) {
+  Session& session = this->sessions.at(number);
+  session.work = std::make_unique<Timer>(
+      this->loop, kCopyDelay, kCopyDelay, [this, number] {
+        if (this->sessions.at(number).connection->unsent() == 0) {
+          this->Close(number, false);
+        }
+      });
+}
+
+void SoakServer::SendEvent(std::uint64_t number, Duration pause, int event) {
   Session& session = this->sessions.at(number);
   if (event > kStreamEvents) {
+    this->NoteFinished(session);
     session.connection->Write("0\r\n\r\n");
     return;
   }
-  const std::string text = Chunk(EventText(id, event));
+  const std::string text = Chunk(EventText(session.request, event));
   if (event > 1 && this->BreaksNow()) {
     // In the middle of an event.
+    this->NoteBroke(session);
     session.connection->Write(text.substr(0, text.size() / 2));
     this->Close(number, true);
     return;
   }
   session.connection->Write(text);
   session.work = std::make_unique<Timer>(
-      this->loop, kEventPause, Duration(0),
-      [this, number, id, event] { this->SendEvent(number, id, event + 1); });
+      this->loop, pause, Duration(0), [this, number, pause, event] {
+        this->SendEvent(number, pause, event + 1);
+      });
 }
 
 }  // namespace toucanhollow
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -38,6 +38,9 @@
   // Requests that arrive until then may have been held up on the way, so their
   // number in a second is not checked.
   void IgnoreRateUntil(TimePoint time) { this->rate_ignored_until = time; }
+  // Requests that are here now, or arrive while its link is disturbed, may be
+  // broken off without a fault of the host.
+  void SetLinkDisturbed(bool disturbed);
   // The store acknowledged at this time, while it was stable, that the server
   // leaves. Requests are held against it.
   void SetLeft(std::optional<TimePoint> time) { this->left_at = time; }
@@ -47,14 +50,18 @@
     std::unique_ptr<TcpConnection> connection;
     std::unique_ptr<RequestParser> parser;
     std::unique_ptr<Timer> work;
+    std::string request;  // id of the one that runs; empty without one
   };
 
   void Accept(int socket);
   void OnData(std::uint64_t number, std::string_view bytes);
   void CheckRate(TimePoint now);
   void Run(std::uint64_t number, const RequestHead& head);
-  void SendAnswer(std::uint64_t number, const std::string& id);
-  void SendEvent(std::uint64_t number, const std::string& id, int event);
+  void SendAnswer(std::uint64_t number, const std::string& target);
+  void EndAfterWrite(std::uint64_t number);
+  void SendEvent(std::uint64_t number, Duration pause, int event);
+  void NoteFinished(Session& session);
+  void NoteBroke(Session& session);
   void Close(std::uint64_t number, bool reset);
   bool BreaksNow();
 
@@ -64,6 +71,7 @@
   std::optional<TimePoint> left_at;
   TimePoint rate_ignored_until;
   std::deque<TimePoint> arrived;  // in the last second
+  bool link_disturbed = false;
   int to_break = 0;
   // Answers that were broken; each is in the next of several ways.
   int broken = 0;
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -1,163 +1,64 @@
 #include "soak/soak_site.h"
 
-#include <unistd.h>
-
-#include <algorithm>
 #include <csignal>
 #include <fstream>
-#include <iomanip>
 #include <utility>
 
+#include "soak/site_text.h"
+
 namespace toucanhollow {
 namespace {
 
-constexpr int kHosts = 3;
 constexpr int kServers = 3;
 constexpr int kCallers = 24;
 constexpr Duration kTick = Milliseconds(50);
-constexpr Duration kHeartbeat = Seconds(1);
-// An entry lapses after three heartbeats of silence.
-constexpr Duration kLapse = Seconds(3);
-constexpr Duration kRestartPause = Milliseconds(300);
-constexpr Duration kGrace = Seconds(4);
-// A server that leaves without notice serves on for so long.
-constexpr Duration kServesOn = Milliseconds(3000);
-constexpr int kServesOnSpreadMs = 2500;
-// From the begin of a cut to the restart of another host.
-constexpr Duration kRestartAfter = Milliseconds(300);
-// Between the two parts of a run.
+// Between the parts of a run.
 constexpr Duration kPause = Seconds(4);
 // Time from the begin of the last fault to the end. The longest fault lasts
 // 5.5 s, and the second after this time must be served.
 constexpr Duration kCalm = Seconds(9);
 constexpr double kServedWhenCalm = 0.9;
-// UDP, of entry hosts and of agents.
-constexpr std::uint16_t kReportPort = 18083;
-
-// A loopback address of this run alone, so that runs go side by side.
-std::string OwnIp(int number) {
-  constexpr int kOctet = 200;
-  const int pid = getpid();
-  return "127." + std::to_string(1 + pid / kOctet % kOctet) + "." +
-         std::to_string(1 + pid % kOctet) + "." + std::to_string(number);
-}
-
-double ToSeconds(WallTime time) {
-  return std::chrono::duration<double>(time.time_since_epoch()).count();
-}
-
-std::string HostIp(int host) {
-  return OwnIp(10 + host);
-}
-
-std::string PromptServerIp(int server) {
-  return OwnIp(50 + server);
-}
-
-std::string ConfigText(int version) {
-  const std::string shared =
-      R"("target_latency_ms":300,"priority":1,"service":"ledger")";
-  return R"({"version":)" + std::to_string(version) +
-         R"(,"routes":[{"name":"unsafe","host":"h","path_prefix":"/u/",)"
-         R"("kind":"unsafe","timeout_ms":2000,"attempts":1,)" +
-         shared +
-         R"(},{"name":"safe","host":"h","path_prefix":"/s/","kind":"safe",)"
-         R"("timeout_ms":2000,"attempts":2,)" +
-         shared +
-         R"(},{"name":"stream","host":"h","path_prefix":"/m/",)"
-         R"("kind":"streaming","timeout_ms":3000,"attempts":2,)"
-         R"("resumable":true,)" +
-         shared + "}," + PromptRouteText() +
-         R"(],"services":[{"name":"ledger","max_conns":96,"cold_s":3,)"
-         R"("cold_per_s":)" +
-         std::to_string(kColdRequestsPerSecond) + "}," + PromptServiceText() +
-         R"(],)"
-         R"("limits":{"max_header_bytes":4096,"max_body_bytes":1000,)"
-         R"("header_timeout_ms":1000,"idle_timeout_ms":15000},)"
-         R"("tenants":[{"name":"acc","api_keys":["k1"]}]})";
-}
 
 }  // namespace
 
-struct SoakSite::Server {
-  SoakServer server;
-  FaultProxy link;
-  TimePoint next_heartbeat;
-  // It has told the store that it leaves, or has been removed.
-  bool draining = false;
-  bool removed = false;
-  // When its link was last disturbed, which may have held requests up.
-  TimePoint link_disturbed_at;
-
-  Server(EventLoop& loop, Ledger& ledger, const std::string& id)
-      : server(loop, ledger, id), link(loop, {"127.0.0.1", server.Port()}) {}
-};
-
-struct SoakSite::Host {
-  std::size_t number;
-  std::string ip;
-  FaultProxy store_link;
-  std::unique_ptr<ChildProcess> process;
-  TimePoint disturbed_at;
-  std::optional<TimePoint> start_at;
-  std::optional<TimePoint> kill_at;
-  bool paused = false;
-  bool expected_to_end = false;
-
-  Host(EventLoop& loop,
-       std::size_t number,
-       std::uint16_t store_port,
-       std::string ip)
-      : number(number),
-        ip(std::move(ip)),
-        store_link(loop, {"127.0.0.1", store_port}) {}
-};
-
 SoakSite::SoakSite(EventLoop& loop, SoakOptions options)
     : loop(loop),
       options(std::move(options)),
       fault_log(this->options.directory + "/faults.log"),
       store(loop) {
+  this->store.SetCoordinator(true);
+  this->store.elects_member = true;
   for (int i = 0; i < kServers; ++i) {
     this->servers.push_back(std::make_unique<Server>(
         loop, this->ledger, "i-" + std::to_string(this->next_server++)));
   }
-  for (int i = 0; i < kHosts; ++i) {
-    this->hosts.push_back(std::make_unique<Host>(
-        loop, static_cast<std::size_t>(i), this->store.Port(), HostIp(i)));
+  for (int i = 0; i < this->options.hosts; ++i) {
+    this->AddHost(i);
   }
 }
 
 SoakSite::~SoakSite() = default;
 
-void SoakSite::StartHosts() {
-  for (const auto& host : this->hosts) {
-    const std::string name = "host-" + host->ip;
-    const std::string file = this->options.directory + "/" + name + ".ini";
-    std::ofstream(file)
-        << "[process]\nname = " << name << "\ndata_centre = west\n"
-        << "[listen]\ncallers = " << host->ip
-        << ":18080\nreadiness = " << host->ip
-        << ":18081\ncontrol = " << host->ip
-        << ":18082\nreport_port = " << kReportPort << "\nmetrics_port = 18084\n"
-        << "rank_call_port = 18085\npermit_port = 18086\n[store]\naddress = "
-           "127.0.0.1:"
-        << host->store_link.Port()
-        << "\n[peers]\nseeds = " << this->hosts.front()->ip << ":18082,"
-        << this->hosts.back()->ip
-        << ":18082\n[limits]\ndescriptors = 1024\n[shutdown]\ngrace_s = "
-        << ToMilliseconds(kGrace) / 1000
-        << "\n[retries]\nratio = 0.2\nwindow_s = 10\nslack = 88\n"
-        << "[cold]\nburst_factor = " << kColdBurstFactor
-        << "\nslack = " << kColdSlack
-        << "\n[bounds]\ndrain_ms = " << ToMilliseconds(kDrainBound)
-        << "\ncontact_ms = " << ToMilliseconds(kContactBound) << "\n";
-    host->process = std::make_unique<ChildProcess>(
-        std::vector<std::string>{this->options.program, "--role=relay",
-                                 "--settings=" + file},
-        this->options.directory + "/" + name + ".log");
-    host->process->Start();
-  }
+void SoakSite::AddHost(int number) {
+  this->hosts.push_back(std::make_unique<Host>(
+      this->loop, static_cast<std::size_t>(number), this->store.Port()));
+  Host& host = *this->hosts.back();
+  const std::string ip = HostIp(number);
+  const std::string name = "host-" + ip;
+  const std::string file = this->options.directory + "/" + name + ".ini";
+  std::ofstream(file) << HostSettingsText(
+      name, ip, host.store_link.Port(),
+      {HostIp(0), HostIp(this->options.hosts - 1)});
+  ProcessOptions process;
+  process.name = name;
+  process.arguments = {this->options.program, "--role=relay",
+                       "--settings=" + file};
+  process.log_file = this->options.directory + "/" + name + ".log";
+  process.grace = kHostGrace;
+  process.first_signal_after = this->options.first_signal_after;
+  process.on_restart = [this, &host] { this->NoteDisturbance(host); };
+  host.process = std::make_unique<SupervisedProcess>(
+      this->loop, this->fault_log, this->ledger, std::move(process));
 }
 
 void SoakSite::RunFor(Duration time) {
@@ -171,243 +72,13 @@
                                                  std::move(action)));
 }
 
-void SoakSite::NoteDisturbance(const Host& host, Duration lasts) {
-  TimePoint& until = this->ledger.disturbed_until[host.number];
-  until = std::max(until, EventLoop::Now() + lasts);
-}
-
-void SoakSite::NoteStoreDisturbance() {
-  this->store_disturbed_at = EventLoop::Now();
-  for (const auto& host : this->hosts) {
-    this->NoteDisturbance(*host);
-  }
-}
-
-void SoakSite::DisturbLink(Server& server) {
-  server.link_disturbed_at = EventLoop::Now();
-  server.server.SetLeft(std::nullopt);
-}
-
-void SoakSite::NoteLeft(Server& server) {
-  const TimePoint now = EventLoop::Now();
-  const bool store_is_stable =
-      this->outages == 0 && now - this->store_disturbed_at > kContactBound;
-  if (store_is_stable && now - server.link_disturbed_at > kContactBound) {
-    server.server.SetLeft(now);
-    ++this->ledger.checked_leavings;
-  }
-}
-
-// Its entry is removed without notice, and it serves on for a while.
-void SoakSite::RemoveServer(Server& server, unsigned int draw) {
-  if (server.draining) {
-    return;
-  }
-  server.draining = true;
-  server.removed = true;
-  this->store.Put("keyed.servers", server.server.id(), std::nullopt);
-  this->NoteLeft(server);
-  this->After(kServesOn + Milliseconds(draw % kServesOnSpreadMs),
-              [this, &server] { this->RestartServer(server); });
-}
-
-void SoakSite::TerminateHost(Host& host) {
-  this->NoteDisturbance(host);
-  host.expected_to_end = true;
-  host.process->Signal(SIGTERM);
-  host.kill_at = EventLoop::Now() + kGrace;
-  host.start_at = EventLoop::Now() + kRestartPause;
-}
-
-void SoakSite::CutFromStore(Host& host, ProxyMode mode, Duration time) {
-  this->NoteDisturbance(host, time);
-  host.store_link.SetMode(mode);
-  this->After(time, [this, &host] {
-    this->NoteDisturbance(host);
-    host.store_link.SetMode(ProxyMode::kPass);
-  });
-}
-
-void SoakSite::Heartbeat(Server& server, const std::string& state) {
-  server.next_heartbeat = EventLoop::Now() + kHeartbeat;
-  this->store.Put("keyed.servers", server.server.id(),
-                  R"({"service":"ledger","address":"127.0.0.1:)" +
-                      std::to_string(server.link.Port()) +
-                      R"(","zone":"west","slots":40,"state":")" + state +
-                      R"(","born":1700000000000})");
-}
-
-void SoakSite::DrainServer(Server& server) {
-  if (server.draining) {
-    return;
-  }
-  server.draining = true;
-  this->Heartbeat(server, "draining");
-  this->NoteLeft(server);
-  this->After(2 * kDrainBound, [this, &server] {
-    this->store.Put("keyed.servers", server.server.id(), std::nullopt);
-    this->RestartServer(server);
-  });
-}
-
-// The old entry lapses later, as that of a server which crashed.
-void SoakSite::RestartServer(Server& server) {
-  const std::string old = server.server.id();
-  server.draining = false;
-  server.removed = false;
-  server.server.Restart("i-" + std::to_string(this->next_server++));
-  this->Heartbeat(server, "ready");
-  this->After(kLapse, [this, old] {
-    this->store.Put("keyed.servers", old, std::nullopt);
-  });
-}
-
-void SoakSite::Schedule(const std::vector<Fault>& faults) {
-  for (const Fault& fault : faults) {
-    this->After(fault.at, [this, fault] { this->Begin(fault); });
-  }
-}
-
-void SoakSite::Publish() {
-  this->store.Put("keyed.op", "config", ConfigText(this->version++));
-}
-
-void SoakSite::Begin(const Fault& fault) {
-  Host& host = *this->hosts[fault.which % this->hosts.size()];
-  Server& server = *this->servers[fault.which % this->servers.size()];
-  const TimePoint now = EventLoop::Now();
-  // With the time of the processes' logs.
-  this->fault_log << "{\"time\":" << std::fixed << std::setprecision(3)
-                  << ToSeconds(EventLoop::WallNow()) << ",\"fault\":\""
-                  << FaultName(fault.kind) << "\",\"host\":" << host.number
-                  << ",\"server\":\"" << server.server.id()
-                  << "\",\"for_ms\":" << ToMilliseconds(fault.lasts)
-                  << ",\"mode\":" << static_cast<int>(fault.mode) << "}"
-                  << std::endl;
-  switch (fault.kind) {
-    case FaultKind::kKillHost:
-      this->NoteDisturbance(host);
-      host.disturbed_at = now;
-      host.expected_to_end = true;
-      host.process->Signal(SIGKILL);
-      host.start_at = now + kRestartPause;
-      break;
-    case FaultKind::kTerminateHost:
-      this->TerminateHost(host);
-      break;
-    case FaultKind::kPauseHost:
-      this->NoteDisturbance(host, fault.lasts);
-      host.disturbed_at = now;
-      host.paused = true;
-      host.process->Signal(SIGSTOP);
-      this->After(fault.lasts, [this, &host] {
-        this->NoteDisturbance(host);
-        host.disturbed_at = EventLoop::Now();
-        host.paused = false;
-        host.process->Signal(SIGCONT);
-      });
-      break;
-    case FaultKind::kStoreDown:
-      this->NoteStoreDisturbance();
-      ++this->outages;
-      this->store.SetDown(true);
-      this->After(fault.lasts, [this] {
-        this->NoteStoreDisturbance();
-        --this->outages;
-        this->store.SetDown(this->outages > 0);
-      });
-      break;
-    case FaultKind::kStoreLink:
-      this->CutFromStore(host, fault.mode, fault.lasts);
-      break;
-    case FaultKind::kServerLink:
-      this->DisturbLink(server);
-      server.link.SetMode(fault.mode);
-      server.server.IgnoreRateUntil(now + fault.lasts + Seconds(1));
-      this->After(fault.lasts, [this, &server] {
-        this->DisturbLink(server);
-        server.link.SetMode(ProxyMode::kPass);
-      });
-      break;
-    case FaultKind::kStoreCompact:
-      this->store.Compact("keyed.servers");
-      this->store.Compact("keyed.op");
-      break;
-    case FaultKind::kBreakAnswers:
-      server.server.BreakAnswers(static_cast<int>(1 + fault.which % 8));
-      break;
-    case FaultKind::kRestartServer:
-      this->RestartServer(server);
-      break;
-    case FaultKind::kDrainServer:
-      this->DrainServer(server);
-      break;
-    case FaultKind::kConfigure:
-      this->Publish();
-      break;
-    case FaultKind::kSilenceStore:
-      for (const auto& silenced : this->hosts) {
-        // One host, or all at once.
-        if (fault.which % 2 == 0 || silenced.get() == &host) {
-          this->NoteDisturbance(*silenced);
-          silenced->store_link.SilenceOpenConnections();
-        }
-      }
-      break;
-    case FaultKind::kSilenceServer:
-      this->DisturbLink(server);
-      server.server.IgnoreRateUntil(now + Seconds(1));
-      server.link.SilenceOpenConnections();
-      break;
-    case FaultKind::kRemoveServer:
-      this->RemoveServer(server, fault.which);
-      break;
-    case FaultKind::kCutBesideRestart: {
-      Host& other = *this->hosts[(fault.which + 1) % this->hosts.size()];
-      this->CutFromStore(host, fault.mode, fault.lasts);
-      this->After(kRestartAfter,
-                  [this, &other] { this->TerminateHost(other); });
-      break;
-    }
-  }
-}
-
 void SoakSite::Tick() {
   const TimePoint now = EventLoop::Now();
-  if (this->prompts != nullptr) {
-    this->prompts->Tick();
-  }
   for (const auto& server : this->servers) {
     if (now >= server->next_heartbeat && !server->removed) {
       this->Heartbeat(*server, server->draining ? "draining" : "ready");
     }
   }
-  for (const auto& host : this->hosts) {
-    if (host->process->IsRunning()) {
-      if (host->kill_at && now >= *host->kill_at) {
-        // The process did not stop in its grace time.
-        host->disturbed_at = now;
-        host->process->Signal(SIGKILL);
-      }
-      continue;
-    }
-    if (!std::exchange(host->expected_to_end, false) && !host->start_at) {
-      this->ledger.broken.push_back(
-          host->ip + ": the process ended by itself, wait status " +
-          std::to_string(host->process->status()));
-      host->start_at = now;
-    }
-    if (host->start_at && now >= *host->start_at) {
-      host->start_at.reset();
-      host->kill_at.reset();
-      this->NoteDisturbance(*host);
-      host->process->Start();
-      if (host->paused) {
-        // The pause was meant for the process before it.
-        host->paused = false;
-      }
-    }
-  }
 }
 
 void SoakSite::CheckRecovery() {
@@ -417,20 +88,42 @@
   const auto served = static_cast<double>(this->ledger.answered - answered);
   const auto all = served + static_cast<double>(this->ledger.refused +
                                                 this->ledger.failed - others);
-  const TimePoint now = EventLoop::Now();
-  const double prompts = this->prompts->ServedFraction(now - Milliseconds(1200),
-                                                       now - Milliseconds(200));
-  if (prompts < kServedWhenCalm) {
-    this->ledger.broken.push_back("after the last fault only a fraction " +
-                                  std::to_string(prompts) +
-                                  " of the sound prompts was answered");
-  }
   // Callers that leave early count as failed; one in 40 does.
   if (all == 0 || served / all < kServedWhenCalm) {
-    this->ledger.broken.push_back(
-        "after the last fault only " + std::to_string(served) + " of " +
-        std::to_string(all) + " requests were answered");
+    NoteBroken(this->ledger,
+               "after the last fault only " + std::to_string(served) + " of " +
+                   std::to_string(all) + " requests were answered");
   }
+  const TimePoint now = EventLoop::Now();
+  const TimePoint from = now - Milliseconds(1500);
+  const TimePoint to = now - Milliseconds(500);
+  const auto check = [this](const char* what, double fraction) {
+    if (fraction < kServedWhenCalm) {
+      NoteBroken(this->ledger, "after the last fault only a fraction " +
+                                   std::to_string(fraction) + " of the " +
+                                   what + " was answered");
+    }
+  };
+  check("sound prompts", this->prompts->ServedFraction(from, to));
+  check("prompts to groups", this->groups->ServedFraction(from, to));
+}
+
+void SoakSite::StartModelSites(const std::vector<HostView>& views) {
+  ModelSiteOptions site;
+  site.program = this->options.program;
+  site.directory = this->options.directory;
+  site.agent_port = kReportPort;
+  site.first_signal_after = this->options.first_signal_after;
+  site.seed = this->options.seed;
+  site.servers = this->options.engines / 2;
+  site.faults_for =
+      this->options.signals_for + kPause + this->options.faults_for;
+  site.server_ip = PromptServerIp;
+  this->prompts = std::make_unique<PromptSite>(
+      this->loop, this->fault_log, this->store, this->ledger, views, site);
+  site.server_ip = RankIp;
+  this->groups = std::make_unique<GroupSite>(
+      this->loop, this->fault_log, this->store, this->ledger, views, site);
 }
 
 const Ledger& SoakSite::Play() {
@@ -438,23 +131,28 @@
   for (const auto& server : this->servers) {
     this->Heartbeat(*server, "ready");
   }
-  this->StartHosts();
-  const Timer ticker(this->loop, kTick, kTick, [this] { this->Tick(); });
   std::vector<HostView> views;
   for (const auto& host : this->hosts) {
-    views.push_back(
-        {{host->ip, 18080}, [raw = host.get()] { return raw->disturbed_at; }});
+    SupervisedProcess& process = *host->process;
+    process.Start();
+    HostView view;
+    view.address = {HostIp(static_cast<int>(host->number)), kCallerPort};
+    view.disturbed_at = [&process] { return process.disturbed_at(); };
+    view.stopping_since = [&process] { return process.stopping_since(); };
+    view.grace = process.grace();
+    views.push_back(std::move(view));
   }
-  this->prompts = std::make_unique<PromptSite>(
-      this->loop, this->store, this->ledger, views,
-      PromptOptions{this->options.program, this->options.directory,
-                    PromptServerIp, kReportPort, this->options.seed,
-                    this->options.faults_for});
+  const Timer ticker(this->loop, kTick, kTick, [this] { this->Tick(); });
+  this->StartModelSites(views);
   this->RunFor(Milliseconds(500));
   this->prompts->Start();
+  this->groups->Start();
   this->callers = std::make_unique<CallerLoad>(
       this->loop, this->ledger, std::move(views), this->options.seed, kCallers);
+  this->ScheduleSignals(this->options.signals_for);
+  this->RunFor(this->options.signals_for + kPause);
   this->Schedule(PlanFaults(this->options.seed, this->options.faults_for));
+  this->ScheduleSignals(this->options.faults_for);
   this->RunFor(this->options.faults_for + kPause);
   this->Schedule(
       PlanContactFaults(this->options.seed, this->options.contact_faults_for));
@@ -463,6 +161,7 @@
   this->callers->Finish();
   this->RunFor(Milliseconds(200));
   this->prompts->Check();
+  this->groups->Check();
   return this->ledger;
 }
 
--- /dev/null
+++ b/soak/supervised_process.h
@@ -0,0 +1,84 @@
+// SupervisedProcess: one process of the system under test. It must run until it
+// is told to end, then end with status 0 within its grace time, and is started
+// again. Anything else breaks a promise.
+#ifndef SOAK_SUPERVISED_PROCESS_H_
+#define SOAK_SUPERVISED_PROCESS_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "event_loop/event_loop.h"
+#include "soak/check_promises.h"
+#include "soak/child_process.h"
+#include "soak/fault_log.h"
+#include "soak/plan_signals.h"
+
+namespace toucanhollow {
+
+struct ProcessOptions {
+  std::string name;
+  std::vector<std::string> arguments;
+  std::string log_file;
+  // From SIGTERM or SIGINT to SIGKILL.
+  Duration grace = Seconds(4);
+  // Signals of a series come no earlier than this after the start.
+  Duration first_signal_after{0};
+  // Called when the process is started again.
+  std::function<void()> on_restart;
+};
+
+class SupervisedProcess {
+ public:
+  SupervisedProcess(EventLoop& loop,
+                    FaultLog& log,
+                    Ledger& ledger,
+                    ProcessOptions options);
+
+  void Start();
+  // Sends SIGTERM or SIGINT. The process is started again `pause` after its
+  // end. May be called again while the process ends.
+  void Terminate(int signal, Duration pause);
+  void Kill(Duration pause);
+  void Pause();
+  void Resume();
+  void Play(const SignalSeries& series);
+
+  // The last time that the process was killed or stood still.
+  TimePoint disturbed_at() const;
+  // When the process was first told to end; empty if it was not. Holds until
+  // the next one starts.
+  std::optional<TimePoint> stopping_since() const { return this->stopping; }
+  Duration grace() const { return this->options.grace; }
+  const std::string& name() const { return this->options.name; }
+
+ private:
+  void Send(int signal);
+  void PlaySignals(const std::vector<SentSignal>& signals, Duration pause);
+  void PlaySignal(int signal, Duration pause);
+  void Check(TimePoint now);
+  void NoteEnd();
+
+  EventLoop& loop;
+  FaultLog& log;
+  Ledger& ledger;
+  ProcessOptions options;
+  ChildProcess process;
+  bool running = false;
+  bool killed = false;
+  bool paused = false;
+  std::optional<TimePoint> stopping;
+  TimePoint started;
+  TimePoint disturbed;
+  TimePoint start_at;
+  Duration restart_pause{0};
+  std::optional<SignalSeries> at_next_start;
+  std::vector<std::unique_ptr<Timer>> signals;
+  Timer ticker;
+};
+
+}  // namespace toucanhollow
+
+#endif  // SOAK_SUPERVISED_PROCESS_H_
