--- a/standins/platform/relay_process.h
+++ b/standins/platform/relay_process.h
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-#include "soak/child_process.h"
+#include "standins/process/child_process.h"
 #include "standins/platform/relay_site.h"
 
 namespace toucanhollow {
