--- a/apps/toucanhollow.cc
+++ b/apps/toucanhollow.cc
@@ -1,8 +1,5 @@
 // Runs one process of the load balancer, in the role that --role names: an
 // entry host, an endpoint agent, a relay or a rank agent.
-#include <fcntl.h>
-#include <unistd.h>
-
 #include <exception>
 #include <functional>
 #include <iostream>
@@ -60,17 +57,6 @@
   return Severity::kError;
 }
 
-// Opens /dev/null in place of standard descriptors that the parent process has
-// closed. The first socket would otherwise get the number of standard output,
-// and log lines would be written to it.
-void OpenStandardDescriptors() {
-  for (int fd = STDIN_FILENO; fd <= STDERR_FILENO; ++fd) {
-    if (fcntl(fd, F_GETFD) < 0) {
-      open("/dev/null", O_RDWR);
-    }
-  }
-}
-
 using ParseStep = std::function<std::vector<Failure>(const std::string& text)>;
 
 // Replaces the daemon and starts it. A daemon that does not start is destroyed,
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -141,16 +141,15 @@
       this->loop, this->client, this->engine_codec,
       CoordinatorElectionSettings{this->settings.store,
                                   this->settings.store_partitions, member},
-      GroupMapCallbacks{[this] { return this->ListExpertParallelServices(); },
-                        [this](const GroupRegistry& groups) {
-                          this->dispatcher.UpdateGroups(groups);
-                        },
-                        [this](const std::set<std::string>& servers) {
-                          this->dispatcher.SetSlowServers(servers);
-                        },
-                        [this](const JoinAnswer& answer) {
-                          this->peers->OnJoined(answer);
-                        }});
+      GroupMapCallbacks{
+          [this] { return this->ListExpertParallelServices(); },
+          [this](const GroupRegistry& groups) {
+            this->dispatcher.UpdateGroups(groups);
+          },
+          [this](const std::set<std::string>& servers) {
+            this->dispatcher.SetSlowServers(servers);
+          },
+          [this](const JoinAnswer& answer) { this->peers->OnJoined(answer); }});
 }
 
 Result<bool> RelayHost::Start() {
--- a/standins/platform/relay_process.h
+++ b/standins/platform/relay_process.h
@@ -13,8 +13,8 @@
 #include <string>
 #include <vector>
 
-#include "standins/process/child_process.h"
 #include "standins/platform/relay_site.h"
+#include "standins/process/child_process.h"
 
 namespace toucanhollow {
 
