Let one elected host give the permits for servers without an agent

After the settings named other seeds, a cold server of a plain service got 60 to 67 requests in one second where it bears 59, and crashed with the requests that it was running. Cause: each host took the seeds of its own settings for the issuers of permits. Hosts that started before and after a change of the settings asked different ones, and five issuers with a third each give 5/3 of the bound. Change: the member of the coordinators' group that holds its last partition is the issuer, for the time of a lease: 1.5 s from the sending of its last answered join, by a clock that counts suspended time. A new holder waits 1.6 s from the answer that made it one, and again if it missed a generation of the group; then it begins with an empty ledger. So issuers follow each other, which the bound of the ledger needs, whatever hosts believe. Load reports name the issuer; other hosts deny. LimitIssuers, ShareOfIssuer and ChooseIssuer are gone with their test case, as there is one issuer; the rule has its own tests. The stand-in of the store can know the members of the group. The existing case without an agent waits until an issuer is elected before its 5 s of load; its bounds are as before. Cost: without an issuer such a service gets nothing, about 2 s at the start and up to 3.6 s after a crash (worked out), and while the store is down. No deployment has one; the servers of the soak are of this kind.

--- a/packages/map_task/coordinator_task.cc
+++ b/packages/map_task/coordinator_task.cc
@@ -19,16 +19,23 @@
 // A membership outlasts a connection that falls silent just after a join.
 static_assert(kJoinPeriod + kJoinTimeout + kRejoinTime <=
               kMembershipTimeToLive);
+static_assert(kMembershipTimeToLive <= kIssuerLeaseTime);
 // A process that is shutting down has some seconds to reach a store that is
 // unreachable at first.
 constexpr Duration kLeaveRetryPeriod = Milliseconds(300);
 
 }  // namespace
 
-CoordinatorTask::CoordinatorTask(EventLoop& loop,
-                                 const EngineMapCodec& codec,
-                                 CoordinatorElectionSettings election)
-    : loop(loop), client(loop, 1), codec(codec), election(std::move(election)) {
+CoordinatorTask::CoordinatorTask(
+    EventLoop& loop,
+    const EngineMapCodec& codec,
+    CoordinatorElectionSettings election,
+    std::function<void(const JoinAnswer&)> on_joined)
+    : loop(loop),
+      client(loop, 1),
+      codec(codec),
+      election(std::move(election)),
+      on_joined(std::move(on_joined)) {
   this->Join();
 }
 
@@ -45,6 +52,7 @@
   request.repeatable = true;
   request.connection =
       this->last_join_failed ? ConnectionUse::kNew : ConnectionUse::kShared;
+  this->asked_at = EventLoop::BootNow();
   this->call = this->client.Start(
       std::move(request),
       {nullptr, nullptr,
@@ -86,6 +94,10 @@
                                        {"generation", term.generation}});
   }
   this->current_term = term;
+  if (this->on_joined) {
+    this->on_joined({term.generation, term.is_coordinator, this->asked_at,
+                     EventLoop::BootNow()});
+  }
 }
 
 void CoordinatorTask::Leave() {
--- a/packages/map_task/coordinator_task.h
+++ b/packages/map_task/coordinator_task.h
@@ -7,12 +7,14 @@
 #ifndef MAP_TASK_COORDINATOR_TASK_H_
 #define MAP_TASK_COORDINATOR_TASK_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 
 #include "event_loop/event_loop.h"
 #include "http_client/http_client.h"
 #include "map_task/engine_codec.h"
+#include "traffic/issuer_lease.h"
 
 namespace toucanhollow {
 
@@ -36,7 +38,8 @@
  public:
   CoordinatorTask(EventLoop& loop,
                   const EngineMapCodec& codec,
-                  CoordinatorElectionSettings election);
+                  CoordinatorElectionSettings election,
+                  std::function<void(const JoinAnswer&)> on_joined = nullptr);
   ~CoordinatorTask();
 
   // The last known term. The coordinator continues while the store is
@@ -57,7 +60,10 @@
   HttpClient client;
   const EngineMapCodec& codec;
   CoordinatorElectionSettings election;
+  std::function<void(const JoinAnswer&)> on_joined;
   CoordinatorTerm current_term;
+  // When the last join was sent.
+  BootTime asked_at;
   bool last_join_failed = false;
   bool leaving = false;
   HttpCallId call = 0;
--- a/packages/map_task/group_map_task.cc
+++ b/packages/map_task/group_map_task.cc
@@ -28,7 +28,7 @@
                            GroupMapCallbacks callbacks)
     : loop(loop),
       callbacks(std::move(callbacks)),
-      coordinator(loop, codec, election),
+      coordinator(loop, codec, election, this->callbacks.on_joined),
       calls(loop, client, codec),
       // Hosts start with different ranks, so that no rank gets the probes of
       // all hosts at once.
--- a/packages/map_task/group_map_task.h
+++ b/packages/map_task/group_map_task.h
@@ -41,6 +41,8 @@
   // Called when the servers of slow ranks changed; there are none while this
   // host is not the coordinator.
   std::function<void(const std::set<std::string>& servers)> on_slow_ranks;
+  // Called at each answer of the store to this host's join of the group.
+  std::function<void(const JoinAnswer& answer)> on_joined = nullptr;
 };
 
 class GroupMapTask {
--- a/packages/permit/answer_permit_request.cc
+++ b/packages/permit/answer_permit_request.cc
@@ -39,4 +39,16 @@
   return EncodePermitReply({decoded.serial, decision.granted, decision.wait});
 }
 
+Result<std::string> DenyPermitRequest(PermitIssuer& issuer,
+                                      const Address& from,
+                                      std::string_view request,
+                                      Duration wait) {
+  BOOST_OUTCOME_TRY(decoded, DecodePermitRequest(request));
+  if (decoded.purpose == PermitPurpose::kEndIsolation) {
+    EndIsolation(issuer.isolations, {from, decoded.serial});
+    return std::string();
+  }
+  return EncodePermitReply({decoded.serial, false, wait});
+}
+
 }  // namespace toucanhollow
--- a/packages/permit/answer_permit_request.h
+++ b/packages/permit/answer_permit_request.h
@@ -28,6 +28,13 @@
                                         std::string_view request,
                                         TimePoint now);
 
+// Denies the permit, if the request asks for one. Otherwise as
+// AnswerPermitRequest.
+Result<std::string> DenyPermitRequest(PermitIssuer& issuer,
+                                      const Address& from,
+                                      std::string_view request,
+                                      Duration wait);
+
 }  // namespace toucanhollow
 
 #endif  // PERMIT_ANSWER_PERMIT_REQUEST_H_
--- a/packages/relay/dispatcher.cc
+++ b/packages/relay/dispatcher.cc
@@ -9,7 +9,6 @@
 #include "quarantine/choose_canary.h"
 #include "relay/agent_address.h"
 #include "traffic/caller_retry.h"
-#include "traffic/permit_issuers.h"
 
 namespace toucanhollow {
 namespace {
@@ -29,25 +28,6 @@
 // of prompts.
 constexpr int kSilentIssuerTimeouts = 2;
 
-// The processes that give permits for the server: its agent, or the seeds if it
-// has none. All hosts have the same seeds, a host without seeds is alone.
-std::vector<Address> FindIssuers(const Service& service,
-                                 const ListedServer& server,
-                                 const RelaySettings& settings) {
-  if (service.engine) {
-    return {AgentAddress(server, settings)};
-  }
-  std::vector<Address> issuers;
-  for (const Address& seed : settings.seeds) {
-    issuers.push_back({seed.ip, settings.report_port});
-  }
-  if (issuers.empty()) {
-    issuers.push_back({settings.control.ip, settings.report_port});
-  }
-  std::ranges::sort(issuers);
-  return issuers;
-}
-
 int MaxOutstanding(const Service& service, const ListedServer& server) {
   return service.engine ? server.slots : server.slots * kPlainLimitFactor;
 }
@@ -259,6 +239,18 @@
   return chosen ? pools[*chosen] : nullptr;
 }
 
+Address Dispatcher::FindIssuer(const Service& service,
+                               const ListedServer& server,
+                               TimePoint now) const {
+  if (service.engine) {
+    return AgentAddress(server, this->settings);
+  }
+  const auto peer = FindIssuingHost(this->peer_loads, now);
+  const bool is_peer = peer && peer->generation > this->issuer_generation;
+  return {is_peer ? peer->host : this->settings.control.ip,
+          this->settings.report_port};
+}
+
 void Dispatcher::Assign(const std::shared_ptr<ServerConnectionPool>& pool,
                         WaitingRequest request,
                         TimePoint now) {
@@ -285,22 +277,16 @@
       this->view->traffic->services.at(pool->server().service);
   const PermitRate rate =
       FindPermitRate(service.cold_requests_per_s, this->settings.cold);
-  const std::vector<Address> issuers =
-      LimitIssuers(FindIssuers(service, pool->server(), this->settings), rate);
-  // One issuer alone can tell whether another request is in isolation.
-  const Address& issuer = tested_parts.empty()
-                              ? ChooseIssuer(issuers, this->Draw())
-                              : issuers.front();
+  const Address issuer = this->FindIssuer(service, pool->server(), now);
   pool->permits = RecordAsk(pool->permits, now);
   const RequestId id = request.dispatch_request.request;
   const std::uint64_t serial = this->permits.Ask(
-      issuer, pool->load_key(), ShareOfIssuer(rate, issuers.size()),
+      issuer, pool->load_key(), rate,
       tested_parts.empty() ? PermitPurpose::kRequest
                            : PermitPurpose::kIsolatedRequest,
       [this, id](const PermitAnswer& answer) { this->OnPermit(id, answer); });
   this->permit_waits.emplace(
-      id, PermitWait{std::move(request), pool, issuers.size(), issuer, serial,
-                     tested_parts});
+      id, PermitWait{std::move(request), pool, issuer, serial, tested_parts});
 }
 
 bool Dispatcher::IsCurrent(const ServerConnectionPool& pool,
@@ -322,10 +308,7 @@
       pool.permits = RecordGrant();
       break;
     case PermitOutcome::kDenied:
-      // Another issuer may have a permit sooner.
-      pool.permits = RecordDenial(
-          before, answer.wait / static_cast<Duration::rep>(wait.issuers),
-          this->Draw(), now);
+      pool.permits = RecordDenial(before, answer.wait, this->Draw(), now);
       break;
     case PermitOutcome::kNoAnswer:
       pool.permits = RecordTimeout(before, now);
@@ -720,6 +703,7 @@
 
 HostLoadReport Dispatcher::MakeLoadReport() const {
   HostLoadReport report;
+  report.issuer_generation = this->issuer_generation;
   report.slow_servers.assign(this->slow_servers.begin(),
                              this->slow_servers.end());
   for (const auto& [id, pool] : this->pools) {
--- a/packages/relay/dispatcher.h
+++ b/packages/relay/dispatcher.h
@@ -81,6 +81,10 @@
   // Sets the number of entry hosts that share the bound on retries, this one
   // included; empty while it is not known.
   void SetHostCount(std::optional<int> hosts);
+  // Sets IssuingGeneration of this host.
+  void SetIssuerGeneration(std::int64_t generation) {
+    this->issuer_generation = generation;
+  }
   std::size_t waiting_requests() const {
     return this->waiting.size() + this->isolation.size();
   }
@@ -90,8 +94,7 @@
   struct PermitWait {
     WaitingRequest request;
     std::shared_ptr<ServerConnectionPool> pool;
-    std::size_t issuers = 1;   // that give permits for this server
-    Address issuer;            // the one that was asked
+    Address issuer;            // that was asked
     std::uint64_t serial = 0;  // of the call to it
     // The parts that the request tests, if it is isolated.
     std::vector<PartId> tested_parts;
@@ -117,6 +120,11 @@
   std::shared_ptr<ServerConnectionPool> FindCanary(const ServiceName& service,
                                                    PartId part,
                                                    TimePoint now) const;
+  // The process that gives permits for the server: its agent, or the issuing
+  // entry host if it has none. A host that knows no issuer asks itself.
+  Address FindIssuer(const Service& service,
+                     const ListedServer& server,
+                     TimePoint now) const;
   // Assigns the request to the server, after asking for a permit if the service
   // needs one.
   void Assign(const std::shared_ptr<ServerConnectionPool>& pool,
@@ -164,6 +172,7 @@
   PeerLoadTable peer_loads;
   std::set<std::uint32_t> slow_servers;
   std::optional<int> host_count;
+  std::int64_t issuer_generation = 0;
   std::uint64_t next_seed = 0;
   std::unique_ptr<Timer> timer;
   // Callbacks keep a weak pointer to this, which expires with this object.
--- a/packages/relay/peer_codec.cc
+++ b/packages/relay/peer_codec.cc
@@ -84,7 +84,8 @@
   }
   return ToBytes(
       json::array({report.incarnation, report.sequence, std::move(loads),
-                   report.slow_servers, report.quarantine_digest}));
+                   report.slow_servers, report.quarantine_digest,
+                   report.issuer_generation}));
 }
 
 Result<HostLoadReport> DecodeLoadReport(std::string_view bytes) {
@@ -97,10 +98,13 @@
                               load.at(1).get<int>(), load.at(2).get<int>()});
     }
     report.slow_servers = document.at(3).get<std::vector<std::uint32_t>>();
-    // Hosts of earlier versions do not send it.
+    // Hosts of earlier versions do not send these.
     if (document.size() > 4) {
       report.quarantine_digest = document.at(4).get<std::uint32_t>();
     }
+    if (document.size() > 5) {
+      report.issuer_generation = document.at(5).get<std::int64_t>();
+    }
     return report;
   });
 }
--- a/packages/relay/peer_task.cc
+++ b/packages/relay/peer_task.cc
@@ -5,7 +5,7 @@
 
 #include "http_message/http_message.h"
 #include "json_log/json_log.h"
-#include "permit/answer_permit_request.h"
+#include "permit/leased_issuer.h"
 #include "permit/permit_codec.h"
 #include "relay/crash_report_codec.h"
 #include "relay/peer_codec.h"
@@ -114,7 +114,6 @@
   BOOST_OUTCOME_TRY(socket, std::move(bound));
   this->socket = std::move(socket);
   this->started_at = EventLoop::Now();
-  this->permit_issuer.permits.started_at = this->started_at;
   this->host_count.started_at = this->started_at;
   this->host_count.expects_others = !this->peers.empty();
   this->report_timer =
@@ -148,8 +147,8 @@
 }
 
 void PeerTask::OnPermitRequest(const Address& from, std::string_view bytes) {
-  const Result<std::string> reply =
-      AnswerPermitRequest(this->permit_issuer, from, bytes, EventLoop::Now());
+  const Result<std::string> reply = AnswerLeasedRequest(
+      this->permit_issuer, from, bytes, EventLoop::BootNow(), EventLoop::Now());
   if (!reply) {
     LogJsonNow("permit_request_malformed",
                {{"from", std::string_view(from.ip)},
@@ -198,8 +197,25 @@
   this->socket->Send({ip, this->settings.report_port}, bytes);
 }
 
+void PeerTask::OnJoined(const JoinAnswer& answer) {
+  const IssuerLease before = this->permit_issuer.lease;
+  const IssuerLease lease = RenewLease(before, answer);
+  this->permit_issuer.lease = lease;
+  if (lease.issues_from != before.issues_from) {
+    LogJsonNow("permit_issuer_changed", {{"is_issuer", lease.is_holder},
+                                         {"generation", lease.generation}});
+  }
+  this->UpdateIssuing();
+}
+
+void PeerTask::UpdateIssuing() {
+  this->dispatcher.SetIssuerGeneration(
+      IssuingGeneration(this->permit_issuer.lease, EventLoop::BootNow()));
+}
+
 void PeerTask::SendReports() {
   const TimePoint now = EventLoop::Now();
+  this->UpdateIssuing();
   const std::vector<std::string> hosts = this->ListLivePeers(now);
   this->host_count =
       RecordHosts(this->host_count, static_cast<int>(hosts.size()) + 1);
--- a/packages/relay/peer_task.h
+++ b/packages/relay/peer_task.h
@@ -1,7 +1,7 @@
 // PeerTask: exchanges state with the other entry hosts. Load reports are sent
 // in datagrams, several times a second. A host that cannot read the store
-// fetches its records from the others. A host that is a seed gives permits for
-// servers without an agent.
+// fetches its records from the others. The host that holds the lease of the
+// issuer gives permits for servers without an agent.
 #ifndef RELAY_PEER_TASK_H_
 #define RELAY_PEER_TASK_H_
 
@@ -15,7 +15,7 @@
 #include "event_loop/event_loop.h"
 #include "http_client/http_client.h"
 #include "http_server/http_server.h"
-#include "permit/answer_permit_request.h"
+#include "permit/leased_issuer.h"
 #include "relay/dispatcher.h"
 #include "relay/platform_view_task.h"
 #include "relay/relay_settings.h"
@@ -39,6 +39,7 @@
   // this IP address.
   void Broadcast(const std::string& bytes);
   void Send(const std::string& ip, const std::string& bytes);
+  void OnJoined(const JoinAnswer& answer);
 
  private:
   struct Peer {
@@ -49,6 +50,8 @@
 
   void OnDatagram(const Address& from, std::string_view bytes);
   void OnPermitRequest(const Address& from, std::string_view bytes);
+  // Tells the dispatcher whether this host is the issuer of permits.
+  void UpdateIssuing();
   void SendReports();
   void Fetch();
   void FetchFrom(const std::string& ip);
@@ -73,7 +76,7 @@
   std::unique_ptr<DatagramSocket> socket;
   std::unique_ptr<Timer> report_timer;
   std::unique_ptr<Timer> fetch_timer;
-  PermitIssuer permit_issuer;
+  LeasedIssuer permit_issuer;
   HostCount host_count;
   TimePoint started_at;
   std::uint64_t incarnation;
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -186,13 +186,15 @@
       this->loop, this->client, this->engine_codec,
       CoordinatorElectionSettings{this->settings.store,
                                   this->settings.store_partitions, member},
-      GroupMapCallbacks{[this] { return this->ListExpertParallelServices(); },
-                        [this](const GroupRegistry& groups) {
-                          this->dispatcher.UpdateGroups(groups);
-                        },
-                        [this](const std::set<std::string>& servers) {
-                          this->dispatcher.SetSlowServers(servers);
-                        }});
+      GroupMapCallbacks{
+          [this] { return this->ListExpertParallelServices(); },
+          [this](const GroupRegistry& groups) {
+            this->dispatcher.UpdateGroups(groups);
+          },
+          [this](const std::set<std::string>& servers) {
+            this->dispatcher.SetSlowServers(servers);
+          },
+          [this](const JoinAnswer& answer) { this->peers->OnJoined(answer); }});
   BOOST_OUTCOME_TRYV(this->maps->Start(
       {this->settings.control.ip, this->settings.rank_call_port}));
   this->sweep_timer = std::make_unique<Timer>(
--- a/packages/traffic/peer_load_table.cc
+++ b/packages/traffic/peer_load_table.cc
@@ -54,6 +54,19 @@
   return slow;
 }
 
+std::optional<IssuingHost> FindIssuingHost(const PeerLoadTable& table,
+                                           TimePoint now) {
+  std::optional<IssuingHost> latest;
+  for (const auto& [host, entry] : table.hosts) {
+    const std::int64_t generation = entry.report.issuer_generation;
+    if (generation > (latest ? latest->generation : 0) &&
+        now - entry.received_at <= kReportLifetime) {
+      latest = {host, generation};
+    }
+  }
+  return latest;
+}
+
 ServerLoad FindServerLoad(const PeerLoadTable& table, std::uint32_t server) {
   const auto found = table.sums.find(server);
   return found == table.sums.end() ? ServerLoad{server, 0, 0} : found->second;
--- a/packages/traffic/peer_load_table.h
+++ b/packages/traffic/peer_load_table.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -33,6 +34,8 @@
   std::vector<std::uint32_t> slow_servers = {};
   // Of what the host knows of crashes; 0 if it knows of none.
   std::uint32_t quarantine_digest = 0;
+  // IssuingGeneration of the host.
+  std::int64_t issuer_generation = 0;
 
   bool operator==(const HostLoadReport&) const = default;
 };
@@ -67,6 +70,18 @@
 // Servers that any current report lists as slow.
 std::set<std::uint32_t> SlowServers(const PeerLoadTable& table, TimePoint now);
 
+struct IssuingHost {
+  std::string host;
+  std::int64_t generation = 0;
+
+  bool operator==(const IssuingHost&) const = default;
+};
+
+// The host that announces the latest generation as an issuer of permits in a
+// current report.
+std::optional<IssuingHost> FindIssuingHost(const PeerLoadTable& table,
+                                           TimePoint now);
+
 // The load that other hosts put on the server; zero if none reports any.
 ServerLoad FindServerLoad(const PeerLoadTable& table, std::uint32_t server);
 
--- a/packages/traffic/traffic_test.cc
+++ b/packages/traffic/traffic_test.cc
@@ -6,7 +6,6 @@
 #include "traffic/known_server.h"
 #include "traffic/peer_load_table.h"
 #include "traffic/permit_availability.h"
-#include "traffic/permit_issuers.h"
 #include "traffic/permit_ledger.h"
 #include "traffic/place_request.h"
 #include "traffic/retry_allowance.h"
@@ -243,18 +242,23 @@
   CHECK(RecordGrant() == PermitAvailability{});
 }
 
-// Guards against several issuers that together exceed the bound.
-TEST_CASE("several issuers share the permits for a server") {
-  const std::vector<Address> issuers{
-      {"10.0.0.1", 1}, {"10.0.0.2", 1}, {"10.0.0.3", 1}};
-  CHECK(LimitIssuers(issuers, {14, 6}).size() == 3);
-  CHECK(ShareOfIssuer({14, 6}, 3) == PermitRate{14.0 / 3, 2});
-  // A part of less than one permit would never be given.
-  CHECK(LimitIssuers(issuers, {14, 2.5}) ==
-        std::vector<Address>{issuers[0], issuers[1]});
-  CHECK(LimitIssuers(issuers, {14, 0.5}).size() == 1);
-  CHECK(ChooseIssuer(issuers, 4) == issuers[1]);
-  CHECK(ChooseIssuer(issuers, 5) == issuers[2]);
+// Guards against hosts that ask an issuer which was replaced or has stopped.
+TEST_CASE("the issuer of the latest generation in a current report is found") {
+  PeerLoadTable table;
+  CHECK_FALSE(FindIssuingHost(table, At(0)));
+  HostLoadReport report{1, 1, {}};
+  RecordLoadReport(table, "a", report, At(0));
+  CHECK_FALSE(FindIssuingHost(table, At(0)));
+  report.issuer_generation = 7;
+  RecordLoadReport(table, "b", report, At(0));
+  report.issuer_generation = 9;
+  RecordLoadReport(table, "c", report, At(0));
+  CHECK(FindIssuingHost(table, At(1600)) == IssuingHost{"c", 9});
+  report.sequence = 2;
+  report.issuer_generation = 0;
+  RecordLoadReport(table, "c", report, At(1000));
+  CHECK(FindIssuingHost(table, At(1600)) == IssuingHost{"b", 7});
+  CHECK_FALSE(FindIssuingHost(table, At(1601)));
 }
 
 ServerCandidate MakeCandidate(const std::string& id, int outstanding) {
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -118,6 +118,8 @@
       options(std::move(options)),
       fault_log(this->options.directory + "/faults.log"),
       store(loop) {
+  // The members elect the issuer of permits for servers without an agent.
+  this->store.knows_members = true;
   for (int i = 0; i < kServers; ++i) {
     this->servers.push_back(std::make_unique<Server>(
         loop, this->ledger, "i-" + std::to_string(this->next_server++)));
--- a/standins/platform/platform_store_stand_in.cc
+++ b/standins/platform/platform_store_stand_in.cc
@@ -108,19 +108,67 @@
   } else if (request.path == "/v1/log-append") {
     this->Append(request, *writer);
   } else if (request.path == "/v1/log-join") {
-    this->joins.push_back(EventLoop::Now());
-    json parts = json::array();
-    if (this->coordinator) {
-      parts.push_back({"coordinator", this->given_partition, 0});
-    }
-    writer->Respond(
-        200, {},
-        json{{"generation", this->generation}, {"parts", parts}}.dump());
+    this->Join(request, *writer);
+  } else if (request.path == "/v1/log-leave") {
+    this->Leave(request, *writer);
   } else {
     writer->Respond(200, {}, "{}");
   }
 }
 
+void PlatformStoreStandIn::Join(const HttpRequest& request,
+                                HttpResponseWriter& writer) {
+  const TimePoint now = EventLoop::Now();
+  this->joins.push_back(now);
+  const json body = json::parse(request.body);
+  const auto member = body.at("member").get<std::string>();
+  if (this->knows_members) {
+    this->RemoveMembers([this, now](const std::string& other) {
+      return this->members.at(other) < now;
+    });
+    const Duration time_to_live =
+        Milliseconds(body.at("ttl_ms").get<std::int64_t>());
+    const bool is_new =
+        this->members.insert_or_assign(member, now + time_to_live).second;
+    this->generation += is_new ? 1 : 0;
+    this->holder = this->holder.empty() ? member : this->holder;
+  }
+  json parts = json::array();
+  if (this->knows_members ? member == this->holder : this->coordinator) {
+    parts.push_back({"coordinator", this->given_partition, 0});
+  }
+  writer.Respond(
+      200, {}, json{{"generation", this->generation}, {"parts", parts}}.dump());
+}
+
+void PlatformStoreStandIn::Leave(const HttpRequest& request,
+                                 HttpResponseWriter& writer) {
+  const auto member = json::parse(request.body).at("member").get<std::string>();
+  this->RemoveMembers(
+      [&member](const std::string& other) { return other == member; });
+  writer.Respond(200, {}, "{}");
+}
+
+void PlatformStoreStandIn::RemoveMembers(
+    const std::function<bool(const std::string&)>& removes) {
+  const auto removed = std::erase_if(
+      this->members,
+      [&removes](const auto& entry) { return removes(entry.first); });
+  this->generation += removed > 0 ? 1 : 0;
+  if (!this->members.contains(this->holder)) {
+    this->holder = this->members.empty() ? "" : this->members.begin()->first;
+  }
+}
+
+void PlatformStoreStandIn::Reassign() {
+  const auto other = std::ranges::find_if(
+      this->members,
+      [this](const auto& entry) { return entry.first != this->holder; });
+  InternalCheck(other != this->members.end(), "the group has another member");
+  this->holder = other->first;
+  ++this->generation;
+}
+
 // The body holds one record of a keyed topic.
 void PlatformStoreStandIn::Append(const HttpRequest& request,
                                   HttpResponseWriter& writer) {
--- a/standins/platform/platform_store_stand_in.h
+++ b/standins/platform/platform_store_stand_in.h
@@ -4,6 +4,7 @@
 #define STANDINS_PLATFORM_PLATFORM_STORE_STAND_IN_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -36,6 +37,12 @@
   std::string unreadable_topic;
   // The generation that members are told.
   std::int64_t generation = 1;
+  // The group knows its members: one of them holds the given partition, and
+  // each change of the group increases the generation. It replaces
+  // SetCoordinator.
+  bool knows_members = false;
+  // Gives the partition to another member at once, without any request.
+  void Reassign();
   // When members joined or stayed in the group, in order.
   std::vector<TimePoint> joins;
   // Drops the history of a topic; the newest records stay.
@@ -62,6 +69,9 @@
   void Read(const HttpRequest& request,
             const std::shared_ptr<HttpResponseWriter>& writer);
   void Append(const HttpRequest& request, HttpResponseWriter& writer);
+  void Join(const HttpRequest& request, HttpResponseWriter& writer);
+  void Leave(const HttpRequest& request, HttpResponseWriter& writer);
+  void RemoveMembers(const std::function<bool(const std::string&)>& removes);
   std::string Page(const Topic& topic, std::int64_t from) const;
   std::string Newest(const Topic& topic) const;
 
@@ -69,6 +79,8 @@
   std::unique_ptr<HttpServer> server;
   bool down = false;
   bool coordinator = false;
+  std::map<std::string, TimePoint> members;  // until when they belong to it
+  std::string holder;                        // the member with the partition
   std::map<std::string, Topic> topics;
   std::map<std::uint64_t, WaitingRead> waiting;
   std::uint64_t next_read = 1;
--- a/standins/platform/send_permit_test.cc
+++ b/standins/platform/send_permit_test.cc
@@ -57,6 +57,16 @@
     this->agent = RelayFleet::StartAgent("127.0.0.1");
   }
 
+  // Load until a request has reached the server: an issuer is elected, and no
+  // other one may have given permits before.
+  void WaitForIssuer() {
+    REQUIRE(this->RunUntil([this] {
+      this->AskAll();
+      this->RunFor(Milliseconds(50));
+      return !this->first.arrivals.empty();
+    }));
+  }
+
   // Each host that runs gets one more request.
   void AskAll() {
     for (int i = 0; i < kHosts; ++i) {
@@ -103,13 +113,15 @@
   CHECK(site.first.arrivals.size() >= 12);
 }
 
-// Guards against the same at servers without an agent, for which the seeds give
-// permits, also when a seed stops.
+// Guards against the same at servers without an agent, for which one of the
+// hosts gives permits, also when a host stops.
 TEST_CASE("relays together keep the bound of a cold server without an agent") {
   FleetSite site("");
+  site.store.knows_members = true;
   for (int i = 0; i < kHosts; ++i) {
     site.StartHost(i);
   }
+  site.WaitForIssuer();
   site.Load(Seconds(5), [&site](int step) {
     if (step == 30) {
       site.hosts[1].reset();
@@ -122,6 +134,58 @@
   CHECK(site.first.arrivals.size() >= 8);
 }
 
+// Guards against hosts that take their permits from different issuers because
+// their settings name different seeds, and against two issuers at once when the
+// store gives the group's partition to another host.
+TEST_CASE("hosts with different seeds keep the bound of a cold server") {
+  FleetSite site("");
+  site.store.knows_members = true;
+  for (int i = 0; i < kHosts; ++i) {
+    site.host_settings[i].seeds.clear();
+    for (int seed = i; seed < i + FleetSite::kSeeds; ++seed) {
+      site.host_settings[i].seeds.push_back(
+          site.host_settings[seed % kHosts].control);
+    }
+  }
+  for (int i = 0; i < kHosts; ++i) {
+    site.StartHost(i);
+  }
+  site.WaitForIssuer();
+  site.Load(Seconds(9), [&site](int step) {
+    if (step == 40 || step == 100) {
+      site.store.Reassign();
+    }
+    if (step == 70) {
+      site.StartHost(3);
+    }
+  });
+  CHECK(MostInOneSecond(site.first.arrivals) <= kMaxRequestsInOneSecond);
+  // The rate of a cold server, while new issuers wait.
+  CHECK(site.first.arrivals.size() >= 12);
+}
+
+// Guards against permits of an issuer that does not know whether the store has
+// chosen another one.
+TEST_CASE("an issuer that loses the store ends with its lease") {
+  FleetSite site("");
+  site.store.knows_members = true;
+  for (int i = 0; i < 2; ++i) {
+    site.StartHost(i);
+  }
+  site.WaitForIssuer();
+  site.store.SetDown(true);
+  site.Load(kIssuerLeaseTime + Milliseconds(200), [](int) {});
+  const std::size_t before = site.first.arrivals.size();
+  site.Load(Seconds(1), [](int) {});
+  CHECK(site.first.arrivals.size() == before);
+  site.store.SetDown(false);
+  CHECK(site.RunUntil([&] {
+    site.AskAll();
+    site.RunFor(Milliseconds(50));
+    return site.first.arrivals.size() > before;
+  }));
+}
+
 // Guards against requests to a server whose agent does not run, and against
 // hosts that do not find it again.
 TEST_CASE("a server gets nothing while its agent does not run") {
