Keep the bound for servers that the ledger of permits forgot

Cause: the ledger forgets the least recently used server from the 65th on. When it was asked for again its bucket counted as refilled since the agent's start, so a server could get a full bucket after it had just been emptied. Change: the bucket of a forgotten server is taken for empty when it was forgotten. The issuer of servers without an agent, of which there may be more than a machine has, knows 1,024 of them; agents still know 64. Result: "a server that was forgotten gets no permits at once" fails without the change and passes.

--- a/packages/cold_start_bench/simulate.cc
+++ b/packages/cold_start_bench/simulate.cc
@@ -155,7 +155,7 @@
 
 void Restart(Fleet& fleet, TimePoint now) {
   for (Server& server : fleet.servers) {
-    server.agent = {.started_at = now, .buckets = {}};
+    server.agent = {.empty_at = now, .buckets = {}};
     for (std::deque<TimePoint>& sent : server.sent_by_host) {
       sent.clear();
     }
--- a/packages/map_task/rank_agent.cc
+++ b/packages/map_task/rank_agent.cc
@@ -70,7 +70,7 @@
       engine(this->client, codec) {}
 
 Result<bool> RankAgent::Start() {
-  this->permit_issuer.permits.started_at = EventLoop::Now();
+  this->permit_issuer.permits.empty_at = EventLoop::Now();
   auto opened =
       DatagramSocket::Bind(this->loop, this->settings.listen,
                            [this](const Address& from, std::string_view bytes) {
--- a/packages/permit/issuer_fleet_test.cc
+++ b/packages/permit/issuer_fleet_test.cc
@@ -142,7 +142,7 @@
       host.seeds.push_back((first_seed + i) % kHosts);
     }
     this->hosts[number] = host;
-    this->hosts[number].issuer.issuer.permits.started_at =
+    this->hosts[number].issuer.issuer.permits.empty_at =
         this->Now(this->hosts[number]);
     this->Join(number);
     this->Report(number);
--- a/packages/permit/leased_issuer.cc
+++ b/packages/permit/leased_issuer.cc
@@ -12,7 +12,7 @@
   }
   if (issuer.ledger_begun_for != issuer.lease.issues_from) {
     issuer.ledger_begun_for = issuer.lease.issues_from;
-    issuer.issuer.permits = PermitLedger{now, {}};
+    issuer.issuer.permits = PermitLedger{now, kMaxLeasedServers, {}};
   }
   return AnswerPermitRequest(issuer.issuer, from, request, now);
 }
--- a/packages/permit/leased_issuer.h
+++ b/packages/permit/leased_issuer.h
@@ -3,6 +3,7 @@
 #ifndef PERMIT_LEASED_ISSUER_H_
 #define PERMIT_LEASED_ISSUER_H_
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -18,6 +19,9 @@
 // How long a host waits that asked another one than the issuer.
 inline constexpr Duration kNoIssuerWait = Milliseconds(100);
 
+// The servers of all services without an agent.
+inline constexpr std::size_t kMaxLeasedServers = 1024;
+
 struct LeasedIssuer {
   IssuerLease lease;
   PermitIssuer issuer;
--- a/packages/traffic/cold_start_fleet_test.cc
+++ b/packages/traffic/cold_start_fleet_test.cc
@@ -184,7 +184,7 @@
   if (IsAt(now, Seconds(2))) {
     fleet.agent_running = false;
   } else if (IsAt(now, Milliseconds(2300))) {
-    fleet.agent = {.started_at = now, .buckets = {}};
+    fleet.agent = {.empty_at = now, .buckets = {}};
     fleet.agent_running = true;
   }
   for (HostPointer& host : fleet.hosts) {
@@ -255,7 +255,7 @@
   const Duration phase = (now - kBegin) % Milliseconds(400);
   fleet.agent_running = phase >= Milliseconds(10);
   if (phase == Milliseconds(10)) {
-    fleet.agent = {.started_at = now, .buckets = {}};
+    fleet.agent = {.empty_at = now, .buckets = {}};
   }
 }
 
--- a/packages/traffic/permit_ledger.cc
+++ b/packages/traffic/permit_ledger.cc
@@ -10,11 +10,9 @@
 
 // The wait of a server that gets no permits at all.
 constexpr Duration kLongestWait = Seconds(10);
-// A machine has few servers; the least recently used ones are forgotten.
-constexpr std::size_t kMaxServers = 64;
-
-void DropLeastRecentlyUsed(PermitLedger& ledger) {
-  if (ledger.buckets.size() > kMaxServers) {
+void DropLeastRecentlyUsed(PermitLedger& ledger, TimePoint now) {
+  if (ledger.buckets.size() > ledger.max_servers) {
+    ledger.empty_at = now;
     ledger.buckets.erase(std::ranges::min_element(
         ledger.buckets, {},
         [](const auto& entry) { return entry.second.updated_at; }));
@@ -36,9 +34,8 @@
                           std::uint32_t server,
                           const PermitRate& rate,
                           TimePoint now) {
-  // Nobody else has given permits for the server since this agent started.
   const auto [entry, is_new] =
-      ledger.buckets.try_emplace(server, PermitBucket{0, ledger.started_at});
+      ledger.buckets.try_emplace(server, PermitBucket{0, ledger.empty_at});
   PermitBucket& bucket = entry->second;
   const FractionalSeconds since_update(now - bucket.updated_at);
   bucket.permits =
@@ -55,7 +52,7 @@
         FractionalSeconds((1 - bucket.permits) / rate.per_s));
   }
   if (is_new) {
-    DropLeastRecentlyUsed(ledger);
+    DropLeastRecentlyUsed(ledger, now);
   }
   return decision;
 }
--- a/packages/traffic/permit_ledger.h
+++ b/packages/traffic/permit_ledger.h
@@ -9,6 +9,7 @@
 #ifndef TRAFFIC_PERMIT_LEDGER_H_
 #define TRAFFIC_PERMIT_LEDGER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 
@@ -64,8 +65,12 @@
 };
 
 struct PermitLedger {
-  // The start of the agent.
-  TimePoint started_at;
+  // The buckets of servers without an entry were empty then: at the start, as
+  // another process may have given permits before, or when a server was
+  // forgotten.
+  TimePoint empty_at;
+  // A machine has few servers. The least recently used ones are forgotten.
+  std::size_t max_servers = 64;
   std::map<std::uint32_t, PermitBucket> buckets;  // by server
 
   bool operator==(const PermitLedger&) const = default;
--- a/packages/traffic/traffic_test.cc
+++ b/packages/traffic/traffic_test.cc
@@ -166,13 +166,13 @@
       const PermitRate rate = FindPermitRate(cold, bound);
       const double allowed = cold * bound.burst_factor + bound.slack;
       PermitLedger ledger;
-      ledger.started_at = At(0);
+      ledger.empty_at = At(0);
       // The agent has run for long without a request, and then restarts when
       // its bucket is empty.
       std::vector<TimePoint> given =
           AskEachMillisecond(ledger, rate, At(100000), Seconds(2));
       for (std::int64_t start = 102010; start < 104000; start += 370) {
-        ledger = {.started_at = At(start), .buckets = {}};
+        ledger = {.empty_at = At(start), .buckets = {}};
         const auto more =
             AskEachMillisecond(ledger, rate, At(start), Milliseconds(360));
         given.insert(given.end(), more.begin(), more.end());
@@ -193,7 +193,7 @@
   const PermitRate rate = FindPermitRate(14, {1.5, 5});
   CHECK(rate.per_s == Approx(14));
   PermitLedger ledger;
-  ledger.started_at = At(0);
+  ledger.empty_at = At(0);
   const PermitDecision denied = GivePermit(ledger, 1, rate, At(10));
   CHECK_FALSE(denied.granted);
   CHECK_FALSE(GivePermit(ledger, 1, rate, At(10) + denied.wait / 2).granted);
@@ -217,6 +217,23 @@
   CHECK(ledger.buckets.contains(999));
 }
 
+// Guards against a bucket that is full again because its server was forgotten.
+TEST_CASE("a server that was forgotten gets no permits at once") {
+  PermitLedger ledger;
+  const PermitRate rate{10, 5};
+  const auto count = static_cast<std::uint32_t>(ledger.max_servers);
+  const TimePoint now = At(60'000);
+  for (int i = 0; i < 5; ++i) {
+    CHECK(GivePermit(ledger, 0, rate, now).granted);
+  }
+  for (std::uint32_t server = 1; server <= count; ++server) {
+    GivePermit(ledger, server, rate, now + Milliseconds(1));
+  }
+  CHECK_FALSE(ledger.buckets.contains(0));
+  CHECK_FALSE(GivePermit(ledger, 0, rate, now + Milliseconds(2)).granted);
+  CHECK(GivePermit(ledger, 0, rate, now + Milliseconds(102)).granted);
+}
+
 // Guards against hosts that ask an agent all at once, again and again, and
 // against one that asks many requests' time of an agent that does not run.
 TEST_CASE("a host waits longer after each denial and each timeout") {
