Cut requests some time after the last sixth of the grace time begins

Cause: the time of the last answers was five sixths of a short grace time, which is also the deadline that servers are told. Change: a seventh, and at most 1 s as before, is kept for the end. Result: the new case of relay_test fails before for grace times of 2 and 4 s.

--- a/packages/relay/stop_schedule.cc
+++ b/packages/relay/stop_schedule.cc
@@ -14,10 +14,11 @@
 // Time in which a connection that a caller has begun is established.
 constexpr Duration kHandshakeTime = Milliseconds(200);
 // Time between the last answers and the kill, in which answers are sent and
-// read, and connections closed. A sixth of the grace time is the part in which
-// the platform expects requests to be cut.
+// read, and connections closed. The platform expects requests to be cut in the
+// last sixth of the grace time. Answers that servers end before it need some
+// time to arrive, so this is less.
 constexpr Duration kMaxEndTime = Milliseconds(1000);
-constexpr int kEndTimeDivisor = 6;
+constexpr int kEndTimeDivisor = 7;
 // Part of that time that is kept for the end of the process itself.
 constexpr int kExitTimeDivisor = 4;
 // A request that is not a stream is expected to take at most this many times
--- a/packages/relay/stop_schedule_test.cc
+++ b/packages/relay/stop_schedule_test.cc
@@ -67,5 +67,21 @@
   CHECK_FALSE(LimitDeadline(stop, unsafe, late, stop.answer_by));
 }
 
+// Guards against a stop that cuts answers before the last sixth of the grace
+// time, or while those which servers ended before it are on their way.
+TEST_CASE("requests are cut in the last sixth of the grace time") {
+  constexpr Duration kWay = Milliseconds(20);
+  const TimePoint stop_at{Seconds(100)};
+  for (const Duration grace :
+       {Seconds(2), Seconds(4), Seconds(8), Seconds(30)}) {
+    const StopSchedule stop = PlanStop(stop_at, grace);
+    CHECK(stop.answer_by - stop_at >= grace * 5 / 6 + kWay);
+    CHECK(stop.answer_by < stop.close_by);
+    CHECK(stop.close_by < stop_at + grace);
+    CHECK(stop.listen_until <= stop.accept_until);
+    CHECK(stop.accept_until <= stop.answer_by);
+  }
+}
+
 }  // namespace
 }  // namespace toucanhollow
