Name the request in refusals of half-read requests

Cause: refusals of input were written without headers of their own. Change: they carry the id if the head of the request has arrived with it. Result: the check in stop_test ("the end of the grace time answers every open request") fails before and passes.

--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -74,9 +74,7 @@
       return;
     case Phase::kIdle:
       if (this->refuses_requests) {
-        this->RefuseInput(
-            503, "too many connections",
-            this->context.codec.relay_response_headers({}, kRefusedRetryAfter));
+        this->RefuseInput(503, "too many connections", kRefusedRetryAfter);
         return;
       }
       this->phase = Phase::kReading;
@@ -192,7 +190,7 @@
 
 void CallerSession::RefuseInput(int status,
                                 std::string_view why,
-                                HttpHeaders headers) {
+                                std::optional<Duration> retry_after) {
   LogJsonNow("input_refused",
              {{"session", static_cast<std::int64_t>(this->number)},
               {"status", static_cast<std::int64_t>(status)},
@@ -200,10 +198,22 @@
   this->context.metrics.Count("input_refused_total",
                               "status=\"" + std::to_string(status) + "\"");
   this->draining = true;
-  this->SendHead(status, "", std::move(headers), "0");
+  this->SendHead(status, "",
+                 this->context.codec.relay_response_headers(
+                     this->ArrivedRequestId(), retry_after),
+                 "0");
   this->BeginClosing();
 }
 
+std::string CallerSession::ArrivedRequestId() const {
+  if (this->parser == nullptr || !this->parser->head_done()) {
+    return "";
+  }
+  const Result<RequestMetadata> metadata =
+      this->context.codec.read_request(this->parser->head().headers);
+  return metadata ? metadata.value().request_id : "";
+}
+
 void CallerSession::FinishResponse() {
   this->request.reset();
   // A head sent before draining began did not announce the close, so the
@@ -295,9 +305,8 @@
   }
   this->CloseIfIdle();
   if (this->phase == Phase::kReading) {
-    this->RefuseInput(
-        503, "the host stops before the request has arrived",
-        this->context.codec.relay_response_headers({}, Duration(0)));
+    this->RefuseInput(503, "the host stops before the request has arrived",
+                      Duration(0));
   }
 }
 
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -54,7 +55,11 @@
   void OnOutputDrained();
   void Advance();
   void StartRequest();
-  void RefuseInput(int status, std::string_view why, HttpHeaders headers = {});
+  void RefuseInput(int status,
+                   std::string_view why,
+                   std::optional<Duration> retry_after = std::nullopt);
+  // Empty unless the head of the request being read has arrived and names it.
+  std::string ArrivedRequestId() const;
   void SendHead(int status,
                 std::string_view reason,
                 HttpHeaders headers,
--- a/standins/platform/stop_test.cc
+++ b/standins/platform/stop_test.cc
@@ -141,6 +141,8 @@
   CHECK(HasWholeAnswer(*waiting, 503));
   CHECK(site.first.runs["r4"] == 0);
   CHECK(HasWholeAnswer(*half, 503));
+  CHECK(FindHeader(half->parser.head().headers, "X-Toucanhollow-Request-Id") ==
+        "r5");
   CHECK(site.first.runs["r5"] == 0);
   CHECK(stream->ended);
   CHECK_FALSE(stream->parser.done());
