Free links that end during their handshake

Cause: a websocketpp connection whose read is pending holds a reference to itself, and a link that ended without the closing handshake only dropped its own reference. Each attempt that broke off in the handshake kept 18 KB, by the leak check of the address sanitizer on the last case of link_test. Change: the end of a link ends the pending read. Result: link_test has that leak before and none after.

--- a/packages/link/link.cc
+++ b/packages/link/link.cc
@@ -90,6 +90,8 @@
     std::function<void(const char*, std::size_t)> receive;
     std::function<bool(std::string_view)> send;
     std::function<void()> start_close;
+    // Ends the pending read, which holds a reference to its own connection.
+    std::function<void()> terminate;
     // Own the websocketpp endpoint and connection.
     std::shared_ptr<void> endpoint;
     std::shared_ptr<void> connection;
@@ -244,6 +246,9 @@
       close(self->file_descriptor);
       self->file_descriptor = -1;
     }
+    if (self->websocket.terminate) {
+      self->websocket.terminate();
+    }
     self->websocket = WebSocketConnection{};
     self->on_connected = nullptr;
     const LinkEvents events = std::exchange(self->events, LinkEvents{});
@@ -349,6 +354,7 @@
     websocketpp::lib::error_code ignored;
     raw->close(websocketpp::close::status::normal, "", ignored);
   };
+  state->websocket.terminate = [raw] { raw->fatal_error(); };
   state->websocket.endpoint = endpoint;
   state->websocket.connection = connection;
   return connection;
