Accept every connection of a full backlog

What callers saw: at the end of a planned stop one caller has a connection and gets no answer, if the host was so late that its backlog was full. Cause: the kernel queues one connection more than the number passed to listen, and AcceptAllPending took 511 of 512. The close of the listener reset the last one. Change: it takes 512.

--- a/packages/http_stream/tcp_connection.cc
+++ b/packages/http_stream/tcp_connection.cc
@@ -21,6 +21,8 @@
 // Maximum connections accepted in one event-loop callback.
 constexpr int kMaxAcceptsPerCallback = 32;
 constexpr int kListenBacklog = 511;
+// The kernel queues one connection more than the number passed to listen.
+constexpr int kMaxQueuedConnections = kListenBacklog + 1;
 // Without a free descriptor the listening socket stays readable, so it is not
 // watched for this long after a failed accept.
 constexpr Duration kAcceptPause = Milliseconds(50);
@@ -400,7 +402,7 @@
 }
 
 void TcpListener::AcceptAllPending() {
-  this->AcceptUpTo(kListenBacklog);
+  this->AcceptUpTo(kMaxQueuedConnections);
 }
 
 TcpListener::~TcpListener() {
