Start with any limit on descriptors

Cause: a limits.descriptors above 1048576 was a mistake that ends a relay with status 2. Change: any number of descriptors that a system can have is accepted; the number of callers follows from the lower of it and the process's own limit as before. Result: the new case of relay_test fails before and passes.

--- a/packages/relay/relay_settings.cc
+++ b/packages/relay/relay_settings.cc
@@ -1,6 +1,7 @@
 #include "relay/relay_settings.h"
 
 #include <charconv>
+#include <limits>
 #include <sstream>
 
 #include <boost/property_tree/ini_parser.hpp>
@@ -100,6 +101,8 @@
 constexpr double kMaxPort = 65535;
 constexpr double kMaxPartitions = 4096;
 constexpr double kMaxSeconds = 3600;
+// Containers often have a limit of 2^30 open files.
+constexpr double kMaxDescriptors = std::numeric_limits<int>::max();
 
 }  // namespace
 
@@ -149,7 +152,7 @@
   BOOST_OUTCOME_TRY(seeds, ReadAddresses(tree, "peers.seeds"));
   settings.seeds = seeds;
   BOOST_OUTCOME_TRY(
-      descriptors, ReadNumberOr(tree, "limits.descriptors", 64, 1 << 20,
+      descriptors, ReadNumberOr(tree, "limits.descriptors", 64, kMaxDescriptors,
                                 static_cast<double>(settings.max_descriptors)));
   settings.max_descriptors = static_cast<std::size_t>(descriptors);
   BOOST_OUTCOME_TRY(grace_s,
--- a/packages/relay/relay_test.cc
+++ b/packages/relay/relay_test.cc
@@ -79,6 +79,17 @@
             .contact_bound == defaults.contact_bound);
 }
 
+// Guards against a host that does not start in a container, which often has a
+// limit of 2^30 open files.
+TEST_CASE("any limit on descriptors that a system can have is accepted") {
+  for (const std::size_t limit : {1UL << 10, 1UL << 20, 1UL << 30}) {
+    const Result<RelaySettings> settings = ParseRelaySettings(SettingsWith(
+        "descriptors = 4200", "descriptors = " + std::to_string(limit)));
+    REQUIRE(settings);
+    CHECK(settings.value().max_descriptors == limit);
+  }
+}
+
 // Guards against a host that starts although a field could not be parsed.
 TEST_CASE("a settings error names its field and the remedy") {
   const auto detail = [](const std::string& text) {
