Fail to open an HTTP server without aborting the process

A server opens three descriptors. If only the last one was missing, the epoll set for callers that hang up, InternalCheck ended the process. A metrics server is opened again once a second while its port is held, so this could also end a process that serves.

Listen returns a failure instead.

--- a/packages/http_server/http_server.cc
+++ b/packages/http_server/http_server.cc
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
+#include <cstring>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -670,7 +672,13 @@
       loop, epoll_fd, IoWatcher::kRead,
       [core_pointer](IoWatcher::Interest) { core_pointer->RunDaemon(); });
   core->hangup_epoll = epoll_create1(EPOLL_CLOEXEC);
-  InternalCheck(core->hangup_epoll >= 0, "an epoll descriptor is created");
+  if (core->hangup_epoll < 0) {
+    return MakeFailure(
+        ResultCode::kSettingsInvalid,
+        "listen address " + core->options.address + ":" +
+            std::to_string(core->options.port) +
+            " lacks an epoll descriptor: " + std::strerror(errno));
+  }
   core->hangup_watcher = std::make_unique<IoWatcher>(
       loop, core->hangup_epoll, IoWatcher::kRead,
       [core_pointer](IoWatcher::Interest) { core_pointer->HandleHangups(); });
--- a/packages/http_server/http_server_test.cc
+++ b/packages/http_server/http_server_test.cc
@@ -1,6 +1,7 @@
 #include "http_server/http_server.h"
 
 #include <arpa/inet.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -505,5 +506,31 @@
   }
 }
 
+// Guards against a process that is aborted because it opened a server while
+// nearly all descriptors were in use.
+TEST_CASE("a server that lacks its last descriptor is not opened") {
+  EventLoop loop;
+  const auto open_server = [&loop] {
+    return HttpServer::Listen(loop, {}, [](const HttpRequest&, const auto&) {});
+  };
+  std::array<int, 3> free_numbers{};
+  for (int& number : free_numbers) {
+    number = dup(STDERR_FILENO);
+    REQUIRE(number >= 0);
+  }
+  for (const int number : free_numbers) {
+    close(number);
+  }
+  rlimit before{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &before) == 0);
+  // Of the three descriptors that a server needs, the last one is missing.
+  const rlimit limit{static_cast<rlim_t>(free_numbers.back()), before.rlim_max};
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
+  const bool opened_without = open_server().has_value();
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &before) == 0);
+  CHECK_FALSE(opened_without);
+  CHECK(open_server().has_value());
+}
+
 }  // namespace
 }  // namespace toucanhollow
