Refuse settings that are not a number

"nan" was accepted for every number of a relay's settings, because no comparison with the limits holds for it, and was converted to an integer or a time then, which is undefined. The check that is added to "a settings error names its field and the remedy" failed before; all cases of relay_test pass.

--- a/packages/relay/relay_settings.cc
+++ b/packages/relay/relay_settings.cc
@@ -43,7 +43,9 @@
   double value = 0;
   const char* end = text.data() + text.size();
   const auto [stop, error] = std::from_chars(text.data(), end, value);
-  if (error != std::errc() || stop != end || value < low || value > high) {
+  // from_chars reads "nan", which no comparison holds for.
+  const bool in_range = value >= low && value <= high;
+  if (error != std::errc() || stop != end || !in_range) {
     std::ostringstream remedy;
     remedy << "value \"" << text << "\" refused; use a number from " << low
            << " to " << high;
--- a/packages/relay/relay_test.cc
+++ b/packages/relay/relay_test.cc
@@ -104,6 +104,8 @@
         "shutdown.grace_s: value \"soon\" refused; use a number from 0.5 to "
         "3600");
   CHECK(detail(SettingsWith("7340", "70000")).find("listen.report_port") == 0);
+  CHECK(detail(SettingsWith("descriptors = 4200", "descriptors = nan"))
+            .find("limits.descriptors") == 0);
   CHECK(detail(SettingsWith("10.0.0.9:90", "store")).find("store.address") ==
         0);
   CHECK(detail(SettingsWith("10.0.0.2:82", "seed")).find("peers.seeds") == 0);
