Ignore spaces and empty entries in the list of seeds

A relay ended with exit status 2 if its list of seeds was written with spaces ("a, b") or had an empty entry, although seeds only help it to find the other hosts and may be stale or absent. Entries are trimmed and empty ones skipped; an entry that is no address is still a mistake. The new case failed before on its first list; all 43 cases of relay_test pass.

--- a/packages/relay/relay_settings.cc
+++ b/packages/relay/relay_settings.cc
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <limits>
 #include <sstream>
+#include <string_view>
 
 #include <boost/property_tree/ini_parser.hpp>
 #include <boost/property_tree/ptree.hpp>
@@ -54,12 +55,25 @@
   return value;
 }
 
+std::string_view Trim(std::string_view text) {
+  constexpr std::string_view kSpace = " \t";
+  const std::size_t first = text.find_first_not_of(kSpace);
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(kSpace) - first + 1);
+}
+
 Result<std::vector<Address>> ReadAddresses(const ptree& tree,
                                            const std::string& field) {
   std::vector<Address> addresses;
   std::istringstream parts(tree.get<std::string>(field, ""));
   for (std::string part; std::getline(parts, part, ',');) {
-    const Result<Address> address = ParseAddress(part);
+    const std::string_view entry = Trim(part);
+    if (entry.empty()) {
+      continue;
+    }
+    const Result<Address> address = ParseAddress(entry);
     if (!address) {
       return InvalidField(field, address.error().detail);
     }
--- a/packages/relay/relay_test.cc
+++ b/packages/relay/relay_test.cc
@@ -58,6 +58,20 @@
   CHECK(seeds.value().seeds.empty());
 }
 
+// Guards against a host that does not start because of how a list is written.
+TEST_CASE("spaces and empty entries of a list are ignored") {
+  const std::vector<Address> expected = {{"10.0.0.2", 82}, {"10.0.0.3", 82}};
+  for (const std::string list :
+       {"10.0.0.2:82, 10.0.0.3:82", "10.0.0.2:82 ,\t10.0.0.3:82",
+        ",10.0.0.2:82,,10.0.0.3:82,", "10.0.0.2:82, ,10.0.0.3:82"}) {
+    const Result<RelaySettings> settings =
+        ParseRelaySettings(SettingsWith("10.0.0.2:82,10.0.0.3:82", list));
+    INFO(list);
+    REQUIRE(settings);
+    CHECK(settings.value().seeds == expected);
+  }
+}
+
 // Guards against a host that does not start because the platform has no value
 // for a bound, and against one that takes an incomplete file for complete.
 TEST_CASE("a bound without a value has its default and must not be missing") {
