Answer pipelined requests without growing the stack

Each pipelined request that was answered at once, by a refusal for example, was served in a call inside the one before it. 1,260 minimal requests (32 KB) that were read at once ended a relay with a stack of 1 MB by SIGSEGV after 706 answers, about 1.4 KB of stack for each; up to 96 KB are buffered behind a request that takes longer. With a stack of 2 MB it lived.

The requests are served in a loop now.

--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -29,6 +29,12 @@
 // Longest time between two parts of a request body.
 constexpr Duration kBodyStallTimeout = Seconds(5);
 
+struct ResetOnExit {
+  bool& flag;
+
+  ~ResetOnExit() { this->flag = false; }
+};
+
 }  // namespace
 
 CallerSession::CallerSession(RelayContext context,
@@ -227,7 +233,16 @@
   this->idle_timeout = this->Limits().idle_timeout;
   this->parser.reset();
   this->connection->SetReading(true);
-  if (!this->pipelined_bytes.empty()) {
+  this->ServePipelined();
+}
+
+void CallerSession::ServePipelined() {
+  if (this->serving_pipelined) {
+    return;
+  }
+  this->serving_pipelined = true;
+  const ResetOnExit reset{this->serving_pipelined};
+  while (this->phase == Phase::kIdle && !this->pipelined_bytes.empty()) {
     const std::string bytes = std::exchange(this->pipelined_bytes, {});
     this->OnData(bytes);
   }
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -65,6 +65,10 @@
                 HttpHeaders headers,
                 std::string_view framing);
   void FinishResponse();
+  // Serves the requests that have arrived behind the last one, until one of
+  // them is not answered at once. A call from within itself does nothing, so
+  // that the stack does not grow with the number of requests.
+  void ServePipelined();
   // Closes the sending side behind the queued bytes and waits for the caller to
   // close.
   void BeginClosing();
@@ -88,6 +92,7 @@
   std::uint64_t request_count = 0;
   // Bytes of later requests that arrived while a request is being answered.
   std::string pipelined_bytes;
+  bool serving_pipelined = false;
   // Start of the phase, or when the last part of a request body, or bytes on a
   // closing connection, arrived.
   TimePoint waiting_since;
