Keep connections to callers that read late

Linux ends a connection with TCP_USER_TIMEOUT also if its peer answers window probes but has had a full receive buffer for that time. A caller that did not read for 3 s lost what it had not read of its answer, although the answer was whole, and its connection was reset. The limit of 3 s is there for servers that are gone; connections to callers have 10 s now, longer than callers wait.

--- a/packages/http_stream/tcp_connection.cc
+++ b/packages/http_stream/tcp_connection.cc
@@ -26,16 +26,19 @@
 // Without a free descriptor the listening socket stays readable, so it is not
 // watched for this long after a failed accept.
 constexpr Duration kAcceptPause = Milliseconds(50);
-// The connection fails when sent bytes stay unacknowledged this long. Callers
-// wait at most 8 s, so a peer that is silent for longer cannot serve them in
-// time.
-constexpr unsigned int kUserTimeoutMs = 3000;
-
-void ConfigureSocket(int socket) {
+// A connection to a server fails when sent bytes stay unacknowledged this long.
+// Callers wait at most 8 s, so a server that is silent for longer cannot serve
+// them in time.
+constexpr unsigned int kServerUserTimeoutMs = 3000;
+// The kernel also counts the time in which a peer that does not read has a full
+// receive buffer, as callers may have for a few seconds.
+constexpr unsigned int kCallerUserTimeoutMs = 10000;
+
+void ConfigureSocket(int socket, unsigned int user_timeout_ms) {
   const int on = 1;
   setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
-             sizeof(kUserTimeoutMs));
+  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
+             sizeof(user_timeout_ms));
 }
 
 sockaddr_in ToSocketAddress(const Address& address) {
@@ -215,7 +218,7 @@
 
 TcpConnection::TcpConnection(EventLoop& loop, int socket)
     : state(std::make_shared<State>(loop, socket)) {
-  ConfigureSocket(socket);
+  ConfigureSocket(socket, kCallerUserTimeoutMs);
   this->state->connected = true;
   this->state->StartWatching();
 }
@@ -238,7 +241,7 @@
     });
     return;
   }
-  ConfigureSocket(state.socket);
+  ConfigureSocket(state.socket, kServerUserTimeoutMs);
   state.StartWatching();
 }
 
