--- a/apps/run_process.cc
+++ b/apps/run_process.cc
@@ -115,8 +115,8 @@
   this->steps.shutdown([this] { this->End(kExitSuccess, this->stop_signal); });
 }
 
-// The settings are written before each start, and none can change while the
-// process runs, so that there is nothing to reload.
+// The settings are read at the start only. The file may have changed, but
+// ports, limits and bounds hold until the next start.
 void ProcessRun::OnReload() {
   this->steps.log("reloaded", {{"phase", PhaseName(this->phase)}});
 }
