Wait for a free descriptor to accept HTTP connections

libmicrohttpd tries to accept again without a pause if a connection waits, the process has no free descriptor and the server has no other connection. The readiness, control and metrics servers, and the own interface, used all of the processor time then.

The server now stops watching libmicrohttpd for 50 ms when a turn reported nothing while a connection waits and no descriptor is free.

--- a/packages/http_server/http_server.cc
+++ b/packages/http_server/http_server.cc
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <microhttpd.h>
+#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -28,6 +29,9 @@
 // can receive status 413. After that the connection is closed.
 constexpr std::size_t kMaxDiscardedBodyBytes = std::size_t{16} * 1024 * 1024;
 constexpr Duration kTimeoutCheckInterval = Seconds(1);
+// Without a free descriptor libmicrohttpd tries to accept again and again, so
+// it does not run for this long after it could not.
+constexpr Duration kAcceptPause = Milliseconds(50);
 // libmicrohttpd keeps the raw header, the parsed header and the write buffer in
 // one memory pool per connection.
 constexpr std::size_t kPoolBytesBesideHeader = std::size_t{16} * 1024;
@@ -201,6 +205,11 @@
   HttpServerOptions options;
   HttpHandler handler;
   MHD_Daemon* daemon = nullptr;
+  // Of libmicrohttpd; -1 once the server has stopped accepting.
+  int listener = -1;
+  // Number of connections and parts of requests that libmicrohttpd has
+  // reported.
+  std::uint64_t reported_events = 0;
   // Detects that a caller closes a connection that is suspended, which
   // libmicrohttpd does not notice.
   int hangup_epoll = -1;
@@ -214,11 +223,16 @@
   std::unique_ptr<IoWatcher> hangup_watcher;
   std::unique_ptr<Timer> timeout_check_timer;
   std::unique_ptr<Timer> daemon_timer;
+  std::unique_ptr<Timer> resume_timer;
   // Posted callbacks may outlive the server. They hold a weak pointer to this
   // flag and do nothing once it has expired.
   std::shared_ptr<int> alive_flag = std::make_shared<int>(0);
 
   ~Core();
+  void OnReadable();
+  // True if a connection waits to be accepted and the process has no free
+  // descriptor.
+  bool LacksDescriptor() const;
   void RunDaemon();
   void PostDaemonRun();
   void ResumeRequest(std::uint64_t request_id);
@@ -248,6 +262,7 @@
 HttpServer::Core::~Core() {
   this->alive_flag.reset();
   this->daemon_timer.reset();
+  this->resume_timer.reset();
   this->timeout_check_timer.reset();
   this->watcher.reset();
   this->hangup_watcher.reset();
@@ -270,6 +285,30 @@
   }
 }
 
+void HttpServer::Core::OnReadable() {
+  const std::uint64_t events_before = this->reported_events;
+  this->RunDaemon();
+  if (this->reported_events == events_before && this->LacksDescriptor()) {
+    this->watcher->SetInterest(IoWatcher::kNone);
+    this->resume_timer = std::make_unique<Timer>(
+        this->loop, kAcceptPause, Duration(0),
+        [this] { this->watcher->SetInterest(IoWatcher::kRead); });
+  }
+}
+
+bool HttpServer::Core::LacksDescriptor() const {
+  pollfd polled{this->listener, POLLIN, 0};
+  if (this->listener < 0 || poll(&polled, 1, 0) <= 0) {
+    return false;
+  }
+  const int free_descriptor = fcntl(this->listener, F_DUPFD_CLOEXEC, 0);
+  if (free_descriptor < 0) {
+    return true;
+  }
+  close(free_descriptor);
+  return false;
+}
+
 void HttpServer::Core::RunDaemon() {
   MHD_run(this->daemon);
   this->daemon_timer.reset();
@@ -370,6 +409,7 @@
 }
 
 Connection* HttpServer::Core::AddConnection(MHD_Connection* mhd) {
+  ++this->reported_events;
   auto connection = std::make_unique<Connection>();
   connection->file_descriptor =
       MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_CONNECTION_FD)
@@ -425,6 +465,7 @@
                                            const char* version,
                                            const char* data,
                                            std::size_t* size) {
+  ++this->reported_events;
   HttpExchange& exchange = *mhd_request->exchange;
   if (mhd_request->connection == nullptr) {
     // This is the first call, made when the header is complete.
@@ -571,6 +612,7 @@
   }
   const MHD_socket listener = MHD_quiesce_daemon(this->core->daemon);
   if (listener != MHD_INVALID_SOCKET) {
+    this->core->listener = -1;
     this->core->AcceptAllPending(listener);
     close(listener);
   }
@@ -665,12 +707,14 @@
   }
   core->port =
       MHD_get_daemon_info(core->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+  core->listener =
+      MHD_get_daemon_info(core->daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
   const int epoll_fd =
       MHD_get_daemon_info(core->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
   Core* core_pointer = core.get();
   core->watcher = std::make_unique<IoWatcher>(
       loop, epoll_fd, IoWatcher::kRead,
-      [core_pointer](IoWatcher::Interest) { core_pointer->RunDaemon(); });
+      [core_pointer](IoWatcher::Interest) { core_pointer->OnReadable(); });
   core->hangup_epoll = epoll_create1(EPOLL_CLOEXEC);
   if (core->hangup_epoll < 0) {
     return MakeFailure(
--- a/packages/http_server/http_server_test.cc
+++ b/packages/http_server/http_server_test.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <ctime>
 
 #include <catch2/catch.hpp>
 
@@ -532,5 +533,46 @@
   CHECK(open_server().has_value());
 }
 
+// Guards against a process that uses all of its processor time while a
+// connection waits for a free descriptor, and against one that is forgotten.
+TEST_CASE("a server without a free descriptor waits for one") {
+  Fixture fixture;
+  fixture.Listen([](const HttpRequest&, const auto& writer) {
+    writer->Respond(200, {}, "");
+  });
+  const auto run_for = [&fixture](Duration time) {
+    const Timer end(fixture.loop, time, Duration(0),
+                    [&fixture] { fixture.loop.Stop(); });
+    fixture.loop.Run();
+  };
+  const int caller = socket(AF_INET, SOCK_STREAM, 0);
+  const int first_free = dup(STDERR_FILENO);
+  REQUIRE(first_free >= 0);
+  close(first_free);
+  rlimit before{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &before) == 0);
+  const rlimit limit{static_cast<rlim_t>(first_free), before.rlim_max};
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(fixture.server->Port());
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const bool connected = connect(caller, reinterpret_cast<sockaddr*>(&address),
+                                 sizeof(address)) == 0;
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  send(caller, request.data(), request.size(), MSG_NOSIGNAL);
+  const std::clock_t used_before = std::clock();
+  run_for(Milliseconds(500));
+  const double used_s =
+      static_cast<double>(std::clock() - used_before) / CLOCKS_PER_SEC;
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &before) == 0);
+  CHECK(connected);
+  CHECK(used_s < 0.1);
+  run_for(Milliseconds(300));
+  std::array<char, 256> buffer{};
+  CHECK(recv(caller, buffer.data(), buffer.size(), MSG_DONTWAIT) > 0);
+  close(caller);
+}
+
 }  // namespace
 }  // namespace toucanhollow
