Accept HTTP connections again after a shortage of descriptors

libmicrohttpd stops accepting when the process has no free descriptor, and goes on only when one of its connections has closed. A server with a kept connection, such as the one of a load balancer that probes the readiness port, took no other one after a shortage of any length, until its idle timeout of 60 s or for as long as the kept connection was used.

The server accepts what waits in the backlog itself, once a second while it has connections.

--- a/packages/http_server/http_server.cc
+++ b/packages/http_server/http_server.cc
@@ -12,6 +12,7 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <limits>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -240,9 +241,9 @@
   void CloseLongestIdle();
   void HandleHangups();
   Connection* AddConnection(MHD_Connection* mhd);
-  // Accepts the connections in the backlog, which the close of the listening
-  // socket would reset.
-  void AcceptAllPending(int listener);
+  // Accepts connections in the backlog itself. libmicrohttpd does not accept
+  // any once a descriptor was lacking, until one of its connections has closed.
+  void AcceptPending(int listener, std::size_t max_count);
   MhdRequest* AddMhdRequest(MHD_Connection* mhd, const char* uri);
   MHD_Result OnRequestPart(MhdRequest* mhd_request,
                            const char* url,
@@ -367,6 +368,10 @@
       shutdown(connection->file_descriptor, SHUT_RDWR);
     }
   }
+  const std::size_t open = this->connections.size();
+  if (this->listener >= 0 && open > 0 && open < this->options.max_connections) {
+    this->AcceptPending(this->listener, this->options.max_connections - open);
+  }
   this->RunDaemon();
 }
 
@@ -424,9 +429,9 @@
   return key;
 }
 
-void HttpServer::Core::AcceptAllPending(int listener) {
+void HttpServer::Core::AcceptPending(int listener, std::size_t max_count) {
   fcntl(listener, F_SETFL, fcntl(listener, F_GETFL) | O_NONBLOCK);
-  for (;;) {
+  for (std::size_t i = 0; i < max_count; ++i) {
     sockaddr_in address{};
     socklen_t size = sizeof(address);
     auto* raw = reinterpret_cast<sockaddr*>(&address);
@@ -613,7 +618,9 @@
   const MHD_socket listener = MHD_quiesce_daemon(this->core->daemon);
   if (listener != MHD_INVALID_SOCKET) {
     this->core->listener = -1;
-    this->core->AcceptAllPending(listener);
+    // The close of the listening socket would reset them.
+    this->core->AcceptPending(listener,
+                              std::numeric_limits<std::size_t>::max());
     close(listener);
   }
   for (const auto& [key, connection] : this->core->connections) {
