Keep one function that trims a text

Change: Trim in packages/base, with the characters to remove as an argument: white space of a header value does not include the carriage return, which must stay there to be refused.

--- a/packages/base/base_test.cc
+++ b/packages/base/base_test.cc
@@ -11,6 +11,7 @@
 #include "base/result.h"
 #include "base/result_code.h"
 #include "base/result_code_page.h"
+#include "base/trim.h"
 
 namespace toucanhollow {
 namespace {
@@ -76,6 +77,16 @@
   CHECK(page.str().find(ResultCodeTableMarkdown()) != std::string::npos);
 }
 
+// Guards against a bare carriage return that is removed with the white space of
+// a header value.
+TEST_CASE("characters at both ends of a text are removed") {
+  CHECK(Trim(" \ta b\t ") == "a b");
+  CHECK(Trim("a\r") == "a\r");
+  CHECK(Trim("a\r\n", "\r\n") == "a");
+  CHECK(Trim("").empty());
+  CHECK(Trim(" \t").empty());
+}
+
 TEST_CASE("a failure is formatted with number, name and detail") {
   const Failure failure{ResultCode::kKeyExpired, "issued 30 h ago"};
   CHECK(FormatFailure(failure) == "1108 key_expired: issued 30 h ago");
--- a/packages/http_client/http_client.cc
+++ b/packages/http_client/http_client.cc
@@ -10,12 +10,16 @@
 #include <vector>
 
 #include "base/check.h"
+#include "base/trim.h"
 
 namespace toucanhollow {
 namespace {
 
 constexpr std::size_t kMaxHeaderBytes = std::size_t{64} * 1024;
 
+// Lines are passed with their line end.
+constexpr std::string_view kSpace = " \t\r\n";
+
 struct ActiveCall {
   HttpCallId id = 0;
   HttpCall request;
@@ -37,15 +41,6 @@
   }
 };
 
-std::string_view Trim(std::string_view text) {
-  constexpr std::string_view kSpace = " \t\r\n";
-  const std::size_t first = text.find_first_not_of(kSpace);
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return text.substr(first, text.find_last_not_of(kSpace) - first + 1);
-}
-
 std::size_t HandleHeaderLine(ActiveCall* call, std::string_view line) {
   call->header_bytes += line.size();
   if (call->cancelled || call->header_bytes > kMaxHeaderBytes) {
@@ -54,7 +49,7 @@
   }
   if (line.starts_with("HTTP/")) {
     call->outcome.headers.clear();
-  } else if (Trim(line).empty()) {
+  } else if (Trim(line, kSpace).empty()) {
     std::int64_t status = 0;
     curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
     // The header of the final response follows that of an interim one (1xx).
@@ -68,8 +63,9 @@
   } else {
     const std::size_t colon = std::min(line.find(':'), line.size());
     call->outcome.headers.push_back(
-        {std::string(Trim(line.substr(0, colon))),
-         std::string(Trim(line.substr(std::min(colon + 1, line.size()))))});
+        {std::string(Trim(line.substr(0, colon), kSpace)),
+         std::string(
+             Trim(line.substr(std::min(colon + 1, line.size())), kSpace))});
   }
   return line.size();
 }
--- a/packages/http_message/body_framing.cc
+++ b/packages/http_message/body_framing.cc
@@ -4,6 +4,8 @@
 #include <string_view>
 #include <vector>
 
+#include "base/trim.h"
+
 namespace toucanhollow {
 namespace {
 
@@ -11,15 +13,6 @@
 // Each number of so many digits fits into 63 bits.
 constexpr std::size_t kMaxLengthDigits = 18;
 
-std::string_view Trim(std::string_view text) {
-  constexpr std::string_view kSpace = " \t";
-  const std::size_t first = text.find_first_not_of(kSpace);
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return text.substr(first, text.find_last_not_of(kSpace) - first + 1);
-}
-
 std::vector<std::string_view> FindValues(const HttpHeaders& headers,
                                          std::string_view name) {
   std::vector<std::string_view> values;
--- a/packages/relay/relay_settings.cc
+++ b/packages/relay/relay_settings.cc
@@ -8,6 +8,7 @@
 #include <boost/property_tree/ini_parser.hpp>
 #include <boost/property_tree/ptree.hpp>
 
+#include "base/trim.h"
 #include "settings/parse_address.h"
 
 namespace toucanhollow {
@@ -55,15 +56,6 @@
   return value;
 }
 
-std::string_view Trim(std::string_view text) {
-  constexpr std::string_view kSpace = " \t";
-  const std::size_t first = text.find_first_not_of(kSpace);
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return text.substr(first, text.find_last_not_of(kSpace) - first + 1);
-}
-
 Result<std::vector<Address>> ReadAddresses(const ptree& tree,
                                            const std::string& field) {
   std::vector<Address> addresses;
--- a/packages/traffic/permit_ledger.cc
+++ b/packages/traffic/permit_ledger.cc
@@ -10,6 +10,7 @@
 
 // The wait of a server that gets no permits at all.
 constexpr Duration kLongestWait = Seconds(10);
+
 void DropLeastRecentlyUsed(PermitLedger& ledger, TimePoint now) {
   if (ledger.buckets.size() > ledger.max_servers) {
     ledger.empty_at = now;
