Let all signals of the soak wait for the age of a process

Change: Terminate waits as the signals of a series do. Result: the new case of soak_test fails with the former Terminate (a process that installs its handler late ends after 9 ms, with a broken promise) and passes now.

--- a/soak/supervised_process.cc
+++ b/soak/supervised_process.cc
@@ -49,6 +49,12 @@
 }
 
 void SupervisedProcess::Terminate(int signal, Duration pause) {
+  if (this->running) {
+    this->PlaySignal(signal, pause);
+  }
+}
+
+void SupervisedProcess::TerminateNow(int signal, Duration pause) {
   if (!this->running) {
     return;
   }
@@ -120,7 +126,7 @@
   } else if (signal == SIGHUP) {
     this->Send(SIGHUP);
   } else {
-    this->Terminate(signal, pause);
+    this->TerminateNow(signal, pause);
   }
 }
 
--- a/soak/supervised_process.h
+++ b/soak/supervised_process.h
@@ -24,7 +24,7 @@
   std::string log_file;
   // From SIGTERM or SIGINT to SIGKILL.
   Duration grace = Seconds(4);
-  // Signals of a series come no earlier than this after the start.
+  // SIGHUP, SIGTERM and SIGINT come no earlier than this after the start.
   Duration first_signal_after{0};
   // Called when the process is started again.
   std::function<void()> on_restart;
@@ -39,7 +39,8 @@
 
   void Start();
   // Sends SIGTERM or SIGINT. The process is started again `pause` after its
-  // end. May be called again while the process ends.
+  // end. May be called again while the process ends. The signal waits until
+  // the process is old enough for signals.
   void Terminate(int signal, Duration pause);
   void Kill(Duration pause);
   void Pause();
@@ -58,6 +59,7 @@
   void Send(int signal);
   void PlaySignals(const std::vector<SentSignal>& signals, Duration pause);
   void PlaySignal(int signal, Duration pause);
+  void TerminateNow(int signal, Duration pause);
   void Check(TimePoint now);
   void NoteEnd();
 
