Let the soak wait until a program can handle signals

Cause: a fixed 300 ms was taken for longer than the dynamic loader works. The fault log tells for each signal whether the process handled it.

--- a/soak/agent_process.cc
+++ b/soak/agent_process.cc
@@ -22,6 +22,7 @@
   process.arguments = {options.program, "--role=rank_agent",
                        "--settings=" + file};
   process.first_signal_after = options.first_signal_after;
+  process.signals_while_loading = options.signals_while_loading;
   process.log_file = options.directory + "/" + name + ".log";
   auto agent = std::make_unique<SupervisedProcess>(loop, log, ledger,
                                                    std::move(process));
--- a/soak/agent_process.h
+++ b/soak/agent_process.h
@@ -18,6 +18,7 @@
   Address engine;
   // Signals of a series come no earlier than this after a start.
   Duration first_signal_after{0};
+  bool signals_while_loading = true;
 };
 
 // Starts the agent on the engine's IP address.
--- a/soak/group_site.cc
+++ b/soak/group_site.cc
@@ -115,7 +115,8 @@
           StartAgent(loop, log, ledger,
                      {this->options.program, this->options.directory,
                       this->options.agent_port, rank->address,
-                      this->options.first_signal_after}));
+                      this->options.first_signal_after,
+                      this->options.signals_while_loading}));
       this->Register(*rank, "ready");
       this->ranks.push_back(std::move(rank));
     }
--- a/soak/prompt_site.cc
+++ b/soak/prompt_site.cc
@@ -76,7 +76,8 @@
         StartAgent(loop, log, ledger,
                    {this->options.program, this->options.directory,
                     this->options.agent_port, this->engines.back()->address(),
-                    this->options.first_signal_after}));
+                    this->options.first_signal_after,
+                    this->options.signals_while_loading}));
   }
 }
 
--- a/soak/prompt_site.h
+++ b/soak/prompt_site.h
@@ -31,6 +31,7 @@
   std::uint16_t agent_port = 0;
   // Of the agents.
   Duration first_signal_after{0};
+  bool signals_while_loading = true;
   int servers = 4;
   unsigned int seed = 1;
   Duration faults_for = Seconds(8);
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -19,6 +19,10 @@
 DEFINE_double(first_signal_ms,
               0,
               "the least time from the start of a process to a signal");
+DEFINE_bool(signals_while_loading,
+            true,
+            "signals come also while the dynamic loader works, when no code of "
+            "the program can handle them");
 DEFINE_bool(interrupts, true, "SIGINT is among the signals");
 DEFINE_int32(hosts, 3, "entry hosts, at most 40");
 DEFINE_int32(engines,
@@ -47,6 +51,7 @@
   options.faults_for = FromSeconds(FLAGS_seconds);
   options.contact_faults_for = FromSeconds(FLAGS_contact_seconds);
   options.first_signal_after = FromSeconds(FLAGS_first_signal_ms / 1000);
+  options.signals_while_loading = FLAGS_signals_while_loading;
   options.signals.interrupts = FLAGS_interrupts;
   options.hosts = FLAGS_hosts;
   options.engines = FLAGS_engines;
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -56,6 +56,7 @@
   process.log_file = this->options.directory + "/" + name + ".log";
   process.grace = kHostGrace;
   process.first_signal_after = this->options.first_signal_after;
+  process.signals_while_loading = this->options.signals_while_loading;
   process.on_restart = [this, &host] { this->NoteDisturbance(host); };
   host.process = std::make_unique<SupervisedProcess>(
       this->loop, this->fault_log, this->ledger, std::move(process));
@@ -114,6 +115,7 @@
   site.directory = this->options.directory;
   site.agent_port = kReportPort;
   site.first_signal_after = this->options.first_signal_after;
+  site.signals_while_loading = this->options.signals_while_loading;
   site.seed = this->options.seed;
   site.servers = this->options.engines / 2;
   site.faults_for =
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -32,6 +32,7 @@
   // How the signals are drawn, but for their length.
   SignalOptions signals;
   Duration first_signal_after{0};
+  bool signals_while_loading = true;
   int hosts = 3;
   // Model servers; every second one is a rank of a group of four.
   int engines = 8;
--- a/soak/supervised_process.cc
+++ b/soak/supervised_process.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr Duration kCheckPeriod = Milliseconds(5);
+constexpr Duration kLoadingCheckPeriod = Milliseconds(1);
 
 }  // namespace
 
@@ -29,6 +30,7 @@
   this->running = true;
   this->killed = false;
   this->paused = false;
+  this->loaded = false;
   this->stopping.reset();
   this->started = EventLoop::Now();
   this->log.Note({{"started", this->options.name}});
@@ -43,6 +45,7 @@
     const Duration age = EventLoop::Now() - this->started;
     this->log.Note({{"signal", signal},
                     {"to", this->options.name},
+                    {"handled", this->process.Handles(signal)},
                     {"age_ms", ToMilliseconds(age)}});
     this->process.Signal(signal);
   }
@@ -116,9 +119,20 @@
   }
 }
 
-void SupervisedProcess::PlaySignal(int signal, Duration pause) {
+// The process may have given up its handlers when it ends, so the program is
+// looked at only until it has begun.
+Duration SupervisedProcess::SignalWait(int signal) {
   const Duration age = EventLoop::Now() - this->started;
-  const Duration wait = this->options.first_signal_after - age;
+  if (age < this->options.first_signal_after) {
+    return this->options.first_signal_after - age;
+  }
+  this->loaded = this->loaded || this->options.signals_while_loading ||
+                 this->process.Handles(signal);
+  return this->loaded ? Duration(0) : kLoadingCheckPeriod;
+}
+
+void SupervisedProcess::PlaySignal(int signal, Duration pause) {
+  const Duration wait = this->SignalWait(signal);
   if (wait > Duration(0)) {
     this->signals.push_back(std::make_unique<Timer>(
         this->loop, wait, Duration(0),
--- a/soak/supervised_process.h
+++ b/soak/supervised_process.h
@@ -26,6 +26,9 @@
   Duration grace = Seconds(4);
   // SIGHUP, SIGTERM and SIGINT come no earlier than this after the start.
   Duration first_signal_after{0};
+  // They come also while the dynamic loader works, when no code of the program
+  // can handle them.
+  bool signals_while_loading = true;
   // Called when the process is started again.
   std::function<void()> on_restart;
 };
@@ -58,6 +61,8 @@
  private:
   void Send(int signal);
   void PlaySignals(const std::vector<SentSignal>& signals, Duration pause);
+  // How long a signal has to wait still.
+  Duration SignalWait(int signal);
   void PlaySignal(int signal, Duration pause);
   void TerminateNow(int signal, Duration pause);
   void Check(TimePoint now);
@@ -71,6 +76,7 @@
   bool running = false;
   bool killed = false;
   bool paused = false;
+  bool loaded = false;
   std::optional<TimePoint> stopping;
   TimePoint started;
   TimePoint disturbed;
--- a/soak/supervised_process_test.cc
+++ b/soak/supervised_process_test.cc
@@ -72,6 +72,19 @@
   CHECK(supervised.ledger.broken.empty());
 }
 
+// Guards against a busy machine, on which the dynamic loader works longer than
+// any fixed time.
+TEST_CASE("signals can wait until the program handles them") {
+  ProcessOptions options;
+  options.signals_while_loading = false;
+  Supervised supervised(std::move(options));
+  supervised.process->Start();
+  supervised.process->Terminate(SIGTERM, Duration(0));
+  supervised.RunToRestart();
+  CHECK(supervised.process->stopping_since() == std::nullopt);
+  CHECK(supervised.ledger.broken.empty());
+}
+
 // Guards against a check that does not see a process which a signal ends.
 TEST_CASE("a signal that the program does not handle breaks a promise") {
   Supervised supervised(ProcessOptions{});
--- a/standins/process/child_process.cc
+++ b/standins/process/child_process.cc
@@ -8,11 +8,23 @@
 #include <array>
 #include <cerrno>
 #include <csignal>
+#include <cstdint>
+#include <fstream>
 #include <utility>
 
 #include "base/check.h"
 
 namespace toucanhollow {
+namespace {
+
+// The sets of signals in /proc/PID/status are hexadecimal, signal 1 first.
+bool IsInSet(const std::string& line, int signal) {
+  constexpr int kHexadecimal = 16;
+  const std::string set = line.substr(line.find(':') + 1);
+  return (std::stoull(set, nullptr, kHexadecimal) >> (signal - 1) & 1) != 0;
+}
+
+}  // namespace
 
 ChildProcess::ChildProcess(std::vector<std::string> arguments,
                            std::string log_file)
@@ -69,6 +81,18 @@
   }
 }
 
+bool ChildProcess::Handles(int signal) const {
+  std::ifstream status("/proc/" + std::to_string(this->child) + "/status");
+  std::string line;
+  while (std::getline(status, line)) {
+    if ((line.starts_with("SigBlk:") || line.starts_with("SigCgt:")) &&
+        IsInSet(line, signal)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool ChildProcess::IsRunning() {
   if (this->child <= 0) {
     return false;
--- a/standins/process/child_process.h
+++ b/standins/process/child_process.h
@@ -22,6 +22,9 @@
   // and not the copy of this process before it.
   void Start();
   void Signal(int signal);
+  // Whether the process blocks or catches the signal. False while the dynamic
+  // loader works: its default action ends the process then.
+  bool Handles(int signal) const;
   // True until the process has ended; collects its status then.
   bool IsRunning();
   // The process id while it runs, otherwise -1.
