Judge the end of a grace time by the status of the process

Cause: the soak took each process that was not collected 4 s after SIGTERM for one that still ran. Three had logged "exiting" in time, the agents within 1 ms of the signal; SIGKILL came 4 s after it, and they ended with wait status 0, 2.1 to 4.2 s later. One had been ended by SIGHUP before its program began and was collected with that status 0.8 s after SIGKILL. The kernel keeps the status of the end that began first, so all four had ended before SIGKILL, and their memory was still being freed: /proc/PID/stack of such processes shows unlink_file_vma_batch_process, waiting for the lock of the mappings of a file. Change: a process that is killed at the end of its grace time breaks the promise if SIGKILL ended it; another status is judged as that of each end. Result: new cases of soak_test; one that ignores SIGTERM still breaks the promise.

--- a/soak/supervised_process.cc
+++ b/soak/supervised_process.cc
@@ -1,5 +1,7 @@
 #include "soak/supervised_process.h"
 
+#include <sys/wait.h>
+
 #include <algorithm>
 #include <csignal>
 #include <utility>
@@ -12,6 +14,10 @@
 
 }  // namespace
 
+bool EndedBeforeKill(int wait_status) {
+  return !WIFSIGNALED(wait_status) || WTERMSIG(wait_status) != SIGKILL;
+}
+
 SupervisedProcess::SupervisedProcess(EventLoop& loop,
                                      FaultLog& log,
                                      Ledger& ledger,
@@ -29,6 +35,7 @@
   this->process.Start();
   this->running = true;
   this->killed = false;
+  this->grace_over = false;
   this->paused = false;
   this->loaded = false;
   this->stopping.reset();
@@ -166,10 +173,8 @@
       now < *this->stopping + this->options.grace) {
     return;
   }
-  if (std::max(this->disturbed, this->ledger.stalled_at) < *this->stopping) {
-    NoteBroken(this->ledger,
-               this->options.name + ": still ran at the end of its grace time");
-  }
+  this->grace_over =
+      std::max(this->disturbed, this->ledger.stalled_at) < *this->stopping;
   this->Kill(this->restart_pause);
 }
 
@@ -181,7 +186,12 @@
                   {"age_ms", ToMilliseconds(age)}});
   // Connections of a process that was disturbed end with it.
   this->disturbed = std::max(this->disturbed, this->disturbed_at());
-  if (this->killed) {
+  if (this->killed && !this->grace_over) {
+    return;
+  }
+  if (this->grace_over && !EndedBeforeKill(status)) {
+    NoteBroken(this->ledger,
+               this->options.name + ": still ran at the end of its grace time");
     return;
   }
   const std::string end = ": ended with wait status " + std::to_string(status) +
--- a/soak/supervised_process.h
+++ b/soak/supervised_process.h
@@ -33,6 +33,10 @@
   std::function<void()> on_restart;
 };
 
+// Whether a process that was sent SIGKILL had ended by itself before: the
+// kernel keeps the status of the end that began first.
+bool EndedBeforeKill(int wait_status);
+
 class SupervisedProcess {
  public:
   SupervisedProcess(EventLoop& loop,
@@ -75,6 +79,8 @@
   ChildProcess process;
   bool running = false;
   bool killed = false;
+  // It was killed since its grace time had ended.
+  bool grace_over = false;
   bool paused = false;
   bool loaded = false;
   std::optional<TimePoint> stopping;
--- a/soak/supervised_process_test.cc
+++ b/soak/supervised_process_test.cc
@@ -26,9 +26,10 @@
         log((std::filesystem::create_directories(this->directory),
              this->directory / "faults.log")) {
     options.name = "program";
-    options.arguments = {"/bin/sh", "-c", kProgram};
+    if (options.arguments.empty()) {
+      options.arguments = {"/bin/sh", "-c", kProgram};
+    }
     options.log_file = this->directory / "program.log";
-    options.grace = Seconds(20);
     options.on_restart = [this] { this->loop.Stop(); };
     this->process = std::make_unique<SupervisedProcess>(
         this->loop, this->log, this->ledger, std::move(options));
@@ -55,6 +56,7 @@
 // which is younger than --first_signal_ms.
 TEST_CASE("signals of all kinds wait for the age of the process") {
   ProcessOptions options;
+  options.grace = Seconds(20);
   options.first_signal_after = Seconds(3);
   Supervised supervised(std::move(options));
   supervised.process->Start();
@@ -76,6 +78,7 @@
 // any fixed time.
 TEST_CASE("signals can wait until the program handles them") {
   ProcessOptions options;
+  options.grace = Seconds(20);
   options.signals_while_loading = false;
   Supervised supervised(std::move(options));
   supervised.process->Start();
@@ -94,5 +97,30 @@
   CHECK(supervised.ledger.broken.size() == 1);
 }
 
+// Guards against a process that does not end in its grace time.
+TEST_CASE("a process that runs on after its grace time breaks a promise") {
+  ProcessOptions options;
+  options.arguments = {"/bin/sh", "-c", "trap '' TERM; while :; do :; done"};
+  options.grace = Milliseconds(200);
+  options.first_signal_after = Seconds(1);
+  Supervised supervised(std::move(options));
+  supervised.process->Start();
+  supervised.process->Terminate(SIGTERM, Duration(0));
+  supervised.RunToRestart();
+  REQUIRE(supervised.ledger.broken.size() == 1);
+  CHECK(supervised.ledger.broken.front().find("grace time") !=
+        std::string::npos);
+}
+
+// Guards against a process that has ended in time, and whose memory the kernel
+// frees for seconds, taken for one that runs on.
+TEST_CASE("the status tells whether a process ended before SIGKILL") {
+  constexpr int kExitedWithOne = 1 << 8;
+  CHECK(EndedBeforeKill(0));
+  CHECK(EndedBeforeKill(kExitedWithOne));
+  CHECK(EndedBeforeKill(SIGTERM));
+  CHECK_FALSE(EndedBeforeKill(SIGKILL));
+}
+
 }  // namespace
 }  // namespace toucanhollow
