--- a/soak/supervised_process.h
+++ b/soak/supervised_process.h
@@ -24,12 +24,19 @@
   std::string log_file;
   // From SIGTERM or SIGINT to SIGKILL.
   Duration grace = Seconds(4);
-  // Signals of a series come no earlier than this after the start.
+  // SIGHUP, SIGTERM and SIGINT come no earlier than this after the start.
   Duration first_signal_after{0};
+  // They come also while the dynamic loader works, when no code of the program
+  // can handle them.
+  bool signals_while_loading = true;
   // Called when the process is started again.
   std::function<void()> on_restart;
 };
 
+// Whether a process that was sent SIGKILL had ended by itself before: the
+// kernel keeps the status of the end that began first.
+bool EndedBeforeKill(int wait_status);
+
 class SupervisedProcess {
  public:
   SupervisedProcess(EventLoop& loop,
@@ -39,7 +46,8 @@
 
   void Start();
   // Sends SIGTERM or SIGINT. The process is started again `pause` after its
-  // end. May be called again while the process ends.
+  // end. May be called again while the process ends. The signal waits until
+  // the process is old enough for signals.
   void Terminate(int signal, Duration pause);
   void Kill(Duration pause);
   void Pause();
@@ -57,7 +65,10 @@
  private:
   void Send(int signal);
   void PlaySignals(const std::vector<SentSignal>& signals, Duration pause);
+  // How long a signal has to wait still.
+  Duration SignalWait(int signal);
   void PlaySignal(int signal, Duration pause);
+  void TerminateNow(int signal, Duration pause);
   void Check(TimePoint now);
   void NoteEnd();
 
@@ -68,7 +79,10 @@
   ChildProcess process;
   bool running = false;
   bool killed = false;
+  // It was killed since its grace time had ended.
+  bool grace_over = false;
   bool paused = false;
+  bool loaded = false;
   std::optional<TimePoint> stopping;
   TimePoint started;
   TimePoint disturbed;
