Let the status command fail if a process is not ready

`toucanhollowctl status` printed not_ready and ended with 0, so that a script that waits for a process, or takes out the next one, went on. It ends with 1 now, as for a silent process.

The new case of ctl_test fails before the change (0 == 1 for a process whose readiness is 503); 10 of 10 cases pass with it.

--- a/packages/ctl/command.cc
+++ b/packages/ctl/command.cc
@@ -218,7 +218,11 @@
       exit_code = kExitNegative;
       continue;
     }
-    call.out << (ready[i].status == 200 ? " ready" : " not_ready");
+    const bool is_ready = ready[i].status == 200;
+    call.out << (is_ready ? " ready" : " not_ready");
+    if (!is_ready) {
+      exit_code = kExitNegative;
+    }
     for (const char* name : {"config_offset", "requests_open", "takes_work",
                              "in_flight", "limit"}) {
       const std::string value = FindMetricValue(metrics[i].body, name);
--- a/packages/ctl/command.h
+++ b/packages/ctl/command.h
@@ -28,8 +28,8 @@
 
 constexpr int kExitSuccess = 0;
 // The command ran, with a negative result: a record or a file is invalid, a
-// record was not accepted, the log or a process did not answer, or no event
-// matched.
+// record was not accepted, the log or a process did not answer, a process is
+// not ready, or no event matched.
 constexpr int kExitNegative = 1;
 constexpr int kExitUsage = 2;
 
--- a/packages/ctl/ctl_test.cc
+++ b/packages/ctl/ctl_test.cc
@@ -1,12 +1,16 @@
+#include <memory>
+#include <sstream>
 #include <string>
 #include <vector>
 
 #include <catch2/catch.hpp>
 
+#include "ctl/command.h"
 #include "ctl/fetch.h"
 #include "ctl/read_timeline.h"
 #include "ctl/threaded_server_for_test.h"
 #include "event_codec/event_codec.h"
+#include "settings/parse_address.h"
 
 namespace toucanhollow {
 namespace {
@@ -76,5 +80,25 @@
   CHECK(ReadTimelines({restarted.ListenAddress()}, cursor).events.size() == 1);
 }
 
+// Guards against a script that goes on while a process takes no requests.
+TEST_CASE("the status is negative if a process is not ready") {
+  for (const int status : {200, 503}) {
+    const ThreadedServer process([status](EventLoop& /*loop*/) {
+      return [status](const HttpRequest& request,
+                      const std::shared_ptr<HttpResponseWriter>& writer) {
+        writer->Respond(request.path == "/ready" ? status : 200, {}, "");
+      };
+    });
+    CommandOptions options;
+    options.processes = FormatAddress(process.ListenAddress());
+    std::ostringstream out;
+    std::ostringstream errors;
+    const bool ready = status == 200;
+    CHECK(RunCommand({"status"}, options, out, errors) ==
+          (ready ? kExitSuccess : kExitNegative));
+    CHECK(out.str().find(ready ? " ready" : " not_ready") != std::string::npos);
+  }
+}
+
 }  // namespace
 }  // namespace toucanhollow
