Limit the nesting of CBOR of any size

Inputs of up to 1024 bytes were decoded without a check of their nesting, so that a datagram of 1024 bytes recursed 1024 times. Whether this fits a stack depended on the build and on the limit on the stack.

--- a/packages/cbor/read_cbor.cc
+++ b/packages/cbor/read_cbor.cc
@@ -8,10 +8,6 @@
 
 using nlohmann::json;
 
-// Inputs up to this size cannot nest deep enough to overflow the stack, so they
-// are not checked.
-constexpr std::size_t kMaxUncheckedBytes = 1024;
-
 class NestingChecker : public nlohmann::json_sax<json> {
  public:
   bool null() override { return true; }
@@ -47,8 +43,7 @@
   // with exceptions disabled.
   try {
     NestingChecker checker;
-    if (bytes.size() > kMaxUncheckedBytes &&
-        !json::sax_parse(bytes, &checker, json::input_format_t::cbor)) {
+    if (!json::sax_parse(bytes, &checker, json::input_format_t::cbor)) {
       return MakeFailure(
           ResultCode::kFrameMalformed,
           "the bytes are not valid CBOR or are nested too deeply");
--- a/packages/cbor/read_cbor.h
+++ b/packages/cbor/read_cbor.h
@@ -15,8 +15,8 @@
 
 // Decodes the bytes, which must be exactly one CBOR value. Fails with
 // kFrameMalformed if they are not valid CBOR, if bytes follow the value, or if
-// an input of more than 1024 bytes has kMaxCborNesting or more levels: the
-// library recurses once for each level, which could overflow the stack.
+// they have kMaxCborNesting or more levels: the library recurses once for each
+// level, which could overflow the stack.
 Result<nlohmann::json> ReadCbor(std::string_view bytes);
 
 }  // namespace toucanhollow
--- a/packages/cbor/read_cbor_test.cc
+++ b/packages/cbor/read_cbor_test.cc
@@ -32,6 +32,18 @@
   CHECK_FALSE(ReadCbor(std::string(60000, '\x9f')));
 }
 
+// Guards against an input that is small and still nested deep enough to
+// overflow a small stack.
+TEST_CASE("nesting is limited in inputs of any size") {
+  for (const int size : {16, 100, 1000, 1024, 1025}) {
+    const auto levels = static_cast<std::size_t>(size);
+    CHECK_FALSE(ReadCbor(std::string(levels, '\x81') + '\x01'));
+    CHECK_FALSE(ReadCbor(std::string(levels, '\x9f') + '\x01' +
+                         std::string(levels, '\xff')));
+  }
+  CHECK(ReadCbor(std::string(kMaxCborNesting - 1, '\x81') + '\x01'));
+}
+
 // Guards against malformed input that crashes the process.
 TEST_CASE("mutated bytes are decoded or rejected") {
   const std::string valid = ToBytes({{"loads", {{1, 2, 3}, {4, 5, 6}}},
