Give the agents of the group map cases ports that nobody else takes

Cause: the test bound port 0 of 127.0.0.1 to learn a free port, closed the socket, and started the agent on the port later. Another process could take it between. A port that an ended agent has left could also become that of an agent in another process, which then answers for it. Change: agents listen on a loopback address of the test process alone, on ports that are counted up below the system's own range.

--- a/standins/platform/group_map_test.cc
+++ b/standins/platform/group_map_test.cc
@@ -14,6 +14,7 @@
 #include "map_task/rank_agent.h"
 #include "platform/engine_calls.h"
 #include "standins/platform/engine_group_stand_in.h"
+#include "standins/platform/own_loopback.h"
 #include "standins/platform/platform_store_stand_in.h"
 
 namespace toucanhollow {
@@ -71,17 +72,10 @@
     this->store.SetCoordinator(true);
     this->group.demand = UnevenDemand(this->shape);
     for (int rank = 0; rank < this->shape.ranks; ++rank) {
-      this->agent_addresses.push_back(this->FreeAddress());
+      this->agent_addresses.push_back(NextOwnAddress());
     }
   }
 
-  Address FreeAddress() {
-    auto probe = DatagramSocket::Bind(this->loop, {kHost, 0},
-                                      [](const Address&, std::string_view) {});
-    REQUIRE(probe);
-    return probe.value()->BoundAddress();
-  }
-
   void StartAgent(const Address& listen, const Address& engine) {
     RankAgentSettings settings;
     settings.process = "agent";
@@ -136,7 +130,7 @@
     this->more.back()->demand = UnevenDemand(other);
     for (int rank = 0; rank < this->shape.ranks; ++rank) {
       const Address engine{kHost, this->more.back()->Port(rank)};
-      const Address agent = this->FreeAddress();
+      const Address agent = NextOwnAddress();
       this->StartAgent(agent, engine);
       this->more_ranks.push_back(
           {name + std::to_string(this->more.size()) + std::to_string(rank),
--- /dev/null
+++ b/standins/platform/own_loopback.h
@@ -0,0 +1,34 @@
+// Loopback addresses that no other process of the machine uses, for sockets
+// whose ports must be known before they are bound.
+#ifndef STANDINS_PLATFORM_OWN_LOOPBACK_H_
+#define STANDINS_PLATFORM_OWN_LOOPBACK_H_
+
+#include <unistd.h>
+
+#include <cstdint>
+#include <string>
+
+#include "base/address.h"
+
+namespace toucanhollow {
+
+// A loopback address of this process alone: ports of other tests do not meet
+// those of the program.
+inline std::string OwnLoopbackIp() {
+  constexpr int kOctet = 200;
+  const int pid = getpid();
+  return "127." + std::to_string(1 + pid / kOctet % kOctet) + "." +
+         std::to_string(1 + pid % kOctet) + ".9";
+}
+
+// An address on OwnLoopbackIp that was not returned before. The ports are below
+// those that the system chooses for sockets, some of which are bound to all
+// addresses.
+inline Address NextOwnAddress() {
+  static std::uint16_t next_port = 12000;
+  return {OwnLoopbackIp(), next_port++};
+}
+
+}  // namespace toucanhollow
+
+#endif  // STANDINS_PLATFORM_OWN_LOOPBACK_H_
--- a/standins/platform/relay_process.h
+++ b/standins/platform/relay_process.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "standins/platform/own_loopback.h"
 #include "standins/platform/relay_site.h"
 #include "standins/process/child_process.h"
 
@@ -28,15 +29,6 @@
          "toucanhollow";
 }
 
-// A loopback address of this process alone: ports of other tests do not meet
-// those of the program.
-inline std::string OwnLoopbackIp() {
-  constexpr int kOctet = 200;
-  const int pid = getpid();
-  return "127." + std::to_string(1 + pid / kOctet % kOctet) + "." +
-         std::to_string(1 + pid % kOctet) + ".9";
-}
-
 struct RelayProcess : Site {
   std::filesystem::path directory;
   std::unique_ptr<ChildProcess> process;
