Leave servers of an earlier epoch out of a re-formed group

What was seen: "a group with reports that cannot be used leaves the others alone" timed out in 1 of 100 runs of the group map cases, four copies at once on a busy machine: the group got no map within 12 s. Cause: a server stays a rank of its group when the group is re-formed without it and it goes on reporting the earlier epoch. Its reports are refused as stale, but each reading of the group asks it too, two epochs make no complete reading, and the maps of the group stay as they are while the server is listed. The test meets this if the group of the earlier epoch is discovered first. Change: a rank whose last report was refused for its epoch is not passed to the coordinator of its group, unless no rank of the group is in the current epoch.

--- a/packages/map_task/group_map_task.cc
+++ b/packages/map_task/group_map_task.cc
@@ -154,7 +154,8 @@
   for (const ExpertParallelService& service : this->services) {
     std::vector<RankCall> unknown;
     for (const RankAddress& rank : service.ranks) {
-      if (!this->registry.rank_by_server.contains(rank.server)) {
+      if (!this->registry.rank_by_server.contains(rank.server) ||
+          this->IsLeftBehind(rank.server)) {
         unknown.push_back({rank, {.kind = RankRequestKind::kReport}});
       }
     }
@@ -220,18 +221,30 @@
   this->callbacks.on_groups(this->registry);
 }
 
+bool GroupMapTask::IsLeftBehind(const std::string& server) const {
+  const auto rejected = this->rejected_reports.find(server);
+  return rejected != this->rejected_reports.end() &&
+         rejected->second == RankReportStatus::kStaleEpoch;
+}
+
 void GroupMapTask::AssignRanks() {
   std::map<GroupKey, std::vector<RankAddress>> by_group;
+  std::map<GroupKey, std::vector<RankAddress>> left_behind;
   std::map<GroupKey, ExpertParameters> parameters;
   for (const ExpertParallelService& service : this->services) {
     for (const RankAddress& rank : service.ranks) {
       const auto group_rank = this->registry.rank_by_server.find(rank.server);
       if (group_rank != this->registry.rank_by_server.end()) {
-        by_group[group_rank->second.group].push_back(rank);
+        auto& ranks = this->IsLeftBehind(rank.server) ? left_behind : by_group;
+        ranks[group_rank->second.group].push_back(rank);
         parameters[group_rank->second.group] = service.parameters;
       }
     }
   }
+  // A server that was not taken into the re-formed group would keep each
+  // reading of the group incomplete. If no rank is in the current epoch, epochs
+  // may count from a low number again.
+  by_group.merge(left_behind);
   std::erase_if(this->group_coordinators, [&by_group](const auto& entry) {
     return !by_group.contains(entry.first);
   });
--- a/packages/map_task/group_map_task.h
+++ b/packages/map_task/group_map_task.h
@@ -71,10 +71,14 @@
   void UpdateTerm();
   // Requests the report of one rank of a known group.
   void Probe(TimePoint now);
-  // Requests the reports of ranks whose group is not known.
+  // Requests the reports of ranks whose group is not known, or that were left
+  // behind.
   void Discover(TimePoint now);
   void HandleReport(const ServiceName& service, const RankReport& report);
   void NotifyGroupsChanged();
+  // Whether the server's last report is of an epoch before the one in which its
+  // group was re-formed.
+  bool IsLeftBehind(const std::string& server) const;
   // Passes the known ranks of each group to its coordinator object.
   void AssignRanks();
   // Notifies the host if the slow ranks changed.
--- a/standins/platform/group_map_test.cc
+++ b/standins/platform/group_map_test.cc
@@ -61,6 +61,8 @@
   EngineGroupStandIn group{loop, shape};
   std::vector<std::unique_ptr<EngineGroupStandIn>> more;
   std::vector<RankAddress> more_ranks;
+  // Whether the ranks of `group` are listed.
+  bool lists_group = true;
   HttpClient client{loop};
   std::vector<Address> agent_addresses;
   std::vector<std::unique_ptr<RankAgent>> agents;
@@ -112,7 +114,7 @@
     view.service.value = "model";
     view.parameters = {
         {this->shape.places, 2}, this->shape.sets, Milliseconds(50)};
-    for (int rank = 0; rank < this->shape.ranks; ++rank) {
+    for (int rank = 0; this->lists_group && rank < this->shape.ranks; ++rank) {
       view.ranks.push_back({"i-" + std::to_string(rank),
                             this->agent_addresses[rank],
                             {kHost, this->group.Port(rank)}});
@@ -355,5 +357,20 @@
   CHECK(site.group.mixed_passes() == 0);
 }
 
+// Guards against a group that is left as it is for as long as a server is
+// listed that was a rank before the group was re-formed without it.
+TEST_CASE("a server of an earlier epoch leaves the re-formed group alone") {
+  GroupSite site;
+  EngineGroupStandIn& earlier = site.AddGroup("g");
+  earlier.epoch = 0;
+  site.lists_group = false;
+  site.StartAgents(site.shape.ranks);
+  site.StartCoordinator();
+  REQUIRE(site.RunUntil([&] { return site.IsOpen("g"); }, Seconds(8)));
+  site.lists_group = true;
+  CHECK(site.RunUntil([&] { return site.group.switches() >= 1; }, Seconds(8)));
+  CHECK(site.group.mixed_passes() == 0);
+}
+
 }  // namespace
 }  // namespace toucanhollow
