Read what has arrived before a request counts as late

The periodic check of a session runs before its socket is read in the same turn of the loop. A request whose rest arrived while the process did not run for the header timeout, or 5 s in a body, was refused with 408, although all of it lay in the kernel. At the end of the grace time the socket is read first already.

The new test lets the loop stand still for 0.5 s (300 ms for the head are allowed) and for 5.2 s (body) while the rest arrives.

--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -344,12 +344,21 @@
   this->Close();
 }
 
+bool CallerSession::IsInputOverdue(TimePoint now) const {
+  return now - this->waiting_since > (this->parser->head_done()
+                                          ? kBodyStallTimeout
+                                          : this->Limits().header_timeout);
+}
+
 void CallerSession::Sweep(TimePoint now) {
   const Duration waited = now - this->waiting_since;
   switch (this->phase) {
     case Phase::kReading:
-      if (!this->parser->head_done() ? waited > this->Limits().header_timeout
-                                     : waited > kBodyStallTimeout) {
+      if (this->IsInputOverdue(now)) {
+        // It may have arrived while the process did not run.
+        this->connection->ReadPending();
+      }
+      if (this->phase == Phase::kReading && this->IsInputOverdue(now)) {
         this->RefuseInput(408, "the request did not arrive in time");
       }
       return;
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -73,6 +73,8 @@
   // close.
   void BeginClosing();
   void Close();
+  // True if the request being read has taken too long.
+  bool IsInputOverdue(TimePoint now) const;
   const IngressLimits& Limits() const;
 
   RelayContext context;
--- a/standins/platform/slow_caller_test.cc
+++ b/standins/platform/slow_caller_test.cc
@@ -1,5 +1,6 @@
-// Callers that read late.
+// Callers that read late, and a host that does.
 #include <string>
+#include <thread>
 
 #include <catch2/catch.hpp>
 
@@ -43,5 +44,28 @@
   CHECK(caller.parser.TakeBody().size() == body.size());
 }
 
+// Guards against a refusal of a request that arrived in time, because the host
+// stood still and checked its time limits before it read the rest.
+TEST_CASE("a request that arrived while the host stood still is answered") {
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  const std::string request = Request("POST", "/u/x", "r1", "", "body");
+  const bool head_has_arrived = GENERATE(false, true);
+  const std::size_t sent_early = head_has_arrived ? request.size() - 2 : 20;
+  const Duration pause = Milliseconds(head_has_arrived ? 5200 : 500);
+  SocketCaller caller(site.settings.callers);
+  REQUIRE(caller.Send(request.substr(0, sent_early)));
+  site.RunFor(Milliseconds(100));
+  REQUIRE(caller.Send(request.substr(sent_early)));
+  std::this_thread::sleep_for(pause);
+  site.RunUntil([&] {
+    caller.Poll();
+    return caller.parser.done();
+  });
+  CHECK(caller.status() == 200);
+}
+
 }  // namespace
 }  // namespace toucanhollow
