Keep the UDP ports of a relay apart

The port for permits is the one after the port for reports unless it is set. On a site whose two internal ports follow each other it was also the port for calls to agents, so that one of the two sockets could never be bound and the start was repeated without end.

Other cases of relay_test fail now and then on a machine with a load of 40, before the change as well (isolation_test.cc:110, dispatcher_test.cc).

--- a/packages/relay/relay_settings.cc
+++ b/packages/relay/relay_settings.cc
@@ -149,7 +149,8 @@
   BOOST_OUTCOME_TRY(rank_call_port,
                     ReadNumber(tree, "listen.rank_call_port", 1, kMaxPort));
   // The platform's template has no name for the port after the first one.
-  settings.permit_port = static_cast<std::uint16_t>(report_port + 1);
+  settings.permit_port = static_cast<std::uint16_t>(
+      report_port + (rank_call_port == report_port + 1 ? 2 : 1));
   if (HasValue(tree, "listen.permit_port")) {
     BOOST_OUTCOME_TRY(permit_port,
                       ReadNumber(tree, "listen.permit_port", 1, kMaxPort));
@@ -158,6 +159,13 @@
   settings.report_port = static_cast<std::uint16_t>(report_port);
   settings.metrics_port = static_cast<std::uint16_t>(metrics_port);
   settings.rank_call_port = static_cast<std::uint16_t>(rank_call_port);
+  if (settings.report_port == settings.rank_call_port ||
+      settings.report_port == settings.permit_port ||
+      settings.rank_call_port == settings.permit_port) {
+    return InvalidField("listen",
+                        "report_port, rank_call_port and permit_port must "
+                        "differ; they are ports of UDP sockets");
+  }
   BOOST_OUTCOME_TRY(store, ReadAddress(tree, "store.address"));
   settings.store = store;
   if (HasValue(tree, "store.partitions")) {
--- a/packages/relay/relay_test.cc
+++ b/packages/relay/relay_test.cc
@@ -58,6 +58,25 @@
   CHECK(seeds.value().seeds.empty());
 }
 
+// Guards against a host that never starts because two of its UDP sockets are to
+// have the same port.
+TEST_CASE("the UDP ports of a host differ") {
+  const auto parse = [](const std::string& ports) {
+    return ParseRelaySettings(SettingsWith(
+        "report_port = 7340\nmetrics_port = 7355\nrank_call_port = 7355",
+        ports));
+  };
+  const auto adjacent =
+      parse("report_port = 7340\nmetrics_port = 7341\nrank_call_port = 7341");
+  REQUIRE(adjacent);
+  CHECK(adjacent.value().permit_port == 7342);
+  const std::string others =
+      "\nmetrics_port = 7355\nreport_port = 7340\nrank_call_port = ";
+  CHECK_FALSE(parse("permit_port = 7355" + others + "7355"));
+  CHECK_FALSE(parse("permit_port = 7340" + others + "7355"));
+  CHECK_FALSE(parse("permit_port = 7355" + others + "7340"));
+}
+
 // Guards against a host that does not start because of how a list is written.
 TEST_CASE("spaces and empty entries of a list are ignored") {
   const std::vector<Address> expected = {{"10.0.0.2", 82}, {"10.0.0.3", 82}};
