Discover the ranks of all services in turn

What callers saw: nothing, the case has not been met. The groups of a service get no maps, and its requests do not follow the state of its groups, while a server of another service is listed and gives no report. Cause: discovery asks the servers without a group of the first service that has any, and no others. A server that never gives a report, for example one that has crashed and is still listed, keeps its service first for ever. Change: each discovery begins at the service after the one that was asked last.

--- a/packages/map_task/group_map_task.cc
+++ b/packages/map_task/group_map_task.cc
@@ -151,7 +151,10 @@
 }
 
 void GroupMapTask::Discover(TimePoint now) {
-  for (const ExpertParallelService& service : this->services) {
+  for (std::size_t i = 0; i < this->services.size(); ++i) {
+    // Services take turns, because a server may never give a report.
+    const ExpertParallelService& service =
+        this->services[this->next_discovery++ % this->services.size()];
     std::vector<RankCall> unknown;
     for (const RankAddress& rank : service.ranks) {
       if (!this->registry.rank_by_server.contains(rank.server) ||
--- a/packages/map_task/group_map_task.h
+++ b/packages/map_task/group_map_task.h
@@ -101,6 +101,8 @@
   TimePoint probed_at;
   TimePoint discovered_at;
   std::size_t next_probe;
+  // Modulo the number of services, the one at which the next discovery begins.
+  std::size_t next_discovery = 0;
   std::unique_ptr<Timer> timer;
 };
 
--- a/standins/platform/group_map_test.cc
+++ b/standins/platform/group_map_test.cc
@@ -61,6 +61,8 @@
   EngineGroupStandIn group{loop, shape};
   std::vector<std::unique_ptr<EngineGroupStandIn>> more;
   std::vector<RankAddress> more_ranks;
+  // Listed before the service of the groups.
+  std::vector<ExpertParallelService> other_services;
   // Whether the ranks of `group` are listed.
   bool lists_group = true;
   HttpClient client{loop};
@@ -101,7 +103,11 @@
         this->loop, this->client, platform::EngineCodec(),
         CoordinatorElectionSettings{{kHost, this->store.Port()}, 1, "member"},
         GroupMapCallbacks{
-            [this] { return std::vector{this->View()}; },
+            [this] {
+              std::vector<ExpertParallelService> all = this->other_services;
+              all.push_back(this->View());
+              return all;
+            },
             [this](const GroupRegistry& groups) { this->groups = groups; },
             [this](const std::set<std::string>& slow) {
               this->slow_ranks = slow;
@@ -372,5 +378,18 @@
   CHECK(site.group.mixed_passes() == 0);
 }
 
+// Guards against a service whose groups are never discovered while a server of
+// another one gives no report.
+TEST_CASE("a service without reports leaves the others alone") {
+  GroupSite site;
+  ExpertParallelService silent;
+  silent.service.value = "silent";
+  silent.ranks.push_back({"i-silent", NextOwnAddress(), NextOwnAddress()});
+  site.other_services.push_back(silent);
+  site.StartAgents(site.shape.ranks);
+  site.StartCoordinator();
+  CHECK(site.RunUntil([&] { return site.group.switches() >= 1; }, Seconds(8)));
+}
+
 }  // namespace
 }  // namespace toucanhollow
