Refuse permit requests whose rate is no rate

A datagram with a rate that is not a number, infinite or negative left a bucket that no later request could refill: the server got no permits until its agent started again. A tiny rate gave a wait that overflowed its type.

Such a request is malformed now, and a wait is at most 10 s, as for a server that gets no permits at all.

--- a/packages/permit/permit_codec.cc
+++ b/packages/permit/permit_codec.cc
@@ -1,5 +1,7 @@
 #include "permit/permit_codec.h"
 
+#include <cmath>
+
 #include <nlohmann/json.hpp>
 
 #include "cbor/read_cbor.h"
@@ -31,6 +33,12 @@
   }
 }
 
+// Another rate would leave a bucket that is never refilled.
+bool IsPlausible(const PermitRate& rate) {
+  return std::isfinite(rate.per_s) && rate.per_s >= 0 &&
+         std::isfinite(rate.burst) && rate.burst >= 0;
+}
+
 }  // namespace
 
 bool IsPermitMessage(std::string_view bytes) {
@@ -54,6 +62,10 @@
         request.serial = document.at(1).get<std::uint64_t>();
         request.server = document.at(2).get<std::uint32_t>();
         request.rate = {terms.at(0).get<double>(), terms.at(1).get<double>()};
+        if (!IsPlausible(request.rate)) {
+          return MakeFailure(ResultCode::kFrameMalformed,
+                             "the rate of permits is out of range");
+        }
         if (terms.size() > 2) {
           const int purpose = terms.at(2).get<int>();
           if (purpose < 0 ||
--- a/packages/permit/permit_test.cc
+++ b/packages/permit/permit_test.cc
@@ -1,3 +1,4 @@
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,42 @@
   CHECK(issuer.permits.buckets.contains(2));
 }
 
+// Guards against a datagram after which a server gets no permits any more: a
+// bucket that was refilled at such a rate never holds a permit again.
+TEST_CASE("a rate that is no rate changes no bucket") {
+  PermitIssuer issuer;
+  const Address host{"127.0.0.1", 7};
+  const TimePoint begin = TimePoint() + kPermitWindow;
+  constexpr double kInfinite = std::numeric_limits<double>::infinity();
+  constexpr double kNotANumber = std::numeric_limits<double>::quiet_NaN();
+  for (const PermitRate& rate :
+       {PermitRate{kNotANumber, 6}, PermitRate{14, kNotANumber},
+        PermitRate{kInfinite, 6}, PermitRate{14, kInfinite},
+        PermitRate{-1e300, 6}, PermitRate{14, -1e300}}) {
+    CHECK_FALSE(AnswerPermitRequest(issuer, host,
+                                    EncodePermitRequest({1, 2, rate}), begin));
+  }
+  const Result<std::string> reply = AnswerPermitRequest(
+      issuer, host, EncodePermitRequest({1, 2, {14, 6}}), begin + Seconds(10));
+  REQUIRE(reply);
+  CHECK(DecodePermitReply(reply.value()).value().granted);
+}
+
+// Guards against a wait that does not fit its type.
+TEST_CASE("a server with a tiny rate has a finite wait") {
+  PermitIssuer issuer;
+  for (const double per_s : {1e-300, 1e-12}) {
+    const Result<std::string> reply = AnswerPermitRequest(
+        issuer, {"127.0.0.1", 7}, EncodePermitRequest({1, 2, {per_s, 6}}),
+        TimePoint() + kPermitWindow);
+    REQUIRE(reply);
+    const PermitReply decoded = DecodePermitReply(reply.value()).value();
+    CHECK_FALSE(decoded.granted);
+    CHECK(decoded.wait > Duration(0));
+    CHECK(decoded.wait <= Seconds(10));
+  }
+}
+
 // Guards against two isolated requests at a server, of which it could not be
 // told which one crashed it.
 TEST_CASE("a server gets one isolated request at a time") {
--- a/packages/traffic/permit_ledger.cc
+++ b/packages/traffic/permit_ledger.cc
@@ -8,8 +8,9 @@
 
 using FractionalSeconds = std::chrono::duration<double>;
 
-// The wait of a server that gets no permits at all.
+// Also the wait of a server that gets no permits at all.
 constexpr Duration kLongestWait = Seconds(10);
+
 void DropLeastRecentlyUsed(PermitLedger& ledger, TimePoint now) {
   if (ledger.buckets.size() > ledger.max_servers) {
     ledger.empty_at = now;
@@ -49,7 +50,8 @@
     decision.wait = kLongestWait;
   } else {
     decision.wait = std::chrono::ceil<Duration>(
-        FractionalSeconds((1 - bucket.permits) / rate.per_s));
+        std::min(FractionalSeconds((1 - bucket.permits) / rate.per_s),
+                 FractionalSeconds(kLongestWait)));
   }
   if (is_new) {
     DropLeastRecentlyUsed(ledger, now);
--- a/packages/traffic/permit_ledger.h
+++ b/packages/traffic/permit_ledger.h
@@ -78,7 +78,7 @@
 
 struct PermitDecision {
   bool granted = false;
-  // If not granted: the time until a permit is available.
+  // If not granted: the time until a permit is available, at most 10 s.
   Duration wait{0};
 
   bool operator==(const PermitDecision&) const = default;
