Refuse crash reports with a number of terms that no host sends

The number of terms of a datagram was taken as it was; counting the next term overflows after the largest int, and the length of a term before the smallest.

The case on malformed crash reports fails before the change for -1 and the ends of int; with it the 18 cases of relay_test.cc and prompt_quarantine_test.cc pass with the address and undefined behaviour sanitizers.

--- a/packages/relay/crash_report_codec.cc
+++ b/packages/relay/crash_report_codec.cc
@@ -74,12 +74,15 @@
   return report;
 }
 
-// A time that no host sends would overflow when it is added to the present.
+// A time that no host sends would overflow when it is added to the present, and
+// a number of terms when the next one is counted.
 bool IsPlausible(const CrashReport& report) {
   constexpr Duration kLongest = std::chrono::hours(24 * 365);
+  constexpr int kMostTerms = 1'000'000;
   return report.age >= Duration(0) && report.age < kLongest &&
          report.quarantine_left.value_or(Duration(0)) < kLongest &&
-         report.quarantine_left.value_or(Duration(0)) > -kLongest;
+         report.quarantine_left.value_or(Duration(0)) > -kLongest &&
+         report.term >= 0 && report.term <= kMostTerms;
 }
 
 }  // namespace
@@ -109,7 +112,8 @@
     const CrashReport report = ToReport(document);
     if (!IsPlausible(report)) {
       return MakeFailure(ResultCode::kFrameMalformed,
-                         "the age or the remaining time is out of range");
+                         "the age, the remaining time or the term is out "
+                         "of range");
     }
     return report;
   } catch (const json::exception& error) {
--- a/packages/relay/prompt_quarantine_test.cc
+++ b/packages/relay/prompt_quarantine_test.cc
@@ -1,5 +1,6 @@
 #include "relay/prompt_quarantine.h"
 
+#include <limits>
 #include <memory>
 #include <random>
 #include <string>
@@ -275,6 +276,12 @@
   late = ReportOf(1);
   late.quarantine_left = Seconds(1LL << 40);
   CHECK_FALSE(DecodeCrashReport(EncodeCrashReport(late).front()));
+  CrashReport repeated = ReportOf(1);
+  for (const int term :
+       {-1, std::numeric_limits<int>::min(), std::numeric_limits<int>::max()}) {
+    repeated.term = term;
+    CHECK_FALSE(DecodeCrashReport(EncodeCrashReport(repeated).front()));
+  }
   std::mt19937 random(20261205);
   constexpr int kRounds = 10000;
   for (int round = 0; round < kRounds; ++round) {
