Add up reported loads of any size without wrapping

The loads in a datagram were added as int: two large ones wrapped to a negative sum, which made a full server look idle. Negative loads were taken too.

A report with a negative load is malformed now, sums are of 64 bits, and the load that is found for a server is limited so that a host can add its own.

--- a/packages/relay/peer_codec.cc
+++ b/packages/relay/peer_codec.cc
@@ -89,24 +89,31 @@
 }
 
 Result<HostLoadReport> DecodeLoadReport(std::string_view bytes) {
-  return DecodeCbor<HostLoadReport>(bytes, [](const json& document) {
-    HostLoadReport report;
-    report.incarnation = document.at(0).get<std::uint64_t>();
-    report.sequence = document.at(1).get<std::uint64_t>();
-    for (const json& load : document.at(2)) {
-      report.loads.push_back({load.at(0).get<std::uint32_t>(),
-                              load.at(1).get<int>(), load.at(2).get<int>()});
-    }
-    report.slow_servers = document.at(3).get<std::vector<std::uint32_t>>();
-    // Hosts of earlier versions do not send these.
-    if (document.size() > 4) {
-      report.quarantine_digest = document.at(4).get<std::uint32_t>();
-    }
-    if (document.size() > 5) {
-      report.issuer_generation = document.at(5).get<std::int64_t>();
-    }
-    return report;
-  });
+  return DecodeCbor<HostLoadReport>(
+      bytes, [](const json& document) -> Result<HostLoadReport> {
+        HostLoadReport report;
+        report.incarnation = document.at(0).get<std::uint64_t>();
+        report.sequence = document.at(1).get<std::uint64_t>();
+        for (const json& load : document.at(2)) {
+          report.loads.push_back({load.at(0).get<std::uint32_t>(),
+                                  load.at(1).get<int>(),
+                                  load.at(2).get<int>()});
+          if (report.loads.back().outstanding < 0 ||
+              report.loads.back().pending_prompt_tokens < 0) {
+            return MakeFailure(ResultCode::kFrameMalformed,
+                               "the load of a server is negative");
+          }
+        }
+        report.slow_servers = document.at(3).get<std::vector<std::uint32_t>>();
+        // Hosts of earlier versions do not send these.
+        if (document.size() > 4) {
+          report.quarantine_digest = document.at(4).get<std::uint32_t>();
+        }
+        if (document.size() > 5) {
+          report.issuer_generation = document.at(5).get<std::int64_t>();
+        }
+        return report;
+      });
 }
 
 std::string EncodePeerViewReply(const PeerViewReply& reply) {
--- a/packages/relay/relay_test.cc
+++ b/packages/relay/relay_test.cc
@@ -114,6 +114,8 @@
   report.quarantine_digest = 0xffffffff;
   CHECK(DecodeLoadReport(EncodeLoadReport(report)).value() == report);
   CHECK_FALSE(DecodeLoadReport("\x01"));
+  CHECK_FALSE(DecodeLoadReport(EncodeLoadReport({7, 3, {{5, -1, 0}}})));
+  CHECK_FALSE(DecodeLoadReport(EncodeLoadReport({7, 3, {{5, 0, -1}}})));
   PeerViewReply reply;
   reply.operator_records = {
       BatchCoverage::kAllKeys, {{"config", "{}", 4}}, 0, 6};
--- a/packages/traffic/peer_load_table.cc
+++ b/packages/traffic/peer_load_table.cc
@@ -1,5 +1,6 @@
 #include "traffic/peer_load_table.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace toucanhollow {
@@ -7,16 +8,20 @@
 
 void AddLoads(PeerLoadTable& table, const HostLoadReport& report, int sign) {
   for (const ServerLoad& load : report.loads) {
-    ServerLoad& sum = table.sums[load.server];
-    sum.server = load.server;
-    sum.outstanding += sign * load.outstanding;
-    sum.pending_prompt_tokens += sign * load.pending_prompt_tokens;
-    if (sum.outstanding == 0 && sum.pending_prompt_tokens == 0) {
+    LoadSum& sum = table.sums[load.server];
+    sum.outstanding += sign * std::int64_t{load.outstanding};
+    sum.pending_prompt_tokens +=
+        sign * std::int64_t{load.pending_prompt_tokens};
+    if (sum == LoadSum{}) {
       table.sums.erase(load.server);
     }
   }
 }
 
+int ClampLoad(std::int64_t load) {
+  return static_cast<int>(std::clamp<std::int64_t>(load, 0, kMaxFoundLoad));
+}
+
 }  // namespace
 
 void RecordLoadReport(PeerLoadTable& table,
@@ -69,7 +74,11 @@
 
 ServerLoad FindServerLoad(const PeerLoadTable& table, std::uint32_t server) {
   const auto found = table.sums.find(server);
-  return found == table.sums.end() ? ServerLoad{server, 0, 0} : found->second;
+  if (found == table.sums.end()) {
+    return {server, 0, 0};
+  }
+  return {server, ClampLoad(found->second.outstanding),
+          ClampLoad(found->second.pending_prompt_tokens)};
 }
 
 }  // namespace toucanhollow
--- a/packages/traffic/peer_load_table.h
+++ b/packages/traffic/peer_load_table.h
@@ -40,6 +40,14 @@
   bool operator==(const HostLoadReport&) const = default;
 };
 
+// The sums of the loads that several hosts put on one server.
+struct LoadSum {
+  std::int64_t outstanding = 0;
+  std::int64_t pending_prompt_tokens = 0;
+
+  bool operator==(const LoadSum&) const = default;
+};
+
 struct PeerLoadTable {
   struct Entry {
     HostLoadReport report;
@@ -49,7 +57,7 @@
   };
   std::map<std::string, Entry> hosts;
   // Sums over the reports, by server.
-  std::map<std::uint32_t, ServerLoad> sums;
+  std::map<std::uint32_t, LoadSum> sums;
 
   bool operator==(const PeerLoadTable&) const = default;
 };
@@ -82,7 +90,11 @@
 std::optional<IssuingHost> FindIssuingHost(const PeerLoadTable& table,
                                            TimePoint now);
 
-// The load that other hosts put on the server; zero if none reports any.
+// Far above any load, and small enough for a sum with a load of this host.
+inline constexpr int kMaxFoundLoad = 1'000'000'000;
+
+// The load that other hosts put on the server, at most kMaxFoundLoad each; zero
+// if none reports any.
 ServerLoad FindServerLoad(const PeerLoadTable& table, std::uint32_t server);
 
 }  // namespace toucanhollow
--- a/packages/traffic/traffic_test.cc
+++ b/packages/traffic/traffic_test.cc
@@ -1,3 +1,6 @@
+#include <cstdint>
+#include <limits>
+
 #include <catch2/catch.hpp>
 
 #include "traffic/caller_retry.h"
@@ -327,6 +330,20 @@
   CHECK(FindServerLoad(table, 7).outstanding == 0);
 }
 
+// Guards against sums that wrap, which make a full server look idle.
+TEST_CASE("loads of any size are added up") {
+  constexpr int kMost = std::numeric_limits<int>::max();
+  PeerLoadTable table;
+  RecordLoadReport(table, "a", {1, 1, {{7, kMost, kMost}, {7, kMost, 1}}},
+                   At(0));
+  RecordLoadReport(table, "b", {1, 1, {{7, kMost, kMost}}}, At(0));
+  CHECK(FindServerLoad(table, 7) ==
+        ServerLoad{7, kMaxFoundLoad, kMaxFoundLoad});
+  RecordLoadReport(table, "a", {1, 2, {{7, 2, 5}}}, At(10));
+  RecordLoadReport(table, "b", {1, 2, {{7, 1, 3}}}, At(10));
+  CHECK(FindServerLoad(table, 7) == ServerLoad{7, 3, 8});
+}
+
 TEST_CASE("only complete events are returned, each once") {
   EventSplitter splitter;
   CHECK(SplitEvents(splitter, "id: 1\ndata: a\n").empty());
