Hear a host again whose clock was set back

Reports are ordered by the wall-clock time at which their host started. A host that started again after its clock was set back was not heard until the clock had caught up: its loads did not count, and it could not be found as the issuer of permits. One damaged report with a late start had the same effect.

The stored order holds for as long as a report counts, 1600 ms.

The new case of traffic_test fails before the change; with it the 26 cases of traffic_test.cc pass with the address and undefined behaviour sanitizers.

--- a/packages/traffic/peer_load_table.cc
+++ b/packages/traffic/peer_load_table.cc
@@ -29,8 +29,11 @@
                       const HostLoadReport& report,
                       TimePoint now) {
   PeerLoadTable::Entry& entry = table.hosts[host];
-  if (std::tie(report.incarnation, report.sequence) <=
-      std::tie(entry.report.incarnation, entry.report.sequence)) {
+  // The clock of a host may have been set back before it started again.
+  const bool is_current = now - entry.received_at <= kReportLifetime;
+  if (is_current &&
+      std::tie(report.incarnation, report.sequence) <=
+          std::tie(entry.report.incarnation, entry.report.sequence)) {
     return;
   }
   AddLoads(table, entry.report, -1);
--- a/packages/traffic/peer_load_table.h
+++ b/packages/traffic/peer_load_table.h
@@ -66,7 +66,8 @@
 // requests with it. Hosts report at least every 500 ms.
 inline constexpr Duration kReportLifetime = Milliseconds(1600);
 
-// Stores a report, unless a newer one of this host has been stored.
+// Stores a report, unless a newer one of this host has been stored in the last
+// kReportLifetime.
 void RecordLoadReport(PeerLoadTable& table,
                       const std::string& host,
                       const HostLoadReport& report,
--- a/packages/traffic/traffic_test.cc
+++ b/packages/traffic/traffic_test.cc
@@ -330,6 +330,19 @@
   CHECK(FindServerLoad(table, 7).outstanding == 0);
 }
 
+// Guards against a host that is not heard until its clock, which was set back
+// before it started again, has caught up.
+TEST_CASE("an earlier incarnation is heard once the later one is silent") {
+  PeerLoadTable table;
+  RecordLoadReport(table, "a", {9, 50, {{7, 3, 0}}}, At(0));
+  RecordLoadReport(table, "a", {8, 1, {{7, 1, 0}}}, At(1600));
+  CHECK(FindServerLoad(table, 7).outstanding == 3);
+  RecordLoadReport(table, "a", {8, 2, {{7, 2, 0}}}, At(1601));
+  CHECK(FindServerLoad(table, 7).outstanding == 2);
+  RecordLoadReport(table, "a", {8, 3, {{7, 1, 0}}}, At(1650));
+  CHECK(FindServerLoad(table, 7).outstanding == 1);
+}
+
 // Guards against sums that wrap, which make a full server look idle.
 TEST_CASE("loads of any size are added up") {
   constexpr int kMost = std::numeric_limits<int>::max();
