--- a/apps/process_settings_test.cc
+++ b/apps/process_settings_test.cc
@@ -97,5 +97,24 @@
   }
 }
 
+// Guards against a check of the settings that starts the process.
+TEST_CASE("a check of the settings ends every role") {
+  const std::string add_check = "set -- \"$@\" --check";
+  for (const ProcessRole role : kRoles) {
+    TestProcess valid(role, 1, add_check);
+    TestProcess wrong(role, 2, add_check);
+    wrong.WriteSettings("[process]\n");
+    for (TestProcess* process : {&valid, &wrong}) {
+      process->Start();
+      CHECK(WaitUntil([&] { return !process->IsRunning(); }));
+    }
+    INFO(valid.Log());
+    CHECK(valid.HasExitedWith(0));
+    CHECK_FALSE(valid.HasStarted());
+    CHECK(valid.CountInLog("the settings are valid") == 1);
+    CHECK(wrong.HasExitedWith(2));
+  }
+}
+
 }  // namespace
 }  // namespace toucanhollow
