--- a/standins/platform/malformed_datagram_test.cc
+++ b/standins/platform/malformed_datagram_test.cc
@@ -183,7 +183,7 @@
   CHECK(Serves(site));
   CHECK(site.AgentAnswers());
   CHECK(site.AgentGivesPermits());
-  CHECK(site.escaped == std::vector<std::string>());
+  CHECK(site.escaped.empty());
 }
 
 }  // namespace
