Judge the recovery of the soak in a second in which it ran

Cause: the soak is the store, the servers and the callers of a run. When it stood still in the last second, answers that had come were not read yet, and hosts had lost the store's contact, which they get back within contact_ms. Change: the first second is judged that begins contact_ms after the soak last stood still, at the latest the 20th.

--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -18,6 +18,8 @@
 // 5.5 s, and the second after this time must be served.
 constexpr Duration kCalm = Seconds(9);
 constexpr double kServedWhenCalm = 0.9;
+// The first second is judged in which the soak ran, at the latest this one.
+constexpr int kMostCalmSeconds = 20;
 
 }  // namespace
 
@@ -83,9 +85,20 @@
 }
 
 void SoakSite::CheckRecovery() {
-  const std::int64_t answered = this->ledger.answered;
-  const std::int64_t others = this->ledger.refused + this->ledger.failed;
-  this->RunFor(Seconds(1));
+  std::int64_t answered = 0;
+  std::int64_t others = 0;
+  for (int second = 0; second < kMostCalmSeconds; ++second) {
+    const TimePoint begun = EventLoop::Now();
+    answered = this->ledger.answered;
+    others = this->ledger.refused + this->ledger.failed;
+    this->RunFor(Seconds(1));
+    // While the soak stands still, so do the store and the servers, and answers
+    // are not read.
+    NoteTick(this->ledger, EventLoop::Now());
+    if (this->ledger.stalled_at + kContactBound < begun) {
+      break;
+    }
+  }
   const auto served = static_cast<double>(this->ledger.answered - answered);
   const auto all = served + static_cast<double>(this->ledger.refused +
                                                 this->ledger.failed - others);
