Judge a stop under load only if its callers connected in time

Cause: a fault of the test. Host and callers share one loop. When the process stood still, a caller connected after the listener had ended. Change: a try in which a turn of the loop takes over 50 ms in this time is repeated, at most five times; one try must be judged. The checks are unchanged, and a host that blocks the loop still fails.

--- a/standins/platform/platform_relay_test.cc
+++ b/standins/platform/platform_relay_test.cc
@@ -1,6 +1,7 @@
 // The whole path on the platform's protocol: callers, the relay, the store and
 // servers on one loop.
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -523,9 +524,33 @@
   CHECK(site.RunUntil([&] { return site.first.closed_by_caller > closed; }));
 }
 
-// Guards against requests that were accepted just before a planned stop, or are
-// still being read, and are cut without an answer.
-TEST_CASE("a stop under load answers every request that was begun") {
+// Callers that connect every few ms until shortly before the listener of a
+// stopping host ends. Returns nothing if the loop stood still meanwhile, so
+// that callers connected later than they should.
+std::optional<std::vector<std::unique_ptr<Caller>>> ConnectUntilListenerEnds(
+    Site& site,
+    TimePoint stopped_at) {
+  constexpr Duration kMaxTurn = Milliseconds(50);
+  std::vector<std::unique_ptr<Caller>> callers;
+  TimePoint turn_began = EventLoop::Now();
+  while (turn_began - stopped_at < Milliseconds(2550)) {
+    site.RunFor(Milliseconds(10));
+    if (turn_began - stopped_at > Milliseconds(2300)) {
+      callers.push_back(
+          std::make_unique<Caller>(site.loop, site.settings.callers.port));
+      callers.back()->connection->Write(
+          Request("GET", "/s/x", "late" + std::to_string(callers.size())));
+      if (EventLoop::Now() - turn_began > kMaxTurn) {
+        return std::nullopt;
+      }
+    }
+    turn_began = EventLoop::Now();
+  }
+  return callers;
+}
+
+// Returns false if the machine was too busy for a judgement.
+bool CheckStopUnderLoad() {
   Site site;
   site.settings.grace = Milliseconds(6000);
   site.Configure();
@@ -543,16 +568,9 @@
   site.host->Shutdown([&stopped] { stopped = true; });
   // The balancer stops new connections after two failed probes. Around the
   // listener's end, callers connect every few ms.
-  std::vector<std::unique_ptr<Caller>> late;
-  const TimePoint begin = EventLoop::Now();
-  while (EventLoop::Now() - begin < Milliseconds(2550)) {
-    site.RunFor(Milliseconds(10));
-    if (EventLoop::Now() - begin > Milliseconds(2300)) {
-      late.push_back(
-          std::make_unique<Caller>(site.loop, site.settings.callers.port));
-      late.back()->connection->Write(
-          Request("GET", "/s/x", "late" + std::to_string(late.size())));
-    }
+  const auto late = ConnectUntilListenerEnds(site, EventLoop::Now());
+  if (!late) {
+    return false;
   }
   site.RunFor(Milliseconds(300));
   // The rest of the body comes after the listener has ended.
@@ -564,12 +582,24 @@
   second.Feed(pipelined.parser.TakeUnparsedBytes());
   CHECK(second.done());
   std::size_t answered = 0;
-  for (const auto& caller : late) {
+  for (const auto& caller : *late) {
     answered += caller->parser.done() ? 1 : 0;
   }
-  CHECK(late.size() > 5);
-  CHECK(answered == late.size());
+  CHECK(late->size() > 5);
+  CHECK(answered == late->size());
   CHECK(site.RunUntil([&stopped] { return stopped; }));
+  return true;
+}
+
+// Guards against requests that were accepted just before a planned stop, or are
+// still being read, and are cut without an answer.
+TEST_CASE("a stop under load answers every request that was begun") {
+  constexpr int kTries = 5;
+  bool judged = false;
+  for (int i = 0; i < kTries && !judged; ++i) {
+    judged = CheckStopUnderLoad();
+  }
+  CHECK(judged);
 }
 
 // Guards against streams that keep a silent server until their callers leave:
