--- a/packages/http_server/http_server_test.cc
+++ b/packages/http_server/http_server_test.cc
@@ -1,10 +1,12 @@
 #include "http_server/http_server.h"
 
 #include <arpa/inet.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
+#include <ctime>
 
 #include <catch2/catch.hpp>
 
@@ -505,5 +507,79 @@
   }
 }
 
+// Guards against a process that is aborted because it opened a server while
+// nearly all descriptors were in use.
+TEST_CASE("a server that lacks its last descriptor is not opened") {
+  EventLoop loop;
+  const auto open_server = [&loop] {
+    return HttpServer::Listen(loop, {}, [](const HttpRequest&, const auto&) {});
+  };
+  std::array<int, 3> free_numbers{};
+  for (int& number : free_numbers) {
+    number = dup(STDERR_FILENO);
+    REQUIRE(number >= 0);
+  }
+  for (const int number : free_numbers) {
+    close(number);
+  }
+  rlimit before{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &before) == 0);
+  // Of the three descriptors that a server needs, the last one is missing.
+  const rlimit limit{static_cast<rlim_t>(free_numbers.back()), before.rlim_max};
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
+  const bool opened_without = open_server().has_value();
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &before) == 0);
+  CHECK_FALSE(opened_without);
+  CHECK(open_server().has_value());
+}
+
+// Guards against a process that uses all of its processor time while a
+// connection waits for a free descriptor, and against one that is forgotten.
+TEST_CASE("a server without a free descriptor waits for one") {
+  const bool has_other_connection = GENERATE(false, true);
+  Fixture fixture;
+  fixture.Listen([](const HttpRequest&, const auto& writer) {
+    writer->Respond(200, {}, "");
+  });
+  const auto run_for = [&fixture](Duration time) {
+    const Timer end(fixture.loop, time, Duration(0),
+                    [&fixture] { fixture.loop.Stop(); });
+    fixture.loop.Run();
+  };
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(fixture.server->Port());
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const auto* raw = reinterpret_cast<const sockaddr*>(&address);
+  const int other = socket(AF_INET, SOCK_STREAM, 0);
+  const int caller = socket(AF_INET, SOCK_STREAM, 0);
+  if (has_other_connection) {
+    REQUIRE(connect(other, raw, sizeof(address)) == 0);
+    run_for(Milliseconds(100));
+  }
+  const int first_free = dup(STDERR_FILENO);
+  REQUIRE(first_free >= 0);
+  close(first_free);
+  rlimit before{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &before) == 0);
+  const rlimit limit{static_cast<rlim_t>(first_free), before.rlim_max};
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
+  const bool connected = connect(caller, raw, sizeof(address)) == 0;
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  send(caller, request.data(), request.size(), MSG_NOSIGNAL);
+  const std::clock_t used_before = std::clock();
+  run_for(Milliseconds(500));
+  const double used_s =
+      static_cast<double>(std::clock() - used_before) / CLOCKS_PER_SEC;
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &before) == 0);
+  CHECK(connected);
+  CHECK(used_s < 0.1);
+  run_for(Milliseconds(1500));
+  std::array<char, 256> buffer{};
+  CHECK(recv(caller, buffer.data(), buffer.size(), MSG_DONTWAIT) > 0);
+  close(caller);
+  close(other);
+}
+
 }  // namespace
 }  // namespace toucanhollow
--- a/packages/relay/relay_settings.cc
+++ b/packages/relay/relay_settings.cc
@@ -3,10 +3,12 @@
 #include <charconv>
 #include <limits>
 #include <sstream>
+#include <string_view>
 
 #include <boost/property_tree/ini_parser.hpp>
 #include <boost/property_tree/ptree.hpp>
 
+#include "base/trim.h"
 #include "settings/parse_address.h"
 
 namespace toucanhollow {
@@ -43,7 +45,9 @@
   double value = 0;
   const char* end = text.data() + text.size();
   const auto [stop, error] = std::from_chars(text.data(), end, value);
-  if (error != std::errc() || stop != end || value < low || value > high) {
+  // from_chars reads "nan", which no comparison holds for.
+  const bool in_range = value >= low && value <= high;
+  if (error != std::errc() || stop != end || !in_range) {
     std::ostringstream remedy;
     remedy << "value \"" << text << "\" refused; use a number from " << low
            << " to " << high;
@@ -57,7 +61,11 @@
   std::vector<Address> addresses;
   std::istringstream parts(tree.get<std::string>(field, ""));
   for (std::string part; std::getline(parts, part, ',');) {
-    const Result<Address> address = ParseAddress(part);
+    const std::string_view entry = Trim(part);
+    if (entry.empty()) {
+      continue;
+    }
+    const Result<Address> address = ParseAddress(entry);
     if (!address) {
       return InvalidField(field, address.error().detail);
     }
@@ -133,7 +141,8 @@
   BOOST_OUTCOME_TRY(rank_call_port,
                     ReadNumber(tree, "listen.rank_call_port", 1, kMaxPort));
   // The platform's template has no name for the port after the first one.
-  settings.permit_port = static_cast<std::uint16_t>(report_port + 1);
+  settings.permit_port = static_cast<std::uint16_t>(
+      report_port + (rank_call_port == report_port + 1 ? 2 : 1));
   if (HasValue(tree, "listen.permit_port")) {
     BOOST_OUTCOME_TRY(permit_port,
                       ReadNumber(tree, "listen.permit_port", 1, kMaxPort));
@@ -142,6 +151,13 @@
   settings.report_port = static_cast<std::uint16_t>(report_port);
   settings.metrics_port = static_cast<std::uint16_t>(metrics_port);
   settings.rank_call_port = static_cast<std::uint16_t>(rank_call_port);
+  if (settings.report_port == settings.rank_call_port ||
+      settings.report_port == settings.permit_port ||
+      settings.rank_call_port == settings.permit_port) {
+    return InvalidField("listen",
+                        "report_port, rank_call_port and permit_port must "
+                        "differ; they are ports of UDP sockets");
+  }
   BOOST_OUTCOME_TRY(store, ReadAddress(tree, "store.address"));
   settings.store = store;
   if (HasValue(tree, "store.partitions")) {
--- a/packages/relay/relay_test.cc
+++ b/packages/relay/relay_test.cc
@@ -58,6 +58,39 @@
   CHECK(seeds.value().seeds.empty());
 }
 
+// Guards against a host that never starts because two of its UDP sockets are to
+// have the same port.
+TEST_CASE("the UDP ports of a host differ") {
+  const auto parse = [](const std::string& ports) {
+    return ParseRelaySettings(SettingsWith(
+        "report_port = 7340\nmetrics_port = 7355\nrank_call_port = 7355",
+        ports));
+  };
+  const auto adjacent =
+      parse("report_port = 7340\nmetrics_port = 7341\nrank_call_port = 7341");
+  REQUIRE(adjacent);
+  CHECK(adjacent.value().permit_port == 7342);
+  const std::string others =
+      "\nmetrics_port = 7355\nreport_port = 7340\nrank_call_port = ";
+  CHECK_FALSE(parse("permit_port = 7355" + others + "7355"));
+  CHECK_FALSE(parse("permit_port = 7340" + others + "7355"));
+  CHECK_FALSE(parse("permit_port = 7355" + others + "7340"));
+}
+
+// Guards against a host that does not start because of how a list is written.
+TEST_CASE("spaces and empty entries of a list are ignored") {
+  const std::vector<Address> expected = {{"10.0.0.2", 82}, {"10.0.0.3", 82}};
+  for (const std::string list :
+       {"10.0.0.2:82, 10.0.0.3:82", "10.0.0.2:82 ,\t10.0.0.3:82",
+        ",10.0.0.2:82,,10.0.0.3:82,", "10.0.0.2:82, ,10.0.0.3:82"}) {
+    const Result<RelaySettings> settings =
+        ParseRelaySettings(SettingsWith("10.0.0.2:82,10.0.0.3:82", list));
+    INFO(list);
+    REQUIRE(settings);
+    CHECK(settings.value().seeds == expected);
+  }
+}
+
 // Guards against a host that does not start because the platform has no value
 // for a bound, and against one that takes an incomplete file for complete.
 TEST_CASE("a bound without a value has its default and must not be missing") {
@@ -104,6 +137,8 @@
         "shutdown.grace_s: value \"soon\" refused; use a number from 0.5 to "
         "3600");
   CHECK(detail(SettingsWith("7340", "70000")).find("listen.report_port") == 0);
+  CHECK(detail(SettingsWith("descriptors = 4200", "descriptors = nan"))
+            .find("limits.descriptors") == 0);
   CHECK(detail(SettingsWith("10.0.0.9:90", "store")).find("store.address") ==
         0);
   CHECK(detail(SettingsWith("10.0.0.2:82", "seed")).find("peers.seeds") == 0);
@@ -114,6 +149,8 @@
   report.quarantine_digest = 0xffffffff;
   CHECK(DecodeLoadReport(EncodeLoadReport(report)).value() == report);
   CHECK_FALSE(DecodeLoadReport("\x01"));
+  CHECK_FALSE(DecodeLoadReport(EncodeLoadReport({7, 3, {{5, -1, 0}}})));
+  CHECK_FALSE(DecodeLoadReport(EncodeLoadReport({7, 3, {{5, 0, -1}}})));
   PeerViewReply reply;
   reply.operator_records = {
       BatchCoverage::kAllKeys, {{"config", "{}", 4}}, 0, 6};
--- a/packages/traffic/traffic_test.cc
+++ b/packages/traffic/traffic_test.cc
@@ -1,3 +1,6 @@
+#include <cstdint>
+#include <limits>
+
 #include <catch2/catch.hpp>
 
 #include "traffic/caller_retry.h"
@@ -327,6 +330,33 @@
   CHECK(FindServerLoad(table, 7).outstanding == 0);
 }
 
+// Guards against a host that is not heard until its clock, which was set back
+// before it started again, has caught up.
+TEST_CASE("an earlier incarnation is heard once the later one is silent") {
+  PeerLoadTable table;
+  RecordLoadReport(table, "a", {9, 50, {{7, 3, 0}}}, At(0));
+  RecordLoadReport(table, "a", {8, 1, {{7, 1, 0}}}, At(1600));
+  CHECK(FindServerLoad(table, 7).outstanding == 3);
+  RecordLoadReport(table, "a", {8, 2, {{7, 2, 0}}}, At(1601));
+  CHECK(FindServerLoad(table, 7).outstanding == 2);
+  RecordLoadReport(table, "a", {8, 3, {{7, 1, 0}}}, At(1650));
+  CHECK(FindServerLoad(table, 7).outstanding == 1);
+}
+
+// Guards against sums that wrap, which make a full server look idle.
+TEST_CASE("loads of any size are added up") {
+  constexpr int kMost = std::numeric_limits<int>::max();
+  PeerLoadTable table;
+  RecordLoadReport(table, "a", {1, 1, {{7, kMost, kMost}, {7, kMost, 1}}},
+                   At(0));
+  RecordLoadReport(table, "b", {1, 1, {{7, kMost, kMost}}}, At(0));
+  CHECK(FindServerLoad(table, 7) ==
+        ServerLoad{7, kMaxFoundLoad, kMaxFoundLoad});
+  RecordLoadReport(table, "a", {1, 2, {{7, 2, 5}}}, At(10));
+  RecordLoadReport(table, "b", {1, 2, {{7, 1, 3}}}, At(10));
+  CHECK(FindServerLoad(table, 7) == ServerLoad{7, 3, 8});
+}
+
 TEST_CASE("only complete events are returned, each once") {
   EventSplitter splitter;
   CHECK(SplitEvents(splitter, "id: 1\ndata: a\n").empty());
--- a/soak/supervised_process.cc
+++ b/soak/supervised_process.cc
@@ -1,5 +1,7 @@
 #include "soak/supervised_process.h"
 
+#include <sys/wait.h>
+
 #include <algorithm>
 #include <csignal>
 #include <utility>
@@ -8,9 +10,14 @@
 namespace {
 
 constexpr Duration kCheckPeriod = Milliseconds(5);
+constexpr Duration kLoadingCheckPeriod = Milliseconds(1);
 
 }  // namespace
 
+bool EndedBeforeKill(int wait_status) {
+  return !WIFSIGNALED(wait_status) || WTERMSIG(wait_status) != SIGKILL;
+}
+
 SupervisedProcess::SupervisedProcess(EventLoop& loop,
                                      FaultLog& log,
                                      Ledger& ledger,
@@ -28,7 +35,9 @@
   this->process.Start();
   this->running = true;
   this->killed = false;
+  this->grace_over = false;
   this->paused = false;
+  this->loaded = false;
   this->stopping.reset();
   this->started = EventLoop::Now();
   this->log.Note({{"started", this->options.name}});
@@ -43,12 +52,19 @@
     const Duration age = EventLoop::Now() - this->started;
     this->log.Note({{"signal", signal},
                     {"to", this->options.name},
+                    {"handled", this->process.Handles(signal)},
                     {"age_ms", ToMilliseconds(age)}});
     this->process.Signal(signal);
   }
 }
 
 void SupervisedProcess::Terminate(int signal, Duration pause) {
+  if (this->running) {
+    this->PlaySignal(signal, pause);
+  }
+}
+
+void SupervisedProcess::TerminateNow(int signal, Duration pause) {
   if (!this->running) {
     return;
   }
@@ -110,9 +126,20 @@
   }
 }
 
-void SupervisedProcess::PlaySignal(int signal, Duration pause) {
+// The process may have given up its handlers when it ends, so the program is
+// looked at only until it has begun.
+Duration SupervisedProcess::SignalWait(int signal) {
   const Duration age = EventLoop::Now() - this->started;
-  const Duration wait = this->options.first_signal_after - age;
+  if (age < this->options.first_signal_after) {
+    return this->options.first_signal_after - age;
+  }
+  this->loaded = this->loaded || this->options.signals_while_loading ||
+                 this->process.Handles(signal);
+  return this->loaded ? Duration(0) : kLoadingCheckPeriod;
+}
+
+void SupervisedProcess::PlaySignal(int signal, Duration pause) {
+  const Duration wait = this->SignalWait(signal);
   if (wait > Duration(0)) {
     this->signals.push_back(std::make_unique<Timer>(
         this->loop, wait, Duration(0),
@@ -120,7 +147,7 @@
   } else if (signal == SIGHUP) {
     this->Send(SIGHUP);
   } else {
-    this->Terminate(signal, pause);
+    this->TerminateNow(signal, pause);
   }
 }
 
@@ -146,10 +173,8 @@
       now < *this->stopping + this->options.grace) {
     return;
   }
-  if (std::max(this->disturbed, this->ledger.stalled_at) < *this->stopping) {
-    NoteBroken(this->ledger,
-               this->options.name + ": still ran at the end of its grace time");
-  }
+  this->grace_over =
+      std::max(this->disturbed, this->ledger.stalled_at) < *this->stopping;
   this->Kill(this->restart_pause);
 }
 
@@ -161,7 +186,12 @@
                   {"age_ms", ToMilliseconds(age)}});
   // Connections of a process that was disturbed end with it.
   this->disturbed = std::max(this->disturbed, this->disturbed_at());
-  if (this->killed) {
+  if (this->killed && !this->grace_over) {
+    return;
+  }
+  if (this->grace_over && !EndedBeforeKill(status)) {
+    NoteBroken(this->ledger,
+               this->options.name + ": still ran at the end of its grace time");
     return;
   }
   const std::string end = ": ended with wait status " + std::to_string(status) +
--- a/standins/platform/group_map_test.cc
+++ b/standins/platform/group_map_test.cc
@@ -3,6 +3,7 @@
 #include "map_task/group_map_task.h"
 
 #include <algorithm>
+#include <iterator>
 #include <memory>
 #include <set>
 #include <string>
@@ -13,6 +14,7 @@
 #include "map_task/rank_agent.h"
 #include "platform/engine_calls.h"
 #include "standins/platform/engine_group_stand_in.h"
+#include "standins/platform/own_loopback.h"
 #include "standins/platform/platform_store_stand_in.h"
 
 namespace toucanhollow {
@@ -32,6 +34,25 @@
   return demand;
 }
 
+// Demand of which two experts have most that only one rank holds.
+std::vector<double> DemandOnOneRank(const ExpertMap& map, int experts) {
+  const std::vector<int> replicas = ReplicaCounts(map, experts);
+  for (const std::vector<int>& held : map.experts_by_rank) {
+    std::vector<int> unshared;
+    std::ranges::copy_if(
+        held, std::back_inserter(unshared),
+        [&replicas](int expert) { return replicas[expert] == 1; });
+    if (unshared.size() >= 2) {
+      std::vector<double> chosen(experts, 10);
+      chosen[unshared[0]] = 200;
+      chosen[unshared[1]] = 150;
+      return chosen;
+    }
+  }
+  FAIL("each rank shares its experts with others");
+  return {};
+}
+
 // A service of one group, or of more whose ranks are `groups`.
 struct GroupSite {
   EventLoop loop;
@@ -40,6 +61,10 @@
   EngineGroupStandIn group{loop, shape};
   std::vector<std::unique_ptr<EngineGroupStandIn>> more;
   std::vector<RankAddress> more_ranks;
+  // Listed before the service of the groups.
+  std::vector<ExpertParallelService> other_services;
+  // Whether the ranks of `group` are listed.
+  bool lists_group = true;
   HttpClient client{loop};
   std::vector<Address> agent_addresses;
   std::vector<std::unique_ptr<RankAgent>> agents;
@@ -51,17 +76,10 @@
     this->store.SetCoordinator(true);
     this->group.demand = UnevenDemand(this->shape);
     for (int rank = 0; rank < this->shape.ranks; ++rank) {
-      this->agent_addresses.push_back(this->FreeAddress());
+      this->agent_addresses.push_back(NextOwnAddress());
     }
   }
 
-  Address FreeAddress() {
-    auto probe = DatagramSocket::Bind(this->loop, {kHost, 0},
-                                      [](const Address&, std::string_view) {});
-    REQUIRE(probe);
-    return probe.value()->BoundAddress();
-  }
-
   void StartAgent(const Address& listen, const Address& engine) {
     RankAgentSettings settings;
     settings.process = "agent";
@@ -85,7 +103,11 @@
         this->loop, this->client, platform::EngineCodec(),
         CoordinatorElectionSettings{{kHost, this->store.Port()}, 1, "member"},
         GroupMapCallbacks{
-            [this] { return std::vector{this->View()}; },
+            [this] {
+              std::vector<ExpertParallelService> all = this->other_services;
+              all.push_back(this->View());
+              return all;
+            },
             [this](const GroupRegistry& groups) { this->groups = groups; },
             [this](const std::set<std::string>& slow) {
               this->slow_ranks = slow;
@@ -98,7 +120,7 @@
     view.service.value = "model";
     view.parameters = {
         {this->shape.places, 2}, this->shape.sets, Milliseconds(50)};
-    for (int rank = 0; rank < this->shape.ranks; ++rank) {
+    for (int rank = 0; this->lists_group && rank < this->shape.ranks; ++rank) {
       view.ranks.push_back({"i-" + std::to_string(rank),
                             this->agent_addresses[rank],
                             {kHost, this->group.Port(rank)}});
@@ -116,7 +138,7 @@
     this->more.back()->demand = UnevenDemand(other);
     for (int rank = 0; rank < this->shape.ranks; ++rank) {
       const Address engine{kHost, this->more.back()->Port(rank)};
-      const Address agent = this->FreeAddress();
+      const Address agent = NextOwnAddress();
       this->StartAgent(agent, engine);
       this->more_ranks.push_back(
           {name + std::to_string(this->more.size()) + std::to_string(rank),
@@ -131,10 +153,14 @@
     return found != this->groups.groups.end() && found->second.open;
   }
 
-  void ReverseDemand() {
-    for (auto& set : this->group.demand) {
-      std::ranges::reverse(set);
+  // Gives most demand to two experts of one rank that no other rank holds, so
+  // that the group needs another map whichever it has.
+  void ShiftDemand() {
+    for (int set = 0; set < this->shape.sets; ++set) {
+      this->group.demand[set] =
+          DemandOnOneRank(this->group.map()[set], this->shape.experts);
     }
+    REQUIRE(this->Ratio() > 1.8);
   }
 
   double Ratio() const {
@@ -177,7 +203,7 @@
   REQUIRE(
       site.RunUntil([&] { return site.group.switches() >= 1; }, Seconds(8)));
   site.agents.pop_back();
-  site.ReverseDemand();
+  site.ShiftDemand();
   const int before = site.group.switches();
   CHECK(site.RunUntil([&] { return site.group.switches() > before; },
                       Seconds(8)));
@@ -193,10 +219,10 @@
   site.StartCoordinator();
   for (int round = 1; round <= 3; ++round) {
     INFO("round " << round);
-    CHECK(site.RunUntil([&] { return site.group.switches() >= round; },
+    const int before = site.group.switches();
+    CHECK(site.RunUntil([&] { return site.group.switches() > before; },
                         Seconds(15)));
-    // Other experts are in demand for the next round.
-    site.ReverseDemand();
+    site.ShiftDemand();
   }
   CHECK(site.group.mixed_passes() == 0);
   site.group.late_every = 0;
@@ -241,7 +267,7 @@
   other.open = false;
   REQUIRE(site.RunUntil([&] { return !site.IsOpen("h"); }, Seconds(5)));
   CHECK(site.IsOpen("g"));
-  site.ReverseDemand();
+  site.ShiftDemand();
   const int before = site.group.switches();
   CHECK(site.RunUntil([&] { return site.group.switches() > before; },
                       Seconds(8)));
@@ -274,9 +300,16 @@
                         [](const std::set<std::string>&) {}});
   REQUIRE(later.Start({kHost, 0}));
   const int before = site.group.switches();
-  site.ReverseDemand();
+  site.ShiftDemand();
+  int seen = before;
   CHECK(site.RunUntil(
       [&] {
+        if (site.group.switches() > seen && site.task->IsCoordinator()) {
+          // The earlier one has changed the map first, so the later one may
+          // have nothing left to change.
+          seen = site.group.switches();
+          site.ShiftDemand();
+        }
         return site.group.switches() > before && !site.task->IsCoordinator();
       },
       Seconds(12)));
@@ -308,7 +341,7 @@
   site.store.SetDown(true);
   site.task->Leave();
   const int before = site.group.switches();
-  site.ReverseDemand();
+  site.ShiftDemand();
   CHECK(site.RunUntil([&] { return site.group.switches() > before; },
                       Seconds(8)));
   site.store.SetDown(false);
@@ -330,5 +363,33 @@
   CHECK(site.group.mixed_passes() == 0);
 }
 
+// Guards against a group that is left as it is for as long as a server is
+// listed that was a rank before the group was re-formed without it.
+TEST_CASE("a server of an earlier epoch leaves the re-formed group alone") {
+  GroupSite site;
+  EngineGroupStandIn& earlier = site.AddGroup("g");
+  earlier.epoch = 0;
+  site.lists_group = false;
+  site.StartAgents(site.shape.ranks);
+  site.StartCoordinator();
+  REQUIRE(site.RunUntil([&] { return site.IsOpen("g"); }, Seconds(8)));
+  site.lists_group = true;
+  CHECK(site.RunUntil([&] { return site.group.switches() >= 1; }, Seconds(8)));
+  CHECK(site.group.mixed_passes() == 0);
+}
+
+// Guards against a service whose groups are never discovered while a server of
+// another one gives no report.
+TEST_CASE("a service without reports leaves the others alone") {
+  GroupSite site;
+  ExpertParallelService silent;
+  silent.service.value = "silent";
+  silent.ranks.push_back({"i-silent", NextOwnAddress(), NextOwnAddress()});
+  site.other_services.push_back(silent);
+  site.StartAgents(site.shape.ranks);
+  site.StartCoordinator();
+  CHECK(site.RunUntil([&] { return site.group.switches() >= 1; }, Seconds(8)));
+}
+
 }  // namespace
 }  // namespace toucanhollow
