Handle signals before the libraries are loaded

Cause: the program blocked signals from its first instruction on, but the dynamic loader works before it, for 42 libraries, and nothing can handle a signal then. "the loader has few libraries to load before signals are handled" fails before (6 of 7 checks).

--- a/apps/early_signals.cc
+++ b/apps/early_signals.cc
@@ -1,6 +1,6 @@
 // Blocks signals before the constructors of the shared libraries and of the
 // program run. Only the dynamic loader runs earlier.
-#include "event_loop/process_signals.h"
+#include "process_signals/process_signals.h"
 
 namespace toucanhollow {
 namespace {
--- a/apps/process_signals_test.cc
+++ b/apps/process_signals_test.cc
@@ -54,6 +54,20 @@
   return process.CountThreads();
 }
 
+// Guards against a start in which the dynamic loader works for long before any
+// code of the program can handle a signal.
+TEST_CASE("the loader has few libraries to load before signals are handled") {
+  TestProcess process(ProcessRole::kRankAgent, 1,
+                      "export LD_TRACE_LOADED_OBJECTS=1");
+  process.Start();
+  REQUIRE(WaitUntil([&process] { return !process.IsRunning(); }));
+  CHECK(process.CountInLog("libc.so.6 =>") == 1);
+  for (const std::string library :
+       {"libcurl", "libmicrohttpd", "libev", "libgflags", "libboost"}) {
+    CHECK(process.CountInLog(library) == 0);
+  }
+}
+
 // Guards against a reload that ends a process which has no handler yet.
 TEST_CASE("SIGHUP at any moment of the start ends no process") {
   for (const ProcessRole role : kRoles) {
--- a/apps/run_process.cc
+++ b/apps/run_process.cc
@@ -8,7 +8,7 @@
 #include <utility>
 
 #include "base/time.h"
-#include "event_loop/process_signals.h"
+#include "process_signals/process_signals.h"
 #include "settings/settings_file.h"
 
 namespace toucanhollow {
--- a/packages/event_loop/process_signals.cc
+++ b/packages/process_signals/process_signals.cc
@@ -1,4 +1,4 @@
-#include "event_loop/process_signals.h"
+#include "process_signals/process_signals.h"
 
 #include <csignal>
 
--- a/packages/event_loop/process_signals.h
+++ b/packages/process_signals/process_signals.h
@@ -1,7 +1,7 @@
 // The signals that stop or reload a process. They are blocked until watchers
 // for them exist, because their default action ends the process.
-#ifndef EVENT_LOOP_PROCESS_SIGNALS_H_
-#define EVENT_LOOP_PROCESS_SIGNALS_H_
+#ifndef PROCESS_SIGNALS_PROCESS_SIGNALS_H_
+#define PROCESS_SIGNALS_PROCESS_SIGNALS_H_
 
 namespace toucanhollow {
 
@@ -18,4 +18,4 @@
 
 }  // namespace toucanhollow
 
-#endif  // EVENT_LOOP_PROCESS_SIGNALS_H_
+#endif  // PROCESS_SIGNALS_PROCESS_SIGNALS_H_
