Ask a condition of the platform's test site once after it holds

Cause: a fault of the test. RunUntil called its condition again for its result, and this one asks the agent for a permit: the second one was denied, as the bucket was empty. Change: RunUntil returns as soon as the condition holds.

--- a/standins/platform/relay_site.h
+++ b/standins/platform/relay_site.h
@@ -136,10 +136,13 @@
   template <typename Condition>
   bool RunUntil(Condition condition, Duration limit = Seconds(5)) {
     const TimePoint end = EventLoop::Now() + limit;
-    while (!condition() && EventLoop::Now() < end) {
+    while (!condition()) {
+      if (EventLoop::Now() >= end) {
+        return false;
+      }
       this->RunFor(Milliseconds(2));
     }
-    return condition();
+    return true;
   }
 };
 
