--- a/apps/toucanhollow.cc
+++ b/apps/toucanhollow.cc
@@ -15,7 +15,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  void* library = dlopen(TOUCANHOLLOW_LIBRARY, RTLD_NOW | RTLD_GLOBAL);
+  void* library = dlopen(TOUCANHOLLOW_LIBRARY, RTLD_LAZY | RTLD_GLOBAL);
   void* run = library == nullptr ? nullptr : dlsym(library, "RunToucanhollow");
   if (run == nullptr) {
     std::fprintf(stderr, "the program cannot be loaded: %s\n", dlerror());
