--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -13,6 +13,7 @@
 import random
 import re
 import signal
+import socket
 import struct
 import subprocess
 import sys
@@ -152,8 +153,7 @@
         self.ttl = {}
         self.owner = {}  # partition -> member
         self.generation = 1
-        self.reads = []  # (time, topic, ip) of answered reads
-        self.on_read = None
+        self.on_read = None  # called with the topic and the connection
 
     async def listen(self, ip, port):
         await self.http.listen(ip, port)
@@ -221,7 +221,7 @@
         page = struct.pack(">QQ", len(log), 0)
         page += b"".join(encode_record(*entry) for entry in log[begin:])
         if self.on_read is not None:
-            self.on_read(topic, writer.get_extra_info("peername")[0])
+            self.on_read(topic, writer)
         return page
 
     def append(self, request):
@@ -782,3 +782,108 @@
             writer.transport.abort()
     answer.ended_at = now()
     return answer
+
+
+# --- plain servers -----------------------------------------------------------------
+
+
+class PlainServer:
+    """A server of a plain service. It can stop to take connections from its
+    queue, which then fills up, so that opening packets are dropped."""
+
+    def __init__(self, record, server_id, ip, port, queue=2):
+        self.record = record
+        self.id = server_id
+        self.ip = ip
+        self.port = port
+        self.queue = queue
+        self.taking = asyncio.Event()
+        self.taking.set()
+        self.http = HttpServer(self.handle)
+        self.answer = None  # async (request, headers) -> bytes of the response
+        self.arrivals = []  # (time, request id)
+        self.finished = set()  # ids of requests that ran to their end
+        self.begun = set()
+        self.loop_task = None
+        self.socket = None
+
+    async def listen(self):
+        loop = asyncio.get_running_loop()
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.setblocking(False)
+        self.socket.bind((self.ip, self.port))
+        self.socket.listen(self.queue)
+        self.loop_task = loop.create_task(self.accept())
+
+    async def accept(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            await self.taking.wait()
+            try:
+                taken, _ = await asyncio.wait_for(loop.sock_accept(self.socket), 0.02)
+            except asyncio.TimeoutError:
+                continue
+            reader, writer = await asyncio.open_connection(sock=taken)
+            loop.create_task(self.http.serve(reader, writer))
+
+    async def handle(self, request, writer):
+        request_id = request.headers.get("x-toucanhollow-request-id", "")
+        if request.path == "/health":
+            return response(200, headers=[("X-Toucanhollow-Instance-Id", self.id)])
+        if request.headers.get("x-toucanhollow-expect-instance") != self.id:
+            return response(421, headers=[("X-Toucanhollow-Instance-Id", self.id)])
+        self.arrivals.append((now(), request_id))
+        self.record("arrives", server=self.id, request=request_id)
+        self.begun.add(request_id)
+        headers = [
+            ("X-Toucanhollow-Request-Id", request_id),
+            ("X-Toucanhollow-Response-Seal", f"seal-{request_id}"),
+        ]
+        answer = await self.answer(request, headers)
+        self.finished.add(request_id)
+        return answer
+
+    def entry(self, state, sequence):
+        return {
+            "service": "app", "address": f"{self.ip}:{self.port}", "zone": "west",
+            "version": "v1", "slots": 6, "state": state, "cold_left_ms": 0,
+            "sequence": sequence, "born": 1700000000000,
+        }
+
+    def stop(self):
+        if self.loop_task is not None:
+            self.loop_task.cancel()
+        if self.socket is not None:
+            self.socket.close()
+        self.http.stop()
+
+
+def plain_config(version=7, timeout_ms=4000):
+    """A plain service with a safe and an unsafe route, and one for streams."""
+
+    def route(name, prefix, kind, **more):
+        entry = {
+            "name": name, "host": "h.example", "path_prefix": prefix, "kind": kind,
+            "timeout_ms": timeout_ms, "target_latency_ms": 300, "priority": 2,
+            "service": "app", "attempts": 2, "anonymous": False,
+        }
+        entry.update(more)
+        return entry
+
+    return {
+        "version": version,
+        "routes": [
+            route("read", "/s/", "safe"),
+            route("post", "/u/", "unsafe"),
+            route("draft", "/d/", "streaming", resumable=True, max_gap_ms=120,
+                  target_latency_ms=400),
+        ],
+        "services": [{
+            "name": "app", "health_path": "/health", "max_conns": 96,
+            "protocol": "h1", "tls": False, "cold_s": 0.0, "cold_per_s": 0.0,
+        }],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "t1", "api_keys": ["k1"]}],
+    }
