--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -791,8 +791,9 @@
     """A server of a plain service. It can stop to take connections from its
     queue, which then fills up, so that opening packets are dropped."""
 
-    def __init__(self, record, server_id, ip, port, queue=2):
+    def __init__(self, record, server_id, ip, port, queue=2, slots=6):
         self.record = record
+        self.slots = slots
         self.id = server_id
         self.ip = ip
         self.port = port
@@ -847,7 +848,7 @@
     def entry(self, state, sequence):
         return {
             "service": "app", "address": f"{self.ip}:{self.port}", "zone": "west",
-            "version": "v1", "slots": 6, "state": state, "cold_left_ms": 0,
+            "version": "v1", "slots": self.slots, "state": state, "cold_left_ms": 0,
             "sequence": sequence, "born": 1700000000000,
         }
 
