--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -23,6 +23,9 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 
+# A script that is told to end also ends what it started.
+signal.signal(signal.SIGTERM, signal.default_int_handler)
+
 
 def now():
     return time.monotonic()
@@ -498,6 +501,7 @@
         if request.headers.get("x-toucanhollow-expect-instance") != rank.id:
             return response(421, headers=[("X-Toucanhollow-Instance-Id", rank.id)])
         self.runs[request_id] = self.runs.get(request_id, 0) + 1
+        self.record("runs", server=rank.id, request=request_id)
         after = int(request.headers.get("last-event-id", 0))
         stream = {"next": after + 1, "last": 26, "writer": writer,
                   "id": request_id, "begun": False,
