Look again whether a server may get a request before it is written

Seen by callers: unsafe requests that got 502 although other servers were free. While the queue of new connections of a server was full, the kernel repeated the opening packet after 1 and 2 s. Meanwhile the server announced that it leaves. The request was written when the connection stood, up to 2.7 s after the announcement, and was lost with the server.

Cause: whether a server may be used was decided when the request was placed. Only the time of a permit was looked at again when the connection stood.

ServerAttempt now asks `check_write` before it writes, and the dispatcher answers with the same conditions as for a permit that arrives: the server is listed, ready, the same incarnation, not evacuated, and its group executes passes. A request that may not be written ends its attempt with kWithheld, which counts neither as sent nor as a failure of the server, and is placed again.

--- a/packages/relay/dispatcher.cc
+++ b/packages/relay/dispatcher.cc
@@ -298,6 +298,13 @@
          !pool.misdirected && !this->IsHalted(pool);
 }
 
+std::string_view Dispatcher::CheckWrite(const Placement& placement,
+                                        TimePoint now) const {
+  return this->IsCurrent(*placement.pool, now)
+             ? ""
+             : "the server became unusable before the request was written";
+}
+
 void Dispatcher::RecordPermitAnswer(const PermitWait& wait,
                                     const PermitAnswer& answer,
                                     TimePoint now) {
--- a/packages/relay/dispatcher.h
+++ b/packages/relay/dispatcher.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "event_loop/event_loop.h"
@@ -49,6 +50,9 @@
   // Ends the isolation of a request, once it is known whether the server bore
   // it.
   void EndIsolation(const IsolationGrant& grant);
+  // Why a placed request must not be written to its server any more; empty if
+  // it may be. To be asked when the connection is established.
+  std::string_view CheckWrite(const Placement& placement, TimePoint now) const;
   // Ends a request's use of the server. `pending_prompt_tokens` are those of
   // its prompt tokens that are still counted there.
   void Release(ServerConnectionPool& pool, int pending_prompt_tokens);
@@ -143,8 +147,8 @@
   void RecordPermitAnswer(const PermitWait& wait,
                           const PermitAnswer& answer,
                           TimePoint now);
-  // False if the server was removed, replaced, evacuated or halted since it was
-  // chosen.
+  // False if the server was removed, replaced, evacuated or halted, or began to
+  // drain, since it was chosen.
   bool IsCurrent(const ServerConnectionPool& pool, TimePoint now) const;
   // Queues the request, at the head if it was there before, or refuses it.
   void EnqueueOrRefuse(WaitingRequest request, TimePoint now);
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -279,7 +279,11 @@
       WriteServerRequest(this->context.codec, this->head, this->body,
                          this->MakeServerMetadata(*chosen_pool, now)),
       this->metadata.request_id, this->head.method != "HEAD",
-      AttemptCallbacks{[sent, now]() mutable {
+      AttemptCallbacks{[this, placement] {
+                         return this->context.dispatcher.CheckWrite(
+                             placement, EventLoop::Now());
+                       },
+                       [sent, now]() mutable {
                          sent.connect_time = EventLoop::Now() - now;
                          LogSent(sent);
                        },
@@ -411,6 +415,11 @@
     this->AbandonDiscarded("a discarded response did not end in time");
     return;
   }
+  if (this->attempt != nullptr) {
+    // The call may end the attempt, whose callbacks may start another one.
+    const auto self = this->shared_from_this();
+    this->attempt->CheckUnwritten();
+  }
   this->FailIfGroupHalted(now);
 }
 
@@ -497,13 +506,15 @@
       this->MarkBegun(now);
     }
   } else {
-    server->health = RecordFailure(server->health, now);
-    if (end != AttemptEnd::kNotSent && !known_not_run) {
+    if (end != AttemptEnd::kWithheld) {
+      server->health = RecordFailure(server->health, now);
+    }
+    if (WasSent(end) && !known_not_run) {
       this->maybe_ran = true;
     }
   }
   this->attempt.reset();
-  const bool settled = complete || known_not_run || end == AttemptEnd::kNotSent;
+  const bool settled = complete || known_not_run || !WasSent(end);
   this->ReleaseServer(settled ? AttemptResult::kSettled : AttemptResult::kLost);
   if (complete && this->mode != ResponseMode::kDiscard) {
     this->EndIsolation();
@@ -514,9 +525,9 @@
                     this->sent_attempts, end, this->response.status,
                     this->response_not_run, this->answer_began, detail,
                     this->metadata.shared_prompt_parts});
-  const bool not_run = end == AttemptEnd::kNotSent || known_not_run ||
-                       (complete && this->response_not_run);
-  if (complete || known_not_run) {
+  const bool not_run =
+      !WasSent(end) || known_not_run || (complete && this->response_not_run);
+  if (complete || known_not_run || end == AttemptEnd::kWithheld) {
     this->EndIsolation();
     this->AfterLostAttempt(end, std::string(detail), not_run);
     return;
@@ -554,7 +565,7 @@
   DropPartialEvent(this->events);
   const bool may_repeat = not_run || (this->HasRepeatableRoute() &&
                                       this->mode != ResponseMode::kRaw);
-  if (may_repeat && this->RetryElsewhere(end != AttemptEnd::kNotSent, detail)) {
+  if (may_repeat && this->RetryElsewhere(WasSent(end), detail)) {
     return;
   }
   if (this->response_started || this->maybe_ran) {
--- a/packages/relay/request_log.cc
+++ b/packages/relay/request_log.cc
@@ -11,6 +11,8 @@
       return "complete";
     case AttemptEnd::kNotSent:
       return "not_sent";
+    case AttemptEnd::kWithheld:
+      return "withheld";
     case AttemptEnd::kBroken:
       return "broken";
     case AttemptEnd::kTruncated:
--- a/packages/relay/server_attempt.cc
+++ b/packages/relay/server_attempt.cc
@@ -38,6 +38,7 @@
   std::string request_id;
   bool body_expected;
   bool reused = false;
+  bool written = false;
   AttemptCallbacks callbacks;
   std::unique_ptr<ResponseParser> parser;
   bool head_seen = false;
@@ -60,6 +61,7 @@
         parser(std::make_unique<ResponseParser>(body_expected)) {}
 
   void WriteRequest();
+  bool EndIfWithheld();
   void OnData(std::string_view bytes);
   void OnConnectionEnd(ConnectionEnd end);
   bool Advance();
@@ -101,6 +103,10 @@
               "the permit expired before the connection was established");
     return;
   }
+  if (this->EndIfWithheld()) {
+    return;
+  }
+  this->written = true;
   this->connection->Write(std::exchange(this->request, {}));
   const auto callback = std::move(this->callbacks.on_sent);
   if (callback) {
@@ -108,6 +114,18 @@
   }
 }
 
+bool ServerAttempt::State::EndIfWithheld() {
+  if (this->callbacks.check_write == nullptr) {
+    return false;
+  }
+  const std::string_view why = this->callbacks.check_write();
+  if (why.empty()) {
+    return false;
+  }
+  this->End(AttemptEnd::kWithheld, why);
+  return true;
+}
+
 void ServerAttempt::State::OnData(std::string_view bytes) {
   const auto self = this->shared_from_this();
   this->parser->Feed(bytes);
@@ -246,6 +264,13 @@
   }
 }
 
+void ServerAttempt::CheckUnwritten() {
+  const auto live_state = this->state;
+  if (!live_state->written && !live_state->ended) {
+    live_state->EndIfWithheld();
+  }
+}
+
 ServerAttempt::~ServerAttempt() {
   this->state->ended = true;
   this->state->callbacks = {};
--- a/packages/relay/server_attempt.h
+++ b/packages/relay/server_attempt.h
@@ -17,11 +17,20 @@
 enum class AttemptEnd {
   kComplete,   // the whole response was received
   kNotSent,    // certainly no byte of the request left this host
+  kWithheld,   // as kNotSent, because `check_write` did not allow it
   kBroken,     // sent, but no usable response has begun
   kTruncated,  // the response broke off after its head
 };
 
+// False if certainly no byte of the request left this host.
+constexpr bool WasSent(AttemptEnd end) {
+  return end != AttemptEnd::kNotSent && end != AttemptEnd::kWithheld;
+}
+
 struct AttemptCallbacks {
+  // Returns why the request must not be written any more; empty if it may be.
+  // Called just before it is written, and by CheckUnwritten. May be null.
+  std::function<std::string_view()> check_write;
   // Called once, when the connection is established and the request has been
   // written to it.
   std::function<void()> on_sent;
@@ -54,6 +63,9 @@
   // after `write_by`, the attempt ends with kNotSent instead. Callbacks may be
   // called inside this call.
   void Start(std::optional<BootTime> write_by);
+  // Ends the attempt with kWithheld if its request is not written yet and must
+  // not be written any more.
+  void CheckUnwritten();
 
   // True once bytes of the request may have left this host.
   bool any_sent() const;
--- a/packages/relay/server_attempt_test.cc
+++ b/packages/relay/server_attempt_test.cc
@@ -20,6 +20,8 @@
   RelayCodec codec{};
   std::unique_ptr<ServerAttempt> attempt;
   bool sent = false;
+  // Why the request must not be written.
+  std::string obstacle;
   std::optional<AttemptEnd> end;
 
   AttemptFixture() {
@@ -43,6 +45,7 @@
   void Send(std::unique_ptr<TcpConnection> connection,
             std::optional<BootTime> write_by) {
     AttemptCallbacks callbacks;
+    callbacks.check_write = [this] { return std::string_view(this->obstacle); };
     callbacks.on_sent = [this] { this->sent = true; };
     callbacks.on_end = [this](AttemptEnd attempt_end, std::string_view) {
       this->end = attempt_end;
@@ -91,5 +94,34 @@
   CHECK(standing.received.empty());
 }
 
+// Guards against a request that is written to a server that may not get it any
+// more, on a connection that was begun before.
+TEST_CASE("a request is not written once its check does not allow it") {
+  AttemptFixture fixture;
+  fixture.Send(fixture.Connect(), std::nullopt);
+  fixture.attempt->CheckUnwritten();
+  CHECK_FALSE(fixture.end);
+  fixture.obstacle = "draining";
+  SECTION("when the connection is established") {
+    fixture.RunFor(Milliseconds(20));
+  }
+  SECTION("before it is established") {
+    fixture.attempt->CheckUnwritten();
+  }
+  CHECK(fixture.end == AttemptEnd::kWithheld);
+  CHECK_FALSE(fixture.sent);
+  fixture.RunFor(Milliseconds(20));
+  CHECK(fixture.received.empty());
+}
+
+TEST_CASE("a request that was written is not withheld") {
+  AttemptFixture fixture;
+  fixture.Send(fixture.Connect(), std::nullopt);
+  fixture.RunFor(Milliseconds(20));
+  fixture.obstacle = "draining";
+  fixture.attempt->CheckUnwritten();
+  CHECK_FALSE(fixture.end);
+}
+
 }  // namespace
 }  // namespace toucanhollow
