Take ids of events that increase by more than one for what they are

Seen by callers: streams of sound servers that end without their last chunk, on kept connections, with 502 in the log. Servers that are slow or busy put several tokens into one event, and the id then counts them.

Cause: the splitter demanded that each id follows the one before it, and took any other for a missing event. The platform says "a series of events with increasing ids". Once it had seen such a gap, each later attempt of the stream ended at its first event as well, so that the retry was spent for nothing.

Now the ids of one run have to increase. An event whose id is that of the one before, or one that was passed on before the stream was resumed, is dropped. An id below the one before it means that an event was passed over; it ends the stream and is not retried, as the joined stream would look complete.

--- a/standins/platform/platform_relay_test.cc
+++ b/standins/platform/platform_relay_test.cc
@@ -312,6 +312,47 @@
   CHECK(FindHeader(site.first.heads.back().headers, "Last-Event-Id") == "1");
 }
 
+// Guards against streams of sound servers that are cut because their ids jump.
+TEST_CASE("a stream whose ids jump is passed on whole") {
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  const std::string first = "id: 2\ndata: a b\n\nid: 6\ndata: c\n\n";
+  const std::string second = "id: 8\r\ndata: d\r\n\r\n";
+  const bool breaks = GENERATE(false, true);
+  ScriptedAnswer begin;
+  begin.bytes =
+      StreamHead() + Chunk(first) + (breaks ? "" : Chunk(second) + "0\r\n\r\n");
+  begin.close = breaks;
+  ScriptedAnswer rest;
+  rest.bytes = StreamHead() + Chunk(second) + "0\r\n\r\n";
+  site.first.script = {begin, rest};
+  const Answered answered = Ask(site, Request("POST", "/m/x", "r1", "", "p"));
+  CHECK(answered.status == 200);
+  CHECK(answered.body == first + second);
+  CHECK(site.first.runs["r1"] == (breaks ? 2 : 1));
+}
+
+// Guards against further runs of a stream that no server can complete, and
+// against an end that looks complete.
+TEST_CASE("a stream whose ids decrease is not resumed") {
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  ScriptedAnswer answer;
+  answer.bytes = StreamHead() + Chunk("id: 3\ndata: c\n\n") +
+                 Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
+  site.first.script = {answer, answer};
+  Caller caller(site.loop, site.settings.callers);
+  caller.connection->Write(Request("POST", "/m/x", "r1", "", "p"));
+  CHECK(site.RunUntil([&] { return caller.ended; }));
+  CHECK_FALSE(caller.parser.done());
+  CHECK(caller.parser.TakeBody() == "id: 3\ndata: c\n\n");
+  CHECK(site.first.runs["r1"] == 1);
+}
+
 // Guards against work that goes on for a caller that has left.
 TEST_CASE("a caller that leaves ends the work at the server") {
   Site site;
