Log what a caller's connection leaves unfinished, and pauses of the process

A record could not tell why a request ended without an answer: the end of a caller's sending side and a reset had the same reason, a request that was dropped while it arrived and an answer that was not sent had no line, and nothing showed that the process had got no processor time.

--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -50,7 +50,7 @@
   this->connection->SetCallbacks(
       {nullptr, [this](std::string_view bytes) { this->OnData(bytes); },
        [this] { this->OnOutputDrained(); },
-       [this](ConnectionEnd) { this->OnEnd(); }});
+       [this](ConnectionEnd end) { this->OnEnd(end); }});
 }
 
 CallerSession::~CallerSession() {
@@ -267,14 +267,35 @@
   }
 }
 
-void CallerSession::OnEnd() {
+void CallerSession::OnEnd(ConnectionEnd end) {
+  const bool reset = end == ConnectionEnd::kReset;
+  this->LogLoss(reset);
   if (this->request != nullptr) {
     const auto cancelled_request = std::move(this->request);
-    cancelled_request->Cancel("the caller closed the connection");
+    cancelled_request->Cancel(
+        reset ? "the caller's connection was reset"
+              : "the caller closed the connection, or its sending side");
   }
   this->Close();
 }
 
+void CallerSession::LogLoss(bool reset) const {
+  const auto session = static_cast<std::int64_t>(this->number);
+  if (this->phase == Phase::kReading) {
+    const std::string request = this->ArrivedRequestId();
+    LogJsonNow("input_dropped", {{"session", session},
+                                 {"request", std::string_view(request)},
+                                 {"reset", reset}});
+  } else if (this->phase != Phase::kResponding &&
+             this->connection->unsent() > 0) {
+    LogJsonNow("answer_dropped",
+               {{"session", session},
+                {"unsent_bytes",
+                 static_cast<std::int64_t>(this->connection->unsent())},
+                {"reset", reset}});
+  }
+}
+
 void CallerSession::Close() {
   if (this->phase == Phase::kClosed) {
     return;
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -51,7 +51,9 @@
   enum class Phase { kIdle, kReading, kResponding, kClosing, kClosed };
 
   void OnData(std::string_view bytes);
-  void OnEnd();
+  void OnEnd(ConnectionEnd end);
+  // Logs what the end of the connection leaves unfinished.
+  void LogLoss(bool reset) const;
   void OnOutputDrained();
   void Advance();
   void StartRequest();
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr Duration kSweepPeriod = Milliseconds(100);
+// Sweeps that are further apart show that the process did not run.
+constexpr Duration kMinPause = Milliseconds(400);
 // A host that has just started is not ready before it knows the quarantines of
 // the others, but no longer than this.
 constexpr Duration kQuarantineWait = Seconds(1);
@@ -200,6 +202,7 @@
       this->loop,
       Address{this->settings.control.ip, this->settings.metrics_port},
       [this] { return this->FormatMetrics(); });
+  this->swept_at = EventLoop::Now();
   this->sweep_timer = std::make_unique<Timer>(
       this->loop, kSweepPeriod, kSweepPeriod, [this] { this->Sweep(); });
   LogJsonNow(
@@ -250,6 +253,12 @@
 
 void RelayHost::Sweep() {
   const TimePoint now = EventLoop::Now();
+  const Duration since_last_sweep = now - this->swept_at;
+  if (since_last_sweep >= kMinPause) {
+    LogJsonNow("process_paused", {{"ms", ToMilliseconds(since_last_sweep)}});
+    this->metrics.Count("pauses_total");
+  }
+  this->swept_at = now;
   this->view_task->SetCoordinating(this->maps->IsCoordinator());
   this->quarantine.Sweep(now);
   for (const auto& [number, session] : this->sessions) {
--- a/packages/relay/relay_host.h
+++ b/packages/relay/relay_host.h
@@ -87,6 +87,7 @@
   std::size_t max_sessions = 0;
   std::unique_ptr<Timer> sweep_timer;
   TimePoint started_at;
+  TimePoint swept_at;
   // Set once the host has begun to stop.
   std::optional<StopSchedule> stop;
   std::function<void()> on_drained;
