Run with a replaced setting where its value is not needed

A process ended with status 2, and was started again and again, because of one number that the platform gave in another form or out of the accepted range (limits.descriptors = 0, shutdown.grace_s = true), one seed that is no address, or an agent's empty engine address. None of them keeps it from serving.

Cause: every mistake in the settings was treated as one without which the process cannot run.

A number of limits, shutdown, retries, cold and bounds and the partitions now have their default if they cannot be read, and the nearest value if they are out of range; a seed that cannot be read is left out; an agent without an engine gives permits. Missing fields still end the process, as the file may be incomplete.

--- a/apps/process_settings_test.cc
+++ b/apps/process_settings_test.cc
@@ -97,6 +97,39 @@
   }
 }
 
+std::string Replace(const std::string& text,
+                    const std::string& from,
+                    const std::string& to) {
+  std::string replaced = text;
+  return replaced.replace(text.find(from), from.size(), to);
+}
+
+// Guards against a process that ends because of a setting without whose value
+// it can run, and against one that does not tell so.
+TEST_CASE("a setting that is not needed does not end the process") {
+  TestProcess relay(ProcessRole::kRelay, 1);
+  relay.WriteSettings(Replace(
+      Replace(Replace(relay.settings, "seeds =", "seeds = store-7:18082"),
+              "descriptors = 1024", "descriptors = 0"),
+      "grace_s = 4", "grace_s = true"));
+  TestProcess agent(ProcessRole::kRankAgent, 2);
+  agent.WriteSettings(
+      Replace(agent.settings, "address = " + agent.ip + ":19001", "address ="));
+  const std::string add_check = "set -- \"$@\" --check";
+  TestProcess check(ProcessRole::kRankAgent, 3, add_check);
+  check.WriteSettings(
+      Replace(check.settings, "address = " + check.ip + ":19001", "address ="));
+  for (TestProcess* process : {&relay, &agent, &check}) {
+    process->Start();
+  }
+  CHECK(relay.WaitForStart());
+  CHECK(relay.CountInLog("setting_replaced") == 3);
+  CHECK(agent.WaitForStart());
+  CHECK(agent.CountInLog("setting_replaced") == 1);
+  CHECK(WaitUntil([&] { return !check.IsRunning(); }));
+  CHECK(check.HasExitedWith(2));
+}
+
 // Guards against a check of the settings that starts the process.
 TEST_CASE("a check of the settings ends every role") {
   const std::string add_check = "set -- \"$@\" --check";
--- a/apps/run_toucanhollow.cc
+++ b/apps/run_toucanhollow.cc
@@ -98,6 +98,23 @@
   return {};
 }
 
+// Adds the mistakes that do not keep a process from running.
+template <typename PlatformSettings>
+ParseStep WithAllMistakes(ParseStep parse,
+                          const std::optional<PlatformSettings>& settings) {
+  return [parse = std::move(parse), &settings](const std::string& text) {
+    std::vector<Failure> mistakes = parse(text);
+    return mistakes.empty() ? settings->mistakes : mistakes;
+  };
+}
+
+void LogReplacedSettings(const std::vector<Failure>& mistakes) {
+  for (const Failure& mistake : mistakes) {
+    LogJsonNow("setting_replaced",
+               {{"detail", std::string_view(mistake.detail)}});
+  }
+}
+
 void StartPlatformLog(EventLoop& loop) {
   // Until the settings give the name of the process.
   StartJsonLog(FLAGS_role, LogRateLimit{});
@@ -114,7 +131,7 @@
     return KeepSettings(ParseRelaySettings(text), settings);
   };
   if (FLAGS_check) {
-    return CheckSettings(parse);
+    return CheckSettings(WithAllMistakes(parse, settings));
   }
   EventLoop loop;
   StartPlatformLog(loop);
@@ -124,6 +141,7 @@
   steps.start = [&] {
     RaiseDescriptorLimit(settings->max_descriptors);
     StartJsonLog(settings->process.value, LogRateLimit{});
+    LogReplacedSettings(std::exchange(settings->mistakes, {}));
     return StartDaemon(
         host, std::make_unique<RelayHost>(loop, *settings, PlatformCodec(),
                                           platform::EngineCodec()));
@@ -142,7 +160,7 @@
     return KeepSettings(ParseRankAgentSettings(text), settings);
   };
   if (FLAGS_check) {
-    return CheckSettings(parse);
+    return CheckSettings(WithAllMistakes(parse, settings));
   }
   EventLoop loop;
   StartPlatformLog(loop);
@@ -151,6 +169,7 @@
   steps.parse = parse;
   steps.start = [&] {
     StartJsonLog(settings->process, LogRateLimit{});
+    LogReplacedSettings(std::exchange(settings->mistakes, {}));
     return StartDaemon(agent, std::make_unique<RankAgent>(
                                   loop, *settings, platform::EngineCodec()));
   };
--- a/packages/map_task/rank_agent.cc
+++ b/packages/map_task/rank_agent.cc
@@ -54,10 +54,20 @@
   }
   BOOST_OUTCOME_TRY(listen, ParseAddressField(tree, "listen.agent"));
   BOOST_OUTCOME_TRY(metrics, ParseAddressField(tree, "listen.metrics"));
-  BOOST_OUTCOME_TRY(engine, ParseAddressField(tree, "engine.address"));
   settings.listen = listen;
   settings.metrics = metrics;
-  settings.engine = engine;
+  const std::string engine_field = "engine.address";
+  if (!tree.get_optional<std::string>(engine_field)) {
+    // The file may be incomplete.
+    return MakeFailure(ResultCode::kSettingsInvalid,
+                       engine_field + ": missing; set it");
+  }
+  const Result<Address> engine = ParseAddressField(tree, engine_field);
+  if (engine) {
+    settings.engine = engine.value();
+  } else {
+    settings.mistakes.push_back(engine.error());
+  }
   return settings;
 }
 
@@ -128,6 +138,10 @@
   while (requester.replies.size() > kMaxRepliesPerRequester) {
     requester.replies.erase(requester.replies.begin());
   }
+  if (this->settings.engine.ip.empty()) {
+    this->SendReply(from, serial, {.detail = "the agent has no engine"});
+    return;
+  }
   const TimePoint requested_at = EventLoop::Now();
   this->engine.Execute(
       this->settings.engine, message.value().request, kEngineTimeout,
--- a/packages/map_task/rank_agent.h
+++ b/packages/map_task/rank_agent.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/address.h"
 #include "base/result.h"
@@ -25,12 +26,17 @@
   std::string process;
   Address listen;  // UDP
   Address metrics;
+  // Without an address while the agent has no engine.
   Address engine;
+  // In fields that have another value instead.
+  std::vector<Failure> mistakes;
 
   bool operator==(const RankAgentSettings&) const = default;
 };
 
-// Parses the settings from INI text. Fails with kSettingsInvalid.
+// Parses the settings from INI text. Fails with kSettingsInvalid. An engine
+// whose address is empty or cannot be read is left out and listed in
+// `mistakes`: the agent still gives permits.
 Result<RankAgentSettings> ParseRankAgentSettings(const std::string& text);
 
 class RankAgent {
--- a/packages/relay/relay_settings.cc
+++ b/packages/relay/relay_settings.cc
@@ -1,7 +1,10 @@
 #include "relay/relay_settings.h"
 
+#include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <limits>
+#include <optional>
 #include <sstream>
 #include <string_view>
 
@@ -37,27 +40,47 @@
   return address;
 }
 
-Result<double> ReadNumber(const ptree& tree,
-                          const std::string& field,
-                          double low,
-                          double high) {
-  BOOST_OUTCOME_TRY(text, ReadText(tree, field));
+struct NumberRange {
+  double low = 0;
+  double high = 0;
+};
+
+// The number, which may be out of the range, or nothing if the text is none.
+std::optional<double> ParseNumber(const std::string& text) {
   double value = 0;
   const char* end = text.data() + text.size();
   const auto [stop, error] = std::from_chars(text.data(), end, value);
-  // from_chars reads "nan", which no comparison holds for.
-  const bool in_range = value >= low && value <= high;
-  if (error != std::errc() || stop != end || !in_range) {
-    std::ostringstream remedy;
-    remedy << "value \"" << text << "\" refused; use a number from " << low
-           << " to " << high;
-    return InvalidField(field, remedy.str());
+  // from_chars reads "nan", which has no place in a range.
+  if (error != std::errc() || stop != end || std::isnan(value)) {
+    return std::nullopt;
   }
   return value;
 }
 
-Result<std::vector<Address>> ReadAddresses(const ptree& tree,
-                                           const std::string& field) {
+Failure RefusedNumber(const std::string& field,
+                      const std::string& text,
+                      const NumberRange& range) {
+  std::ostringstream remedy;
+  remedy << "value \"" << text << "\" refused; use a number from " << range.low
+         << " to " << range.high;
+  return InvalidField(field, remedy.str());
+}
+
+Result<double> ReadNumber(const ptree& tree,
+                          const std::string& field,
+                          const NumberRange& range) {
+  BOOST_OUTCOME_TRY(text, ReadText(tree, field));
+  const std::optional<double> value = ParseNumber(text);
+  if (!value || *value < range.low || *value > range.high) {
+    return RefusedNumber(field, text, range);
+  }
+  return *value;
+}
+
+// The entries that are addresses. Mistakes are added for the others.
+std::vector<Address> ReadAddresses(const ptree& tree,
+                                   const std::string& field,
+                                   std::vector<Failure>& mistakes) {
   std::vector<Address> addresses;
   std::istringstream parts(tree.get<std::string>(field, ""));
   for (std::string part; std::getline(parts, part, ',');) {
@@ -66,36 +89,40 @@
       continue;
     }
     const Result<Address> address = ParseAddress(entry);
-    if (!address) {
-      return InvalidField(field, address.error().detail);
+    if (address) {
+      addresses.push_back(address.value());
+    } else {
+      mistakes.push_back(InvalidField(field, address.error().detail));
     }
-    addresses.push_back(address.value());
   }
   return addresses;
 }
 
-// The platform writes an empty value for a field that it does not have.
-bool IsEmpty(const ptree& tree, const std::string& field) {
-  const auto value = tree.get_optional<std::string>(field);
-  return value && value->empty();
-}
-
 bool HasValue(const ptree& tree, const std::string& field) {
   const auto value = tree.get_optional<std::string>(field);
   return value && !value->empty();
 }
 
-// Like ReadNumber, with a default for an empty value. A missing field is a
-// mistake, because the file may be incomplete.
-Result<double> ReadNumberOr(const ptree& tree,
-                            const std::string& field,
-                            double low,
-                            double high,
-                            double default_value) {
-  if (IsEmpty(tree, field)) {
+// A number that has a default. The platform writes an empty value for a field
+// that it does not have, which then has its default, as has a text that is no
+// number. A number out of the range has the nearest one in it. A mistake is
+// added for both.
+double ReadNumberOr(const ptree& tree,
+                    const std::string& field,
+                    const NumberRange& range,
+                    double default_value,
+                    std::vector<Failure>& mistakes) {
+  if (!HasValue(tree, field)) {
     return default_value;
   }
-  return ReadNumber(tree, field, low, high);
+  const auto text = tree.get<std::string>(field);
+  const std::optional<double> value = ParseNumber(text);
+  const double used =
+      value ? std::clamp(*value, range.low, range.high) : default_value;
+  if (value != used) {
+    mistakes.push_back(RefusedNumber(field, text, range));
+  }
+  return used;
 }
 
 double ToSeconds(Duration duration) {
@@ -109,9 +136,53 @@
 constexpr double kMaxPort = 65535;
 constexpr double kMaxPartitions = 4096;
 constexpr double kMaxSeconds = 3600;
+constexpr double kMaxMilliseconds = kMaxSeconds * 1000;
+constexpr double kMaxSlack = 1e6;
+constexpr double kMinDescriptors = 64;
 // Containers often have a limit of 2^30 open files.
 constexpr double kMaxDescriptors = std::numeric_limits<int>::max();
 
+// Reads the numbers that have a default. One that is missing altogether is a
+// mistake, because the file may be incomplete.
+Result<bool> ReadBounds(const ptree& tree, RelaySettings& settings) {
+  for (const char* field :
+       {"limits.descriptors", "shutdown.grace_s", "bounds.drain_ms",
+        "bounds.contact_ms", "retries.ratio", "retries.window_s",
+        "retries.slack", "cold.burst_factor", "cold.slack"}) {
+    if (!tree.get_optional<std::string>(field)) {
+      return InvalidField(field, "missing; set it");
+    }
+  }
+  const auto read = [&](const char* field, const NumberRange& range,
+                        double default_value) {
+    return ReadNumberOr(tree, field, range, default_value, settings.mistakes);
+  };
+  settings.store_partitions = static_cast<int>(
+      read("store.partitions", {1, kMaxPartitions}, settings.store_partitions));
+  settings.max_descriptors = static_cast<std::size_t>(
+      read("limits.descriptors", {kMinDescriptors, kMaxDescriptors},
+           static_cast<double>(settings.max_descriptors)));
+  settings.grace = ToDuration(
+      read("shutdown.grace_s", {0.5, kMaxSeconds}, ToSeconds(settings.grace)));
+  settings.drain_bound =
+      ToDuration(read("bounds.drain_ms", {100, kMaxMilliseconds},
+                      ToMilliseconds(settings.drain_bound)) /
+                 1000);
+  settings.contact_bound =
+      ToDuration(read("bounds.contact_ms", {1000, kMaxMilliseconds},
+                      ToMilliseconds(settings.contact_bound)) /
+                 1000);
+  RetryBound& retry = settings.retry;
+  retry.ratio = read("retries.ratio", {0, 1}, retry.ratio);
+  retry.window = ToDuration(
+      read("retries.window_s", {0.1, kMaxSeconds}, ToSeconds(retry.window)));
+  retry.slack = read("retries.slack", {0, kMaxSlack}, retry.slack);
+  ColdBound& cold = settings.cold;
+  cold.burst_factor = read("cold.burst_factor", {0, 100}, cold.burst_factor);
+  cold.slack = read("cold.slack", {0, kMaxSlack}, cold.slack);
+  return true;
+}
+
 }  // namespace
 
 Result<RelaySettings> ParseRelaySettings(const std::string& text) {
@@ -134,18 +205,19 @@
   settings.readiness = readiness;
   BOOST_OUTCOME_TRY(control, ReadAddress(tree, "listen.control"));
   settings.control = control;
+  constexpr NumberRange kPorts{1, kMaxPort};
   BOOST_OUTCOME_TRY(report_port,
-                    ReadNumber(tree, "listen.report_port", 1, kMaxPort));
+                    ReadNumber(tree, "listen.report_port", kPorts));
   BOOST_OUTCOME_TRY(metrics_port,
-                    ReadNumber(tree, "listen.metrics_port", 1, kMaxPort));
+                    ReadNumber(tree, "listen.metrics_port", kPorts));
   BOOST_OUTCOME_TRY(rank_call_port,
-                    ReadNumber(tree, "listen.rank_call_port", 1, kMaxPort));
+                    ReadNumber(tree, "listen.rank_call_port", kPorts));
   // The platform's template has no name for the port after the first one.
   settings.permit_port = static_cast<std::uint16_t>(
       report_port + (rank_call_port == report_port + 1 ? 2 : 1));
   if (HasValue(tree, "listen.permit_port")) {
     BOOST_OUTCOME_TRY(permit_port,
-                      ReadNumber(tree, "listen.permit_port", 1, kMaxPort));
+                      ReadNumber(tree, "listen.permit_port", kPorts));
     settings.permit_port = static_cast<std::uint16_t>(permit_port);
   }
   settings.report_port = static_cast<std::uint16_t>(report_port);
@@ -160,47 +232,8 @@
   }
   BOOST_OUTCOME_TRY(store, ReadAddress(tree, "store.address"));
   settings.store = store;
-  if (HasValue(tree, "store.partitions")) {
-    BOOST_OUTCOME_TRY(partitions,
-                      ReadNumber(tree, "store.partitions", 1, kMaxPartitions));
-    settings.store_partitions = static_cast<int>(partitions);
-  }
-  BOOST_OUTCOME_TRY(seeds, ReadAddresses(tree, "peers.seeds"));
-  settings.seeds = seeds;
-  BOOST_OUTCOME_TRY(
-      descriptors, ReadNumberOr(tree, "limits.descriptors", 64, kMaxDescriptors,
-                                static_cast<double>(settings.max_descriptors)));
-  settings.max_descriptors = static_cast<std::size_t>(descriptors);
-  BOOST_OUTCOME_TRY(grace_s,
-                    ReadNumberOr(tree, "shutdown.grace_s", 0.5, kMaxSeconds,
-                                 ToSeconds(settings.grace)));
-  settings.grace = ToDuration(grace_s);
-  BOOST_OUTCOME_TRY(drain_ms,
-                    ReadNumberOr(tree, "bounds.drain_ms", 100, 3.6e6,
-                                 ToMilliseconds(settings.drain_bound)));
-  settings.drain_bound = ToDuration(drain_ms / 1000);
-  BOOST_OUTCOME_TRY(contact_ms,
-                    ReadNumberOr(tree, "bounds.contact_ms", 1000, 3.6e6,
-                                 ToMilliseconds(settings.contact_bound)));
-  settings.contact_bound = ToDuration(contact_ms / 1000);
-  RetryBound& retry = settings.retry;
-  BOOST_OUTCOME_TRY(retry_ratio,
-                    ReadNumberOr(tree, "retries.ratio", 0, 1, retry.ratio));
-  retry.ratio = retry_ratio;
-  BOOST_OUTCOME_TRY(window_s,
-                    ReadNumberOr(tree, "retries.window_s", 0.1, kMaxSeconds,
-                                 ToSeconds(retry.window)));
-  retry.window = ToDuration(window_s);
-  BOOST_OUTCOME_TRY(retry_slack,
-                    ReadNumberOr(tree, "retries.slack", 0, 1e6, retry.slack));
-  retry.slack = retry_slack;
-  ColdBound& cold = settings.cold;
-  BOOST_OUTCOME_TRY(cold_burst_factor, ReadNumberOr(tree, "cold.burst_factor",
-                                                    0, 100, cold.burst_factor));
-  cold.burst_factor = cold_burst_factor;
-  BOOST_OUTCOME_TRY(cold_slack,
-                    ReadNumberOr(tree, "cold.slack", 0, 1e6, cold.slack));
-  cold.slack = cold_slack;
+  settings.seeds = ReadAddresses(tree, "peers.seeds", settings.mistakes);
+  BOOST_OUTCOME_TRYV(ReadBounds(tree, settings));
   return settings;
 }
 
--- a/packages/relay/relay_settings.h
+++ b/packages/relay/relay_settings.h
@@ -39,13 +39,20 @@
   Duration grace = Seconds(8);  // SIGTERM to SIGKILL
   RetryBound retry;
   ColdBound cold;
+  // In fields that have another value instead, and in entries of lists, which
+  // are left out.
+  std::vector<Failure> mistakes;
 
   bool operator==(const RelaySettings&) const = default;
 };
 
 // Parses an INI text. Fails with kSettingsInvalid; the detail names the field
 // and the remedy. Unknown fields are ignored, because the platform may add
-// some. A number that is present and empty has its default.
+// some. A host runs without the exact value of a number of the sections limits,
+// shutdown, retries, cold and bounds, of the partitions and of a seed: a number
+// that is empty or cannot be read has its default, one out of range the nearest
+// in it, and a seed that cannot be read is left out. All but the empty ones are
+// listed in `mistakes`.
 Result<RelaySettings> ParseRelaySettings(const std::string& text);
 
 }  // namespace toucanhollow
