Relay: gauges of held bytes by kind, and of resident memory

Adds the bytes held for callers and servers by kind, unread bytes of the kernel, resident memory, and what the allocator uses and keeps.

--- a/packages/http_stream/message_parser.cc
+++ b/packages/http_stream/message_parser.cc
@@ -288,6 +288,9 @@
 const RequestHead& RequestParser::head() const {
   return this->state->parser.head;
 }
+std::size_t RequestParser::held_bytes() const {
+  return this->state->parser.body.size() + this->state->pending.size();
+}
 std::string RequestParser::TakeBody() {
   return std::exchange(this->state->parser.body, {});
 }
@@ -402,6 +405,9 @@
 const ResponseHead& ResponseParser::head() const {
   return this->state->parser->head;
 }
+std::size_t ResponseParser::held_bytes() const {
+  return this->state->parser->body.size() + this->state->pending.size();
+}
 std::string ResponseParser::TakeBody() {
   return std::exchange(this->state->parser->body, {});
 }
--- a/packages/http_stream/message_parser.h
+++ b/packages/http_stream/message_parser.h
@@ -47,6 +47,8 @@
   bool done() const;
   ParseProblem problem() const;
   const RequestHead& head() const;
+  // Bytes of the body and of what has not been parsed yet.
+  std::size_t held_bytes() const;
   // Returns and clears the decoded body, which is complete once done() is true.
   std::string TakeBody();
   // Returns and clears the received bytes that follow the request.
@@ -73,6 +75,8 @@
   bool done() const;
   ParseProblem problem() const;
   const ResponseHead& head() const;
+  // Bytes of the body and of what has not been parsed yet.
+  std::size_t held_bytes() const;
   // Returns and clears the body bytes decoded since the last call.
   std::string TakeBody();
   // Returns and clears the received bytes that follow the response.
--- a/packages/http_stream/tcp_connection.cc
+++ b/packages/http_stream/tcp_connection.cc
@@ -5,6 +5,7 @@
 #include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -315,6 +316,14 @@
   return this->state->send_buffer.size() - this->state->sent_offset;
 }
 
+std::size_t TcpConnection::unread() const {
+  int bytes = 0;
+  return this->state->socket >= 0 &&
+                 ioctl(this->state->socket, FIONREAD, &bytes) == 0 && bytes > 0
+             ? static_cast<std::size_t>(bytes)
+             : 0;
+}
+
 bool TcpConnection::any_sent() const {
   return this->state->any_sent;
 }
--- a/packages/http_stream/tcp_connection.h
+++ b/packages/http_stream/tcp_connection.h
@@ -58,6 +58,8 @@
   void ReadPending();
   // Returns the number of queued bytes that the kernel has not accepted yet.
   std::size_t unsent() const;
+  // Returns the number of received bytes that have not been read.
+  std::size_t unread() const;
   // Returns false as long as no byte passed to Write can have left this host.
   bool any_sent() const;
   bool connected() const;
--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -289,6 +289,19 @@
   return this->phase == Phase::kClosed;
 }
 
+HeldMemory CallerSession::held_memory() const {
+  HeldMemory held;
+  held.input = this->pipelined_bytes.size();
+  if (this->parser != nullptr) {
+    held.input += this->parser->held_bytes();
+  }
+  if (this->connection != nullptr) {
+    held.to_callers = this->connection->unsent();
+    held.unread = this->connection->unread();
+  }
+  return this->request == nullptr ? held : held + this->request->held_memory();
+}
+
 bool CallerSession::HasWork(TimePoint now) const {
   switch (this->phase) {
     case Phase::kReading:
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -46,6 +46,7 @@
   void CloseIfIdle();
   // As CloseIfIdle, and refuses a request that has not arrived completely.
   void EndInput();
+  HeldMemory held_memory() const;
 
  private:
   enum class Phase { kIdle, kReading, kResponding, kClosing, kClosed };
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -8,6 +8,7 @@
 
 #include "json_log/json_log.h"
 #include "process_limits/descriptors.h"
+#include "process_limits/process_memory.h"
 #include "relay/agent_address.h"
 #include "relay/max_sessions.h"
 
@@ -128,9 +129,32 @@
   this->metrics.SetGauge(
       "waiting_requests",
       static_cast<double>(this->dispatcher.waiting_requests()));
+  this->UpdateMemoryGauges();
   return this->metrics.FormatText();
 }
 
+void RelayHost::UpdateMemoryGauges() {
+  const ProcessMemory process = ReadProcessMemory();
+  const auto set = [this](std::string_view name, std::size_t bytes,
+                          std::string_view labels = "") {
+    this->metrics.SetGauge(name, static_cast<double>(bytes), labels);
+  };
+  set("memory_resident_bytes", process.resident);
+  set("memory_peak_resident_bytes", process.peak_resident);
+  set("memory_allocated_bytes", process.allocated);
+  set("memory_kept_free_bytes", process.kept_free);
+  HeldMemory held;
+  for (const auto& [number, session] : this->sessions) {
+    held = held + session->held_memory();
+  }
+  set("held_bytes", held.input, "kind=\"input\"");
+  set("held_bytes", held.bodies, "kind=\"bodies\"");
+  set("held_bytes", held.to_servers, "kind=\"to_servers\"");
+  set("held_bytes", held.answers, "kind=\"answers\"");
+  set("held_bytes", held.to_callers, "kind=\"to_callers\"");
+  set("held_bytes", held.unread, "kind=\"unread\"");
+}
+
 void RelayHost::MakeMapTask() {
   // The start time makes a restarted process a new member, so that two
   // coordinators never share a name within one generation.
--- a/packages/relay/relay_host.h
+++ b/packages/relay/relay_host.h
@@ -62,6 +62,7 @@
                    std::function<void(EngineState state)> done);
   Result<bool> ListenReadiness();
   std::string FormatMetrics();
+  void UpdateMemoryGauges();
   void MakeMapTask();
 
   EventLoop& loop;
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -694,6 +694,13 @@
   LogEnded(line);
 }
 
+HeldMemory RelayedRequest::held_memory() const {
+  HeldMemory held;
+  held.bodies = this->body.size();
+  held.answers = this->buffered.size() + this->events.partial.size();
+  return this->attempt == nullptr ? held : held + this->attempt->held_memory();
+}
+
 void RelayedRequest::Cancel(std::string_view reason) {
   if (std::exchange(this->finished, true)) {
     return;
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -83,6 +83,7 @@
   // too long, and fails a request that makes no progress while its model group
   // executes no passes.
   void Sweep(TimePoint now);
+  HeldMemory held_memory() const;
 
  private:
   // What happens to the server's response: kDiscard reads it without forwarding
--- a/packages/relay/server_attempt.cc
+++ b/packages/relay/server_attempt.cc
@@ -263,6 +263,18 @@
   }
 }
 
+HeldMemory ServerAttempt::held_memory() const {
+  const State& state = *this->state;
+  HeldMemory held;
+  held.to_servers = state.request.size();
+  held.answers = state.parser->held_bytes();
+  if (state.connection != nullptr) {
+    held.to_servers += state.connection->unsent();
+    held.unread = state.connection->unread();
+  }
+  return held;
+}
+
 std::unique_ptr<TcpConnection> ServerAttempt::TakeConnection() {
   if (!this->state->reusable) {
     return nullptr;
--- a/packages/relay/server_attempt.h
+++ b/packages/relay/server_attempt.h
@@ -10,6 +10,7 @@
 
 #include "http_stream/message_parser.h"
 #include "http_stream/tcp_connection.h"
+#include "relay/held_memory.h"
 #include "relay/relay_codec.h"
 
 namespace toucanhollow {
@@ -58,6 +59,7 @@
   // True once bytes of the request may have left this host.
   bool any_sent() const;
   void SetReading(bool reading);
+  HeldMemory held_memory() const;
   // After kComplete: returns the connection if it can carry another request,
   // else null.
   std::unique_ptr<TcpConnection> TakeConnection();
