TcpConnection: free bytes that were sent while others are queued

The send buffer kept everything that was sent until it was empty once. A long response whose caller reads as fast as the server sends, with some bytes always queued, held all of its bytes in the entry host, however few were unsent; and a buffer kept its largest size for as long as its connection lasted. Such memory ends a host (FAULT) with all its requests (LOST).

Queues segments, which are freed as they are sent, and takes shared bytes without a copy.

--- a/packages/http_stream/tcp_connection.cc
+++ b/packages/http_stream/tcp_connection.cc
@@ -14,6 +14,8 @@
 #include <cstring>
 #include <utility>
 
+#include "http_stream/send_queue.h"
+
 namespace toucanhollow {
 namespace {
 
@@ -61,8 +63,7 @@
   bool any_sent = false;
   bool finish_writing = false;
   bool write_failed = false;
-  std::string send_buffer;
-  std::size_t sent_offset = 0;
+  SendQueue queued;
   IoWatcher::Interest interest = IoWatcher::kNone;
   std::unique_ptr<IoWatcher> watcher;
   ConnectionCallbacks callbacks;
@@ -75,7 +76,12 @@
   void End(ConnectionEnd end);
   void OnReady(IoWatcher::Interest ready);
   void FinishConnect();
+  // Returns false if the connection failed.
+  bool SendQueued();
   void Flush();
+  // Queues what the function appends, and sends what the kernel accepts.
+  template <typename Append>
+  void Write(const Append& append);
   void ShutdownIfFinished();
   void Read();
   void UpdateInterest();
@@ -112,8 +118,7 @@
   if (this->watcher == nullptr) {
     return;
   }
-  const bool wants_write =
-      !this->connected || this->sent_offset < this->send_buffer.size();
+  const bool wants_write = !this->connected || this->queued.size() > 0;
   const bool wants_read = this->connected && this->reading;
   const auto new_interest =
       static_cast<IoWatcher::Interest>((wants_read ? IoWatcher::kRead : 0) |
@@ -154,40 +159,40 @@
   }
 }
 
-void TcpConnection::State::Flush() {
-  while (!this->ended && this->sent_offset < this->send_buffer.size()) {
+bool TcpConnection::State::SendQueued() {
+  while (this->queued.size() > 0) {
+    const std::string_view bytes = this->queued.front();
     const ssize_t sent =
-        send(this->socket, this->send_buffer.data() + this->sent_offset,
-             this->send_buffer.size() - this->sent_offset, MSG_NOSIGNAL);
+        send(this->socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     if (sent > 0) {
       this->any_sent = true;
-      this->sent_offset += static_cast<std::size_t>(sent);
+      this->queued.RemoveFront(static_cast<std::size_t>(sent));
       continue;
     }
     if (sent < 0 && errno == EINTR) {
       continue;
     }
-    if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
-      break;
-    }
+    return sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+  return true;
+}
+
+void TcpConnection::State::Flush() {
+  if (!this->SendQueued()) {
     this->End(ConnectionEnd::kReset);
     return;
   }
-  const bool drained = this->sent_offset == this->send_buffer.size();
-  if (drained && !this->send_buffer.empty()) {
-    this->send_buffer.clear();
-    this->sent_offset = 0;
-  }
+  const bool drained = this->queued.size() == 0;
   this->ShutdownIfFinished();
   this->UpdateInterest();
-  if (drained && !this->ended && this->callbacks.on_drained) {
+  if (drained && this->callbacks.on_drained) {
     const auto callback = this->callbacks.on_drained;
     callback();
   }
 }
 
 void TcpConnection::State::ShutdownIfFinished() {
-  if (this->finish_writing && this->socket >= 0 && this->send_buffer.empty()) {
+  if (this->finish_writing && this->socket >= 0 && this->queued.size() == 0) {
     shutdown(this->socket, SHUT_WR);
   }
 }
@@ -264,40 +269,35 @@
   this->state->callbacks = std::move(callbacks);
 }
 
-void TcpConnection::Write(std::string_view bytes) {
-  State& state = *this->state;
-  if (state.ended || state.write_failed || bytes.empty()) {
+template <typename Append>
+void TcpConnection::State::Write(const Append& append) {
+  if (this->ended || this->write_failed) {
     return;
   }
   try {
-    state.send_buffer.append(bytes);
+    append(this->queued);
   } catch (...) {
     // The peer must not get what is written later without these bytes. The loop
     // notices the shutdown and reports the end.
-    state.write_failed = true;
-    shutdown(state.socket, SHUT_RDWR);
+    this->write_failed = true;
+    shutdown(this->socket, SHUT_RDWR);
     throw;
   }
-  if (!state.connected) {
-    return;
-  }
-  // An error is not reported here but from the event loop, because on_end may
-  // destroy the object that is calling Write.
-  while (state.sent_offset < state.send_buffer.size()) {
-    const ssize_t sent =
-        send(state.socket, state.send_buffer.data() + state.sent_offset,
-             state.send_buffer.size() - state.sent_offset, MSG_NOSIGNAL);
-    if (sent <= 0) {
-      break;
-    }
-    state.any_sent = true;
-    state.sent_offset += static_cast<std::size_t>(sent);
-  }
-  if (state.sent_offset == state.send_buffer.size()) {
-    state.send_buffer.clear();
-    state.sent_offset = 0;
+  if (this->connected) {
+    // An error is not reported here but from the event loop, because on_end may
+    // destroy the object that is calling Write.
+    this->SendQueued();
+    this->UpdateInterest();
   }
-  state.UpdateInterest();
+}
+
+void TcpConnection::Write(std::string_view bytes) {
+  this->state->Write([bytes](SendQueue& queue) { queue.Append(bytes); });
+}
+
+void TcpConnection::Write(std::shared_ptr<const std::string> bytes) {
+  this->state->Write(
+      [&bytes](SendQueue& queue) { queue.Append(std::move(bytes)); });
 }
 
 void TcpConnection::FinishWriting() {
@@ -313,7 +313,7 @@
 }
 
 std::size_t TcpConnection::unsent() const {
-  return this->state->send_buffer.size() - this->state->sent_offset;
+  return this->state->queued.size();
 }
 
 std::size_t TcpConnection::unread() const {
--- a/packages/http_stream/tcp_connection.h
+++ b/packages/http_stream/tcp_connection.h
@@ -49,6 +49,8 @@
   void ResetOnClose();
   // Sends as many bytes as the kernel accepts now and queues the others.
   void Write(std::string_view bytes);
+  // Keeps the bytes until they have been sent.
+  void Write(std::shared_ptr<const std::string> bytes);
   // Shuts the sending side down once all queued bytes have been sent. The peer
   // then reads the end of the stream after them. Nothing may be written after
   // this call.
--- a/packages/http_stream/tcp_connection_test.cc
+++ b/packages/http_stream/tcp_connection_test.cc
@@ -1,5 +1,6 @@
 #include "http_stream/tcp_connection.h"
 
+#include <algorithm>
 #include <limits>
 #include <memory>
 #include <new>
@@ -9,6 +10,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "process_limits/process_memory.h"
+
 namespace toucanhollow {
 namespace {
 
@@ -83,5 +86,41 @@
   CHECK(writer_ended);
 }
 
+// Guards against a long response whose memory grows with what was sent, because
+// its caller never reads all that is queued.
+TEST_CASE("bytes that were sent are freed while others are queued") {
+  constexpr std::size_t kMebibyte = std::size_t{1024} * 1024;
+  constexpr std::size_t kTotal = 128 * kMebibyte;
+  ConnectedPair pair;
+  // More than the kernel takes.
+  const std::string first(16 * kMebibyte, 'x');
+  std::size_t written = first.size();
+  std::size_t received = 0;
+  std::size_t most_allocated = 0;
+  bool always_queued = true;
+  pair.accepted->SetCallbacks(
+      {nullptr,
+       [&](std::string_view bytes) {
+         received += bytes.size();
+         most_allocated =
+             std::max(most_allocated, ReadProcessMemory().allocated);
+         if (written < kTotal) {
+           always_queued = always_queued && pair.connecting->unsent() > 0;
+           written += bytes.size();
+           pair.connecting->Write(bytes);
+         }
+         if (received == written) {
+           pair.loop.Stop();
+         }
+       },
+       nullptr, nullptr});
+  const std::size_t allocated_before = ReadProcessMemory().allocated;
+  pair.connecting->Write(first);
+  pair.RunFor(Seconds(60));
+  CHECK(received >= kTotal);
+  CHECK(always_queued);
+  CHECK(most_allocated < allocated_before + 2 * first.size());
+}
+
 }  // namespace
 }  // namespace toucanhollow
