--- a/packages/http_stream/message_parser.cc
+++ b/packages/http_stream/message_parser.cc
@@ -129,6 +129,11 @@
     error = {};
     this->has_length = content_length.has_value();
     this->length = content_length.value_or(0);
+    if constexpr (IsRequest) {
+      // The limit on bodies has been checked. Memory that is not written to is
+      // not used.
+      this->body.reserve(this->length);
+    }
   }
   std::size_t on_body_impl(BeastText bytes, error_code& error) override {
     error = {};
--- a/packages/traffic/event_splitter.h
+++ b/packages/traffic/event_splitter.h
@@ -2,7 +2,8 @@
 // event once and in order.
 //
 // A server may stop in the middle of an event, and a stream that is resumed at
-// another server may repeat events.
+// another server may repeat events. The ids of one run increase, by any number:
+// an event may hold several tokens. Lines end with "\n", "\r\n" or "\r".
 #ifndef TRAFFIC_EVENT_SPLITTER_H_
 #define TRAFFIC_EVENT_SPLITTER_H_
 
@@ -20,9 +21,13 @@
   std::string partial;
   // Offset in `partial` at which the search for the end of the event continues.
   std::size_t search_offset = 0;
-  // Id of the last event that was passed on.
+  // Id of the last event that was passed on, after which the stream can be
+  // resumed. Empty if that event had data and no number as its id.
   std::optional<std::int64_t> last_id;
-  // An event arrived whose id is not the next one; the stream cannot continue.
+  // Id of the last event of the present run, whether or not it was passed on.
+  std::optional<std::int64_t> last_id_of_run;
+  // An event arrived whose id is lower than that of the one before it. The
+  // stream cannot continue at any server, as that event was passed over.
   bool out_of_order = false;
   // `partial` exceeded kMaxEventBytes without the end of the event; the stream
   // cannot continue.
@@ -37,7 +42,7 @@
 
 // Discards the incomplete event, before the stream is resumed at another
 // server.
-void DropPartialEvent(EventSplitter& splitter);
+void StartNextRun(EventSplitter& splitter);
 
 }  // namespace toucanhollow
 
