Process start: return large freed blocks to the system

After the first large block was freed, the allocator raised its threshold for mapped blocks and kept later request bodies in its heap: with 30 callers that send 4 MB each, 100 to 135 MB were free and kept at the highest resident memory, and 217 to 240 MB stayed resident after the load, of which 0.8 MB were in use.

Fixes the threshold at 128 KB.

--- a/apps/run_toucanhollow.cc
+++ b/apps/run_toucanhollow.cc
@@ -23,6 +23,7 @@
 #include "map_task/rank_agent.h"
 #include "platform/engine_calls.h"
 #include "platform/platform_codec.h"
+#include "process_limits/allocator.h"
 #include "process_limits/descriptors.h"
 #include "relay/relay_host.h"
 #include "relay/relay_settings.h"
@@ -258,6 +259,7 @@
 
 int RunToucanhollow(int argc, char** argv) {
   toucanhollow::OpenStandardDescriptors();
+  toucanhollow::ReturnLargeBlocks();
   gflags::SetUsageMessage(
       "toucanhollow --role=entry_host|endpoint|relay|rank_agent "
       "--settings=FILE "
