--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -368,7 +368,7 @@
         this->OnEnd(AttemptEnd::kTruncated,
                     this->events.too_large
                         ? "an event of the stream is too long"
-                        : "the ids of the stream do not increase");
+                        : "an event of the stream is missing");
       }
       return;
     }
@@ -551,7 +551,7 @@
                                       bool not_run) {
   const TimePoint now = EventLoop::Now();
   this->buffered.clear();
-  StartNextRun(this->events);
+  DropPartialEvent(this->events);
   const bool may_repeat = not_run || (this->HasRepeatableRoute() &&
                                       this->mode != ResponseMode::kRaw);
   if (may_repeat && this->RetryElsewhere(end != AttemptEnd::kNotSent, detail)) {
@@ -588,7 +588,6 @@
   return (!was_sent || this->sent_attempts < this->route->max_attempts) &&
          this->placements<kMaxPlacements&& this->deadline - EventLoop::Now()>
              kMinTimeLeft &&
-         !this->events.out_of_order &&
          (!this->response_started || this->events.last_id.has_value());
 }
 
--- a/packages/traffic/event_splitter.h
+++ b/packages/traffic/event_splitter.h
@@ -2,8 +2,7 @@
 // event once and in order.
 //
 // A server may stop in the middle of an event, and a stream that is resumed at
-// another server may repeat events. The ids of one run increase, by any number:
-// an event may hold several tokens. Lines end with "\n", "\r\n" or "\r".
+// another server may repeat events.
 #ifndef TRAFFIC_EVENT_SPLITTER_H_
 #define TRAFFIC_EVENT_SPLITTER_H_
 
@@ -21,13 +20,9 @@
   std::string partial;
   // Offset in `partial` at which the search for the end of the event continues.
   std::size_t search_offset = 0;
-  // Id of the last event that was passed on, after which the stream can be
-  // resumed. Empty if that event had data and no number as its id.
+  // Id of the last event that was passed on.
   std::optional<std::int64_t> last_id;
-  // Id of the last event of the present run, whether or not it was passed on.
-  std::optional<std::int64_t> last_id_of_run;
-  // An event arrived whose id is lower than that of the one before it. The
-  // stream cannot continue at any server, as that event was passed over.
+  // An event arrived whose id is not the next one; the stream cannot continue.
   bool out_of_order = false;
   // `partial` exceeded kMaxEventBytes without the end of the event; the stream
   // cannot continue.
@@ -42,7 +37,7 @@
 
 // Discards the incomplete event, before the stream is resumed at another
 // server.
-void StartNextRun(EventSplitter& splitter);
+void DropPartialEvent(EventSplitter& splitter);
 
 }  // namespace toucanhollow
 
