--- a/packages/http_stream/message_parser.cc
+++ b/packages/http_stream/message_parser.cc
@@ -129,6 +129,11 @@
     error = {};
     this->has_length = content_length.has_value();
     this->length = content_length.value_or(0);
+    if constexpr (IsRequest) {
+      // The limit on bodies has been checked. Memory that is not written to is
+      // not used.
+      this->body.reserve(this->length);
+    }
   }
   std::size_t on_body_impl(BeastText bytes, error_code& error) override {
     error = {};
@@ -288,6 +293,9 @@
 const RequestHead& RequestParser::head() const {
   return this->state->parser.head;
 }
+std::size_t RequestParser::held_bytes() const {
+  return this->state->parser.body.size() + this->state->pending.size();
+}
 std::string RequestParser::TakeBody() {
   return std::exchange(this->state->parser.body, {});
 }
@@ -402,6 +410,9 @@
 const ResponseHead& ResponseParser::head() const {
   return this->state->parser->head;
 }
+std::size_t ResponseParser::held_bytes() const {
+  return this->state->parser->body.size() + this->state->pending.size();
+}
 std::string ResponseParser::TakeBody() {
   return std::exchange(this->state->parser->body, {});
 }
