Give a server that changes its service a new pool

A request for a service whose servers had been listed under another one, which the configuration no longer has, ended its caller's connection without an answer: the dispatcher looked up the former service, and std::map::at threw.

Cause: the pool of connections to a server keeps the entry that it was made from, and was replaced only for another address or start time. It is now replaced for another service as well, so that the service of a pool is always the one under which the view lists its server.

The new case fails before ("map::at", not placed) and holds now.

--- a/packages/relay/dispatcher.cc
+++ b/packages/relay/dispatcher.cc
@@ -81,6 +81,7 @@
     auto& pool = this->pools[id];
     if (pool == nullptr ||
         pool->server().start_time_ms != server.listed.start_time_ms ||
+        pool->server().service != server.listed.service ||
         pool->server().address != server.listed.address) {
       pool = std::make_shared<ServerConnectionPool>(server.listed);
     }
--- a/packages/relay/dispatcher_test.cc
+++ b/packages/relay/dispatcher_test.cc
@@ -96,5 +96,33 @@
   CHECK(fixture.refused.size() == 1);
 }
 
+// Guards against a request that ends with an exception because its server was
+// listed under a service that no longer exists.
+TEST_CASE("a server that moves to another service gets its requests") {
+  DispatcherFixture fixture;
+  Service moved;
+  moved.name.value = "review";
+  moved.cold_requests_per_s = 10;
+  moved.engine = EngineParameters{};
+  auto traffic = std::make_shared<TrafficConfig>();
+  traffic->services[moved.name] = moved;
+  fixture.view.traffic = traffic;
+  for (auto& [id, server] : fixture.view.servers) {
+    server.listed.service = moved.name;
+  }
+  fixture.dispatcher->UpdateView(fixture.view);
+  DispatchRequest request;
+  request.request.value = "r1";
+  request.service = moved.name;
+  request.wait_until = EventLoop::Now() + Milliseconds(200);
+  request.deadline = request.wait_until;
+  int placed = 0;
+  CHECK_NOTHROW(fixture.dispatcher->Place(
+      request, {[&placed](const Placement&) { ++placed; },
+                [](ResultCode, Duration) {}}));
+  fixture.RunFor(Milliseconds(60));
+  CHECK(placed == 1);
+}
+
 }  // namespace
 }  // namespace toucanhollow
