Read the settings file that the environment names

Where the platform puts the settings file of a process at another path than /etc/toucanhollow/boot.conf, for example because several machines' processes run on one, no process starts: each ends with status 2 after 2 s, as the path was written into the deploy file.

Cause: the platform names the file in TOUCANHOLLOW_CONFIG, which the program did not read.

--- a/apps/process_settings_test.cc
+++ b/apps/process_settings_test.cc
@@ -130,6 +130,21 @@
   CHECK(check.HasExitedWith(2));
 }
 
+// Guards against processes that do not start where each one's settings are at a
+// path of its own.
+TEST_CASE("the settings file is the one that the environment names") {
+  const std::string use_variable =
+      "export TOUCANHOLLOW_CONFIG=\"${2#--settings=}\"; set -- \"$1\"";
+  for (const ProcessRole role : kRoles) {
+    TestProcess named(role, 1, use_variable);
+    TestProcess given(role, 2, "export TOUCANHOLLOW_CONFIG=/missing");
+    for (TestProcess* process : {&named, &given}) {
+      process->Start();
+      CHECK(process->WaitForStart());
+    }
+  }
+}
+
 // Guards against a check of the settings that starts the process.
 TEST_CASE("a check of the settings ends every role") {
   const std::string add_check = "set -- \"$@\" --check";
--- a/apps/run_toucanhollow.cc
+++ b/apps/run_toucanhollow.cc
@@ -1,5 +1,6 @@
 // Runs one process of the load balancer, in the role that --role names: an
 // entry host, an endpoint agent, a relay or a rank agent.
+#include <cstdlib>
 #include <exception>
 #include <functional>
 #include <iostream>
@@ -34,7 +35,10 @@
               "",
               "entry_host, endpoint, relay or rank_agent; must match the "
               "settings");
-DEFINE_string(settings, "", "the INI settings file");
+DEFINE_string(settings,
+              "",
+              "the INI settings file; by default the one that "
+              "TOUCANHOLLOW_CONFIG names");
 DEFINE_bool(check, false, "check the settings file and exit");
 
 namespace toucanhollow {
@@ -44,6 +48,19 @@
 // its callers: links, the log, files.
 constexpr std::size_t kOtherDescriptors = 1024;
 
+// The settings file of a process that is given none by its arguments or its
+// environment.
+constexpr const char* kDefaultSettingsFile = "/etc/toucanhollow/boot.conf";
+
+// Processes on one machine have their settings at different paths.
+std::string FindSettingsFile() {
+  if (!FLAGS_settings.empty()) {
+    return FLAGS_settings;
+  }
+  const char* named = std::getenv("TOUCANHOLLOW_CONFIG");
+  return named != nullptr && *named != '\0' ? named : kDefaultSettingsFile;
+}
+
 Severity ToSeverity(LogLevel level) {
   switch (level) {
     case LogLevel::kDebug:
@@ -74,7 +91,7 @@
 }
 
 int CheckSettings(const ParseStep& parse) {
-  const Result<std::string> text = ReadSettingsFile(FLAGS_settings);
+  const Result<std::string> text = ReadSettingsFile(FindSettingsFile());
   const std::vector<Failure> mistakes =
       text ? parse(text.value()) : std::vector<Failure>{text.error()};
   for (const Failure& mistake : mistakes) {
@@ -150,7 +167,7 @@
     host->Shutdown(std::move(done));
   };
   steps.log = LogJsonNow;
-  return RunProcess(loop, FLAGS_settings, std::move(steps));
+  return RunProcess(loop, FindSettingsFile(), std::move(steps));
 }
 
 // Runs the agent of one model engine (rank) on the users' platform.
@@ -176,7 +193,7 @@
   // An agent holds no work of its own that would have to be finished.
   steps.shutdown = [](const std::function<void()>& done) { done(); };
   steps.log = LogJsonNow;
-  return RunProcess(loop, FLAGS_settings, std::move(steps));
+  return RunProcess(loop, FindSettingsFile(), std::move(steps));
 }
 
 std::vector<Failure> ParseOwnSettings(const std::string& text,
@@ -259,7 +276,7 @@
     }
   };
   steps.log = LogFields;
-  return RunProcess(loop, FLAGS_settings, std::move(steps));
+  return RunProcess(loop, FindSettingsFile(), std::move(steps));
 }
 
 int Main() {
