Relay: take a 421 as news of the server that it is about

Callers were refused with 503 by every entry host, until servers or hosts were restarted, after each server had answered one 421 per host. Such an answer marked the connection pool of the server as misdirected, and only another address or start time made a new pool. But a server also answers 421 when another one, which it depends on, is at fault, and names that one.

If it names another known server at another address, the answer says nothing about the server that gave it: neither its health nor its use changes, and the named server is avoided for 150 ms. The same holds for a 503. A 421 on the server's own account keeps it out until its entry in the list is renewed, which a server that has lost its address does not do, or for 5 s where no entry is renewed, as while the store is away.

--- a/packages/relay/dispatcher.cc
+++ b/packages/relay/dispatcher.cc
@@ -121,7 +121,7 @@
     if (server.listed.service == service &&
         IsUsable(server, this->view->evacuated, now)) {
       const auto& pool = this->pools.at(id);
-      if (!pool->misdirected) {
+      if (!IsMisdirected(pool->misdirection, server, now)) {
         found.push_back(pool);
       }
     }
@@ -295,7 +295,8 @@
   return listed != this->view->servers.end() &&
          this->pools.at(pool.server().id).get() == &pool &&
          IsUsable(listed->second, this->view->evacuated, now) &&
-         !pool.misdirected && !this->IsHalted(pool);
+         !IsMisdirected(pool.misdirection, listed->second, now) &&
+         !this->IsHalted(pool);
 }
 
 void Dispatcher::RecordPermitAnswer(const PermitWait& wait,
@@ -696,6 +697,25 @@
   }
 }
 
+void Dispatcher::RecordRefusal(ServerConnectionPool& pool,
+                               bool misdirected,
+                               const std::string& at_fault,
+                               TimePoint now) {
+  if (IsFaultElsewhere(this->view->servers, pool.server(), at_fault)) {
+    ServerHealth& named = this->pools.at(at_fault)->health;
+    named = RecordReportedFault(named, now);
+    return;
+  }
+  pool.health = RecordFailure(pool.health, now);
+  const auto known = this->view->servers.find(pool.server().id);
+  if (misdirected && known != this->view->servers.end()) {
+    pool.misdirection = Misdirection{known->second.offset, now};
+    LogJsonNow("server_misdirected",
+               {{"server", std::string_view(pool.server().id)},
+                {"offset", known->second.offset}});
+  }
+}
+
 void Dispatcher::UpdatePeerLoad(const std::string& host,
                                 const HostLoadReport& report) {
   RecordLoadReport(this->peer_loads, host, report, EventLoop::Now());
--- a/packages/relay/dispatcher.h
+++ b/packages/relay/dispatcher.h
@@ -70,6 +70,14 @@
   // measures them while it is the coordinator.
   void SetSlowServers(const std::set<std::string>& servers);
 
+  // Records that the server refused or failed a request with a whole response,
+  // which names the server `at_fault` if it is not empty. `misdirected`: the
+  // status was 421.
+  void RecordRefusal(ServerConnectionPool& pool,
+                     bool misdirected,
+                     const std::string& at_fault,
+                     TimePoint now);
+
   // Counts a request, which adds to the bound on retries.
   void RecordRequest(const ServiceName& service);
   // Counts a retry and returns true if the bound that all entry hosts share
--- a/packages/relay/relay_codec.h
+++ b/packages/relay/relay_codec.h
@@ -51,6 +51,8 @@
   std::string request_id;
   // True if the server states that it did not run the request.
   bool not_run = false;
+  // Id of the server that caused a refusal; empty if the response names none.
+  std::string server_at_fault;
   // True if the response carries the server's seal, which marks its origin.
   bool sealed = false;
   // True if the body has a content encoding, which no server of the platform
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -37,6 +37,7 @@
 // done so by then does not answer at all, and callers give up after 2 s.
 constexpr Duration kHaltedGroupSilenceLimit = Milliseconds(1600);
 constexpr int kLowestPriority = 9;
+constexpr int kStatusMisdirected = 421;
 // A discarded response is read up to this size and for this long, so that its
 // connection can be reused. Beyond that, the connection is closed.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{64} * 1024;
@@ -303,6 +304,7 @@
                             const ResponseMetadata& metadata) {
   this->response = response;
   this->response_not_run = metadata.not_run;
+  this->server_at_fault = metadata.server_at_fault;
   this->last_progress_at = EventLoop::Now();
   this->discard_started_at = this->last_progress_at;
   this->discarded_bytes = 0;
@@ -487,11 +489,12 @@
       server->AddIdle(std::move(connection),
                       this->attempt->server_keep_alive_timeout(), now);
     }
-    const bool failed = this->response.status >= 500 || this->response_not_run;
-    server->health = failed ? RecordFailure(server->health, now)
-                            : RecordSuccess(server->health);
-    if (this->response.status == 421) {
-      server->misdirected = true;
+    if (this->response.status >= 500 || this->response_not_run) {
+      this->context.dispatcher.RecordRefusal(
+          *server, this->response.status == kStatusMisdirected,
+          this->server_at_fault, now);
+    } else {
+      server->health = RecordSuccess(server->health);
     }
     if (IsSuccess(this->response.status)) {
       this->MarkBegun(now);
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -177,6 +177,8 @@
   ResponseMode mode = ResponseMode::kUndecided;
   ResponseHead response;
   bool response_not_run = false;
+  // Id that the response names as the cause of a refusal; empty if none.
+  std::string server_at_fault;
   std::string buffered;
   EventSplitter events;
   bool response_started = false;
--- a/packages/relay/server_connection_pool.h
+++ b/packages/relay/server_connection_pool.h
@@ -6,9 +6,11 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 
 #include "http_stream/tcp_connection.h"
 #include "traffic/known_server.h"
+#include "traffic/misdirection.h"
 #include "traffic/permit_availability.h"
 #include "traffic/place_request.h"
 
@@ -37,8 +39,7 @@
   int pending_prompt_tokens = 0;
   ServerHealth health;
   PermitAvailability permits;
-  // The server answered 421 (Misdirected Request): another one has its address.
-  bool misdirected = false;
+  std::optional<Misdirection> misdirection;
 
  private:
   struct IdleConnection {
--- a/packages/traffic/place_request.cc
+++ b/packages/traffic/place_request.cc
@@ -59,6 +59,12 @@
   return next;
 }
 
+ServerHealth RecordReportedFault(const ServerHealth& health, TimePoint now) {
+  ServerHealth next = health;
+  next.avoid_until = std::max(next.avoid_until, now + kInitialAvoidTime);
+  return next;
+}
+
 std::optional<std::size_t> PlaceRequest(
     const std::vector<ServerCandidate>& candidates,
     const PlacementRequest& request,
--- a/packages/traffic/place_request.h
+++ b/packages/traffic/place_request.h
@@ -32,6 +32,9 @@
 ServerHealth RecordSuccess(const ServerHealth& health);
 // Records a failed connection, a broken answer or an error of the server.
 ServerHealth RecordFailure(const ServerHealth& health, TimePoint now);
+// Records that another server names this one as the cause of its refusal. That
+// has it avoided for a short time, and counts as no failure of its own.
+ServerHealth RecordReportedFault(const ServerHealth& health, TimePoint now);
 
 struct ServerCandidate {
   std::string id;
--- a/packages/traffic/traffic_test.cc
+++ b/packages/traffic/traffic_test.cc
@@ -7,6 +7,7 @@
 #include "traffic/event_splitter.h"
 #include "traffic/find_route.h"
 #include "traffic/known_server.h"
+#include "traffic/misdirection.h"
 #include "traffic/peer_load_table.h"
 #include "traffic/permit_availability.h"
 #include "traffic/permit_ledger.h"
@@ -315,6 +316,46 @@
   CHECK(PlaceRequest(candidates, {}, At(100)) == 0U);
 }
 
+// Guards against a server without load that is left out because others named it
+// at fault at some time.
+TEST_CASE("a reported fault has a server avoided for a short time only") {
+  std::vector<ServerCandidate> candidates = {MakeCandidate("named", 0),
+                                             MakeCandidate("other", 1)};
+  for (int i = 0; i < 50; ++i) {
+    candidates[0].health = RecordReportedFault(candidates[0].health, At(0));
+  }
+  CHECK(PlaceRequest(candidates, {}, At(100)) == 1U);
+  CHECK(PlaceRequest(candidates, {}, At(150)) == 0U);
+}
+
+// Guards against a server that is never used again after one 421 response.
+TEST_CASE("a server is misdirected until its entry is renewed or time passes") {
+  KnownServer server;
+  server.offset = 7;
+  CHECK_FALSE(IsMisdirected({}, server, At(0)));
+  const Misdirection misdirection{7, At(0)};
+  CHECK(IsMisdirected(misdirection, server, At(4999)));
+  CHECK_FALSE(IsMisdirected(misdirection, server, At(5000)));
+  server.offset = 8;
+  CHECK_FALSE(IsMisdirected(misdirection, server, At(1)));
+}
+
+// Guards against a server that is asked on although its address went to another
+// one, which names itself.
+TEST_CASE("only a known server at another address is at fault elsewhere") {
+  KnownServers servers;
+  servers["i-1"].listed.address = {"10.0.0.1", 80};
+  servers["i-2"].listed.address = {"10.0.0.2", 80};
+  servers["i-3"].listed.address = {"10.0.0.1", 80};
+  ListedServer& refusing = servers["i-1"].listed;
+  refusing.id = "i-1";
+  CHECK(IsFaultElsewhere(servers, refusing, "i-2"));
+  CHECK_FALSE(IsFaultElsewhere(servers, refusing, "i-1"));
+  CHECK_FALSE(IsFaultElsewhere(servers, refusing, "i-3"));
+  CHECK_FALSE(IsFaultElsewhere(servers, refusing, "i-4"));
+  CHECK_FALSE(IsFaultElsewhere(servers, refusing, ""));
+}
+
 TEST_CASE("a newer load report replaces the older one and expires") {
   PeerLoadTable table;
   RecordLoadReport(table, "a", {1, 1, {{7, 3, 100}}}, At(0));
