Relay: a 421 for an expected version concerns one request

A request that carries X-Toucanhollow-Expect-Version is answered 421 by each server whose weights have another version.

A 421 to such a request no longer changes what the relay holds of the server.

--- a/packages/relay/relay_codec.h
+++ b/packages/relay/relay_codec.h
@@ -28,6 +28,9 @@
   std::optional<std::int64_t> last_event_id;
   int prompt_tokens = 0;
   int max_answer_tokens = 0;
+  // True if servers with other weights than the caller expects are to answer
+  // 421 (Misdirected Request).
+  bool expects_weight_version = false;
   // Ids of the parts of the prompt that other requests may have in common with
   // this one, in order.
   std::vector<std::string> shared_prompt_parts;
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -489,10 +489,12 @@
       server->AddIdle(std::move(connection),
                       this->attempt->server_keep_alive_timeout(), now);
     }
-    if (this->response.status >= 500 || this->response_not_run) {
-      this->context.dispatcher.RecordRefusal(
-          *server, this->response.status == kStatusMisdirected,
-          this->server_at_fault, now);
+    const bool misdirected = this->response.status == kStatusMisdirected;
+    if (misdirected && this->metadata.expects_weight_version) {
+      // The server need not be at fault: its weights may have another version.
+    } else if (this->response.status >= 500 || this->response_not_run) {
+      this->context.dispatcher.RecordRefusal(*server, misdirected,
+                                             this->server_at_fault, now);
     } else {
       server->health = RecordSuccess(server->health);
     }
--- a/standins/platform/misdirected_request_test.cc
+++ b/standins/platform/misdirected_request_test.cc
@@ -62,5 +62,18 @@
   }
 }
 
+// Guards against one caller that has all servers left out for everyone.
+TEST_CASE("a 421 for the version that a request expects has no effect") {
+  Site site;
+  site.Configure();
+  site.Start();
+  REQUIRE(Serves(site));
+  site.first.script.push_back(Misdirected());
+  const std::string expect = "X-Toucanhollow-Expect-Version: 7\r\n";
+  CHECK(Ask(site, Request("POST", "/u/x", "other", expect, "b")).status == 503);
+  CHECK(site.first.script.empty());
+  CHECK(CountServed(site, "after", 4) == 4);
+}
+
 }  // namespace
 }  // namespace toucanhollow
