--- a/packages/relay/relay_codec.h
+++ b/packages/relay/relay_codec.h
@@ -28,6 +28,9 @@
   std::optional<std::int64_t> last_event_id;
   int prompt_tokens = 0;
   int max_answer_tokens = 0;
+  // True if servers with other weights than the caller expects are to answer
+  // 421 (Misdirected Request).
+  bool expects_weight_version = false;
   // Ids of the parts of the prompt that other requests may have in common with
   // this one, in order.
   std::vector<std::string> shared_prompt_parts;
@@ -51,6 +54,8 @@
   std::string request_id;
   // True if the server states that it did not run the request.
   bool not_run = false;
+  // Id of the server that caused a refusal; empty if the response names none.
+  std::string server_at_fault;
   // True if the response carries the server's seal, which marks its origin.
   bool sealed = false;
   // True if the body has a content encoding, which no server of the platform
