Read what has arrived before expired timers are called

Seen by callers: requests that fail, and answers that are thrown away, when a process gets no processor time for a while: what arrived meanwhile lies in the kernel's buffers, and time limits are judged first.

Cause: libev calls the timers that have expired before the descriptors that are ready in the same turn, as it takes pending events from the end of its list. After SIGCONT epoll_wait returns EINTR, so that the first turn has no descriptors at all.

Descriptors now have a higher priority than timers. If the timers of a turn are more than 50 ms late, all of them are postponed to the next turn in the order in which they were due, behind what has arrived by then.

--- a/packages/event_loop/event_loop.cc
+++ b/packages/event_loop/event_loop.cc
@@ -101,6 +101,13 @@
 
 namespace {
 
+// Above that of timers, which is 0, and below that of signals.
+constexpr int kIoPriority = 1;
+static_assert(kIoPriority > 0 && kIoPriority < EV_MAXPRI);
+
+// A timer that is later than this shows that the process did not run.
+constexpr Duration kMaxTimerDelay = Milliseconds(50);
+
 double ToSeconds(Duration duration) {
   return static_cast<double>(duration.count()) / 1e6;
 }
@@ -138,6 +145,7 @@
         });
       },
       file_descriptor, ToEvents(interest));
+  ev_set_priority(&this->state->watcher, kIoPriority);
   this->state->watcher.data = this->state.get();
   if (interest != kNone) {
     ev_io_start(this->state->loop, &this->state->watcher);
@@ -158,35 +166,75 @@
 }
 
 struct Timer::State {
-  struct ev_loop* loop;
+  EventLoop& loop;
   ev_timer watcher;
   std::function<void()> expired;
+  Duration repeat{0};
+  TimePoint due_at;
+  bool is_postponed = false;
+
+  explicit State(EventLoop& loop) : loop(loop) {}
+  // Returns true if the timers of this turn are late and the call was postponed
+  // to the next turn.
+  bool PostponeIfLate();
+  void OnExpired();
 };
 
+bool Timer::State::PostponeIfLate() {
+  if (std::exchange(this->is_postponed, false)) {
+    return false;
+  }
+  // Timers that expired together are called in the order in which they were
+  // due, so the first one decides for the turn.
+  const unsigned int turn = ev_iteration(this->loop.loop);
+  const Duration delay = EventLoop::Now() - this->due_at;
+  if (delay >= kMaxTimerDelay) {
+    this->loop.late_turn = turn;
+  }
+  if (this->loop.late_turn != turn) {
+    return false;
+  }
+  this->is_postponed = true;
+  ev_timer_stop(this->loop.loop, &this->watcher);
+  ev_timer_set(&this->watcher, -ToSeconds(delay), ToSeconds(this->repeat));
+  ev_timer_start(this->loop.loop, &this->watcher);
+  return true;
+}
+
+void Timer::State::OnExpired() {
+  if (this->PostponeIfLate()) {
+    return;
+  }
+  this->due_at = EventLoop::Now() + this->repeat;
+  // The callback may destroy this timer.
+  const auto callback = this->expired;
+  callback();
+}
+
 Timer::Timer(EventLoop& loop,
              Duration delay,
              Duration repeat,
              std::function<void()> expired)
-    : state(std::make_unique<State>()) {
-  this->state->loop = loop.raw();
+    : state(std::make_unique<State>(loop)) {
   this->state->expired = std::move(expired);
+  this->state->repeat = repeat;
+  this->state->due_at = EventLoop::Now() + delay;
   ev_timer_init(
       &this->state->watcher,
       [](struct ev_loop* loop, ev_timer* watcher, int) {
         RunGuarded(loop, [watcher] {
-          const auto callback = static_cast<State*>(watcher->data)->expired;
-          callback();
+          static_cast<State*>(watcher->data)->OnExpired();
         });
       },
       ToSeconds(delay), ToSeconds(repeat));
   this->state->watcher.data = this->state.get();
   // libev starts timers from its cached time, which lags after long callbacks.
-  ev_now_update(this->state->loop);
-  ev_timer_start(this->state->loop, &this->state->watcher);
+  ev_now_update(loop.raw());
+  ev_timer_start(loop.raw(), &this->state->watcher);
 }
 
 Timer::~Timer() {
-  ev_timer_stop(this->state->loop, &this->state->watcher);
+  ev_timer_stop(this->state->loop.raw(), &this->state->watcher);
 }
 
 struct SignalWatcher::State {
--- a/packages/event_loop/event_loop.h
+++ b/packages/event_loop/event_loop.h
@@ -50,11 +50,14 @@
 
  private:
   friend void Post(EventLoop& loop, std::function<void()> function);
+  friend class Timer;
 
   struct ev_loop* loop;
   std::function<void(std::string_view)> uncaught_handler;
   // Functions that were posted and have not run.
   std::list<detail::PostedFunction> posted;
+  // The last turn of the loop whose timers were late.
+  unsigned int late_turn = 0;
 };
 
 namespace detail {
@@ -80,7 +83,8 @@
   }
 }
 
-// Watches a file descriptor until destroyed.
+// Watches a file descriptor until destroyed. In one turn of the loop, ready
+// descriptors come before expired timers.
 class IoWatcher {
  public:
   enum Interest { kNone = 0, kRead = 1, kWrite = 2, kReadWrite = 3 };
@@ -97,7 +101,9 @@
   std::unique_ptr<State> state;
 };
 
-// Calls back once after a delay, or repeatedly, until destroyed.
+// Calls back once after a delay, or repeatedly, until destroyed. A call that is
+// late is postponed by one turn of the loop: after a pause of the process, what
+// arrived meanwhile is read before time limits are judged.
 class Timer {
  public:
   // If `repeat` is zero, `expired` is called once. The delay counts from
--- a/packages/event_loop/event_loop_test.cc
+++ b/packages/event_loop/event_loop_test.cc
@@ -3,10 +3,12 @@
 #include <unistd.h>
 
 #include <array>
+#include <chrono>
 #include <memory>
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -35,6 +37,57 @@
   close(pipe_ends[1]);
 }
 
+// Guards against time limits that are judged by what was read before a pause of
+// the process, although what decides has arrived meanwhile.
+TEST_CASE("after a pause, descriptors are read before timers expire") {
+  EventLoop loop;
+  std::array<int, 2> pipe_ends{};
+  REQUIRE(pipe(pipe_ends.data()) == 0);
+  std::vector<std::string> order;
+  const IoWatcher watcher(loop, pipe_ends[0], IoWatcher::kRead,
+                          [&](IoWatcher::Interest) {
+                            std::array<char, 1> byte{};
+                            CHECK(read(pipe_ends[0], byte.data(), 1) == 1);
+                            order.emplace_back("read");
+                          });
+  std::vector<std::unique_ptr<Timer>> timers;
+  for (const int due_ms : {30, 10, 20, 95}) {
+    timers.push_back(std::make_unique<Timer>(
+        loop, Milliseconds(due_ms), Duration(0),
+        [&order, due_ms] { order.push_back(std::to_string(due_ms)); }));
+  }
+  const Timer stop(loop, Milliseconds(200), Duration(0), [&] { loop.Stop(); });
+  const bool in_callback = GENERATE(true, false);
+  const auto pause = [&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    CHECK(write(pipe_ends[1], "x", 1) == 1);
+  };
+  if (in_callback) {
+    Post(loop, pause);
+  } else {
+    pause();
+  }
+  loop.Run();
+  CHECK(order == std::vector<std::string>{"read", "10", "20", "30", "95"});
+  close(pipe_ends[0]);
+  close(pipe_ends[1]);
+}
+
+// Guards against a late repeated timer that stops, or that makes up for each
+// call that it missed.
+TEST_CASE("a repeated timer goes on after a pause") {
+  EventLoop loop;
+  int calls = 0;
+  const Timer repeated(loop, Milliseconds(10), Milliseconds(10),
+                       [&] { ++calls; });
+  Post(loop,
+       [] { std::this_thread::sleep_for(std::chrono::milliseconds(150)); });
+  const Timer stop(loop, Milliseconds(250), Duration(0), [&] { loop.Stop(); });
+  loop.Run();
+  CHECK(calls >= 3);
+  CHECK(calls <= 12);
+}
+
 // Guards against posted functions that run inside the posting callback.
 TEST_CASE("posted functions run after the current callback") {
   EventLoop loop;
