Judge a request's deadline by what its server has sent by then

Seen by callers: 504 for requests whose answers had arrived in time, when the entry host stood still while their deadlines passed. With the real program stopped (SIGSTOP) for 1.3 s and answers that came 0.4 s after the requests, none of 1 and none of 200 requests was answered.

Cause: OnDeadline ended the attempt without a look at its socket. Reading before timers is not enough: one turn of the loop takes at most as many ready descriptors as it did before, and 32 KB from each.

OnDeadline now reads what the kernel holds of this answer first.

--- a/packages/http_stream/tcp_connection.cc
+++ b/packages/http_stream/tcp_connection.cc
@@ -76,7 +76,8 @@
   void FinishConnect();
   void Flush();
   void ShutdownIfFinished();
-  void Read();
+  // Returns true if there were bytes, or the connection ended.
+  bool Read();
   void UpdateInterest();
 };
 
@@ -191,7 +192,7 @@
   }
 }
 
-void TcpConnection::State::Read() {
+bool TcpConnection::State::Read() {
   static thread_local std::array<char, kMaxReadBytes> buffer;
   const ssize_t byte_count =
       recv(this->socket, buffer.data(), buffer.size(), 0);
@@ -207,13 +208,14 @@
         throw;
       }
     }
-    return;
+    return true;
   }
   if (byte_count < 0 &&
       (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
-    return;
+    return false;
   }
   this->End(byte_count == 0 ? ConnectionEnd::kOrderly : ConnectionEnd::kReset);
+  return true;
 }
 
 TcpConnection::TcpConnection(EventLoop& loop, int socket)
@@ -304,11 +306,9 @@
   this->state->ShutdownIfFinished();
 }
 
-void TcpConnection::ReadPending() {
+bool TcpConnection::ReadPending() {
   const std::shared_ptr<State> state = this->state;
-  if (state->connected && state->reading && !state->ended) {
-    state->Read();
-  }
+  return state->connected && state->reading && !state->ended && state->Read();
 }
 
 std::size_t TcpConnection::unsent() const {
--- a/packages/http_stream/tcp_connection.h
+++ b/packages/http_stream/tcp_connection.h
@@ -54,8 +54,9 @@
   // this call.
   void FinishWriting();
   // Reads once and delivers what has arrived, or the end of the connection,
-  // without waiting for the event loop. No effect while reading is paused.
-  void ReadPending();
+  // without waiting for the event loop. Returns false if there was nothing, or
+  // reading is paused.
+  bool ReadPending();
   // Returns the number of queued bytes that the kernel has not accepted yet.
   std::size_t unsent() const;
   // Returns false as long as no byte passed to Write can have left this host.
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -41,6 +41,9 @@
 // connection can be reused. Beyond that, the connection is closed.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{64} * 1024;
 constexpr Duration kMaxDiscardTime = Milliseconds(250);
+// Limits what is read at once from a server that goes on sending; the buffers
+// of the kernel hold less.
+constexpr int kMaxPendingReads = 256;
 // A request that is still open this long after its deadline was kept from
 // ending by an exception.
 constexpr Duration kOverdueMargin = Milliseconds(200);
@@ -622,7 +625,16 @@
   return true;
 }
 
+void RelayedRequest::ReadPending() {
+  for (int i = 0; i < kMaxPendingReads && this->attempt != nullptr; ++i) {
+    if (!this->attempt->ReadPending()) {
+      return;
+    }
+  }
+}
+
 void RelayedRequest::OnDeadline() {
+  this->ReadPending();
   if (this->finished) {
     return;
   }
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -110,6 +110,9 @@
              std::string_view detail,
              bool known_not_run = false);
   void OnComplete();
+  // Reads what has arrived from the server, so that a time limit is not judged
+  // by what was read before a pause of this process.
+  void ReadPending();
   void OnDeadline();
   // Ends a request that an exception has kept from ending, without an answer
   // if there can be none.
--- a/packages/relay/server_attempt.cc
+++ b/packages/relay/server_attempt.cc
@@ -288,6 +288,12 @@
   }
 }
 
+bool ServerAttempt::ReadPending() {
+  const auto live_state = this->state;
+  return live_state->connection != nullptr &&
+         live_state->connection->ReadPending();
+}
+
 std::unique_ptr<TcpConnection> ServerAttempt::TakeConnection() {
   if (!this->state->reusable) {
     return nullptr;
--- a/packages/relay/server_attempt.h
+++ b/packages/relay/server_attempt.h
@@ -70,6 +70,9 @@
   // True once bytes of the request may have left this host.
   bool any_sent() const;
   void SetReading(bool reading);
+  // Reads once what has arrived, without waiting for the event loop. Returns
+  // false if there was nothing, or reading is paused.
+  bool ReadPending();
   // After kComplete: returns the connection if it can carry another request,
   // else null.
   std::unique_ptr<TcpConnection> TakeConnection();
