--- a/packages/relay/server_attempt.cc
+++ b/packages/relay/server_attempt.cc
@@ -319,6 +319,12 @@
   return held;
 }
 
+bool ServerAttempt::ReadPending() {
+  const auto live_state = this->state;
+  return live_state->connection != nullptr &&
+         live_state->connection->ReadPending();
+}
+
 std::unique_ptr<TcpConnection> ServerAttempt::TakeConnection() {
   if (!this->state->reusable) {
     return nullptr;
--- a/packages/relay/server_attempt.h
+++ b/packages/relay/server_attempt.h
@@ -74,6 +74,9 @@
   bool any_sent() const;
   void SetReading(bool reading);
   HeldMemory held_memory() const;
+  // Reads once what has arrived, without waiting for the event loop. Returns
+  // false if there was nothing, or reading is paused.
+  bool ReadPending();
   // After kComplete: returns the connection if it can carry another request,
   // else null.
   std::unique_ptr<TcpConnection> TakeConnection();
