End no stream for a silence that a paused host did not see

Seen by callers: streams of sound servers that end without their last chunk after the entry host got no processor time for about 2 s.

Cause: FailIfGroupHalted ends a request without progress for 1.6 s whose group reports and has begun no pass for 1.2 s. After a pause, the first report that is read may have been made before it: it names the pass that is known, and both times seem to have passed, though the group went on meanwhile.

The silence now counts from the end of the last pause at the earliest, and what the server has sent is read before it is judged.

--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -240,7 +240,7 @@
   auto session = std::make_unique<CallerSession>(
       RelayContext{this->loop, this->codec, this->dispatcher, this->quarantine,
                    this->metrics, this->view_task->view(),
-                   this->observed_timeouts, this->stop},
+                   this->observed_timeouts, this->stop, this->awake_since},
       socket, number, closed);
   if (over_limit) {
     session->RefuseRequests();
@@ -257,6 +257,7 @@
   if (since_last_sweep >= kMinPause) {
     LogJsonNow("process_paused", {{"ms", ToMilliseconds(since_last_sweep)}});
     this->metrics.Count("pauses_total");
+    this->awake_since = now;
   }
   this->swept_at = now;
   this->view_task->SetCoordinating(this->maps->IsCoordinator());
--- a/packages/relay/relay_host.h
+++ b/packages/relay/relay_host.h
@@ -88,6 +88,8 @@
   std::unique_ptr<Timer> sweep_timer;
   TimePoint started_at;
   TimePoint swept_at;
+  // End of the last pause in which this process did not run.
+  TimePoint awake_since;
   // Set once the host has begun to stop.
   std::optional<StopSchedule> stop;
   std::function<void()> on_drained;
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -443,9 +443,18 @@
 }
 
 void RelayedRequest::FailIfGroupHalted(TimePoint now) {
-  if (this->attempt == nullptr ||
-      now - this->last_progress_at < kHaltedGroupSilenceLimit ||
-      !this->context.dispatcher.IsHaltedOrStalled(*this->pool, now)) {
+  // What the host did not see while it stood still is nobody's silence.
+  const auto is_silent = [this, now] {
+    return this->attempt != nullptr &&
+           now - std::max(this->last_progress_at, this->context.awake_since) >=
+               kHaltedGroupSilenceLimit &&
+           this->context.dispatcher.IsHaltedOrStalled(*this->pool, now);
+  };
+  if (!is_silent()) {
+    return;
+  }
+  this->ReadPending();
+  if (!is_silent()) {
     return;
   }
   this->maybe_ran = this->maybe_ran || this->attempt->any_sent();
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -39,6 +39,8 @@
   ObservedTimeouts& observed_timeouts;
   // Set once the host has begun to stop.
   const std::optional<StopSchedule>& stop;
+  // End of the last pause in which the host did not run.
+  const TimePoint& awake_since;
 };
 
 // Writes the response to the caller's connection. Any of the calls may destroy
--- a/standins/platform/paused_host_test.cc
+++ b/standins/platform/paused_host_test.cc
@@ -1,15 +1,19 @@
 // Entry hosts that get no processor time for a while: what arrives meanwhile
 // lies in the kernel's buffers when they go on.
 #include <algorithm>
+#include <chrono>
 #include <csignal>
 
 #include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
 
+#include "map_task/rank_agent.h"
+#include "standins/platform/engine_group_stand_in.h"
 #include "standins/platform/relay_process.h"
 
 namespace toucanhollow {
@@ -66,4 +70,61 @@
   CHECK(whole == count);
 }
 
+// The real program beside a model group of one rank with its agent.
+struct GroupProcess : RelayProcess {
+  EngineGroupStandIn group{this->loop,
+                           {.ranks = 1, .sets = 1, .experts = 4, .places = 4}};
+  std::unique_ptr<RankAgent> agent;
+
+  GroupProcess() : RelayProcess(Seconds(8)) {
+    RankAgentSettings agent_settings;
+    agent_settings.process = "agent";
+    agent_settings.listen = {"127.0.0.1", this->settings.report_port};
+    agent_settings.metrics = {"127.0.0.1", 0};
+    agent_settings.engine = {"127.0.0.1", this->group.Port(0)};
+    this->agent = std::make_unique<RankAgent>(this->loop, agent_settings,
+                                              platform::EngineCodec());
+    REQUIRE(this->agent->Start());
+    std::string config = ConfigText(2, "\"k1\"");
+    const std::string plain = R"({"name":"ledger","max_conns":96})";
+    config.replace(config.find(plain), plain.size(),
+                   R"({"name":"ledger","max_conns":96,"engine":{"slots":6,)"
+                   R"("sets":1,"places":4,"spare":1}})");
+    this->store.Put("keyed.op", "config", config);
+    this->RunFor(Milliseconds(1200));
+  }
+};
+
+// Guards against a stream that is cut because the report that is read first
+// after a pause was made before it.
+TEST_CASE("a stream is not cut by a report from before a pause of the host") {
+  GroupProcess site;
+  ScriptedAnswer slow;
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-Toucanhollow-Request-Id: {id}\r\n"
+      "X-Toucanhollow-Response-Seal: seal\r\n"
+      "Content-Type: text/event-stream\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+  slow.bytes = head + "f\r\nid: 1\ndata: a\n\n\r\n";
+  slow.later = "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
+  slow.delay = Milliseconds(2600);
+  site.first.script = {slow};
+  Caller caller(site.loop, site.settings.callers);
+  std::string request = Request("POST", "/m/x", "r1", "", "p");
+  caller.connection->Write(request.replace(request.find("1500"), 4, "6000"));
+  REQUIRE(site.RunUntil([&] { return caller.parser.head_done(); }));
+  // The group pauses shortly, and its agent answers during that.
+  site.group.still = true;
+  site.RunFor(Milliseconds(200));
+  std::this_thread::sleep_for(std::chrono::milliseconds(120));
+  site.process->Signal(SIGSTOP);
+  site.RunFor(Milliseconds(100));
+  site.group.still = false;
+  site.RunFor(Milliseconds(1800));
+  site.process->Signal(SIGCONT);
+  REQUIRE(site.RunUntil([&] { return caller.parser.done() || caller.ended; }));
+  CHECK(caller.parser.done());
+  CHECK(caller.parser.TakeBody() == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
 }  // namespace toucanhollow
