Read an idle connection once before a request is sent on it

Seen by callers: 502 for a request that could have been served. After a pause of the entry host, requests were written to kept connections that their servers had closed meanwhile, or in a shorter one, that a turn of the loop had not delivered yet. Each such request spends an attempt and a part of the shared bound on retries.

TakeIdle now reads once, and leaves a connection that has ended or has bytes.

--- a/packages/relay/server_connection_pool.cc
+++ b/packages/relay/server_connection_pool.cc
@@ -24,7 +24,9 @@
   while (!this->idle.empty()) {
     IdleConnection newest = std::move(this->idle.back());
     this->idle.pop_back();
-    if (now < newest.usable_until) {
+    // The server may have closed it, or sent bytes that belong to no request,
+    // which the loop has not delivered yet.
+    if (now < newest.usable_until && !newest.connection->ReadPending()) {
       return std::move(newest.connection);
     }
   }
