--- a/standins/platform/paused_host_test.cc
+++ b/standins/platform/paused_host_test.cc
@@ -19,7 +19,7 @@
 namespace toucanhollow {
 namespace {
 
-std::vector<std::unique_ptr<Caller>> AskMany(RelayProcess &site, int count) {
+std::vector<std::unique_ptr<Caller>> AskMany(RelayProcess& site, int count) {
   std::vector<std::unique_ptr<Caller>> callers;
   for (int i = 0; i < count; ++i) {
     callers.push_back(
@@ -30,7 +30,7 @@
   return callers;
 }
 
-} // namespace
+}  // namespace
 
 // Guards against answers that are replaced by a failure because their deadline
 // passed between their arrival and the time at which the host read them.
@@ -60,10 +60,10 @@
   site.process->Signal(SIGCONT);
   site.RunUntil([&] {
     return std::ranges::all_of(
-        callers, [](const auto &caller) { return caller->parser.done(); });
+        callers, [](const auto& caller) { return caller->parser.done(); });
   });
   const auto whole = std::ranges::count_if(
-      callers, [size = static_cast<std::size_t>(size)](const auto &caller) {
+      callers, [size = static_cast<std::size_t>(size)](const auto& caller) {
         return caller->parser.done() && caller->parser.head().status == 200 &&
                caller->parser.TakeBody().size() == size;
       });
@@ -82,18 +82,18 @@
   site.store.Put("keyed.op", "config", config);
   site.RunFor(Milliseconds(1200));
   std::vector<std::unique_ptr<Caller>> callers(6);
-  for (auto &caller : callers) {
+  for (auto& caller : callers) {
     caller = std::make_unique<Caller>(site.loop, site.settings.callers);
   }
   const auto ask = [&callers] {
-    for (const auto &caller : callers) {
+    for (const auto& caller : callers) {
       caller->parser = ResponseParser(true);
       caller->connection->Write(Request("GET", "/s/x", "r"));
     }
   };
   const auto all_answered = [&callers] {
     return std::ranges::all_of(
-        callers, [](const auto &caller) { return caller->parser.done(); });
+        callers, [](const auto& caller) { return caller->parser.done(); });
   };
   // Leaves an idle connection for each caller.
   ask();
@@ -104,7 +104,7 @@
   site.RunFor(Milliseconds(50));
   site.process->Signal(SIGCONT);
   REQUIRE(site.RunUntil(all_answered));
-  for (const auto &caller : callers) {
+  for (const auto& caller : callers) {
     CHECK(caller->parser.head().status == 200);
   }
 }
@@ -166,4 +166,4 @@
   CHECK(caller.parser.TakeBody() == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
 
-} // namespace toucanhollow
+}  // namespace toucanhollow
