Leave a begun stream of a stopping host to its server

Seen by callers: a stream that ends without its last chunk in the grace time of a planned stop, although its server goes on with it.

Cause: FailIfGroupHalted ends a stream after 1.6 s without an event while its model group executes no passes. It is there so that servers do not go on for callers that have left. A stop brings such silences about: a host that coordinates expert maps may leave a pass on hold, until the next coordinator has resolved the round.

A stopping host now ends no stream that has begun for a silence. A request without an event still gets its 502.

platform_relay_test "a silent stream of a stopping host is left to its server" (group that stands, and one that begins no pass; the next event comes after 1.9 s): 3 of 3 runs fail before with the stream cut, 3 of 3 pass. The cases on silent streams of a host that does not stop are unchanged and pass.

--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -443,6 +443,10 @@
 }
 
 void RelayedRequest::FailIfGroupHalted(TimePoint now) {
+  // A stopping host ends streams at the end of its grace time and not before.
+  if (this->context.stop && this->response_started) {
+    return;
+  }
   // What the host did not see while it stood still is nobody's silence.
   const auto is_silent = [this, now] {
     return this->attempt != nullptr &&
--- a/standins/platform/platform_relay_test.cc
+++ b/standins/platform/platform_relay_test.cc
@@ -657,6 +657,33 @@
   CheckSilentStreamEnds(site, [&site] { site.group.still = true; });
 }
 
+// Guards against a stream that a stopping host cuts for a silence of its
+// server, though the grace time is not over and its caller still waits.
+TEST_CASE("a silent stream of a stopping host is left to its server") {
+  RankSite site;
+  site.settings.grace = Milliseconds(6000);
+  site.Start();
+  REQUIRE(Serves(site));
+  ScriptedAnswer slow;
+  slow.bytes = StreamHead() + Chunk("id: 1\ndata: a\n\n");
+  slow.later = Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
+  slow.delay = Milliseconds(1900);
+  site.first.script.push_back(slow);
+  Caller caller(site.loop, site.settings.callers.port);
+  std::string request = Request("POST", "/m/x", "r1", "", "p");
+  caller.connection->Write(request.replace(request.find("1500"), 4, "6000"));
+  REQUIRE(site.RunUntil([&] { return caller.parser.head_done(); }));
+  const bool stands = GENERATE(false, true);
+  site.group.still = !stands;
+  site.group.open = !stands;
+  bool stopped = false;
+  site.host->Shutdown([&stopped] { stopped = true; });
+  CHECK(site.RunUntil([&] { return caller.parser.done() || caller.ended; }));
+  CHECK(caller.parser.done());
+  CHECK(caller.parser.TakeBody() == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  CHECK(site.RunUntil([&stopped] { return stopped; }));
+}
+
 // Guards against a slow but sound stream that is cut: its events are just under
 // the time that callers wait, and it lasts longer than any idle time.
 TEST_CASE("a slow stream of a group that makes passes is not cut") {
