Queue more callers while a process gets no processor time

Seen by callers: connections that take a second or more, or that only they have, when an entry host stands still for a moment: its queue of new connections held 512. The kernel then drops opening packets and the last packets of handshakes, which are sent again after 1 s and more.

The queue now holds as many as the kernel allows (net.core.somaxconn, 4096 on current systems).

tcp_listener_test "a burst of callers is queued while the loop does not run": 512 of 800 callers connect before, 800 of 800 after.

--- a/packages/http_stream/tcp_connection.cc
+++ b/packages/http_stream/tcp_connection.cc
@@ -20,7 +20,10 @@
 constexpr std::size_t kMaxReadBytes = std::size_t{32} * 1024;
 // Maximum connections accepted in one event-loop callback.
 constexpr int kMaxAcceptsPerCallback = 32;
-constexpr int kListenBacklog = 511;
+// Callers that connect while the process gets no processor time wait in the
+// kernel's queue. The kernel caps it at net.core.somaxconn, which is 4096 on
+// current systems.
+constexpr int kListenBacklog = 4095;
 // The kernel queues one connection more than the number passed to listen.
 constexpr int kMaxQueuedConnections = kListenBacklog + 1;
 // Without a free descriptor the listening socket stays readable, so it is not
--- a/packages/http_stream/tcp_listener_test.cc
+++ b/packages/http_stream/tcp_listener_test.cc
@@ -1,9 +1,14 @@
+#include <arpa/inet.h>
 #include <fcntl.h>
+#include <poll.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <cerrno>
 #include <ctime>
+#include <fstream>
 #include <memory>
 #include <vector>
 
@@ -76,5 +81,44 @@
   }
 }
 
+// Guards against callers that cannot connect, or alone have a connection, while
+// the process gets no processor time for a moment.
+TEST_CASE("a burst of callers is queued while the loop does not run") {
+  int most_queued = 0;
+  REQUIRE(std::ifstream("/proc/sys/net/core/somaxconn") >> most_queued);
+  const int count = std::min(800, most_queued);
+  EventLoop loop;
+  int accepted = 0;
+  const auto listening =
+      TcpListener::Listen(loop, {"127.0.0.1", 0}, [&](int socket) {
+        ++accepted;
+        close(socket);
+      });
+  REQUIRE(listening.has_value());
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(listening.value()->Port());
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  std::vector<int> callers(count);
+  int connected = 0;
+  for (int& caller : callers) {
+    caller = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    REQUIRE(caller >= 0);
+    const bool begun =
+        connect(caller, reinterpret_cast<const sockaddr*>(&address),
+                sizeof(address)) == 0 ||
+        errno == EINPROGRESS;
+    REQUIRE(begun);
+    pollfd established{caller, POLLOUT, 0};
+    connected += poll(&established, 1, 20);
+  }
+  CHECK(connected == count);
+  RunFor(loop, Milliseconds(200));
+  CHECK(accepted == connected);
+  for (const int caller : callers) {
+    close(caller);
+  }
+}
+
 }  // namespace
 }  // namespace toucanhollow
