Limit the time-out of a connection that a server states

"Keep-Alive: timeout=" overflowed a signed number, which the sanitizer reports for a relay that is fed such answers: the time-out became -1 s, and the connection was not used again.

The new case fails before (-1,000,000 us) and holds now.

--- a/packages/relay/server_attempt.cc
+++ b/packages/relay/server_attempt.cc
@@ -1,5 +1,7 @@
 #include "relay/server_attempt.h"
 
+#include <algorithm>
+#include <cstdint>
 #include <utility>
 
 #include "http_stream/write_message.h"
@@ -7,6 +9,9 @@
 namespace toucanhollow {
 namespace {
 
+// Longer time-outs of a server count as this one, in seconds.
+constexpr std::int64_t kMaxKeepAliveS = 24 * 3600;
+
 // The time-out in a header like "Keep-Alive: timeout=5"; zero if it has none.
 Duration ParseKeepAliveTimeout(const HttpHeaders& headers) {
   constexpr std::string_view kTimeout = "timeout=";
@@ -17,7 +22,7 @@
   }
   std::string_view digits = value.substr(begin + kTimeout.size());
   digits = digits.substr(0, digits.find_first_not_of("0123456789"));
-  return Seconds(ParseDecimal(digits).value_or(0));
+  return Seconds(std::min(ParseDecimal(digits).value_or(0), kMaxKeepAliveS));
 }
 
 // Responses to earlier requests are skipped up to this size. One that does not
--- a/packages/relay/server_attempt_test.cc
+++ b/packages/relay/server_attempt_test.cc
@@ -44,6 +44,7 @@
             std::optional<BootTime> write_by) {
     AttemptCallbacks callbacks;
     callbacks.on_sent = [this] { this->sent = true; };
+    callbacks.on_head = [](const ResponseHead&, const ResponseMetadata&) {};
     callbacks.on_end = [this](AttemptEnd attempt_end, std::string_view) {
       this->end = attempt_end;
     };
@@ -71,6 +72,26 @@
   CHECK_FALSE(fixture.end);
 }
 
+// Guards against a number that overflows when it becomes a duration.
+TEST_CASE("a server may keep its connections for as long as it likes") {
+  AttemptFixture fixture;
+  fixture.codec.read_response = [](const ResponseHead&) {
+    ResponseMetadata metadata;
+    metadata.request_id = "r1";
+    metadata.sealed = true;
+    return metadata;
+  };
+  fixture.Send(fixture.Connect(), std::nullopt);
+  fixture.RunFor(Milliseconds(20));
+  REQUIRE(fixture.accepted != nullptr);
+  fixture.accepted->Write(
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+      "Keep-Alive: timeout=9223372036854775807\r\n\r\n");
+  fixture.RunFor(Milliseconds(20));
+  REQUIRE(fixture.end == AttemptEnd::kComplete);
+  CHECK(fixture.attempt->server_keep_alive_timeout() >= Seconds(3600));
+}
+
 // Guards against requests that were held up while their connections were made
 // and then reach a cold server together, after their permits have expired.
 TEST_CASE("a request is not written after its permit has expired") {
