Relay: a memory budget for request bodies

Without memory it stops reading, for 0.4 s at most, or answers 503 with Retry-After at once if there will be none in time.

--- a/apps/run_toucanhollow.cc
+++ b/apps/run_toucanhollow.cc
@@ -1,5 +1,6 @@
 // Runs one process of the load balancer, in the role that --role names: an
 // entry host, an endpoint agent, a relay or a rank agent.
+#include <cstdlib>
 #include <exception>
 #include <functional>
 #include <iostream>
@@ -45,6 +46,10 @@
 // its callers: links, the log, files.
 constexpr std::size_t kOtherDescriptors = 1024;
 
+// Set by the deploy file, in MB. The template of the settings leaves it out, as
+// it is also filled in by programs that do not know the platform's limit.
+constexpr const char* kMemoryLimitVariable = "MEMORY_LIMIT_MB";
+
 Severity ToSeverity(LogLevel level) {
   switch (level) {
     case LogLevel::kDebug:
@@ -107,12 +112,18 @@
   });
 }
 
+std::string Environment(const char* name) {
+  const char* value = std::getenv(name);
+  return value == nullptr ? "" : value;
+}
+
 // Runs a relay: an entry host on the users' platform. It reads RelaySettings
 // instead of Settings.
 int RunRelay() {
   std::optional<RelaySettings> settings;
   const ParseStep parse = [&](const std::string& text) {
-    return KeepSettings(ParseRelaySettings(text), settings);
+    return KeepSettings(
+        ParseRelaySettings(text, Environment(kMemoryLimitVariable)), settings);
   };
   if (FLAGS_check) {
     return CheckSettings(parse);
--- a/packages/http_stream/message_parser.cc
+++ b/packages/http_stream/message_parser.cc
@@ -296,6 +296,14 @@
 std::size_t RequestParser::held_bytes() const {
   return this->state->parser.body.size() + this->state->pending.size();
 }
+std::optional<std::uint64_t> RequestParser::content_length() const {
+  const boost::optional<std::uint64_t> length =
+      this->state->parser.content_length();
+  return this->head_done() && length ? std::optional(*length) : std::nullopt;
+}
+std::size_t RequestParser::body_bytes() const {
+  return this->state->parser.body.size();
+}
 std::string RequestParser::TakeBody() {
   return std::exchange(this->state->parser.body, {});
 }
--- a/packages/http_stream/message_parser.h
+++ b/packages/http_stream/message_parser.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -49,6 +50,10 @@
   const RequestHead& head() const;
   // Bytes of the body and of what has not been parsed yet.
   std::size_t held_bytes() const;
+  // The length of the body, once the head has arrived and if it names one.
+  std::optional<std::uint64_t> content_length() const;
+  // Decoded bytes of the body.
+  std::size_t body_bytes() const;
   // Returns and clears the decoded body, which is complete once done() is true.
   std::string TakeBody();
   // Returns and clears the received bytes that follow the request.
--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -5,6 +5,7 @@
 
 #include "http_stream/write_message.h"
 #include "json_log/json_log.h"
+#include "traffic/caller_retry.h"
 
 namespace toucanhollow {
 namespace {
@@ -29,6 +30,24 @@
 // Longest time between two parts of a request body.
 constexpr Duration kBodyStallTimeout = Seconds(5);
 
+// What a connection and a request take beside a large body or answer.
+constexpr std::size_t kConnectionBytes = std::size_t{4} * 1024;
+constexpr std::size_t kRequestBytes = std::size_t{48} * 1024;
+// Bodies up to this size are part of kRequestBytes.
+constexpr std::size_t kSmallRequestBodyBytes = std::size_t{32} * 1024;
+// Callers leave if their request is not read within a second, or a third of the
+// time that they have left.
+constexpr Duration kMaxBodyWait = Milliseconds(400);
+constexpr int kBodyWaitDivisor = 6;
+constexpr Duration kMinMemoryRetryAfter = Milliseconds(300);
+constexpr Duration kMaxMemoryRetryAfter = Milliseconds(1500);
+
+// A body and the memory that is held for it.
+struct HeldBody {
+  std::string bytes;
+  MemoryHold hold;
+};
+
 struct ResetOnExit {
   bool& flag;
 
@@ -47,6 +66,8 @@
       on_closed(std::move(on_closed)),
       waiting_since(EventLoop::Now()),
       idle_timeout(this->Limits().idle_timeout) {
+  this->connection_hold = context.memory.Open(MemoryUse::kConnection);
+  this->connection_hold.Resize(kConnectionBytes);
   this->connection->SetCallbacks(
       {nullptr, [this](std::string_view bytes) { this->OnData(bytes); },
        [this] { this->OnOutputDrained(); },
@@ -57,6 +78,7 @@
   if (this->request != nullptr) {
     this->request->Cancel("the session was destroyed");
   }
+  this->ReleaseInput();
 }
 
 const IngressLimits& CallerSession::Limits() const {
@@ -83,11 +105,16 @@
         this->RefuseInput(503, "too many connections", kRefusedRetryAfter);
         return;
       }
+      if (!this->connection_hold.Resize(kRequestBytes)) {
+        this->RefuseInput(503, "no memory for the request",
+                          kMinMemoryRetryAfter);
+        return;
+      }
+      this->parser = std::make_unique<RequestParser>(
+          ParserLimits{this->Limits().header_bytes, this->Limits().body_bytes});
       this->phase = Phase::kReading;
       this->waiting_since = EventLoop::Now();
       this->continue_sent = false;
-      this->parser = std::make_unique<RequestParser>(
-          ParserLimits{this->Limits().header_bytes, this->Limits().body_bytes});
       break;
     case Phase::kReading:
       if (this->parser->head_done()) {
@@ -120,6 +147,9 @@
     this->StartRequest();
     return;
   }
+  if (this->parser->head_done() && !this->ReserveBody()) {
+    return;
+  }
   if (this->parser->head_done() && !this->continue_sent &&
       IsSameHeaderName(FindHeader(this->parser->head().headers, "Expect"),
                        "100-continue")) {
@@ -128,10 +158,95 @@
   }
 }
 
+bool CallerSession::ReserveBody() {
+  if (this->body_ticket) {
+    return false;
+  }
+  const auto announced = this->parser->content_length();
+  const std::size_t arrived = this->parser->body_bytes();
+  const std::size_t reserved = this->body_hold.bytes();
+  if (std::max<std::size_t>(announced.value_or(0), arrived) <=
+      std::max(reserved, kSmallRequestBodyBytes)) {
+    return true;
+  }
+  if (reserved > 0) {
+    this->RefuseBody(kMaxMemoryRetryAfter);
+    return false;
+  }
+  // A body in chunks may become as large as any.
+  const std::size_t bytes = announced.value_or(std::min<std::size_t>(
+      this->Limits().body_bytes, this->context.memory.max_body_bytes()));
+  const TimePoint now = EventLoop::Now();
+  BodyAnswer answer = this->context.memory.ReserveBody(
+      bytes, this->BodyWaitEnd(now), now, [this](BodyAnswer late_answer) {
+        this->body_ticket.reset();
+        this->waiting_since = EventLoop::Now();
+        if (this->TakeBodyAnswer(std::move(late_answer))) {
+          this->connection->SetReading(true);
+          this->Advance();
+        }
+      });
+  if (answer.verdict != BodyVerdict::kWaits) {
+    return this->TakeBodyAnswer(std::move(answer));
+  }
+  this->body_ticket = answer.ticket;
+  this->connection->SetReading(false);
+  return false;
+}
+
+bool CallerSession::TakeBodyAnswer(BodyAnswer answer) {
+  if (answer.verdict == BodyVerdict::kGranted) {
+    this->body_hold = std::move(answer.hold);
+    return true;
+  }
+  this->RefuseBody(answer.expected_wait);
+  return false;
+}
+
+void CallerSession::RefuseBody(Duration expected_wait) {
+  const Duration retry_after =
+      std::clamp(expected_wait, kMinMemoryRetryAfter, kMaxMemoryRetryAfter);
+  const std::optional<RequestMetadata> metadata = this->ArrivedMetadata();
+  this->RefuseInput(503, "no memory for the body",
+                    metadata && metadata->deadline
+                        ? RetryDelay(retry_after, *metadata->deadline)
+                        : retry_after);
+}
+
+TimePoint CallerSession::BodyWaitEnd(TimePoint now) const {
+  const std::optional<RequestMetadata> metadata = this->ArrivedMetadata();
+  return now +
+         (metadata && metadata->deadline
+              ? std::min(kMaxBodyWait, *metadata->deadline / kBodyWaitDivisor)
+              : kMaxBodyWait);
+}
+
+void CallerSession::ReleaseInput() {
+  if (this->body_ticket) {
+    this->context.memory.Withdraw(*std::exchange(this->body_ticket, {}));
+  }
+  this->parser.reset();
+  this->body_hold = MemoryHold();
+}
+
+std::shared_ptr<const std::string> CallerSession::TakeBody() {
+  const auto body = std::make_shared<HeldBody>();
+  body->bytes = this->parser->TakeBody();
+  // Memory was reserved for the largest body if its length was not announced.
+  if (body->bytes.capacity() / 2 > body->bytes.size()) {
+    body->bytes.shrink_to_fit();
+  }
+  this->body_hold.Resize(std::min(this->body_hold.bytes(), body->bytes.size()));
+  body->hold = std::move(this->body_hold);
+  return {body, &body->bytes};
+}
+
 void CallerSession::StartRequest() {
   this->phase = Phase::kResponding;
   this->pipelined_bytes = this->parser->TakeUnparsedBytes();
   RequestHead head = this->parser->head();
+  std::shared_ptr<const std::string> body = this->TakeBody();
+  this->ReleaseInput();
   this->caller_keeps_alive = head.keep_alive;
   this->is_head_request = head.method == "HEAD";
   ResponseSink sink;
@@ -166,9 +281,7 @@
   this->request = std::make_shared<RelayedRequest>(
       this->context,
       this->number * kMaxRequestsPerSession + this->request_count,
-      std::move(head),
-      std::make_shared<const std::string>(this->parser->TakeBody()),
-      EventLoop::Now(), std::move(sink));
+      std::move(head), std::move(body), EventLoop::Now(), std::move(sink));
   const auto active_request = this->request;
   active_request->Start();
 }
@@ -205,20 +318,21 @@
   this->context.metrics.Count("input_refused_total",
                               "status=\"" + std::to_string(status) + "\"");
   this->draining = true;
+  const std::optional<RequestMetadata> metadata = this->ArrivedMetadata();
   this->SendHead(status, "",
                  this->context.codec.relay_response_headers(
-                     this->ArrivedRequestId(), retry_after),
+                     metadata ? metadata->request_id : "", retry_after),
                  "0");
   this->BeginClosing();
 }
 
-std::string CallerSession::ArrivedRequestId() const {
+std::optional<RequestMetadata> CallerSession::ArrivedMetadata() const {
   if (this->parser == nullptr || !this->parser->head_done()) {
-    return "";
+    return std::nullopt;
   }
   const Result<RequestMetadata> metadata =
       this->context.codec.read_request(this->parser->head().headers);
-  return metadata ? metadata.value().request_id : "";
+  return metadata ? std::optional(metadata.value()) : std::nullopt;
 }
 
 void CallerSession::FinishResponse() {
@@ -232,7 +346,7 @@
   this->phase = Phase::kIdle;
   this->waiting_since = EventLoop::Now();
   this->idle_timeout = this->Limits().idle_timeout;
-  this->parser.reset();
+  this->connection_hold.Resize(kConnectionBytes);
   this->connection->SetReading(true);
   this->ServePipelined();
 }
@@ -250,6 +364,7 @@
 }
 
 void CallerSession::BeginClosing() {
+  this->ReleaseInput();
   this->phase = Phase::kClosing;
   this->closing_since = EventLoop::Now();
   this->waiting_since = this->closing_since;
@@ -281,8 +396,10 @@
     return;
   }
   this->phase = Phase::kClosed;
+  this->ReleaseInput();
   this->request.reset();
   this->connection.reset();
+  this->connection_hold = MemoryHold();
   this->on_closed();
 }
 
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -12,6 +12,7 @@
 
 #include "http_stream/message_parser.h"
 #include "http_stream/tcp_connection.h"
+#include "relay/relay_memory.h"
 #include "relay/relayed_request.h"
 
 namespace toucanhollow {
@@ -55,12 +56,25 @@
   void OnEnd();
   void OnOutputDrained();
   void Advance();
+  // Sees to it that there is memory for the body that is being read. Returns
+  // false while there is none: reading is then paused, or the request refused.
+  bool ReserveBody();
+  // Returns false if the request was refused.
+  bool TakeBodyAnswer(BodyAnswer answer);
+  // Refuses the request for want of memory. `expected_wait`: until there may be
+  // some.
+  void RefuseBody(Duration expected_wait);
+  // When a body must have got its memory.
+  TimePoint BodyWaitEnd(TimePoint now) const;
+  // Gives back what is held for a request that is being read.
+  void ReleaseInput();
+  std::shared_ptr<const std::string> TakeBody();
   void StartRequest();
   void RefuseInput(int status,
                    std::string_view why,
                    std::optional<Duration> retry_after = std::nullopt);
-  // Empty unless the head of the request being read has arrived and names it.
-  std::string ArrivedRequestId() const;
+  // Empty unless the head of the request being read has arrived and is proper.
+  std::optional<RequestMetadata> ArrivedMetadata() const;
   void SendHead(int status,
                 std::string_view reason,
                 HttpHeaders headers,
@@ -93,6 +107,12 @@
   bool caller_keeps_alive = true;
   bool is_head_request = false;
   std::uint64_t request_count = 0;
+  // Of the connection and, while there is one, its request.
+  MemoryHold connection_hold;
+  // Of the body that is being read.
+  MemoryHold body_hold;
+  // Set while the body waits for memory.
+  std::optional<std::uint64_t> body_ticket;
   // Bytes of later requests that arrived while a request is being answered.
   std::string pipelined_bytes;
   bool serving_pipelined = false;
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -34,6 +34,7 @@
       codec(codec),
       engine_codec(engine_codec),
       client(loop),
+      memory(loop, this->metrics, this->settings.memory_bytes),
       permits(loop, this->metrics),
       quarantine(loop, this->metrics),
       dispatcher(loop, this->settings, this->permits, this->quarantine) {}
@@ -134,6 +135,7 @@
 }
 
 void RelayHost::UpdateMemoryGauges() {
+  this->memory.UpdateMetrics();
   const ProcessMemory process = ReadProcessMemory();
   const auto set = [this](std::string_view name, std::size_t bytes,
                           std::string_view labels = "") {
@@ -260,7 +262,7 @@
   };
   auto session = std::make_unique<CallerSession>(
       RelayContext{this->loop, this->codec, this->dispatcher, this->quarantine,
-                   this->metrics, this->view_task->view(),
+                   this->memory, this->metrics, this->view_task->view(),
                    this->observed_timeouts, this->stop},
       socket, number, closed);
   if (over_limit) {
@@ -276,6 +278,7 @@
   const TimePoint now = EventLoop::Now();
   this->view_task->SetCoordinating(this->maps->IsCoordinator());
   this->quarantine.Sweep(now);
+  this->memory.Sweep(now);
   for (const auto& [number, session] : this->sessions) {
     // An exception of one session must not keep the others from being swept.
     RunGuarded(this->loop.raw(),
--- a/packages/relay/relay_host.h
+++ b/packages/relay/relay_host.h
@@ -25,6 +25,7 @@
 #include "relay/prompt_quarantine.h"
 #include "relay/quarantine_store_task.h"
 #include "relay/relay_codec.h"
+#include "relay/relay_memory.h"
 #include "relay/relay_settings.h"
 #include "relay/stop_schedule.h"
 
@@ -71,6 +72,7 @@
   const EngineMapCodec& engine_codec;
   Metrics metrics;
   HttpClient client;
+  RelayMemory memory;
   PermitClient permits;
   PromptQuarantine quarantine;
   Dispatcher dispatcher;
--- a/packages/relay/relay_settings.cc
+++ b/packages/relay/relay_settings.cc
@@ -109,12 +109,15 @@
 constexpr double kMaxPort = 65535;
 constexpr double kMaxPartitions = 4096;
 constexpr double kMaxSeconds = 3600;
+constexpr double kMebibyte = 1024.0 * 1024.0;
+constexpr double kMaxMemoryMb = 1e9;
 // Containers often have a limit of 2^30 open files.
 constexpr double kMaxDescriptors = std::numeric_limits<int>::max();
 
 }  // namespace
 
-Result<RelaySettings> ParseRelaySettings(const std::string& text) {
+Result<RelaySettings> ParseRelaySettings(const std::string& text,
+                                         const std::string& memory_mb) {
   ptree tree;
   try {
     std::istringstream stream(text);
@@ -123,6 +126,9 @@
     return InvalidField("line " + std::to_string(error.line()),
                         error.message());
   }
+  if (!HasValue(tree, "limits.memory_mb") && !memory_mb.empty()) {
+    tree.put("limits.memory_mb", memory_mb);
+  }
   RelaySettings settings;
   BOOST_OUTCOME_TRY(process_value, ReadText(tree, "process.name"));
   settings.process.value = process_value;
@@ -171,6 +177,11 @@
       descriptors, ReadNumberOr(tree, "limits.descriptors", 64, kMaxDescriptors,
                                 static_cast<double>(settings.max_descriptors)));
   settings.max_descriptors = static_cast<std::size_t>(descriptors);
+  if (HasValue(tree, "limits.memory_mb")) {
+    BOOST_OUTCOME_TRY(memory_mb,
+                      ReadNumber(tree, "limits.memory_mb", 1, kMaxMemoryMb));
+    settings.memory_bytes = static_cast<std::size_t>(memory_mb * kMebibyte);
+  }
   BOOST_OUTCOME_TRY(grace_s,
                     ReadNumberOr(tree, "shutdown.grace_s", 0.5, kMaxSeconds,
                                  ToSeconds(settings.grace)));
--- a/packages/relay/relay_settings.h
+++ b/packages/relay/relay_settings.h
@@ -36,6 +36,9 @@
   // to it again.
   Duration contact_bound = Seconds(3);
   std::size_t max_descriptors = 1024;
+  // Bytes that the process may use. The default is that of the platform's
+  // smallest entry hosts.
+  std::size_t memory_bytes = std::size_t{160} * 1024 * 1024;
   Duration grace = Seconds(8);  // SIGTERM to SIGKILL
   RetryBound retry;
   ColdBound cold;
@@ -45,8 +48,11 @@
 
 // Parses an INI text. Fails with kSettingsInvalid; the detail names the field
 // and the remedy. Unknown fields are ignored, because the platform may add
-// some. A number that is present and empty has its default.
-Result<RelaySettings> ParseRelaySettings(const std::string& text);
+// some. A number that is present and empty has its default. `memory_mb` is used
+// if the text has no limits.memory_mb; if it is empty too, that has its
+// default.
+Result<RelaySettings> ParseRelaySettings(const std::string& text,
+                                         const std::string& memory_mb = "");
 
 }  // namespace toucanhollow
 
--- a/packages/relay/relay_test.cc
+++ b/packages/relay/relay_test.cc
@@ -58,6 +58,26 @@
   CHECK(seeds.value().seeds.empty());
 }
 
+// Guards against a host that does not know how much memory it may use, or does
+// not start because nobody tells.
+TEST_CASE(
+    "the limit on memory is a setting, the environment's or the default") {
+  const auto parse = [](const std::string& line, const std::string& other) {
+    return ParseRelaySettings(SettingsWith("[limits]\n", "[limits]\n" + line),
+                              other);
+  };
+  constexpr std::size_t kMebibyte = std::size_t{1024} * 1024;
+  CHECK(parse("memory_mb = 260\n", "512").value().memory_bytes ==
+        260 * kMebibyte);
+  CHECK(parse("memory_mb =\n", "512").value().memory_bytes == 512 * kMebibyte);
+  CHECK(parse("", "512").value().memory_bytes == 512 * kMebibyte);
+  CHECK(parse("", "").value().memory_bytes == 160 * kMebibyte);
+  CHECK(parse("", "0.5").has_error());
+  CHECK(
+      parse("memory_mb = many\n", "").error().detail.find("limits.memory_mb") ==
+      0);
+}
+
 // Guards against a host that never starts because two of its UDP sockets are to
 // have the same port.
 TEST_CASE("the UDP ports of a host differ") {
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -22,6 +22,7 @@
 #include "relay/platform_view_task.h"
 #include "relay/prompt_quarantine.h"
 #include "relay/relay_codec.h"
+#include "relay/relay_memory.h"
 #include "relay/server_attempt.h"
 #include "relay/stop_schedule.h"
 #include "traffic/caller_retry.h"
@@ -34,6 +35,7 @@
   const RelayCodec& codec;
   Dispatcher& dispatcher;
   PromptQuarantine& quarantine;
+  RelayMemory& memory;
   Metrics& metrics;
   const PlatformView& view;
   ObservedTimeouts& observed_timeouts;
--- a/standins/platform/large_body_test.cc
+++ b/standins/platform/large_body_test.cc
@@ -3,56 +3,27 @@
 #include <fstream>
 #include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
 
+#include "standins/platform/large_body.h"
 #include "standins/platform/relay_process.h"
 
 namespace toucanhollow {
 namespace {
 
 constexpr std::size_t kMebibyte = std::size_t{1024} * 1024;
+constexpr std::size_t kMemoryMb = 128;
 constexpr std::size_t kLargeBytes = 4 * kMebibyte;
 
-std::string LargeBodyConfig() {
-  std::string text = ConfigText(2, "\"k1\"");
-  const std::pair<std::string, std::string> changes[] = {
-      {R"("max_body_bytes":1000)", R"("max_body_bytes":4194304)"},
-      {R"("timeout_ms":800)", R"("timeout_ms":8000)"},
-      {R"("header_timeout_ms":300)", R"("header_timeout_ms":3000)"}};
-  for (const auto& [from, to] : changes) {
-    for (std::size_t at = text.find(from); at != std::string::npos;
-         at = text.find(from, at + to.size())) {
-      text.replace(at, from.size(), to);
-    }
-  }
-  return text;
-}
-
-std::string Head(const std::string& id, const std::string& framing) {
-  std::string head = Request("POST", "/u/x", id, framing);
-  return head.replace(head.find("1500"), 4, "6000");
-}
-
-std::string LengthHead(const std::string& id, std::size_t bytes) {
-  return Head(id, "Content-Length: " + std::to_string(bytes) + "\r\n");
-}
-
-ScriptedAnswer DelayedAnswer(Duration delay) {
-  ScriptedAnswer answer = SealedAnswer("ok");
-  answer.later = std::exchange(answer.bytes, "");
-  answer.delay = delay;
-  return answer;
-}
-
 // The real program with a configuration that allows large bodies.
 struct LargeBodyProcess : RelayProcess {
   const std::shared_ptr<const std::string> body =
       std::make_shared<const std::string>(kLargeBytes, 'z');
 
-  LargeBodyProcess() : RelayProcess(Seconds(4)) {
+  explicit LargeBodyProcess(std::size_t memory_mb = 160)
+      : RelayProcess(Seconds(4), memory_mb) {
     this->store.Put("keyed.op", "config", LargeBodyConfig());
     REQUIRE(this->RunUntil([this] {
       return Ask(*this, LengthHead("probe", 2000) + std::string(2000, 'p'))
@@ -80,30 +51,59 @@
   }
 };
 
-bool Ended(const Caller& caller) {
-  return caller.parser.done() || caller.ended;
-}
-
-bool IsEnded(const std::unique_ptr<Caller>& caller) {
-  return Ended(*caller);
-}
-
-int Status(const Caller& caller) {
-  return caller.parser.done() ? caller.parser.head().status : 0;
-}
-
-// A value of the metrics of a host, or -1.
-double Metric(Site& site, const std::string& name) {
-  Caller caller(site.loop,
-                {site.settings.control.ip, site.settings.metrics_port});
-  caller.connection->Write(
-      "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
-  site.RunUntil([&] { return Ended(caller); });
-  const std::string text = "\n" + caller.parser.TakeBody();
-  const std::size_t at = text.find("\ntoucanhollow_" + name + " ");
-  return at == std::string::npos
-             ? -1
-             : std::stod(text.substr(at + name.size() + 15));
+// Guards against a host that is ended for its memory, with all its requests,
+// when large bodies come at once.
+TEST_CASE("bursts of large bodies stay within the memory of the host") {
+  constexpr int kBursts = 3;
+  constexpr int kUploads = 40;
+  LargeBodyProcess site(kMemoryMb);
+  int served = 0;
+  int refused = 0;
+  int small_asked = 0;
+  int small_served = 0;
+  for (int burst = 0; burst < kBursts; ++burst) {
+    std::vector<std::string> ids;
+    std::vector<std::unique_ptr<Caller>> uploads;
+    for (int i = 0; i < kUploads; ++i) {
+      site.first.script.push_back(DelayedAnswer(Milliseconds(150)));
+      ids.push_back("u" + std::to_string(burst) + "-" + std::to_string(i));
+      uploads.push_back(site.Upload(ids.back()));
+    }
+    const TimePoint end = EventLoop::Now() + Seconds(20);
+    bool all_ended = false;
+    while (!all_ended && EventLoop::Now() < end) {
+      ++small_asked;
+      small_served +=
+          Ask(site, Request("GET", "/s/x", "s" + std::to_string(small_asked)))
+                      .status == 200
+              ? 1
+              : 0;
+      all_ended = true;
+      for (const auto& upload : uploads) {
+        all_ended = all_ended && Ended(*upload);
+      }
+    }
+    for (int i = 0; i < kUploads; ++i) {
+      const int status = Status(*uploads[i]);
+      const int runs = site.first.runs[ids[i]];
+      INFO("upload " << ids[i]);
+      CHECK((status == 200 || status == 503));
+      CHECK(runs == (status == 200 ? 1 : 0));
+      CHECK((status != 503 || HasRetryAfter(*uploads[i])));
+      served += status == 200 ? 1 : 0;
+      refused += status == 503 ? 1 : 0;
+    }
+    site.first.script.clear();
+    site.first.bodies.clear();
+  }
+  INFO("peak " << site.PeakMb() << " MB, served " << served << ", refused "
+               << refused << ", small " << small_served << " of "
+               << small_asked);
+  CHECK(site.process->IsRunning());
+  CHECK(site.PeakMb() > 0);
+  CHECK(site.PeakMb() <= kMemoryMb);
+  CHECK(small_served == small_asked);
+  CHECK(served >= kBursts * 8);
 }
 
 // Guards against several copies of each body: one that is kept to be sent
--- a/standins/platform/relay_process.h
+++ b/standins/platform/relay_process.h
@@ -5,6 +5,7 @@
 
 #include <unistd.h>
 
+#include <cstddef>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -33,7 +34,7 @@
   std::filesystem::path directory;
   std::unique_ptr<ChildProcess> process;
 
-  explicit RelayProcess(Duration grace) {
+  explicit RelayProcess(Duration grace, std::size_t memory_mb = 160) {
     this->settings.grace = grace;
     for (Address* address : {&this->settings.callers, &this->settings.readiness,
                              &this->settings.control}) {
@@ -59,7 +60,8 @@
                         << "\npermit_port = " << this->settings.permit_port
                         << "\n[store]\naddress = " << port(this->settings.store)
                         << "\n[peers]\nseeds = " << port(this->settings.control)
-                        << "\n[limits]\ndescriptors = 4200\n[shutdown]\n"
+                        << "\n[limits]\ndescriptors = 4200\nmemory_mb = "
+                        << memory_mb << "\n[shutdown]\n"
                         << "grace_s = " << ToMilliseconds(grace) / 1000
                         << "\n[retries]\nratio = 0.2\nwindow_s = 10\n"
                         << "slack = 88\n[cold]\nburst_factor = 1.5\n"
