Relay: bound what the kernel holds of a caller's bytes

A host that has no memory for a body stops reading its connection. On a kept connection whose receive buffer has grown with earlier bodies, the kernel then took up nearly all of the next one, which counts against the memory of the machine as well.

Limits the receive buffer of callers' connections to 128 KB.

--- a/packages/http_stream/tcp_connection.cc
+++ b/packages/http_stream/tcp_connection.cc
@@ -265,6 +265,13 @@
   }
 }
 
+void TcpConnection::LimitReceiveBuffer(std::size_t bytes) {
+  const int size = static_cast<int>(bytes);
+  if (this->state->socket >= 0) {
+    setsockopt(this->state->socket, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+  }
+}
+
 void TcpConnection::SetCallbacks(ConnectionCallbacks callbacks) {
   this->state->callbacks = std::move(callbacks);
 }
--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -30,6 +30,8 @@
 // Longest time between two parts of a request body.
 constexpr Duration kBodyStallTimeout = Seconds(5);
 
+// 4 MB arrive within 0.2 s at a round-trip time of 6 ms.
+constexpr std::size_t kReceiveBufferBytes = std::size_t{128} * 1024;
 // What a connection and a request take beside a large body or answer.
 constexpr std::size_t kConnectionBytes = std::size_t{4} * 1024;
 constexpr std::size_t kRequestBytes = std::size_t{48} * 1024;
@@ -66,6 +68,7 @@
       on_closed(std::move(on_closed)),
       waiting_since(EventLoop::Now()),
       idle_timeout(this->Limits().idle_timeout) {
+  this->connection->LimitReceiveBuffer(kReceiveBufferBytes);
   this->connection_hold = context.memory.Open(MemoryUse::kConnection);
   this->connection_hold.Resize(kConnectionBytes);
   this->connection->SetCallbacks(
--- a/standins/platform/body_memory_test.cc
+++ b/standins/platform/body_memory_test.cc
@@ -136,6 +136,29 @@
   CHECK(site.first.runs["r2"] == 0);
 }
 
+// Guards against bodies that wait in the memory of the kernel, whose buffer has
+// grown with earlier ones.
+TEST_CASE("the kernel holds little of a body that waits for memory") {
+  constexpr double kMaxUnreadBytes = 256.0 * 1024;
+  SmallSite site;
+  Caller kept(site.loop, site.settings.callers);
+  for (int i = 0; i < 12; ++i) {
+    kept.parser = ResponseParser(true);
+    kept.connection->Write(Upload("k" + std::to_string(i)));
+    REQUIRE(site.RunUntilEnded(kept));
+  }
+  site.Delay(Milliseconds(600));
+  Caller before(site.loop, site.settings.callers);
+  before.connection->Write(Upload("r1"));
+  REQUIRE(site.RunUntil([&] { return site.first.runs["r1"] == 1; }));
+  kept.parser = ResponseParser(true);
+  kept.connection->Write(Upload("r2"));
+  site.RunFor(Milliseconds(200));
+  CHECK(Metric(site, "waiting_bodies") == 1);
+  CHECK(Metric(site, "held_bytes{kind=\"unread\"}") < kMaxUnreadBytes);
+  CHECK(site.RunUntilEnded(before));
+}
+
 // Guards against bodies of unknown length that wait for each other, each with
 // a part of the memory.
 TEST_CASE("bodies in chunks do not wait for each other") {
