--- a/apps/run_toucanhollow.cc
+++ b/apps/run_toucanhollow.cc
@@ -62,6 +62,10 @@
   return named != nullptr && *named != '\0' ? named : kDefaultSettingsFile;
 }
 
+// Set by the deploy file, in MB. The template of the settings leaves it out, as
+// it is also filled in by programs that do not know the platform's limit.
+constexpr const char* kMemoryLimitVariable = "MEMORY_LIMIT_MB";
+
 Severity ToSeverity(LogLevel level) {
   switch (level) {
     case LogLevel::kDebug:
@@ -141,12 +145,18 @@
   });
 }
 
+std::string Environment(const char* name) {
+  const char* value = std::getenv(name);
+  return value == nullptr ? "" : value;
+}
+
 // Runs a relay: an entry host on the users' platform. It reads RelaySettings
 // instead of Settings.
 int RunRelay() {
   std::optional<RelaySettings> settings;
   const ParseStep parse = [&](const std::string& text) {
-    return KeepSettings(ParseRelaySettings(text), settings);
+    return KeepSettings(
+        ParseRelaySettings(text, Environment(kMemoryLimitVariable)), settings);
   };
   if (FLAGS_check) {
     return CheckSettings(WithAllMistakes(parse, settings));
--- a/packages/relay/relay_settings.cc
+++ b/packages/relay/relay_settings.cc
@@ -139,6 +139,8 @@
 constexpr double kMaxMilliseconds = kMaxSeconds * 1000;
 constexpr double kMaxSlack = 1e6;
 constexpr double kMinDescriptors = 64;
+constexpr double kMebibyte = 1024.0 * 1024.0;
+constexpr double kMaxMemoryMb = 1e9;
 // Containers often have a limit of 2^30 open files.
 constexpr double kMaxDescriptors = std::numeric_limits<int>::max();
 
@@ -162,6 +164,10 @@
   settings.max_descriptors = static_cast<std::size_t>(
       read("limits.descriptors", {kMinDescriptors, kMaxDescriptors},
            static_cast<double>(settings.max_descriptors)));
+  settings.memory_bytes = static_cast<std::size_t>(
+      read("limits.memory_mb", {1, kMaxMemoryMb},
+           static_cast<double>(settings.memory_bytes) / kMebibyte) *
+      kMebibyte);
   settings.grace = ToDuration(
       read("shutdown.grace_s", {0.5, kMaxSeconds}, ToSeconds(settings.grace)));
   settings.drain_bound =
@@ -185,7 +191,8 @@
 
 }  // namespace
 
-Result<RelaySettings> ParseRelaySettings(const std::string& text) {
+Result<RelaySettings> ParseRelaySettings(const std::string& text,
+                                         const std::string& memory_mb) {
   ptree tree;
   try {
     std::istringstream stream(text);
@@ -194,6 +201,9 @@
     return InvalidField("line " + std::to_string(error.line()),
                         error.message());
   }
+  if (!HasValue(tree, "limits.memory_mb") && !memory_mb.empty()) {
+    tree.put("limits.memory_mb", memory_mb);
+  }
   RelaySettings settings;
   BOOST_OUTCOME_TRY(process_value, ReadText(tree, "process.name"));
   settings.process.value = process_value;
--- a/packages/relay/relay_settings.h
+++ b/packages/relay/relay_settings.h
@@ -36,6 +36,9 @@
   // to it again.
   Duration contact_bound = Seconds(3);
   std::size_t max_descriptors = 1024;
+  // Bytes that the process may use. The default is that of the platform's
+  // smallest entry hosts.
+  std::size_t memory_bytes = std::size_t{160} * 1024 * 1024;
   Duration grace = Seconds(8);  // SIGTERM to SIGKILL
   RetryBound retry;
   ColdBound cold;
@@ -52,8 +55,10 @@
 // shutdown, retries, cold and bounds, of the partitions and of a seed: a number
 // that is empty or cannot be read has its default, one out of range the nearest
 // in it, and a seed that cannot be read is left out. All but the empty ones are
-// listed in `mistakes`.
-Result<RelaySettings> ParseRelaySettings(const std::string& text);
+// listed in `mistakes`. `memory_mb` is used if the text has no
+// limits.memory_mb; if it is empty too, that has its default.
+Result<RelaySettings> ParseRelaySettings(const std::string& text,
+                                         const std::string& memory_mb = "");
 
 }  // namespace toucanhollow
 
