Use the lowest sound limit on memory instead of a refused one

A limits.memory_mb that is no number or out of range is one of the settings that do not keep a host from running: it is replaced and logged like the other numbers. The lowest one is 64 MB, as less leaves no room for requests.

--- a/packages/relay/relay_settings.cc
+++ b/packages/relay/relay_settings.cc
@@ -140,6 +140,8 @@
 constexpr double kMaxSlack = 1e6;
 constexpr double kMinDescriptors = 64;
 constexpr double kMebibyte = 1024.0 * 1024.0;
+// With less a relay would refuse most requests.
+constexpr double kMinMemoryMb = 64;
 constexpr double kMaxMemoryMb = 1e9;
 // Containers often have a limit of 2^30 open files.
 constexpr double kMaxDescriptors = std::numeric_limits<int>::max();
@@ -165,7 +167,7 @@
       read("limits.descriptors", {kMinDescriptors, kMaxDescriptors},
            static_cast<double>(settings.max_descriptors)));
   settings.memory_bytes = static_cast<std::size_t>(
-      read("limits.memory_mb", {1, kMaxMemoryMb},
+      read("limits.memory_mb", {kMinMemoryMb, kMaxMemoryMb},
            static_cast<double>(settings.memory_bytes) / kMebibyte) *
       kMebibyte);
   settings.grace = ToDuration(
