Go on reading the store after an exception of a receiver

A host that met one exception while it took a change from the store never read that topic again: it kept its servers and its configuration as they were, without a word. Keys whose change was not taken were not offered again either.

Cause: a read plans the next one at its end, after the receivers of its records have run; the exception skipped it.

A step that ends with an exception now plans the next read itself, and changed keys are kept until the receiver has taken them.

--- a/packages/relay/keyed_topic_task.cc
+++ b/packages/relay/keyed_topic_task.cc
@@ -47,8 +47,18 @@
 }
 
 void KeyedTopicTask::Schedule(Duration delay) {
-  this->timer = std::make_unique<Timer>(this->loop, delay, Duration(0),
-                                        [this] { this->ReadNext(); });
+  this->timer = std::make_unique<Timer>(this->loop, delay, Duration(0), [this] {
+    this->RunOrRetry([this] { this->ReadNext(); });
+  });
+}
+
+void KeyedTopicTask::RunOrRetry(const std::function<void()>& step) {
+  try {
+    step();
+  } catch (...) {
+    this->Schedule(kMinRetryDelay);
+    throw;
+  }
 }
 
 void KeyedTopicTask::ReadNext() {
@@ -70,8 +80,12 @@
   request.connection = this->consecutive_failures == 0 ? ConnectionUse::kShared
                                                        : ConnectionUse::kNew;
   this->sent_at = EventLoop::Now();
-  this->call = this->client.Start(std::move(request),
-                                  {nullptr, nullptr, std::move(on_done)});
+  this->call = this->client.Start(
+      std::move(request),
+      {nullptr, nullptr,
+       [this, on_done = std::move(on_done)](const HttpOutcome& outcome) {
+         this->RunOrRetry([&] { on_done(outcome); });
+       }});
 }
 
 void KeyedTopicTask::ReadNewest(const std::string& after) {
@@ -220,8 +234,11 @@
 }
 
 void KeyedTopicTask::NotifyChange(const std::vector<std::string>& keys) {
-  if (!keys.empty()) {
-    this->callbacks.on_change(keys);
+  this->changed_keys.insert(keys.begin(), keys.end());
+  if (!this->changed_keys.empty()) {
+    this->callbacks.on_change(
+        {this->changed_keys.begin(), this->changed_keys.end()});
+    this->changed_keys.clear();
   }
 }
 
--- a/packages/relay/keyed_topic_task.h
+++ b/packages/relay/keyed_topic_task.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -59,6 +60,8 @@
                  Duration wait,
                  std::function<void(const HttpOutcome& outcome)> on_done);
   void Schedule(Duration delay);
+  // Runs a step that plans the next one. An exception must not end the reading.
+  void RunOrRetry(const std::function<void()>& step);
   void NotifyChange(const std::vector<std::string>& keys);
 
   EventLoop& loop;
@@ -71,6 +74,8 @@
   ReadTiming timing;
   KeyedTopicCallbacks callbacks;
   KeyedMirror records;
+  // Of the mirror, whose change has not been taken yet.
+  std::set<std::string> changed_keys;
   // The newest records have been read; the log is read from `records.end` on.
   bool following_log = false;
   // The pages of newest records read so far, and the end of the topic when the
--- a/packages/relay/keyed_topic_task_test.cc
+++ b/packages/relay/keyed_topic_task_test.cc
@@ -1,7 +1,9 @@
 #include "relay/keyed_topic_task.h"
 
 #include <deque>
+#include <functional>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -47,6 +49,16 @@
   return page;
 }
 
+// As DecodeReadDigits, with a record.
+Result<LogPage> DecodeReadRecord(const std::string& body, LogOffset from) {
+  Result<LogPage> page = DecodeReadDigits(body, from);
+  KeyedRecord record;
+  record.key = "a";
+  record.value = "1";
+  page.value().records.push_back(std::move(record));
+  return page;
+}
+
 struct StoreAnswer {
   int status = 200;
   std::string body = {};
@@ -65,6 +77,7 @@
   std::unique_ptr<HttpServer> server;
   StoreContact contact;
   std::vector<LogOffset> complete;
+  std::function<void(const std::vector<std::string>& keys)> on_change;
   std::unique_ptr<KeyedTopicTask> task;
 
   explicit Fixture(std::deque<StoreAnswer> answers)
@@ -96,7 +109,11 @@
         KeyedTopic::kServers, ReadTiming{Milliseconds(10), Milliseconds(40)},
         KeyedTopicCallbacks{
             [this](const StoreContact& state) { this->contact = state; },
-            [](const std::vector<std::string>&) {},
+            [this](const std::vector<std::string>& keys) {
+              if (this->on_change) {
+                this->on_change(keys);
+              }
+            },
             [this](TimePoint) {
               this->complete.push_back(this->task->mirror().end);
             }});
@@ -169,5 +186,23 @@
   CHECK(fixture.reads[2] == "/read?from=2&wait_ms=0");
 }
 
+// Guards against a host that never reads the store again after an exception,
+// and against a change that nobody has taken.
+TEST_CASE("reading goes on after an exception of the receiver") {
+  Fixture fixture({{200, "0"}, {200, "11"}, {200, "11"}});
+  fixture.codec.decode_read = DecodeReadRecord;
+  int changes = 0;
+  std::vector<std::string> taken;
+  fixture.on_change = [&](const std::vector<std::string>& keys) {
+    if (++changes == 1) {
+      throw std::runtime_error("the receiver fails once");
+    }
+    taken = keys;
+  };
+  REQUIRE(fixture.RunUntilReads(4));
+  CHECK(changes == 2);
+  CHECK(taken == std::vector<std::string>{"a"});
+}
+
 }  // namespace
 }  // namespace toucanhollow
