Renew the membership after an exception of a receiver

A host that met one exception while it took its answer from the store, or while it sent the next call, never joined again: its membership lapsed, and it neither coordinated nor issued permits until it was restarted.

It is planned first now, and repeated until a call is on its way.

--- a/packages/map_task/coordinator_task.cc
+++ b/packages/map_task/coordinator_task.cc
@@ -57,6 +57,7 @@
       std::move(request),
       {nullptr, nullptr,
        [this](const HttpOutcome& outcome) { this->OnJoined(outcome); }});
+  this->timer.reset();
 }
 
 void CoordinatorTask::OnJoined(const HttpOutcome& outcome) {
@@ -66,14 +67,16 @@
   const bool joined =
       outcome.end == HttpEnd::kComplete && outcome.status == 200;
   const bool failed_before = std::exchange(this->last_join_failed, !joined);
-  if (joined) {
-    this->ApplyAssignment(outcome);
-  }
   // The connection may have fallen silent, so a new one is tried at once.
   const bool at_once = !joined && !failed_before && outcome.status == 0;
+  // The next join is planned before the answer is used, and repeated until one
+  // is on its way, as an exception must not end the membership.
   this->timer =
       std::make_unique<Timer>(this->loop, at_once ? Duration(0) : kJoinPeriod,
-                              Duration(0), [this] { this->Join(); });
+                              kJoinPeriod, [this] { this->Join(); });
+  if (joined) {
+    this->ApplyAssignment(outcome);
+  }
 }
 
 void CoordinatorTask::ApplyAssignment(const HttpOutcome& outcome) {
