Coordinator: resolve a round with the map that the ranks use

Every stream of a model group failed for good after a coordinator had died between a hold and the last arm, if its successor had coordinated before. The successor resolves the round by preparing the map in use on all ranks. It took the map that it remembered from its earlier term for the whole of the round, though the reading of the map in use had been started. Ranks refuse a map with more than `spare` experts that are new to them (409), so the orders were repeated for ever and the hold was never released.

AdvanceChange now gets the remembered map with its epoch and version, and prepares it only while a reading shows that all ranks use it. Until then a round to be resolved gives no order. A preparation whose map was planned from another one than that in use, or that has been overtaken by a higher version, was repeated for 6 s and is abandoned at once. While a round is being resolved, the map of a rank without its agent is read from its engine.

The model of the ranks refuses such maps now.

--- a/packages/map_change/advance_change.cc
+++ b/packages/map_change/advance_change.cc
@@ -73,7 +73,7 @@
                               std::string note) {
   ChangeState next = EnterPhase(state, ChangePhase::kResolving, now);
   next.version = input.free_version;
-  next.map = input.current_map;
+  next.map.clear();
   return {std::move(next), {}, std::move(note)};
 }
 
@@ -95,7 +95,12 @@
     return {std::move(next), {}, "moved to a higher version"};
   }
   if (!IsPreparedEverywhere(reading, state.version)) {
-    return {state, MakePrepareOrders(reading, state.version), ""};
+    if (!IsInUse(input.current_map, reading)) {
+      return {state, {}, ""};
+    }
+    ChangeState next = state;
+    next.map = input.current_map.map;
+    return {std::move(next), MakePrepareOrders(reading, state.version), ""};
   }
   // A rank that has prepared this newer version can never be armed with the
   // older one, so no coordinator can see all ranks armed any more. Without such
@@ -125,6 +130,16 @@
   if (HasHeldOrArmedRank(input.reading)) {
     return StartResolving(state, input, now, "another round is in progress");
   }
+  if (HighestVersion(input.reading) > state.version) {
+    return {ChangeState{}, {}, "a later round has started"};
+  }
+  const bool replaced =
+      std::ranges::any_of(input.reading, [&state](const RankReport& rank) {
+        return rank.map != state.base_version;
+      });
+  if (replaced) {
+    return {ChangeState{}, {}, "the map in use has changed"};
+  }
   if (!IsPreparedEverywhere(input.reading, state.version)) {
     if (now - state.phase_started_at > kPrepareTimeout) {
       return {ChangeState{}, {}, "preparation timed out"};
@@ -237,6 +252,12 @@
   return highest;
 }
 
+bool IsInUse(const MapInUse& map, const GroupReading& reading) {
+  return std::ranges::all_of(reading, [&map](const RankReport& rank) {
+    return rank.epoch == map.epoch && rank.map == map.version;
+  });
+}
+
 bool IsCompleteReading(const GroupReading& reading) {
   if (reading.empty()) {
     return false;
@@ -282,6 +303,7 @@
       next = EnterPhase(std::move(next), ChangePhase::kPreparing, now);
       next.version = input.free_version;
       next.map = *input.target_map;
+      next.base_version = first.map;
       return {next, MakePrepareOrders(input.reading, next.version), "began"};
     }
     case ChangePhase::kPreparing:
--- a/packages/map_change/advance_change.h
+++ b/packages/map_change/advance_change.h
@@ -13,7 +13,9 @@
 // is not armed, after which that rank can no longer be armed with the old one;
 // then the armed ranks are disarmed, and then the hold is released. Two
 // coordinators therefore cannot undo each other's steps. This requires that no
-// two coordinators ever use the same version.
+// two coordinators ever use the same version. What is prepared in order to
+// resolve a round is the map that the ranks use, as they refuse a map with many
+// experts that are new to them.
 #ifndef MAP_CHANGE_ADVANCE_CHANGE_H_
 #define MAP_CHANGE_ADVANCE_CHANGE_H_
 
@@ -40,8 +42,10 @@
   std::string group;
   std::int64_t epoch = 0;
   GroupMapVersion version = 0;  // prepared by this round
-  // The map that this round prepares.
+  // The map that this round prepares, and the version that was in use when it
+  // was planned.
   GroupMap map;
+  GroupMapVersion base_version = 0;
   StepNumber hold_step = 0;
   std::string hold_server;
   TimePoint phase_started_at;
@@ -55,6 +59,13 @@
 // reached the held pass before all ranks were armed, and stalled.
 inline constexpr StepNumber kDefaultHoldLead = 3;
 
+// A map as it was read from the ranks.
+struct MapInUse {
+  std::int64_t epoch = -1;
+  GroupMapVersion version = -1;
+  GroupMap map;
+};
+
 struct ChangeInput {
   GroupReading reading;
   // A version that no coordinator has used and that is higher than all that
@@ -62,8 +73,9 @@
   GroupMapVersion free_version = 0;
   // A better map, for a round that starts if the group is idle.
   std::optional<GroupMap> target_map;
-  // The map in use. It is prepared again when a round is resolved.
-  GroupMap current_map;
+  // The last map that was known to be in use, which another coordinator may
+  // have replaced. The map in use is prepared again when a round is resolved.
+  MapInUse current_map;
   // Larger while orders go unanswered, so that they can be repeated before the
   // group reaches the held pass.
   StepNumber hold_lead = kDefaultHoldLead;
@@ -84,6 +96,10 @@
 // True if the reading contains every rank of one open group in one epoch.
 bool IsCompleteReading(const GroupReading& reading);
 
+// True if the reading shows that all ranks use this map. Requires that the
+// reading is complete.
+bool IsInUse(const MapInUse& map, const GroupReading& reading);
+
 // The highest version that any rank uses, has prepared or is armed with.
 GroupMapVersion HighestVersion(const GroupReading& reading);
 
--- a/packages/map_change/advance_change_test.cc
+++ b/packages/map_change/advance_change_test.cc
@@ -11,37 +11,77 @@
 namespace {
 
 constexpr int kRanks = 4;
+constexpr int kExperts = 12;
+// Experts that one change may add to a rank.
+constexpr int kSpare = 1;
+
+GroupMap FirstMap() {
+  ExpertMap map;
+  for (int rank = 0; rank < kRanks; ++rank) {
+    map.experts_by_rank.push_back({rank, rank + kRanks});
+  }
+  return {map};
+}
+
+// Each rank has one expert that it does not have in `map`.
+GroupMap ChangeMap(GroupMap map, std::mt19937& random) {
+  for (std::vector<int>& held : map.front().experts_by_rank) {
+    int added = 0;
+    do {
+      added = static_cast<int>(random() % kExperts);
+    } while (std::ranges::count(held, added) > 0);
+    held[random() % held.size()] = added;
+  }
+  return map;
+}
 
 // Accepts and refuses orders as the engines of the platform do.
 struct SimulatedRank {
   std::int64_t sequence = 0;
   GroupMapVersion map = 0;
+  std::vector<int> experts;  // in use
+  std::vector<int> prepared_experts;
   GroupMapVersion highest = 0;
   std::optional<GroupMapVersion> prepared;
   std::optional<std::pair<GroupMapVersion, StepNumber>> armed;
   std::optional<StepNumber> held;
 };
 
+struct SentOrder {
+  RankOrder order;
+  GroupMap map;  // that it prepares
+};
+
 struct DelayedOrder {
   int due = 0;
-  RankOrder order;
+  SentOrder sent;
 };
 
 // A group whose ranks begin each pass together. Orders to it may be lost,
 // delayed or duplicated.
 struct SimulatedGroup {
-  std::vector<SimulatedRank> ranks = std::vector<SimulatedRank>(kRanks);
+  std::vector<SimulatedRank> ranks = FirstRanks();
   std::int64_t epoch = 1;
   StepNumber step = 0;
   std::vector<DelayedOrder> delayed;
   int now = 0;
   bool has_mixed_maps = false;
   int switches = 0;
-  int stalled_passes = 0;
+  int stalled_since = 0;
+  int longest_stall = 0;
+
+  static std::vector<SimulatedRank> FirstRanks() {
+    std::vector<SimulatedRank> ranks(kRanks);
+    for (int rank = 0; rank < kRanks; ++rank) {
+      ranks[rank].experts = FirstMap().front().experts_by_rank[rank];
+    }
+    return ranks;
+  }
 
   static int IndexOf(const std::string& server) { return std::stoi(server); }
 
-  void ApplyOrder(const RankOrder& order) {
+  void ApplyOrder(const SentOrder& sent) {
+    const RankOrder& order = sent.order;
     SimulatedRank& rank = this->ranks[IndexOf(order.server)];
     if (order.epoch != this->epoch ||
         order.expected_sequence != rank.sequence) {
@@ -49,10 +89,12 @@
     }
     switch (order.kind) {
       case RankOrderKind::kPrepare:
-        if (order.version <= rank.highest || rank.armed) {
+        if (order.version <= rank.highest || rank.armed || sent.map.empty() ||
+            CountNew(sent) > kSpare) {
           return;
         }
         rank.prepared = order.version;
+        rank.prepared_experts = ExpertsOf(sent);
         rank.highest = order.version;
         break;
       case RankOrderKind::kArm:
@@ -83,19 +125,34 @@
     ++rank.sequence;
   }
 
+  static const std::vector<int>& ExpertsOf(const SentOrder& sent) {
+    return sent.map.front().experts_by_rank[IndexOf(sent.order.server)];
+  }
+
+  // How many experts the rank would have to copy.
+  std::ptrdiff_t CountNew(const SentOrder& sent) const {
+    const auto& held = this->ranks[IndexOf(sent.order.server)].experts;
+    return std::ranges::count_if(ExpertsOf(sent), [&held](int expert) {
+      return std::ranges::count(held, expert) == 0;
+    });
+  }
+
   void StartPass() {
     const StepNumber next = this->step + 1;
     for (const SimulatedRank& rank : this->ranks) {
       if (rank.held == next) {
-        ++this->stalled_passes;
+        this->longest_stall =
+            std::max(this->longest_stall, this->now - this->stalled_since);
         return;
       }
     }
+    this->stalled_since = this->now;
     this->step = next;
     bool switched = false;
     for (SimulatedRank& rank : this->ranks) {
       if (rank.armed && rank.armed->second == next) {
         rank.map = rank.armed->first;
+        rank.experts = rank.prepared_experts;
         rank.armed.reset();
         switched = true;
       }
@@ -107,9 +164,19 @@
     }
   }
 
+  void ApplyDelayedOrders() {
+    std::erase_if(this->delayed, [this](const DelayedOrder& delayed) {
+      if (delayed.due > this->now) {
+        return false;
+      }
+      this->ApplyOrder(delayed.sent);
+      return true;
+    });
+  }
+
   void ReformGroup() {
     ++this->epoch;
-    this->ranks = std::vector<SimulatedRank>(kRanks);
+    this->ranks = FirstRanks();
   }
 
   RankReport MakeReport(int index) const {
@@ -137,11 +204,14 @@
   ChangeState state;
   GroupReading reading;
   std::size_t next_rank = 0;
-  std::deque<RankOrder> to_send;
+  std::deque<SentOrder> to_send;
   // The report that each rank returned with its order, by rank.
   std::map<int, RankReport> after_orders;
   int paused_until = 0;
   GroupMapVersion next_version = 0;
+  MapInUse known_map;
+  // When the reading of the map in use that has been started will be complete.
+  std::optional<int> map_due;
 };
 
 struct Faults {
@@ -150,7 +220,6 @@
   double duplicated = 0;
   double restart = 0;
   double pause = 0;
-  bool correct_release = true;
 };
 
 struct SimulationResult {
@@ -158,6 +227,28 @@
   std::vector<SimulatedCoordinator> coordinators;
 };
 
+// Reads the map in use, which takes some time, if the last reports show that
+// the known one is outdated.
+void ReadMap(const SimulatedGroup& group,
+             SimulatedCoordinator& coordinator,
+             const GroupReading& reading) {
+  if (IsInUse(coordinator.known_map, reading)) {
+    return;
+  }
+  if (!coordinator.map_due) {
+    coordinator.map_due = group.now + 2 * kRanks;
+  } else if (group.now >= *coordinator.map_due) {
+    coordinator.map_due.reset();
+    MapInUse map{group.epoch, group.ranks.front().map, FirstMap()};
+    for (int rank = 0; rank < kRanks; ++rank) {
+      map.map.front().experts_by_rank[rank] = group.ranks[rank].experts;
+    }
+    if (IsInUse(map, reading)) {
+      coordinator.known_map = std::move(map);
+    }
+  }
+}
+
 // Runs one small action of one coordinator, so that the actions of several
 // coordinators and the passes interleave in every order.
 void StepCoordinator(SimulatedGroup& group,
@@ -167,20 +258,20 @@
                      std::mt19937& random) {
   std::uniform_real_distribution<double> chance(0, 1);
   if (!coordinator.to_send.empty()) {
-    const RankOrder order = coordinator.to_send.front();
+    const SentOrder sent = coordinator.to_send.front();
     coordinator.to_send.pop_front();
-    const int index = SimulatedGroup::IndexOf(order.server);
+    const int index = SimulatedGroup::IndexOf(sent.order.server);
     const double draw = chance(random);
     if (draw < faults.lost) {
       // The order is lost; the report that follows it is not.
     } else if (draw < faults.lost + faults.delayed) {
       group.delayed.push_back(
-          {group.now + 20 + static_cast<int>(random() % 300), order});
+          {group.now + 20 + static_cast<int>(random() % 300), sent});
     } else {
-      group.ApplyOrder(order);
+      group.ApplyOrder(sent);
       if (chance(random) < faults.duplicated) {
         group.delayed.push_back(
-            {group.now + static_cast<int>(random() % 100), order});
+            {group.now + static_cast<int>(random() % 100), sent});
       }
     }
     coordinator.after_orders.insert_or_assign(index, group.MakeReport(index));
@@ -205,16 +296,25 @@
   input.reading = std::exchange(coordinator.reading, {});
   coordinator.next_rank = 0;
   input.free_version = coordinator.next_version;
-  if (wants_change) {
-    input.target_map = GroupMap{};
+  ReadMap(group, coordinator, input.reading);
+  input.current_map = coordinator.known_map;
+  if (wants_change && IsInUse(coordinator.known_map, input.reading)) {
+    input.target_map = ChangeMap(coordinator.known_map.map, random);
   }
   ChangeDecision decision = AdvanceChange(coordinator.state, input,
                                           TimePoint(Milliseconds(group.now)));
+  if (decision.note == "switched") {
+    coordinator.known_map = {coordinator.state.epoch, coordinator.state.version,
+                             coordinator.state.map};
+  }
   if (decision.state.version == coordinator.next_version) {
     coordinator.next_version += 10;
   }
   coordinator.state = std::move(decision.state);
-  coordinator.to_send.assign(decision.orders.begin(), decision.orders.end());
+  coordinator.to_send.clear();
+  for (const RankOrder& order : decision.orders) {
+    coordinator.to_send.push_back({order, coordinator.state.map});
+  }
   coordinator.after_orders.clear();
 }
 
@@ -233,13 +333,7 @@
   }
   constexpr int kTicks = 6000;
   for (group.now = 0; group.now < kTicks; ++group.now) {
-    std::erase_if(group.delayed, [&group](const DelayedOrder& delayed) {
-      if (delayed.due > group.now) {
-        return false;
-      }
-      group.ApplyOrder(delayed.order);
-      return true;
-    });
+    group.ApplyDelayedOrders();
     if (chance(random) < 0.05) {
       group.StartPass();
     }
@@ -318,6 +412,105 @@
   }
 }
 
+// Runs the coordinator and the passes until `done` or for `ticks`.
+template <typename Condition>
+void RunUntil(SimulatedGroup& group,
+              SimulatedCoordinator& coordinator,
+              std::mt19937& random,
+              int ticks,
+              Condition done) {
+  const int end = group.now + ticks;
+  for (; group.now < end && !done(); ++group.now) {
+    group.ApplyDelayedOrders();
+    StepCoordinator(group, coordinator, {}, true, random);
+    if (random() % 20 == 0) {
+      group.StartPass();
+    }
+  }
+}
+
+// Guards against a group that stands for good because the coordinator prepares
+// the map that it remembers from its earlier term.
+TEST_CASE("a coordinator that returns releases the hold of a crashed one") {
+  for (unsigned int seed = 1; seed <= 200; ++seed) {
+    std::mt19937 random(seed);
+    SimulatedGroup group;
+    SimulatedCoordinator returning;
+    returning.next_version = 1;
+    RunUntil(group, returning, random, 5000,
+             [&group] { return group.switches == 2; });
+    // Each of its changes may take place while the other one coordinates.
+    RunUntil(group, returning, random, static_cast<int>(random() % 400),
+             [] { return false; });
+    SimulatedCoordinator crashing;
+    crashing.next_version = 1000;
+    const int before = group.switches;
+    RunUntil(group, crashing, random, 5000,
+             [&group, before] { return group.switches == before + 4; });
+    RunUntil(group, crashing, random, static_cast<int>(random() % 400),
+             [] { return false; });
+    INFO("seed " << seed);
+    const int crashed_at = group.now;
+    const int at_crash = group.switches;
+    group.longest_stall = 0;
+    returning.state = {};
+    returning.reading.clear();
+    returning.next_rank = 0;
+    returning.to_send.clear();
+    returning.next_version = 100'000;
+    RunUntil(group, returning, random, 2000, [] { return false; });
+    CHECK(group.now == crashed_at + 2000);
+    CHECK(group.switches > at_crash + 3);
+    CHECK(group.longest_stall < 300);
+    CHECK_FALSE(group.has_mixed_maps);
+  }
+}
+
+// Guards against a hold that outlasts the faults and the other coordinators.
+TEST_CASE("a coordinator that is left alone has the passes go on") {
+  Faults faults;
+  faults.lost = 0.1;
+  faults.delayed = 0.25;
+  faults.duplicated = 0.1;
+  faults.restart = 0.001;
+  faults.pause = 0.002;
+  for (unsigned int seed = 1; seed <= 200; ++seed) {
+    SimulationResult result = RunSimulation(seed, faults, 3);
+    std::mt19937 random(seed);
+    SimulatedGroup& group = result.group;
+    SimulatedCoordinator& last = result.coordinators[seed % 3];
+    last.next_version = 1'000'000;
+    group.stalled_since = group.now;
+    group.longest_stall = 0;
+    const int before = group.switches;
+    RunUntil(group, last, random, 2000, [] { return false; });
+    INFO("seed " << seed);
+    CHECK(group.longest_stall < 300);
+    CHECK(group.switches > before + 3);
+    CHECK_FALSE(group.has_mixed_maps);
+  }
+}
+
+// Guards against a preparation that ranks refuse until it times out.
+TEST_CASE("a preparation for a map that is no longer in use is abandoned") {
+  SimulatedGroup group;
+  ChangeInput input;
+  for (int rank = 0; rank < kRanks; ++rank) {
+    input.reading.push_back(group.MakeReport(rank));
+  }
+  input.free_version = 5;
+  input.target_map = FirstMap();
+  const ChangeState state = AdvanceChange({}, input, {}).state;
+  CHECK(AdvanceChange(state, input, {}).state.phase == ChangePhase::kPreparing);
+  ChangeInput later = input;
+  later.reading[1].prepared = 6;
+  CHECK(AdvanceChange(state, later, {}).state.phase == ChangePhase::kIdle);
+  for (RankReport& rank : input.reading) {
+    rank.map = 4;
+  }
+  CHECK(AdvanceChange(state, input, {}).state.phase == ChangePhase::kIdle);
+}
+
 // Guards against decisions based on reports from two epochs.
 TEST_CASE("an incomplete reading produces no orders") {
   SimulatedGroup group;
@@ -327,7 +520,7 @@
   }
   input.reading[2].epoch = 2;
   input.free_version = 5;
-  input.target_map = GroupMap{};
+  input.target_map = FirstMap();
   CHECK(AdvanceChange({}, input, {}).orders.empty());
   input.reading[2].epoch = 1;
   CHECK(AdvanceChange({}, input, {}).orders.size() == kRanks);
--- a/packages/map_task/group_coordinator.cc
+++ b/packages/map_task/group_coordinator.cc
@@ -190,15 +190,11 @@
   this->reading_duration = now - requested_at;
   this->pass_timing =
       UpdatePassTiming(this->pass_timing, first.epoch, first.step, now);
-  const bool is_map_known = first.epoch == this->current_map_epoch &&
-                            first.map == this->current_map_version;
-  if (!is_map_known && !this->current_map_pending) {
+  this->AdvanceRound(now);
+  if (!IsInUse(this->current_map, this->reading) &&
+      !this->current_map_pending) {
     this->ReadCurrentMap();
   }
-  // No map may be prepared before the current map is known.
-  if (this->state.phase != ChangePhase::kIdle || !this->current_map.empty()) {
-    this->AdvanceRound(now);
-  }
 }
 
 void GroupCoordinator::AdvanceRound(TimePoint now) {
@@ -233,9 +229,8 @@
                 {"reading_ms", ToMilliseconds(this->reading_duration)}});
   }
   if (decision.note == "switched") {
-    this->current_map = this->state.map;
-    this->current_map_version = this->state.version;
-    this->current_map_epoch = this->state.epoch;
+    this->current_map = {this->state.epoch, this->state.version,
+                         this->state.map};
   }
   this->state = decision.state;
   this->SendOrders(decision);
@@ -369,7 +364,10 @@
 
 void GroupCoordinator::ReadCurrentMap() {
   this->current_map_pending = true;
-  this->Call(this->CallAll(RankRequestKind::kExperts), false,
+  // Engines are called directly, which is charged, only while the group may
+  // have to wait for the map.
+  const bool may_stand = this->state.phase == ChangePhase::kResolving;
+  this->Call(this->CallAll(RankRequestKind::kExperts), may_stand,
              [this](const std::vector<RankAnswer>& answers) {
                this->current_map_pending = false;
                this->OnCurrentMap(answers);
@@ -403,16 +401,12 @@
       map[set].experts_by_rank.push_back(found->second.by_set[set]);
     }
   }
-  this->current_map = std::move(map);
-  this->current_map_version = first.map;
-  this->current_map_epoch = first.epoch;
+  this->current_map = {first.epoch, first.map, std::move(map)};
 }
 
 std::optional<GroupMap> GroupCoordinator::PlanTargetMap() {
-  const RankReport& first = this->reading.front();
-  if (this->current_map_epoch != first.epoch ||
-      this->current_map_version != first.map ||
-      !IsValidMapFor(this->current_map, this->demand.chosen) ||
+  if (!IsInUse(this->current_map, this->reading) ||
+      !IsValidMapFor(this->current_map.map, this->demand.chosen) ||
       TotalDemand(this->demand) < kMinDemand) {
     return std::nullopt;
   }
@@ -425,9 +419,9 @@
     slowdowns.push_back(rank.slowdown);
   }
   GroupMap target_map = PlanEvenSplitMaps(
-      this->current_map, this->demand.chosen, limits, slowdowns);
+      this->current_map.map, this->demand.chosen, limits, slowdowns);
   const double before =
-      MeanImbalanceRatio(this->current_map, this->demand.chosen, slowdowns);
+      MeanImbalanceRatio(this->current_map.map, this->demand.chosen, slowdowns);
   const double after =
       MeanImbalanceRatio(target_map, this->demand.chosen, slowdowns);
   if (after > before * (1 - kMinImprovement)) {
@@ -437,7 +431,7 @@
                              {"ratio_now", before},
                              {"ratio_planned", after},
                              {"choices", TotalDemand(this->demand)},
-                             {"present_version", this->current_map_version}});
+                             {"present_version", this->current_map.version}});
   return target_map;
 }
 
--- a/packages/map_task/group_coordinator.h
+++ b/packages/map_task/group_coordinator.h
@@ -104,10 +104,8 @@
   // How long the last reading of all ranks took.
   Duration reading_duration{0};
   Demand demand;
-  // The map in use, as read for current_map_epoch and current_map_version.
-  GroupMap current_map;
-  std::int64_t current_map_epoch = -1;
-  GroupMapVersion current_map_version = -1;
+  // The last map that was known to be in use.
+  MapInUse current_map;
   bool reports_pending = false;
   bool choices_pending = false;
   bool current_map_pending = false;
--- a/standins/platform/engine_group_stand_in.cc
+++ b/standins/platform/engine_group_stand_in.cc
@@ -159,6 +159,30 @@
       .dump();
 }
 
+bool EngineGroupStandIn::ExceedsSpare(int rank,
+                                      const LayerSetMaps& present,
+                                      const LayerSetMaps& next) const {
+  for (std::size_t set = 0; set < next.size(); ++set) {
+    const std::vector<int>& held = present[set].experts_by_rank[rank];
+    const auto added = std::ranges::count_if(
+        next[set].experts_by_rank[rank],
+        [&held](int expert) { return std::ranges::count(held, expert) == 0; });
+    if (added > this->shape.spare) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool EngineGroupStandIn::ExceedsSpareFrom(const LayerSetMaps& map) const {
+  for (int rank = 0; rank < this->shape.ranks; ++rank) {
+    if (this->ExceedsSpare(rank, map, this->map())) {
+      return true;
+    }
+  }
+  return false;
+}
+
 int EngineGroupStandIn::Accept(int rank, const json& order) {
   Rank& self = this->ranks[rank];
   const auto operation = order.at("operation").get<std::string>();
@@ -171,11 +195,15 @@
   bool fits = false;
   if (operation == "prepare") {
     fits = version > self.highest && !self.armed;
+    LayerSetMaps map;
+    for (const json& set : order.at("map")) {
+      map.push_back({set.get<std::vector<std::vector<int>>>()});
+    }
+    if (fits && this->ExceedsSpare(rank, self.map, map)) {
+      ++this->oversized;
+      fits = false;
+    }
     if (fits) {
-      LayerSetMaps map;
-      for (const json& set : order.at("map")) {
-        map.push_back({set.get<std::vector<std::vector<int>>>()});
-      }
       self.highest = version;
       self.prepared = {version, std::move(map)};
     }
@@ -202,6 +230,9 @@
     }
   }
   self.sequence += fits ? 1 : 0;
+  if (fits && this->on_accepted) {
+    this->on_accepted(operation);
+  }
   return fits ? kBegun : kConflict;
 }
 
--- a/standins/platform/engine_group_stand_in.h
+++ b/standins/platform/engine_group_stand_in.h
@@ -25,6 +25,8 @@
   int sets = 2;
   int experts = 16;
   int places = 5;
+  // Experts of a set that a rank may be told to copy for one map.
+  int spare = 2;
   // Where each rank listens; the loopback address if empty.
   std::vector<std::string> ips = {};
 };
@@ -55,6 +57,8 @@
   bool open = true;
   // No pass begins, though reports say that the group is open.
   bool still = false;
+  // Called after a rank has accepted an order, if it is not empty.
+  std::function<void(const std::string& operation)> on_accepted;
   // The epoch that reports name.
   std::int64_t epoch = 1;
   // The group forms again: a new epoch with the first map, and nothing
@@ -67,9 +71,14 @@
   // The map of the first rank.
   const LayerSetMaps& map() const { return this->ranks.front().map; }
   std::int64_t version() const { return this->ranks.front().version; }
+  // Whether ranks with this map would have to copy too many experts for the map
+  // in use.
+  bool ExceedsSpareFrom(const LayerSetMaps& map) const;
   // Passes that began while ranks had different maps.
   int mixed_passes() const { return this->mixed; }
   int switches() const { return this->switched; }
+  // Prepare orders that were refused because of too many new experts.
+  int oversized_orders() const { return this->oversized; }
   std::int64_t step() const { return this->last_step; }
 
  private:
@@ -96,6 +105,11 @@
   std::string Report(int rank) const;
   std::string Counts() const;
   std::string Experts(int rank) const;
+  // Whether a rank with the one map has to copy more than `spare` experts of a
+  // set for the other one.
+  bool ExceedsSpare(int rank,
+                    const LayerSetMaps& present,
+                    const LayerSetMaps& next) const;
   // The HTTP status of the order.
   int Accept(int rank, const nlohmann::json& order);
   void BeginPass();
@@ -108,6 +122,7 @@
   std::int64_t last_step = 0;
   int mixed = 0;
   int switched = 0;
+  int oversized = 0;
   int orders = 0;
   std::vector<std::unique_ptr<Timer>> late;
   std::unique_ptr<Timer> passes;
--- a/standins/platform/group_map_test.cc
+++ b/standins/platform/group_map_test.cc
@@ -317,6 +317,59 @@
   CHECK(site.group.mixed_passes() == 0);
 }
 
+// Guards against a group that stands for good at a held pass because the
+// coordinator that takes over prepares the map of its earlier term.
+TEST_CASE("a coordinator that returns ends the round of one that died") {
+  GroupSite site;
+  site.StartAgents(site.shape.ranks);
+  site.StartCoordinator();
+  REQUIRE(
+      site.RunUntil([&] { return site.group.switches() >= 1; }, Seconds(8)));
+  site.store.SetCoordinator(false);
+  REQUIRE(
+      site.RunUntil([&] { return !site.task->IsCoordinator(); }, Seconds(3)));
+  const LayerSetMaps remembered = site.group.map();
+  PlatformStoreStandIn later_store{site.loop};
+  later_store.SetCoordinator(true);
+  later_store.generation = 2;
+  auto later = std::make_unique<GroupMapTask>(
+      site.loop, site.client, platform::EngineCodec(),
+      CoordinatorElectionSettings{{kHost, later_store.Port()}, 1, "later"},
+      GroupMapCallbacks{[&site] { return std::vector{site.View()}; },
+                        [](const GroupRegistry&) {},
+                        [](const std::set<std::string>&) {}});
+  REQUIRE(later->Start({kHost, 0}));
+  for (int round = 0; !site.group.ExceedsSpareFrom(remembered); ++round) {
+    REQUIRE(round < 10);
+    const int before = site.group.switches();
+    site.ShiftDemand();
+    REQUIRE(site.RunUntil([&] { return site.group.switches() > before; },
+                          Seconds(8)));
+  }
+  bool held = false;
+  site.group.on_accepted = [&](const std::string& operation) {
+    if (operation == "hold") {
+      held = true;
+      site.loop.Stop();
+    }
+  };
+  site.ShiftDemand();
+  REQUIRE(site.RunUntil([&held] { return held; }, Seconds(8)));
+  later.reset();
+  site.group.on_accepted = nullptr;
+  site.store.generation = 3;
+  site.store.SetCoordinator(true);
+  const std::int64_t step = site.group.step();
+  CHECK(
+      site.RunUntil([&] { return site.group.step() > step + 20; }, Seconds(5)));
+  const int before = site.group.switches();
+  site.ShiftDemand();
+  CHECK(site.RunUntil([&] { return site.group.switches() > before; },
+                      Seconds(8)));
+  CHECK(site.group.mixed_passes() == 0);
+  CHECK(site.group.oversized_orders() == 0);
+}
+
 // Guards against a place that moves to each host that starts: the store takes
 // the lowest partitions from those who hold more than their share.
 TEST_CASE("the holder of the last partition coordinates") {
