Coordinator: do not repeat refused orders without a pause

After a refusal the next decision now follows the next periodic reading, of which there are at most 50 a second, and a coordinator that resolves a round reads the map in use again.

--- a/packages/map_task/group_coordinator.cc
+++ b/packages/map_task/group_coordinator.cc
@@ -33,6 +33,7 @@
 constexpr double kMinSlowRankSlowdown = 1.3;
 // With fewer choices, the demand estimate is noise.
 constexpr double kMinDemand = 2000;
+constexpr int kStatusConflict = 409;
 constexpr int kStatusFenced = 412;
 
 std::string_view PhaseName(ChangePhase phase) {
@@ -301,8 +302,10 @@
                                         std::int64_t generation,
                                         TimePoint requested_at) {
   std::int64_t failed = 0;
+  bool refused = false;
   for (const RankAnswer& answer : answers) {
     const RankReply& reply = answer.reply;
+    refused = refused || reply.status == kStatusConflict;
     if (reply.status == kStatusFenced) {
       this->MarkDeposed(generation);
     } else if (reply.status >= 400 || reply.status == 0) {
@@ -322,6 +325,14 @@
   if (failed > 1) {
     LogJsonNow("rank_orders_failed", {{"orders", failed}});
   }
+  if (refused) {
+    // Tick starts the next reading, which limits the rate at which orders that
+    // are refused again and again are repeated.
+    if (this->state.phase == ChangePhase::kResolving) {
+      this->current_map = {};
+    }
+    return;
+  }
   // Each report was made after the order to its rank, so together they form a
   // reading if every rank had an order.
   if (answers.size() == this->ranks.size()) {
--- a/standins/platform/engine_group_stand_in.cc
+++ b/standins/platform/engine_group_stand_in.cc
@@ -194,7 +194,7 @@
   }
   bool fits = false;
   if (operation == "prepare") {
-    fits = version > self.highest && !self.armed;
+    fits = version > self.highest && !self.armed && !this->refuses_maps;
     LayerSetMaps map;
     for (const json& set : order.at("map")) {
       map.push_back({set.get<std::vector<std::vector<int>>>()});
--- a/standins/platform/engine_group_stand_in.h
+++ b/standins/platform/engine_group_stand_in.h
@@ -57,6 +57,8 @@
   bool open = true;
   // No pass begins, though reports say that the group is open.
   bool still = false;
+  // Ranks refuse every map.
+  bool refuses_maps = false;
   // Called after a rank has accepted an order, if it is not empty.
   std::function<void(const std::string& operation)> on_accepted;
   // The epoch that reports name.
@@ -77,6 +79,8 @@
   // Passes that began while ranks had different maps.
   int mixed_passes() const { return this->mixed; }
   int switches() const { return this->switched; }
+  // Orders that have arrived.
+  int arrived_orders() const { return this->orders; }
   // Prepare orders that were refused because of too many new experts.
   int oversized_orders() const { return this->oversized; }
   std::int64_t step() const { return this->last_step; }
--- a/standins/platform/group_map_test.cc
+++ b/standins/platform/group_map_test.cc
@@ -370,6 +370,30 @@
   CHECK(site.group.oversized_orders() == 0);
 }
 
+// Guards against a coordinator that repeats a refused order without end as fast
+// as it is answered.
+TEST_CASE("refused orders are repeated at a bounded rate") {
+  GroupSite site;
+  site.StartAgents(site.shape.ranks);
+  site.StartCoordinator();
+  REQUIRE(
+      site.RunUntil([&] { return site.group.switches() >= 1; }, Seconds(8)));
+  site.group.refuses_maps = true;
+  site.ShiftDemand();
+  int arrived = site.group.arrived_orders();
+  REQUIRE(site.RunUntil([&] { return site.group.arrived_orders() > arrived; },
+                        Seconds(8)));
+  arrived = site.group.arrived_orders();
+  site.RunUntil([] { return false; }, Seconds(1));
+  // Each rank gets one after each reading, of which there are 50 in a second.
+  CHECK(site.group.arrived_orders() > arrived + site.shape.ranks);
+  CHECK(site.group.arrived_orders() <= arrived + 51 * site.shape.ranks);
+  site.group.refuses_maps = false;
+  const int before = site.group.switches();
+  CHECK(site.RunUntil([&] { return site.group.switches() > before; },
+                      Seconds(8)));
+}
+
 // Guards against a place that moves to each host that starts: the store takes
 // the lowest partitions from those who hold more than their share.
 TEST_CASE("the holder of the last partition coordinates") {
