--- a/packages/map_task/group_coordinator.cc
+++ b/packages/map_task/group_coordinator.cc
@@ -33,6 +33,7 @@
 constexpr double kMinSlowRankSlowdown = 1.3;
 // With fewer choices, the demand estimate is noise.
 constexpr double kMinDemand = 2000;
+constexpr int kStatusConflict = 409;
 constexpr int kStatusFenced = 412;
 
 std::string_view PhaseName(ChangePhase phase) {
@@ -190,15 +191,11 @@
   this->reading_duration = now - requested_at;
   this->pass_timing =
       UpdatePassTiming(this->pass_timing, first.epoch, first.step, now);
-  const bool is_map_known = first.epoch == this->current_map_epoch &&
-                            first.map == this->current_map_version;
-  if (!is_map_known && !this->current_map_pending) {
+  this->AdvanceRound(now);
+  if (!IsInUse(this->current_map, this->reading) &&
+      !this->current_map_pending) {
     this->ReadCurrentMap();
   }
-  // No map may be prepared before the current map is known.
-  if (this->state.phase != ChangePhase::kIdle || !this->current_map.empty()) {
-    this->AdvanceRound(now);
-  }
 }
 
 void GroupCoordinator::AdvanceRound(TimePoint now) {
@@ -233,9 +230,8 @@
                 {"reading_ms", ToMilliseconds(this->reading_duration)}});
   }
   if (decision.note == "switched") {
-    this->current_map = this->state.map;
-    this->current_map_version = this->state.version;
-    this->current_map_epoch = this->state.epoch;
+    this->current_map = {this->state.epoch, this->state.version,
+                         this->state.map};
   }
   this->state = decision.state;
   this->SendOrders(decision);
@@ -306,8 +302,10 @@
                                         std::int64_t generation,
                                         TimePoint requested_at) {
   std::int64_t failed = 0;
+  bool refused = false;
   for (const RankAnswer& answer : answers) {
     const RankReply& reply = answer.reply;
+    refused = refused || reply.status == kStatusConflict;
     if (reply.status == kStatusFenced) {
       this->MarkDeposed(generation);
     } else if (reply.status >= 400 || reply.status == 0) {
@@ -327,6 +325,14 @@
   if (failed > 1) {
     LogJsonNow("rank_orders_failed", {{"orders", failed}});
   }
+  if (refused) {
+    // Tick starts the next reading, which limits the rate at which orders that
+    // are refused again and again are repeated.
+    if (this->state.phase == ChangePhase::kResolving) {
+      this->current_map = {};
+    }
+    return;
+  }
   // Each report was made after the order to its rank, so together they form a
   // reading if every rank had an order.
   if (answers.size() == this->ranks.size()) {
@@ -369,7 +375,10 @@
 
 void GroupCoordinator::ReadCurrentMap() {
   this->current_map_pending = true;
-  this->Call(this->CallAll(RankRequestKind::kExperts), false,
+  // Engines are called directly, which is charged, only while the group may
+  // have to wait for the map.
+  const bool may_stand = this->state.phase == ChangePhase::kResolving;
+  this->Call(this->CallAll(RankRequestKind::kExperts), may_stand,
              [this](const std::vector<RankAnswer>& answers) {
                this->current_map_pending = false;
                this->OnCurrentMap(answers);
@@ -403,16 +412,12 @@
       map[set].experts_by_rank.push_back(found->second.by_set[set]);
     }
   }
-  this->current_map = std::move(map);
-  this->current_map_version = first.map;
-  this->current_map_epoch = first.epoch;
+  this->current_map = {first.epoch, first.map, std::move(map)};
 }
 
 std::optional<GroupMap> GroupCoordinator::PlanTargetMap() {
-  const RankReport& first = this->reading.front();
-  if (this->current_map_epoch != first.epoch ||
-      this->current_map_version != first.map ||
-      !IsValidMapFor(this->current_map, this->demand.chosen) ||
+  if (!IsInUse(this->current_map, this->reading) ||
+      !IsValidMapFor(this->current_map.map, this->demand.chosen) ||
       TotalDemand(this->demand) < kMinDemand) {
     return std::nullopt;
   }
@@ -425,9 +430,9 @@
     slowdowns.push_back(rank.slowdown);
   }
   GroupMap target_map = PlanEvenSplitMaps(
-      this->current_map, this->demand.chosen, limits, slowdowns);
+      this->current_map.map, this->demand.chosen, limits, slowdowns);
   const double before =
-      MeanImbalanceRatio(this->current_map, this->demand.chosen, slowdowns);
+      MeanImbalanceRatio(this->current_map.map, this->demand.chosen, slowdowns);
   const double after =
       MeanImbalanceRatio(target_map, this->demand.chosen, slowdowns);
   if (after > before * (1 - kMinImprovement)) {
@@ -437,7 +442,7 @@
                              {"ratio_now", before},
                              {"ratio_planned", after},
                              {"choices", TotalDemand(this->demand)},
-                             {"present_version", this->current_map_version}});
+                             {"present_version", this->current_map.version}});
   return target_map;
 }
 
