--- a/apps/process_load_test.cc
+++ b/apps/process_load_test.cc
@@ -8,12 +8,8 @@
 namespace toucanhollow {
 namespace {
 
-#ifdef __SANITIZE_ADDRESS__
-// The sanitizer wraps dlopen, and refuses to be the second library.
-constexpr const char* kWrapOpen = "true";
-#else
-constexpr const char* kWrapOpen = "export LD_PRELOAD=" WRAPPED_DLOPEN;
-#endif
+// Becomes the program that is linked with a library that wraps dlopen.
+constexpr const char* kWrapOpen = "exec " WRAPPED_PROGRAM " \"$@\"";
 
 // Guards against a program that finds its library only if nothing wraps dlopen.
 TEST_CASE("a process starts although another library wraps dlopen") {
