Relay: count held answers against the memory budget

Each request may buffer 256 KB of its answer and queue 256 KB for its caller, and the kernel raised its buffers to several MB on either side. Nothing bounded the sum over some 2,000 callers, so that large answers that have not ended, or whose callers do not read, end a host for its memory (FAULT) with all its requests (LOST).

Counts what is held of answers over 16 KB. Without memory an answer is passed on as it comes and reading from its server stops sooner; an event that has not ended is given up. Buffers of the kernel are bounded for both directions and for connections to servers.

--- a/packages/http_stream/tcp_connection.cc
+++ b/packages/http_stream/tcp_connection.cc
@@ -265,10 +265,11 @@
   }
 }
 
-void TcpConnection::LimitReceiveBuffer(std::size_t bytes) {
+void TcpConnection::LimitKernelBuffers(std::size_t bytes) {
   const int size = static_cast<int>(bytes);
   if (this->state->socket >= 0) {
     setsockopt(this->state->socket, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+    setsockopt(this->state->socket, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
   }
 }
 
--- a/packages/http_stream/tcp_connection.h
+++ b/packages/http_stream/tcp_connection.h
@@ -65,10 +65,10 @@
   // Returns false as long as no byte passed to Write can have left this host.
   bool any_sent() const;
   bool connected() const;
-  // Bounds the bytes that the kernel holds while they are not read, which is
-  // otherwise raised to several MB on fast connections. The bookkeeping of the
-  // kernel takes about as much again.
-  void LimitReceiveBuffer(std::size_t bytes);
+  // Bounds the bytes that the kernel holds for each direction, which it
+  // otherwise raises to several MB on fast connections. Its bookkeeping takes
+  // about as much again.
+  void LimitKernelBuffers(std::size_t bytes);
   // Pauses or resumes reading. While reading is paused, TCP flow control slows
   // the peer down.
   void SetReading(bool reading);
--- a/packages/overload/memory_budget.cc
+++ b/packages/overload/memory_budget.cc
@@ -12,8 +12,8 @@
 // keeps. With a low limit, half of it.
 constexpr std::size_t kProcessBytes = std::size_t{48} * 1024 * 1024;
 // The percentage of the capacity that each use may fill, by MemoryUse.
-constexpr std::array<std::size_t, kMemoryUseCount> kMaxPercent = {100, 90, 80,
-                                                                  60};
+constexpr std::array<std::size_t, kMemoryUseCount> kMaxPercent = {100, 70, 60,
+                                                                  50};
 
 std::size_t Index(MemoryUse use) {
   return static_cast<std::size_t>(use);
@@ -27,7 +27,7 @@
 
 std::size_t MaxBytes(const MemoryBudget& budget, MemoryUse use) {
   constexpr std::size_t kWholePercent = 100;
-  return budget.capacity / kWholePercent * kMaxPercent.at(Index(use));
+  return budget.capacity * kMaxPercent.at(Index(use)) / kWholePercent;
 }
 
 std::size_t FreeBytes(const MemoryBudget& budget, MemoryUse use) {
--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -31,12 +31,14 @@
 constexpr Duration kBodyStallTimeout = Seconds(5);
 
 // 4 MB arrive within 0.2 s at a round-trip time of 6 ms.
-constexpr std::size_t kReceiveBufferBytes = std::size_t{128} * 1024;
+constexpr std::size_t kKernelBufferBytes = std::size_t{128} * 1024;
 // What a connection and a request take beside a large body or answer.
 constexpr std::size_t kConnectionBytes = std::size_t{4} * 1024;
-constexpr std::size_t kRequestBytes = std::size_t{48} * 1024;
+constexpr std::size_t kRequestBytes = std::size_t{32} * 1024;
 // Bodies up to this size are part of kRequestBytes.
-constexpr std::size_t kSmallRequestBodyBytes = std::size_t{32} * 1024;
+constexpr std::size_t kSmallRequestBodyBytes = std::size_t{16} * 1024;
+// Answers up to this size are part of kRequestBytes.
+constexpr std::size_t kSmallAnswerBytes = std::size_t{16} * 1024;
 // Callers leave if their request is not read within a second, or a third of the
 // time that they have left.
 constexpr Duration kMaxBodyWait = Milliseconds(400);
@@ -68,9 +70,10 @@
       on_closed(std::move(on_closed)),
       waiting_since(EventLoop::Now()),
       idle_timeout(this->Limits().idle_timeout) {
-  this->connection->LimitReceiveBuffer(kReceiveBufferBytes);
+  this->connection->LimitKernelBuffers(kKernelBufferBytes);
   this->connection_hold = context.memory.Open(MemoryUse::kConnection);
   this->connection_hold.Resize(kConnectionBytes);
+  this->answer_hold = context.memory.Open(MemoryUse::kAnswer);
   this->connection->SetCallbacks(
       {nullptr, [this](std::string_view bytes) { this->OnData(bytes); },
        [this] { this->OnOutputDrained(); },
@@ -178,7 +181,7 @@
   }
   // A body in chunks may become as large as any.
   const std::size_t bytes = announced.value_or(std::min<std::size_t>(
-      this->Limits().body_bytes, this->context.memory.max_body_bytes()));
+      this->Limits().body_bytes, this->context.memory.max_unannounced_bytes()));
   const TimePoint now = EventLoop::Now();
   BodyAnswer answer = this->context.memory.ReserveBody(
       bytes, this->BodyWaitEnd(now), now, [this](BodyAnswer late_answer) {
@@ -261,6 +264,7 @@
     this->SendHead(status, reason, std::move(headers),
                    keep_length ? length : std::to_string(body.size()));
     this->connection->Write(body);
+    this->ReserveAnswer(this->connection->unsent());
     this->FinishResponse();
   };
   sink.send_head = [this](int status, std::string_view reason,
@@ -279,6 +283,9 @@
     this->BeginClosing();
   };
   sink.unsent_bytes = [this] { return this->connection->unsent(); };
+  sink.reserve = [this](std::size_t bytes) {
+    return this->ReserveAnswer(bytes);
+  };
   ++this->request_count;
   constexpr std::uint64_t kMaxRequestsPerSession = 1U << 20U;
   this->request = std::make_shared<RelayedRequest>(
@@ -375,7 +382,12 @@
   this->connection->FinishWriting();
 }
 
+bool CallerSession::ReserveAnswer(std::size_t bytes) {
+  return this->answer_hold.Resize(bytes <= kSmallAnswerBytes ? 0 : bytes);
+}
+
 void CallerSession::OnOutputDrained() {
+  this->ReserveAnswer(0);
   if (this->phase == Phase::kClosing) {
     this->closing_since = EventLoop::Now();
     this->waiting_since = this->closing_since;
@@ -403,6 +415,7 @@
   this->request.reset();
   this->connection.reset();
   this->connection_hold = MemoryHold();
+  this->answer_hold = MemoryHold();
   this->on_closed();
 }
 
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -69,6 +69,9 @@
   // Gives back what is held for a request that is being read.
   void ReleaseInput();
   std::shared_ptr<const std::string> TakeBody();
+  // Sets the bytes of responses that are held. Returns false if there is no
+  // memory for them.
+  bool ReserveAnswer(std::size_t bytes);
   void StartRequest();
   void RefuseInput(int status,
                    std::string_view why,
@@ -109,6 +112,8 @@
   std::uint64_t request_count = 0;
   // Of the connection and, while there is one, its request.
   MemoryHold connection_hold;
+  // Of responses that their server or their caller has not ended yet.
+  MemoryHold answer_hold;
   // Of the body that is being read.
   MemoryHold body_hold;
   // Set while the body waits for memory.
--- a/packages/relay/relay_memory.cc
+++ b/packages/relay/relay_memory.cc
@@ -199,8 +199,9 @@
   }
 }
 
-std::size_t RelayMemory::max_body_bytes() const {
-  return MaxBytes(this->state->admission.budget, MemoryUse::kLargeBody);
+std::size_t RelayMemory::max_unannounced_bytes() const {
+  // All of it would only be free while nothing else is held.
+  return MaxBytes(this->state->admission.budget, MemoryUse::kLargeBody) / 2;
 }
 
 void RelayMemory::Sweep(TimePoint now) {
--- a/packages/relay/relay_memory.h
+++ b/packages/relay/relay_memory.h
@@ -64,8 +64,8 @@
                          TimePoint now,
                          std::function<void(BodyAnswer answer)> done);
   void Withdraw(std::uint64_t ticket);
-  // The most bytes that a body can have.
-  std::size_t max_body_bytes() const;
+  // The most bytes that a body of unknown length can have.
+  std::size_t max_unannounced_bytes() const;
 
   // To be called periodically: refuses bodies that have waited for too long.
   void Sweep(TimePoint now);
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -44,6 +44,10 @@
 // A request that is still open this long after its deadline was kept from
 // ending by an exception.
 constexpr Duration kOverdueMargin = Milliseconds(200);
+// A longer part of an event needs memory of its own.
+constexpr std::size_t kMaxUncountedEventBytes = std::size_t{16} * 1024;
+// Of a connection to a server.
+constexpr std::size_t kKernelBufferBytes = std::size_t{128} * 1024;
 
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
@@ -261,6 +265,7 @@
   if (!reused) {
     connection = std::make_unique<TcpConnection>(this->context.loop,
                                                  chosen_pool->server().address);
+    connection->LimitKernelBuffers(kKernelBufferBytes);
     this->context.metrics.Count("server_connections_total");
   }
   SentLine sent;
@@ -357,7 +362,7 @@
     case ResponseMode::kBuffer:
       this->last_progress_at = now;
       this->buffered += bytes;
-      if (this->buffered.size() > kMaxBufferedBytes) {
+      if (this->buffered.size() > kMaxBufferedBytes || !this->ReserveAnswer()) {
         this->mode = ResponseMode::kRaw;
         this->ForwardBody(std::exchange(this->buffered, {}));
       }
@@ -372,12 +377,15 @@
       if (!complete.empty()) {
         this->MarkBegun(now);
       }
-      if (this->events.out_of_order || this->events.too_large) {
+      const bool too_large =
+          this->events.too_large ||
+          (this->events.partial.size() > kMaxUncountedEventBytes &&
+           !this->ReserveAnswer());
+      if (this->events.out_of_order || too_large) {
         this->attempt.reset();
         this->OnEnd(AttemptEnd::kTruncated,
-                    this->events.too_large
-                        ? "an event of the stream is too long"
-                        : "an event of the stream is missing");
+                    too_large ? "an event of the stream is too long"
+                              : "an event of the stream is missing");
       }
       return;
     }
@@ -434,11 +442,19 @@
                              RemoveHopByHopHeaders(this->response.headers)));
   }
   this->sink.send_chunk(bytes);
-  if (this->attempt != nullptr && this->sink.unsent_bytes() > kMaxUnsentBytes) {
+  const std::size_t unsent = this->sink.unsent_bytes();
+  if (this->attempt != nullptr && unsent > 0 &&
+      (unsent > kMaxUnsentBytes || !this->ReserveAnswer())) {
     this->attempt->SetReading(false);
   }
 }
 
+bool RelayedRequest::ReserveAnswer() const {
+  return this->sink.reserve(this->buffered.size() +
+                            this->events.partial.size() +
+                            this->sink.unsent_bytes());
+}
+
 void RelayedRequest::FailIfGroupHalted(TimePoint now) {
   if (this->attempt == nullptr ||
       now - this->last_progress_at < kHaltedGroupSilenceLimit ||
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -62,6 +62,9 @@
   std::function<void()> abort;
   // Number of bytes that are queued for the caller.
   std::function<std::size_t()> unsent_bytes;
+  // Sets the bytes of the response that are held in all. Returns false if there
+  // is no memory for them.
+  std::function<bool(std::size_t bytes)> reserve;
 };
 
 class RelayedRequest : public std::enable_shared_from_this<RelayedRequest> {
@@ -130,6 +133,8 @@
   void AfterLostAttempt(AttemptEnd end,
                         const std::string& detail,
                         bool not_run);
+  // Returns false if there is no memory for what is held of the response.
+  bool ReserveAnswer() const;
   void ForwardBody(std::string_view bytes);
   // Places the request again if the route, the time left and the shared retry
   // bound allow it.
--- a/standins/platform/large_body_test.cc
+++ b/standins/platform/large_body_test.cc
@@ -42,6 +42,16 @@
     return 0;
   }
 
+  // Lists the second server, with a slot for each request.
+  void ListManySlots() {
+    this->store.Put("keyed.servers", "i-2",
+                    R"({"service":"ledger","address":"127.0.0.1:)" +
+                        std::to_string(this->second.Port()) +
+                        R"(","zone":"west","slots":2000,"state":"ready",)" +
+                        R"("born":1700000000000})");
+    this->RunFor(Milliseconds(200));
+  }
+
   // A request with a large body.
   std::unique_ptr<Caller> Upload(const std::string& id) {
     auto caller = std::make_unique<Caller>(this->loop, this->settings.callers);
@@ -106,6 +116,61 @@
   CHECK(served >= kBursts * 8);
 }
 
+// Guards against answers that take more memory than the host may use, as their
+// callers do not read them or they have not ended yet.
+TEST_CASE("large answers stay within the memory of the host") {
+  constexpr int kCallers = 300;
+  constexpr std::size_t kMemoryMb = 80;
+  LargeBodyProcess site(kMemoryMb);
+  site.ListManySlots();
+  const bool callers_read = GENERATE(false, true);
+  ScriptedAnswer answer = SealedAnswer(std::string(250'000, 'a'));
+  if (callers_read) {
+    // The host holds the answers, as the last byte comes late.
+    answer.later = answer.bytes.substr(answer.bytes.size() - 1);
+    answer.bytes.pop_back();
+    answer.delay = Seconds(2);
+  } else {
+    answer = SealedAnswer(std::string(700'000, 'a'));
+  }
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    site.first.script.push_back(answer);
+    site.second.script.push_back(answer);
+    callers.push_back(
+        std::make_unique<Caller>(site.loop, site.settings.callers));
+    callers.back()->connection->SetReading(callers_read);
+    callers.back()->connection->Write(LengthHead("a" + std::to_string(i), 4) +
+                                      "body");
+    if (i % 20 == 0) {
+      site.RunFor(Milliseconds(10));
+    }
+  }
+  site.RunFor(Seconds(3));
+  site.first.script.clear();
+  site.second.script.clear();
+  int whole = 0;
+  for (const auto& caller : callers) {
+    whole += Status(*caller) == 200 ? 1 : 0;
+  }
+  int small_served = 0;
+  for (int i = 0; i < 10; ++i) {
+    small_served +=
+        Ask(site, Request("GET", "/s/x", "s")).status == 200 ? 1 : 0;
+  }
+  INFO("peak " << site.PeakMb() << " MB, unread "
+               << Metric(site, "held_bytes{kind=\"unread\"}") << ", to callers "
+               << Metric(site, "held_bytes{kind=\"to_callers\"}")
+               << ", answers " << Metric(site, "held_bytes{kind=\"answers\"}")
+               << ", ran " << site.second.heads.size() << ", whole answers "
+               << whole);
+  CHECK(site.process->IsRunning());
+  CHECK(site.PeakMb() <= kMemoryMb);
+  CHECK(small_served == 10);
+  CHECK(site.second.heads.size() > kCallers / 2);
+  CHECK((!callers_read || whole == kCallers));
+}
+
 // Guards against several copies of each body: one that is kept to be sent
 // again, one that waits for the connection and one that is being sent.
 TEST_CASE("a host holds each body once") {
