Relay: answer a caller that reads nothing only so far

A caller that sent request after request on one connection and read no answer was answered without end: each answer was queued behind the others.

The next request of a connection waits while more than 64 KB of the answers before it are queued.

--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -13,6 +13,8 @@
 // Reading stops when this much of later requests has arrived while a request is
 // being answered.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} * 1024;
+// A caller's next request waits while more of the answers before it is queued.
+constexpr std::size_t kMaxQueuedAnswerBytes = std::size_t{64} * 1024;
 // Callers reuse connections until close to the idle timeout. Closing this much
 // later keeps the close from racing with such a request.
 constexpr Duration kIdleMargin = Seconds(2);
@@ -357,17 +359,22 @@
   this->waiting_since = EventLoop::Now();
   this->idle_timeout = this->Limits().idle_timeout;
   this->connection_hold.Resize(kConnectionBytes);
-  this->connection->SetReading(true);
+  this->connection->SetReading(this->MayServeNext());
   this->ServePipelined();
 }
 
+bool CallerSession::MayServeNext() const {
+  return this->connection->unsent() <= kMaxQueuedAnswerBytes;
+}
+
 void CallerSession::ServePipelined() {
   if (this->serving_pipelined) {
     return;
   }
   this->serving_pipelined = true;
   const ResetOnExit reset{this->serving_pipelined};
-  while (this->phase == Phase::kIdle && !this->pipelined_bytes.empty()) {
+  while (this->phase == Phase::kIdle && !this->pipelined_bytes.empty() &&
+         this->MayServeNext()) {
     const std::string bytes = std::exchange(this->pipelined_bytes, {});
     this->OnData(bytes);
   }
@@ -396,6 +403,10 @@
   if (const auto active_request = this->request) {
     active_request->OnOutputDrained();
   }
+  if (this->phase == Phase::kIdle) {
+    this->connection->SetReading(true);
+    this->ServePipelined();
+  }
 }
 
 void CallerSession::OnEnd() {
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -83,9 +83,12 @@
                 HttpHeaders headers,
                 std::string_view framing);
   void FinishResponse();
+  // False while so much is queued for the caller that its next request has to
+  // wait.
+  bool MayServeNext() const;
   // Serves the requests that have arrived behind the last one, until one of
-  // them is not answered at once. A call from within itself does nothing, so
-  // that the stack does not grow with the number of requests.
+  // them is not answered at once or has to wait. A call from within itself does
+  // nothing, so that the stack does not grow with the number of requests.
   void ServePipelined();
   // Closes the sending side behind the queued bytes and waits for the caller to
   // close.
--- a/standins/platform/large_body_test.cc
+++ b/standins/platform/large_body_test.cc
@@ -171,6 +171,38 @@
   CHECK((!callers_read || whole == kCallers));
 }
 
+// Guards against answers that pile up for a caller that sends request after
+// request and reads nothing.
+TEST_CASE("a caller that reads nothing is not answered without end") {
+  constexpr int kRequests = 600;
+  constexpr std::size_t kAnswerBytes = 200'000;
+  LargeBodyProcess site;
+  const std::size_t before = site.PeakMb();
+  Caller caller(site.loop, site.settings.callers);
+  caller.connection->SetReading(false);
+  for (int i = 0; i < kRequests; ++i) {
+    site.first.script.push_back(SealedAnswer(std::string(kAnswerBytes, 'a')));
+    caller.connection->Write(LengthHead("p" + std::to_string(i), 4) + "body");
+  }
+  site.RunFor(Seconds(2));
+  INFO("ran " << site.first.heads.size());
+  CHECK(site.PeakMb() < before + 4);
+  caller.connection->SetReading(true);
+  std::size_t answers = 0;
+  site.RunUntil(
+      [&] {
+        while (caller.parser.done()) {
+          const std::string rest = caller.parser.TakeUnparsedBytes();
+          caller.parser = ResponseParser(true);
+          caller.parser.Feed(rest);
+          ++answers;
+        }
+        return answers == kRequests;
+      },
+      Seconds(10));
+  CHECK(answers == kRequests);
+}
+
 // Guards against several copies of each body: one that is kept to be sent
 // again, one that waits for the connection and one that is being sent.
 TEST_CASE("a host holds each body once") {
