Refuse heads of more than 256 fields

A field takes 64 bytes and more once it is parsed, however short it is. A head of 15 KB, within the limit of the configuration, may have 3,700: 900 connections whose requests wait for the rest of their bodies took a host from 14 to 207 MB, and it takes some 2,000 connections. A host that takes more than its machine has is ended with all its requests (FAULT, LOST).

--- a/packages/http_stream/http_stream_test.cc
+++ b/packages/http_stream/http_stream_test.cc
@@ -525,5 +525,23 @@
   CHECK(complete_count < kRounds);
 }
 
+// Guards against heads that take many times their bytes once they are parsed.
+TEST_CASE("heads with too many fields are refused") {
+  const auto fields = [](int count) {
+    std::string text;
+    for (int i = 0; i < count; ++i) {
+      text += "a:\r\n";
+    }
+    return text + "\r\n";
+  };
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n";
+  CHECK(FindRequestProblem(request + fields(255)) == ParseProblem::kNone);
+  CHECK(FindRequestProblem(request + fields(256)) ==
+        ParseProblem::kHeaderTooLarge);
+  ResponseParser response(true);
+  response.Feed("HTTP/1.1 200 OK\r\n" + fields(257));
+  CHECK(response.problem() == ParseProblem::kHeaderTooLarge);
+}
+
 }  // namespace
 }  // namespace toucanhollow
--- a/packages/http_stream/message_parser.cc
+++ b/packages/http_stream/message_parser.cc
@@ -51,6 +51,9 @@
 // a chunk header, and the trailer.
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64 * 1024;
 
+// A short field takes many times its bytes once it is parsed.
+constexpr std::size_t kMaxHeaderFields = 256;
+
 // Beast's number of HTTP/1.1.
 constexpr int kHttp11 = 11;
 
@@ -121,6 +124,10 @@
       }
       return;
     }
+    if (this->head.headers.size() == kMaxHeaderFields) {
+      error = http::error::header_limit;
+      return;
+    }
     this->head.headers.push_back({ToString(name), ToString(value)});
   }
   void on_header_impl(error_code& error) override { error = {}; }
--- a/packages/http_stream/message_parser.h
+++ b/packages/http_stream/message_parser.h
@@ -19,7 +19,7 @@
 enum class ParseProblem {
   kNone,
   kMalformed,
-  kHeaderTooLarge,
+  kHeaderTooLarge,  // or with too many fields
   kBodyTooLarge,
   // Requests only: the body has a transfer coding that is not decoded.
   kUnknownCoding,
