Relay: keep no more parts of a prompt than are considered

A request may name some 7,000 parts in a head within the limit, of which 64 are considered. All were kept as strings, once by the request and once for its attempt, while it was at a server: 700 such requests took a host from 15 to 359 MB, which ends it with all its requests (FAULT, LOST).

Keeps the first 64.

--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -82,6 +82,11 @@
     return;
   }
   this->metadata = read.value();
+  std::vector<std::string>& parts = this->metadata.shared_prompt_parts;
+  if (parts.size() > kMaxPartsPerRequest) {
+    parts.resize(kMaxPartsPerRequest);
+    parts.shrink_to_fit();
+  }
   this->traffic = this->context.view.traffic;
   const CallerCheck check = CheckCaller(
       this->traffic.get(), IsTrafficConfigFresh(this->context.view, now),
--- a/standins/platform/large_body.h
+++ b/standins/platform/large_body.h
@@ -15,6 +15,7 @@
   std::string text = ConfigText(2, "\"k1\"");
   const std::pair<std::string, std::string> changes[] = {
       {R"("max_body_bytes":1000)", R"("max_body_bytes":4194304)"},
+      {R"("max_header_bytes":4096)", R"("max_header_bytes":16384)"},
       {R"("max_conns":96)", R"("max_conns":4000)"},
       {R"("timeout_ms":800)", R"("timeout_ms":8000)"},
       {R"("header_timeout_ms":300)", R"("header_timeout_ms":3000)"}};
--- a/standins/platform/large_body_test.cc
+++ b/standins/platform/large_body_test.cc
@@ -203,6 +203,33 @@
   CHECK(answers == kRequests);
 }
 
+// Guards against a list of parts that takes many times its bytes while its
+// request is at a server.
+TEST_CASE("prompts of many parts take little memory") {
+  constexpr int kRequests = 150;
+  LargeBodyProcess site;
+  site.ListManySlots();
+  std::string parts;
+  for (int i = 0; i < 7000; ++i) {
+    parts += "a,";
+  }
+  const std::size_t before = site.PeakMb();
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (int i = 0; i < kRequests; ++i) {
+    site.first.script.push_back(DelayedAnswer(Milliseconds(500)));
+    site.second.script.push_back(DelayedAnswer(Milliseconds(500)));
+    callers.push_back(
+        std::make_unique<Caller>(site.loop, site.settings.callers));
+    callers.back()->connection->Write(
+        Request("GET", "/s/x", "p" + std::to_string(i),
+                "X-Toucanhollow-Prompt-Prefix: " + parts + "\r\n"));
+  }
+  site.RunUntil([&] { return std::ranges::all_of(callers, IsEnded); });
+  CHECK(std::ranges::all_of(
+      callers, [](const auto& caller) { return Status(*caller) == 200; }));
+  CHECK(site.PeakMb() < before + 20);
+}
+
 // Guards against several copies of each body: one that is kept to be sent
 // again, one that waits for the connection and one that is being sent.
 TEST_CASE("a host holds each body once") {
