Relay: take no request bodies at ports that need none

The ports for the balancer, for other hosts and for metrics took bodies of 1 MB on up to 128 connections, 128 MB in all, and none has a use for one. A host that takes more than its machine has is ended (FAULT).

A body there gets 413.

--- a/packages/metrics_server/metrics_server.cc
+++ b/packages/metrics_server/metrics_server.cc
@@ -24,6 +24,7 @@
   options.address = this->address.ip;
   options.port = this->address.port;
   options.max_connections = kMaxConnections;
+  options.max_body_bytes = 0;
   options.closes_idle_when_full = true;
   auto opened = HttpServer::Listen(
       this->loop, options,
--- a/packages/relay/peer_task.cc
+++ b/packages/relay/peer_task.cc
@@ -98,6 +98,7 @@
   options.address = this->settings.control.ip;
   options.port = this->settings.control.port;
   options.max_connections = 64;
+  options.max_body_bytes = 0;
   options.closes_idle_when_full = true;
   auto listening = HttpServer::Listen(
       this->loop, options,
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -112,6 +112,7 @@
   options.address = this->settings.readiness.ip;
   options.port = this->settings.readiness.port;
   options.max_connections = 32;
+  options.max_body_bytes = 0;
   options.closes_idle_when_full = true;
   auto opened = HttpServer::Listen(
       this->loop, std::move(options),
--- a/standins/platform/large_body_test.cc
+++ b/standins/platform/large_body_test.cc
@@ -230,6 +230,28 @@
   CHECK(site.PeakMb() < before + 20);
 }
 
+// Guards against bodies at the ports for the balancer, for other hosts and for
+// metrics, none of which takes any.
+TEST_CASE("bodies at the ports beside that for callers take no memory") {
+  LargeBodyProcess site;
+  const std::size_t before = site.PeakMb();
+  const std::string body(900'000, 'b');
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (const Address& port :
+       {site.settings.readiness, site.settings.control,
+        Address{site.settings.control.ip, site.settings.metrics_port}}) {
+    for (int i = 0; i < 20; ++i) {
+      callers.push_back(std::make_unique<Caller>(site.loop, port));
+      callers.back()->connection->Write(
+          "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n");
+      callers.back()->connection->Write(body);
+    }
+  }
+  site.RunFor(Seconds(1));
+  CHECK(site.PeakMb() < before + 8);
+  CHECK(Metric(site, "sessions") >= 0);
+}
+
 // Guards against several copies of each body: one that is kept to be sent
 // again, one that waits for the connection and one that is being sent.
 TEST_CASE("a host holds each body once") {
