--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -71,6 +71,9 @@
   // Gives back what is held for a request that is being read.
   void ReleaseInput();
   std::shared_ptr<const std::string> TakeBody();
+  // Sets the bytes of responses that are held. Returns false if there is no
+  // memory for them.
+  bool ReserveAnswer(std::size_t bytes);
   void StartRequest();
   void RefuseInput(int status,
                    std::string_view why,
@@ -82,9 +85,12 @@
                 HttpHeaders headers,
                 std::string_view framing);
   void FinishResponse();
+  // False while so much is queued for the caller that its next request has to
+  // wait.
+  bool MayServeNext() const;
   // Serves the requests that have arrived behind the last one, until one of
-  // them is not answered at once. A call from within itself does nothing, so
-  // that the stack does not grow with the number of requests.
+  // them is not answered at once or has to wait. A call from within itself does
+  // nothing, so that the stack does not grow with the number of requests.
   void ServePipelined();
   // Closes the sending side behind the queued bytes and waits for the caller to
   // close.
@@ -111,6 +117,8 @@
   std::uint64_t request_count = 0;
   // Of the connection and, while there is one, its request.
   MemoryHold connection_hold;
+  // Of responses that their server or their caller has not ended yet.
+  MemoryHold answer_hold;
   // Of the body that is being read.
   MemoryHold body_hold;
   // Set while the body waits for memory.
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -48,6 +48,10 @@
 // A request that is still open this long after its deadline was kept from
 // ending by an exception.
 constexpr Duration kOverdueMargin = Milliseconds(200);
+// A longer part of an event needs memory of its own.
+constexpr std::size_t kMaxUncountedEventBytes = std::size_t{16} * 1024;
+// Of a connection to a server.
+constexpr std::size_t kKernelBufferBytes = std::size_t{128} * 1024;
 
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
@@ -82,6 +86,11 @@
     return;
   }
   this->metadata = read.value();
+  std::vector<std::string>& parts = this->metadata.shared_prompt_parts;
+  if (parts.size() > kMaxPartsPerRequest) {
+    parts.resize(kMaxPartsPerRequest);
+    parts.shrink_to_fit();
+  }
   this->traffic = this->context.view.traffic;
   const CallerCheck check = CheckCaller(
       this->traffic.get(), IsTrafficConfigFresh(this->context.view, now),
@@ -265,6 +274,7 @@
   if (!reused) {
     connection = std::make_unique<TcpConnection>(this->context.loop,
                                                  chosen_pool->server().address);
+    connection->LimitKernelBuffers(kKernelBufferBytes);
     this->context.metrics.Count("server_connections_total");
   }
   SentLine sent;
@@ -366,7 +376,7 @@
     case ResponseMode::kBuffer:
       this->last_progress_at = now;
       this->buffered += bytes;
-      if (this->buffered.size() > kMaxBufferedBytes) {
+      if (this->buffered.size() > kMaxBufferedBytes || !this->ReserveAnswer()) {
         this->mode = ResponseMode::kRaw;
         this->ForwardBody(std::exchange(this->buffered, {}));
       }
@@ -381,12 +391,15 @@
       if (!complete.empty()) {
         this->MarkBegun(now);
       }
-      if (this->events.out_of_order || this->events.too_large) {
+      const bool too_large =
+          this->events.too_large ||
+          (this->events.partial.size() > kMaxUncountedEventBytes &&
+           !this->ReserveAnswer());
+      if (this->events.out_of_order || too_large) {
         this->attempt.reset();
         this->OnEnd(AttemptEnd::kTruncated,
-                    this->events.too_large
-                        ? "an event of the stream is too long"
-                        : "the ids of the stream do not increase");
+                    too_large ? "an event of the stream is too long"
+                              : "the ids of the stream do not increase");
       }
       return;
     }
@@ -448,11 +461,19 @@
                              RemoveHopByHopHeaders(this->response.headers)));
   }
   this->sink.send_chunk(bytes);
-  if (this->attempt != nullptr && this->sink.unsent_bytes() > kMaxUnsentBytes) {
+  const std::size_t unsent = this->sink.unsent_bytes();
+  if (this->attempt != nullptr && unsent > 0 &&
+      (unsent > kMaxUnsentBytes || !this->ReserveAnswer())) {
     this->attempt->SetReading(false);
   }
 }
 
+bool RelayedRequest::ReserveAnswer() const {
+  return this->sink.reserve(this->buffered.size() +
+                            this->events.partial.size() +
+                            this->sink.unsent_bytes());
+}
+
 void RelayedRequest::FailIfGroupHalted(TimePoint now) {
   // A stopping host ends streams at the end of its grace time and not before.
   if (this->context.stop && this->response_started) {
