Answer callers that shut down only their sending side

Seen by callers: a caller that shuts its sending side down behind its request (HTTP/1.1 allows that) got no answer and an orderly close; the server's work was ended.

Cause: the end of a caller's input was taken for its leaving, as the work of one that leaves must end within half a second, and a close and a half-close look alike.

They differ when something is written: a caller that has closed answers with a reset. After a reset the next one fails, and the request is withdrawn. A caller that still reads passes over interim responses, as HTTP/1.1 demands. If bytes of an answer wait to be sent, these show it as well. Where neither is possible (HTTP/1.0, a stream that waits for its next event), the caller counts as one that has left, as before.

--- a/packages/http_stream/message_head.h
+++ b/packages/http_stream/message_head.h
@@ -17,6 +17,8 @@
   HttpHeaders headers;
   // False for HTTP/1.0 and for "Connection: close".
   bool keep_alive = true;
+  // HTTP/1.0 has no interim responses.
+  bool is_http_1_0 = false;
 
   bool operator==(const RequestHead&) const = default;
 };
--- a/packages/http_stream/message_parser.cc
+++ b/packages/http_stream/message_parser.cc
@@ -254,6 +254,7 @@
   }
   RequestHead& head = state.parser.head;
   head.keep_alive = state.parser.keep_alive();
+  head.is_http_1_0 = state.parser.is_http_1_0;
   if (head.target.empty() || head.target.front() != '/' ||
       CountHeaders(head.headers, "Host") != 1) {
     state.problem = ParseProblem::kMalformed;
--- a/packages/http_stream/tcp_connection.cc
+++ b/packages/http_stream/tcp_connection.cc
@@ -60,6 +60,7 @@
   bool connected = false;
   bool ended = false;
   bool reading = true;
+  bool input_ended = false;
   bool any_sent = false;
   bool finish_writing = false;
   bool write_failed = false;
@@ -117,7 +118,8 @@
   }
   const bool wants_write =
       !this->connected || this->sent_offset < this->send_buffer.size();
-  const bool wants_read = this->connected && this->reading;
+  const bool wants_read =
+      this->connected && this->reading && !this->input_ended;
   const auto new_interest =
       static_cast<IoWatcher::Interest>((wants_read ? IoWatcher::kRead : 0) |
                                        (wants_write ? IoWatcher::kWrite : 0));
@@ -217,6 +219,14 @@
       (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
     return false;
   }
+  if (byte_count == 0 && this->callbacks.on_input_end) {
+    const auto callback = this->callbacks.on_input_end;
+    this->input_ended = true;
+    if (callback()) {
+      this->UpdateInterest();
+      return true;
+    }
+  }
   this->End(byte_count == 0 ? ConnectionEnd::kOrderly : ConnectionEnd::kReset);
   return true;
 }
@@ -311,7 +321,8 @@
 
 bool TcpConnection::ReadPending() {
   const std::shared_ptr<State> state = this->state;
-  return state->connected && state->reading && !state->ended && state->Read();
+  return state->connected && state->reading && !state->input_ended &&
+         !state->ended && state->Read();
 }
 
 std::size_t TcpConnection::unsent() const {
--- a/packages/http_stream/tcp_connection.h
+++ b/packages/http_stream/tcp_connection.h
@@ -28,6 +28,11 @@
   std::function<void()> on_drained;
   // Called once, as the last callback.
   std::function<void(ConnectionEnd end)> on_end;
+  // Called when the peer has shut its sending side down, or closed. If it
+  // returns true, the connection stays open for writing, and its end is noticed
+  // by a write that fails. Without it, or if it returns false, the connection
+  // ends with kOrderly.
+  std::function<bool()> on_input_end = nullptr;
 };
 
 // May be destroyed inside its own callbacks. The destructor closes the socket.
--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -29,6 +29,10 @@
 // Longest time between two parts of a request body.
 constexpr Duration kBodyStallTimeout = Seconds(5);
 
+// A reset comes after the first one at the latest, and the next one fails. Some
+// clients limit the interim responses that they take.
+constexpr int kCallerProbes = 3;
+
 struct ResetOnExit {
   bool& flag;
 
@@ -50,7 +54,8 @@
   this->connection->SetCallbacks(
       {nullptr, [this](std::string_view bytes) { this->OnData(bytes); },
        [this] { this->OnOutputDrained(); },
-       [this](ConnectionEnd end) { this->OnEnd(end); }});
+       [this](ConnectionEnd end) { this->OnEnd(end); },
+       [this] { return this->OnInputEnd(); }});
 }
 
 CallerSession::~CallerSession() {
@@ -134,6 +139,8 @@
   RequestHead head = this->parser->head();
   this->caller_keeps_alive = head.keep_alive;
   this->is_head_request = head.method == "HEAD";
+  this->response_begun = false;
+  this->is_http_1_0 = head.is_http_1_0;
   ResponseSink sink;
   sink.send_response = [this](int status, std::string_view reason,
                               HttpHeaders headers, const std::string& body) {
@@ -186,7 +193,9 @@
     headers.push_back({"Content-Length", std::string(framing)});
   }
   // A request that was read behind this one is answered before the close.
-  const bool close = this->draining && this->pipelined_bytes.empty();
+  this->response_begun = true;
+  const bool close =
+      (this->draining || this->input_ended) && this->pipelined_bytes.empty();
   if (close || !this->caller_keeps_alive) {
     this->close_announced = true;
     headers.push_back({"Connection", "close"});
@@ -224,7 +233,8 @@
   this->request.reset();
   // A head sent before draining began did not announce the close, so the
   // connection stays open for another request.
-  if (this->close_announced) {
+  if (this->close_announced ||
+      (this->input_ended && this->pipelined_bytes.empty())) {
     this->BeginClosing();
     return;
   }
@@ -246,6 +256,10 @@
     const std::string bytes = std::exchange(this->pipelined_bytes, {});
     this->OnData(bytes);
   }
+  if (this->input_ended && this->phase == Phase::kReading) {
+    // The rest of the request cannot arrive.
+    this->BeginClosing();
+  }
 }
 
 void CallerSession::BeginClosing() {
@@ -267,6 +281,31 @@
   }
 }
 
+bool CallerSession::OnInputEnd() {
+  this->input_ended = true;
+  if (this->connection->unsent() > 0) {
+    // What is on its way shows whether the caller still reads.
+    if (this->phase == Phase::kIdle) {
+      this->BeginClosing();
+    }
+    return this->phase != Phase::kReading;
+  }
+  if (this->phase != Phase::kResponding || this->response_begun ||
+      this->is_http_1_0) {
+    return false;
+  }
+  this->probes_left = kCallerProbes;
+  this->ProbeCaller();
+  return true;
+}
+
+void CallerSession::ProbeCaller() {
+  if (this->probes_left > 0 && !this->response_begun) {
+    --this->probes_left;
+    this->connection->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
 void CallerSession::OnEnd(ConnectionEnd end) {
   const bool reset = end == ConnectionEnd::kReset;
   this->LogLoss(reset);
@@ -404,6 +443,7 @@
         this->Close();
         return;
       }
+      this->ProbeCaller();
       // Keeps the request alive: the call may finish it, which resets
       // `this->request`.
       const auto active_request = this->request;
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -51,6 +51,12 @@
   enum class Phase { kIdle, kReading, kResponding, kClosing, kClosed };
 
   void OnData(std::string_view bytes);
+  // Returns true if the caller may have shut down only its sending side, and
+  // the connection stays open for what it is owed.
+  bool OnInputEnd();
+  // Writes an interim response, which a caller that has closed answers with a
+  // reset, and one that still reads passes over.
+  void ProbeCaller();
   void OnEnd(ConnectionEnd end);
   // Logs what the end of the connection leaves unfinished.
   void LogLoss(bool reset) const;
@@ -93,6 +99,13 @@
   bool continue_sent = false;
   bool caller_keeps_alive = true;
   bool is_head_request = false;
+  bool is_http_1_0 = false;
+  // The caller sends nothing any more.
+  bool input_ended = false;
+  // The head of the response to the present request was sent.
+  bool response_begun = false;
+  // Interim responses that are still to be sent after the end of the input.
+  int probes_left = 0;
   std::uint64_t request_count = 0;
   // Bytes of later requests that arrived while a request is being answered.
   std::string pipelined_bytes;
