Wait for a silent model group as long as the caller does

Seen by callers: a stream that ends without its last chunk after 1.6 s without an event, although its caller waits for more than that: callers leave after 2 s, four times the target latency of the route or eight times its longest pause, whichever is longest.

Cause: FailIfGroupHalted had one limit for all routes, derived from callers that leave after 2 s.

The limit is now 0.8 of the time that callers of the route wait, which is 1.6 s where it was right.

Without a further event the stream ends before 4 s.

--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -33,9 +33,10 @@
 // Retry-After time while the service is halted: a model group that broke needs
 // seconds to form again.
 constexpr Duration kHaltedRetryAfter = Seconds(5);
-// Servers of a closed group abort their requests after 1.5 s. One that has not
-// done so by then does not answer at all, and callers give up after 2 s.
-constexpr Duration kHaltedGroupSilenceLimit = Milliseconds(1600);
+// Servers of a closed group abort their requests after 1.5 s, and callers give
+// up after 2 s or later. The silence ends a request at this part of the time
+// that its caller waits.
+constexpr double kSilenceLimitFraction = 0.8;
 constexpr int kLowestPriority = 9;
 // A discarded response is read up to this size and for this long, so that its
 // connection can be reused. Beyond that, the connection is closed.
@@ -447,11 +448,15 @@
   if (this->context.stop && this->response_started) {
     return;
   }
+  const auto limit = std::chrono::duration_cast<Duration>(
+      EstimateCallerTimeout(this->route->target_latency,
+                            this->route->max_event_gap) *
+      kSilenceLimitFraction);
   // What the host did not see while it stood still is nobody's silence.
-  const auto is_silent = [this, now] {
+  const auto is_silent = [this, now, limit] {
     return this->attempt != nullptr &&
            now - std::max(this->last_progress_at, this->context.awake_since) >=
-               kHaltedGroupSilenceLimit &&
+               limit &&
            this->context.dispatcher.IsHaltedOrStalled(*this->pool, now);
   };
   if (!is_silent()) {
--- a/standins/platform/platform_relay_test.cc
+++ b/standins/platform/platform_relay_test.cc
@@ -684,6 +684,40 @@
   CHECK(site.RunUntil([&stopped] { return stopped; }));
 }
 
+// Guards against a stream that is cut although its caller waits much longer for
+// an event: four times the target latency of the route.
+TEST_CASE("a silent stream is left as long as its caller waits") {
+  RankSite site;
+  std::string config = ConfigText(2, "\"k1\"");
+  const auto replace = [&config](const std::string& from,
+                                 const std::string& to) {
+    config.replace(config.find(from), from.size(), to);
+  };
+  replace(R"({"name":"ledger","max_conns":96})",
+          R"({"name":"ledger","max_conns":96,"engine":{"slots":6,)"
+          R"("sets":1,"places":4,"spare":1}})");
+  replace(R"("timeout_ms":3000,"target_latency_ms":400)",
+          R"("timeout_ms":8000,"target_latency_ms":1000)");
+  site.store.Put("keyed.op", "config", config);
+  site.Start();
+  REQUIRE(Serves(site));
+  ScriptedAnswer slow;
+  slow.bytes = StreamHead() + Chunk("id: 1\ndata: a\n\n");
+  slow.later = Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
+  const bool in_time = GENERATE(true, false);
+  slow.delay = in_time ? Milliseconds(2800) : Seconds(60);
+  site.first.script.push_back(slow);
+  Caller caller(site.loop, site.settings.callers.port);
+  std::string request = Request("POST", "/m/x", "r1", "", "p");
+  caller.connection->Write(request.replace(request.find("1500"), 4, "8000"));
+  REQUIRE(site.RunUntil([&] { return caller.parser.head_done(); }));
+  const TimePoint silent_since = EventLoop::Now();
+  site.group.still = true;
+  CHECK(site.RunUntil([&] { return caller.parser.done() || caller.ended; }));
+  CHECK(caller.parser.done() == in_time);
+  CHECK(EventLoop::Now() - silent_since < Milliseconds(4000));
+}
+
 // Guards against a slow but sound stream that is cut: its events are just under
 // the time that callers wait, and it lasts longer than any idle time.
 TEST_CASE("a slow stream of a group that makes passes is not cut") {
