Coordinator: bound how long a round waits for a rank to be armed

A hold does not expire. While one rank was never reported as armed, the coordinator repeated its order for as long as it held the pass, and the whole group stood.

A round in which no further rank becomes armed for 1 s is now resolved: the ranks that are not armed prepare a new version, the others are disarmed and the hold is released. A rank that answers late does not count against the bound, as each further armed rank begins it anew. The new case of advance_change_test failed before.

--- a/packages/map_change/advance_change.cc
+++ b/packages/map_change/advance_change.cc
@@ -187,6 +187,8 @@
             ""};
   }
   ChangeState next = EnterPhase(state, ChangePhase::kArming, now);
+  next.unarmed_ranks = reading.size();
+  next.unarmed_since = now;
   std::vector<RankOrder> orders;
   for (const RankReport& rank : reading) {
     orders.push_back(
@@ -216,7 +218,15 @@
     return StartResolving(state, input, now, "no rank holds the pass any more");
   }
   if (!orders.empty()) {
-    return {state, std::move(orders), ""};
+    ChangeState next = state;
+    if (orders.size() < state.unarmed_ranks) {
+      next.unarmed_ranks = orders.size();
+      next.unarmed_since = now;
+    }
+    if (now - next.unarmed_since > kMaxArmingPause) {
+      return StartResolving(state, input, now, "arming timed out");
+    }
+    return {std::move(next), std::move(orders), ""};
   }
   return {EnterPhase(state, ChangePhase::kReleasing, now),
           MakeReleaseOrders(input.reading), "armed"};
--- a/packages/map_change/advance_change.h
+++ b/packages/map_change/advance_change.h
@@ -49,6 +49,10 @@
   StepNumber hold_step = 0;
   std::string hold_server;
   TimePoint phase_started_at;
+  // In kArming, the ranks that were not armed in the last reading, and since
+  // when there have been no fewer.
+  std::size_t unarmed_ranks = 0;
+  TimePoint unarmed_since;
 };
 
 // One report from each rank, all requested after the last order that was
@@ -93,6 +97,11 @@
 // pass depends on the round yet.
 inline constexpr Duration kPrepareTimeout = Seconds(6);
 
+// A round is resolved if no further rank becomes armed for longer. The group
+// may be standing at the held pass, and callers leave after 2 s without an
+// event.
+inline constexpr Duration kMaxArmingPause = Seconds(1);
+
 // True if the reading contains every rank of one open group in one epoch.
 bool IsCompleteReading(const GroupReading& reading);
 
--- a/packages/map_change/advance_change_test.cc
+++ b/packages/map_change/advance_change_test.cc
@@ -491,6 +491,36 @@
   }
 }
 
+// Guards against a hold that stays because a rank is never armed.
+TEST_CASE("a round in which no further rank becomes armed is resolved") {
+  SimulatedGroup group;
+  ChangeInput input;
+  for (int rank = 0; rank < kRanks; ++rank) {
+    input.reading.push_back(group.MakeReport(rank));
+    input.reading.back().prepared = 7;
+    input.reading.back().armed = 7;
+  }
+  input.reading[0].held = 5;
+  input.reading[2].armed.reset();
+  input.free_version = 8;
+  input.current_map = {1, 0, FirstMap()};
+  ChangeState state;
+  state.phase = ChangePhase::kArming;
+  state.group = "g";
+  state.epoch = 1;
+  state.version = 7;
+  state.hold_step = 5;
+  state.unarmed_ranks = 2;
+  // The second to last rank has become armed.
+  state = AdvanceChange(state, input, TimePoint(Seconds(5))).state;
+  const TimePoint limit = TimePoint(Seconds(5)) + kMaxArmingPause;
+  ChangeDecision decision = AdvanceChange(state, input, limit);
+  CHECK(decision.state.phase == ChangePhase::kArming);
+  CHECK(decision.orders.size() == 1);
+  decision = AdvanceChange(decision.state, input, limit + Milliseconds(1));
+  CHECK(decision.state.phase == ChangePhase::kResolving);
+}
+
 // Guards against a preparation that ranks refuse until it times out.
 TEST_CASE("a preparation for a map that is no longer in use is abandoned") {
   SimulatedGroup group;
