Ask for the rest of a body that has waited for memory

A caller could leave while its body waited for memory, and its request was then sent and run. A close looks like a half-close since, and what tells them apart is a write, which came only after the request had been placed.

The host now writes an interim response (100) when the memory is there, before it reads on. A caller that has closed answers with a reset, which ends the request at the end of its input; one that waits passes over it. HTTP/1.0 callers get none, also if they expect one.

--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -58,6 +58,8 @@
 // clients limit the interim responses that they take.
 constexpr int kCallerProbes = 3;
 
+constexpr std::string_view kInterimResponse = "HTTP/1.1 100 Continue\r\n\r\n";
+
 struct ResetOnExit {
   bool& flag;
 
@@ -166,8 +168,14 @@
   if (this->parser->head_done() && !this->continue_sent &&
       IsSameHeaderName(FindHeader(this->parser->head().headers, "Expect"),
                        "100-continue")) {
+    this->InviteBody();
+  }
+}
+
+void CallerSession::InviteBody() {
+  if (!this->parser->head().is_http_1_0) {
     this->continue_sent = true;
-    this->connection->Write("HTTP/1.1 100 Continue\r\n\r\n");
+    this->connection->Write(kInterimResponse);
   }
 }
 
@@ -195,6 +203,7 @@
         this->body_ticket.reset();
         this->waiting_since = EventLoop::Now();
         if (this->TakeBodyAnswer(std::move(late_answer))) {
+          this->InviteBody();
           this->connection->SetReading(true);
           this->Advance();
         }
@@ -444,7 +453,7 @@
 void CallerSession::ProbeCaller() {
   if (this->probes_left > 0 && !this->response_begun) {
     --this->probes_left;
-    this->connection->Write("HTTP/1.1 100 Continue\r\n\r\n");
+    this->connection->Write(kInterimResponse);
   }
 }
 
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -67,6 +67,9 @@
   // Sees to it that there is memory for the body that is being read. Returns
   // false while there is none: reading is then paused, or the request refused.
   bool ReserveBody();
+  // Asks for the rest of the body by an interim response. A caller that has
+  // closed meanwhile answers with a reset.
+  void InviteBody();
   // Returns false if the request was refused.
   bool TakeBodyAnswer(BodyAnswer answer);
   // Refuses the request for want of memory. `expected_wait`: until there may be
