Wait for a settings file that is not there yet

On a machine whose supervisor writes the settings file more than two seconds after the start, every role ended by itself with status 2. The limit counted from the start of the process and held for a file that was not there as well as for one with mistakes, so a file that came after 1.9 s also had only 0.1 s to be written completely.

A file that is missing, unreadable or empty is now waited for up to 30 s, and one with mistakes is read again until it has not changed for 2 s. The wait is logged as settings_incomplete, SIGTERM and SIGINT end it with status 0, and after the limit the status is 2 as before.

The test "a process waits for a settings file that comes late" writes the file 4 s after the start.

--- a/apps/process_settings_test.cc
+++ b/apps/process_settings_test.cc
@@ -41,6 +41,65 @@
   }
 }
 
+// Guards against a process that ends before its settings file is there, and one
+// that gives a file which comes late no time to be written.
+TEST_CASE("a process waits for a settings file that comes late") {
+  std::vector<std::unique_ptr<TestProcess>> late;
+  for (const ProcessRole role : kRoles) {
+    for (const bool exists : {false, true}) {
+      late.push_back(std::make_unique<TestProcess>(
+          role, 1 + static_cast<int>(late.size())));
+      if (exists) {
+        late.back()->WriteSettings("");
+      } else {
+        late.back()->RemoveSettings();
+      }
+      late.back()->Start();
+    }
+  }
+  for (const auto& process : late) {
+    REQUIRE(WaitForIncompleteSettings(*process));
+  }
+  std::this_thread::sleep_for(Seconds(4));
+  for (const auto& process : late) {
+    process->WriteSettings(process->settings.substr(0, 40));
+  }
+  std::this_thread::sleep_for(Milliseconds(500));
+  for (const auto& process : late) {
+    INFO(process->Log());
+    CHECK(process->IsRunning());
+    process->WriteSettings(process->settings);
+    CHECK(process->WaitForStart());
+  }
+}
+
+// Guards against a wait for a settings file that cannot be stopped, or that
+// has no end.
+TEST_CASE("the wait for a settings file ends by a stop or after its limit") {
+  std::vector<std::unique_ptr<TestProcess>> without_file;
+  for (const ProcessRole role : kRoles) {
+    without_file.push_back(std::make_unique<TestProcess>(role, 1));
+    TestProcess stopped(role, 2);
+    for (TestProcess* process : {without_file.back().get(), &stopped}) {
+      process->RemoveSettings();
+      process->Start();
+      REQUIRE(WaitForIncompleteSettings(*process));
+    }
+    stopped.Signal(SIGTERM);
+    CHECK(WaitUntil([&] { return !stopped.IsRunning(); }));
+    CHECK(stopped.HasExitedWith(0));
+  }
+  for (const auto& process : without_file) {
+    CHECK(WaitUntil([&] { return !process->IsRunning(); }, Seconds(60)));
+    INFO(process->Log());
+    CHECK(process->HasExitedWith(2));
+    CHECK(process->CountInLog("\"event\":\"exiting\"") +
+              process->CountInLog("exiting status=") ==
+          1);
+    CHECK(process->CountInLog("cannot be read") > 0);
+  }
+}
+
 // Guards against a port that is taken for a shorter one because its last digit
 // was not written yet.
 TEST_CASE("a value that is cut off is not used") {
--- a/apps/process_site.cc
+++ b/apps/process_site.cc
@@ -162,6 +162,10 @@
   std::ofstream(this->settings_file) << text;
 }
 
+void TestProcess::RemoveSettings() const {
+  std::filesystem::remove(this->settings_file);
+}
+
 std::string TestProcess::Log() const {
   std::ostringstream text;
   text << std::ifstream(this->log_file).rdbuf();
--- a/apps/process_site.h
+++ b/apps/process_site.h
@@ -40,6 +40,7 @@
   bool HasExitedWith(int status);
 
   void WriteSettings(const std::string& text) const;
+  void RemoveSettings() const;
   // What it has written so far, and how many times a text is in it.
   std::string Log() const;
   int CountInLog(const std::string& text) const;
--- a/apps/run_process.cc
+++ b/apps/run_process.cc
@@ -14,7 +14,11 @@
 namespace toucanhollow {
 namespace {
 
-constexpr Duration kSettingsWait = Seconds(2);
+// How long a settings file may be missing or empty, as a supervisor may write
+// it after the start.
+constexpr Duration kMissingSettingsWait = Seconds(30);
+// How long a file with mistakes may stay as it is.
+constexpr Duration kWrongSettingsWait = Seconds(2);
 constexpr Duration kSettingsRetryPeriod = Milliseconds(50);
 // A last line without a line end is accepted if the file does not change for so
 // long.
@@ -47,7 +51,8 @@
       : loop(loop),
         settings_file(std::move(settings_file)),
         steps(std::move(steps)),
-        began_at(EventLoop::Now()) {}
+        began_at(EventLoop::Now()),
+        text_changed_at(began_at) {}
 
   int Run();
 
@@ -69,6 +74,7 @@
   TimePoint began_at;
   Phase phase = Phase::kReadingSettings;
   std::unique_ptr<Timer> retry_timer;
+  // Empty if the file could not be read.
   std::string last_text;
   TimePoint text_changed_at;
   std::string reported_delay;
@@ -140,22 +146,23 @@
 }
 
 std::vector<Failure> ProcessRun::LoadSettings() try {
-  const Result<std::string> text = ReadSettingsFile(this->settings_file);
-  if (!text) {
-    return {text.error()};
-  }
+  const Result<std::string> read = ReadSettingsFile(this->settings_file);
+  std::string text = read ? read.value() : "";
   const TimePoint now = EventLoop::Now();
-  if (text.value() != this->last_text) {
-    this->last_text = text.value();
+  if (text != this->last_text) {
+    this->last_text = std::move(text);
     this->text_changed_at = now;
   }
+  if (!read) {
+    return {read.error()};
+  }
   if (!HasWholeLastLine(this->last_text) &&
       now - this->text_changed_at < kUnfinishedLineWait) {
     return {MakeFailure(
         ResultCode::kSettingsUnreadable,
         "the last line of " + this->settings_file + " has no line end")};
   }
-  return this->steps.parse(text.value());
+  return this->steps.parse(this->last_text);
 } catch (const std::exception& error) {
   return {MakeFailure(ResultCode::kSettingsUnreadable, error.what())};
 }
@@ -171,7 +178,9 @@
     return;
   }
   const std::string reason = FormatFailure(mistakes.front());
-  if (EventLoop::Now() - this->began_at < kSettingsWait) {
+  const Duration wait =
+      this->last_text.empty() ? kMissingSettingsWait : kWrongSettingsWait;
+  if (EventLoop::Now() - this->text_changed_at < wait) {
     this->ReportDelay("settings_incomplete", reason);
     this->Retry(kSettingsRetryPeriod, &ProcessRun::ReadSettings);
     return;
--- a/apps/run_process.h
+++ b/apps/run_process.h
@@ -33,8 +33,9 @@
 
 // Reads the settings, starts the daemon and runs the loop until the process is
 // stopped by SIGTERM or SIGINT. A process that has not started yet stops at
-// once. Settings that are incomplete or have mistakes are read again for
-// kSettingsWait, as they may be being written. A start that fails is repeated
+// once. A settings file that is missing or empty is waited for, and one that is
+// incomplete or has mistakes is read again, as it may be being written, for a
+// bounded time; "settings_incomplete" is logged. A start that fails is repeated
 // until it succeeds, because an earlier process may still hold a port. Returns
 // the exit status: kExitSuccess after a stop, kExitUsage for settings that stay
 // wrong. Both are logged as "exiting". The process signals have to be blocked,
