Let callers of the soak shut their sending side down

The caller waits for the answer, its end is classified as that of any other caller, and a broken promise names it as half-closed. The summary counts the answers to half-closed callers.

--- a/soak/caller_load.cc
+++ b/soak/caller_load.cc
@@ -31,6 +31,7 @@
   // Some request was answered on the connection.
   bool was_used = false;
   bool close_announced = false;
+  bool half_closed = false;
   std::deque<Waiting> waiting;
   ResponseParser parser{true};
   std::string body;
@@ -63,6 +64,7 @@
   caller.host = this->random() % this->hosts.size();
   caller.was_used = false;
   caller.close_announced = false;
+  caller.half_closed = false;
   caller.parser = ResponseParser(true);
   caller.body.clear();
   caller.connection = std::make_unique<TcpConnection>(
@@ -85,6 +87,7 @@
   const bool pair = caller.keeps_connection && this->random() % kPairOneIn == 0;
   if (pair) {
     planned.second_half_after = Duration(0);
+    planned.half_closes = false;
   }
   const bool close = !caller.keeps_connection && this->random() % 2 == 0;
   Duration bound = planned.timeout;
@@ -131,15 +134,27 @@
     const std::size_t first = bytes.size() - request.body.size() / 2;
     caller.second_half = std::make_unique<Timer>(
         this->loop, planned.second_half_after, Duration(0),
-        [&caller, rest = bytes.substr(first)] {
+        [this, &caller, planned, rest = bytes.substr(first)] {
           caller.waiting.back().whole_at = EventLoop::Now();
           caller.connection->Write(rest);
+          this->HalfClose(caller, planned);
         });
     bytes.resize(first);
   }
+  const bool whole = waiting.whole_at.has_value();
   this->ledger.requests.emplace(waiting.id, std::move(request));
   caller.waiting.push_back(std::move(waiting));
   caller.connection->Write(bytes);
+  if (whole) {
+    this->HalfClose(caller, planned);
+  }
+}
+
+void CallerLoad::HalfClose(Caller& caller, const PlannedRequest& planned) {
+  if (planned.half_closes) {
+    caller.half_closed = true;
+    caller.connection->FinishWriting();
+  }
 }
 
 void CallerLoad::GiveUp(Caller& caller) {
@@ -172,10 +187,12 @@
   caller.waiting.pop_front();
   NoteAnswer(this->ledger, answered.id, head, std::exchange(caller.body, {}));
   caller.parser = ResponseParser(true);
+  this->ledger.answered_half_closed += caller.half_closed ? 1 : 0;
   caller.was_used = true;
   caller.close_announced = FindHeader(head.headers, "Connection") == "close";
+  const bool last_answer = caller.half_closed && caller.waiting.empty();
   if (caller.close_announced || !caller.keeps_connection ||
-      !answered.whole_at) {
+      !answered.whole_at || last_answer) {
     this->OnEnd(caller, ConnectionEnd::kOrderly);
   } else if (caller.waiting.empty()) {
     caller.patience.reset();
@@ -208,7 +225,8 @@
     end.grace = host.grace;
     before = NoteNoAnswer(this->ledger,
                           "request " + waiting.id + " " + request.target +
-                              " to host " + std::to_string(request.host),
+                              " to host " + std::to_string(request.host) +
+                              (caller.half_closed ? ", half-closed" : ""),
                           end);
   }
   this->Disconnect(caller);
--- a/soak/caller_load.h
+++ b/soak/caller_load.h
@@ -1,6 +1,7 @@
 // CallerLoad: callers that ask one request after another, or two at once, and
 // tell the ledger what they got. Every second one keeps its connection until
 // the host announces its close or is gone; the others connect for each request.
+// Some shut their sending side down behind a request and are owed the answer.
 #ifndef SOAK_CALLER_LOAD_H_
 #define SOAK_CALLER_LOAD_H_
 
@@ -48,6 +49,8 @@
   void Connect(Caller& caller);
   void Ask(Caller& caller);
   void Send(Caller& caller, const PlannedRequest& planned, bool close);
+  // Shuts the sending side down behind the last request, if planned.
+  void HalfClose(Caller& caller, const PlannedRequest& planned);
   void OnData(Caller& caller, std::string_view bytes);
   // Takes the answer to the request that waits for it longest.
   void OnAnswer(Caller& caller);
--- a/soak/check_promises.h
+++ b/soak/check_promises.h
@@ -52,6 +52,8 @@
   std::int64_t checked_leavings = 0;
   std::int64_t allowed_late_arrivals = 0;
   std::int64_t answered = 0;
+  // Answers to callers that had shut their sending side down.
+  std::int64_t answered_half_closed = 0;
   std::int64_t refused = 0;
   std::int64_t failed = 0;
   // When the soak itself last ran, and last stood still for so long that
--- a/soak/request_plan.cc
+++ b/soak/request_plan.cc
@@ -11,6 +11,7 @@
 // One request in so many has this form.
 constexpr unsigned int kSlowOneIn = 40;
 constexpr unsigned int kLeavesOneIn = 40;
+constexpr unsigned int kHalfClosesOneIn = 8;
 constexpr unsigned int kUnframedOneIn = 10;
 constexpr unsigned int kLargeOneIn = 20;
 constexpr unsigned int kSlowStreamOneIn = 10;
@@ -92,6 +93,7 @@
     }
   }
   request.leaves = OneIn(random, kLeavesOneIn);
+  request.half_closes = OneIn(random, kHalfClosesOneIn);
   return request;
 }
 
--- a/soak/request_plan.h
+++ b/soak/request_plan.h
@@ -25,6 +25,8 @@
   Duration timeout{0};
   // The caller leaves before it has an answer.
   bool leaves = false;
+  // The caller shuts its sending side down behind the request.
+  bool half_closes = false;
 };
 
 PlannedRequest PlanRequest(std::mt19937& random);
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -64,12 +64,13 @@
   const Ledger& ledger = site.Play();
   std::cout << "seed " << FLAGS_seed << ": " << ledger.requests.size()
             << " requests, " << ledger.answered << " answered, "
-            << ledger.refused << " refused, " << ledger.failed
-            << " failed or left; " << ledger.checked_leavings
-            << " servers left, " << ledger.allowed_late_arrivals
-            << " late requests allowed; " << site.MapChanges()
-            << " map changes; stood still " << ledger.stalls << " times; "
-            << ledger.broken.size()
+            << ledger.answered_half_closed
+            << " answers to half-closed callers, " << ledger.refused
+            << " refused, " << ledger.failed << " failed or left; "
+            << ledger.checked_leavings << " servers left, "
+            << ledger.allowed_late_arrivals << " late requests allowed; "
+            << site.MapChanges() << " map changes; stood still "
+            << ledger.stalls << " times; " << ledger.broken.size()
             << " promises broken\n  ended without an answer:";
   for (const auto& [kind, count] : ledger.ended) {
     std::cout << " " << count << " " << toucanhollow::RequestEndName(kind)
