Read and log the limit that a server names

A server in need names in its answers the requests per second that it takes from all machines together. The field was read nowhere, so logs and metrics could not tell whether a host knew of a limit.

The platform's codec decodes the field of a server's answer and of an engine's report. A host keeps the latest statement for each server: one without a limit counts only if its request was written after the last one that names a limit had arrived, because answers may overtake each other. Values that are no decimal numbers are ignored, counted and logged. Hosts and agents log each change and have a gauge of the servers that name a limit. No decision depends on it yet.

--- a/packages/map_task/engine_codec.h
+++ b/packages/map_task/engine_codec.h
@@ -11,6 +11,7 @@
 #include "base/result.h"
 #include "http_client/http_call.h"
 #include "map_change/rank_report.h"
+#include "traffic/server_limit.h"
 
 namespace toucanhollow {
 
@@ -48,6 +49,8 @@
   // `sets` is the number of sets of layers.
   Result<RankCounts> (*decode_counts)(const std::string& body, int sets);
   Result<RankExperts> (*decode_experts)(const std::string& body);
+  // What the headers of any answer of an engine say of its limit.
+  LimitField (*read_limit)(const HttpHeaders& headers);
   // Returns the body of an order; `map` is used by kPrepare, `fence` is the
   // fencing token.
   std::string (*encode_order)(const RankOrder& order,
--- a/packages/map_task/rank_agent.cc
+++ b/packages/map_task/rank_agent.cc
@@ -88,6 +88,8 @@
                            });
   BOOST_OUTCOME_TRY(bound, std::move(opened));
   this->socket = std::move(bound);
+  this->engine.SetLimitHandler(
+      [this](const EngineLimit& limit) { this->OnEngineLimit(limit); });
   this->metrics_server = std::make_unique<MetricsServer>(
       this->loop, this->settings.metrics,
       [this] { return this->metrics.FormatText(); });
@@ -110,6 +112,34 @@
   }
 }
 
+void RankAgent::OnEngineLimit(const EngineLimit& limit) {
+  const std::optional<ServerLimit> statement =
+      FindStatement(limit.field, limit.asked_at, limit.received_at);
+  if (!statement) {
+    this->metrics.Count("server_limits_malformed_total");
+    if (IsMalformedLimitLogDue(this->malformed_limit_logged_at,
+                               limit.received_at)) {
+      this->malformed_limit_logged_at = limit.received_at;
+      LogJsonNow("server_limit_malformed", {{"source", "report"}});
+    }
+    return;
+  }
+  const std::optional<ServerLimit> before = this->engine_limit;
+  const bool is_new_process =
+      std::exchange(this->engine_start_time_ms, limit.start_time_ms) !=
+      limit.start_time_ms;
+  this->engine_limit =
+      before && !is_new_process ? LaterLimit(*before, *statement) : *statement;
+  if (!IsSameLimit(before, this->engine_limit)) {
+    LogJsonNow("server_limit_changed",
+               {{"kind", LimitKindName(this->engine_limit->kind)},
+                {"per_s", this->engine_limit->per_s},
+                {"source", "report"}});
+  }
+  this->metrics.SetGauge("limited_servers",
+                         IsNamed(this->engine_limit) ? 1 : 0);
+}
+
 void RankAgent::OnDatagram(const Address& from, std::string_view bytes) {
   if (IsPermitMessage(bytes)) {
     this->OnPermitRequest(from, bytes);
--- a/packages/map_task/rank_agent.h
+++ b/packages/map_task/rank_agent.h
@@ -4,8 +4,10 @@
 #ifndef MAP_TASK_RANK_AGENT_H_
 #define MAP_TASK_RANK_AGENT_H_
 
+#include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,6 +21,7 @@
 #include "metrics/metrics.h"
 #include "metrics_server/metrics_server.h"
 #include "permit/answer_permit_request.h"
+#include "traffic/server_limit.h"
 
 namespace toucanhollow {
 
@@ -59,6 +62,7 @@
 
   void OnDatagram(const Address& from, std::string_view bytes);
   void OnPermitRequest(const Address& from, std::string_view bytes);
+  void OnEngineLimit(const EngineLimit& limit);
   void SendReply(const Address& from, std::uint64_t serial, RankReply reply);
 
   EventLoop& loop;
@@ -67,6 +71,10 @@
   RankEngineClient engine;
   Metrics metrics;
   PermitIssuer permit_issuer;
+  // The engine's process, and what it last said of its limit.
+  std::int64_t engine_start_time_ms = 0;
+  std::optional<ServerLimit> engine_limit;
+  std::optional<TimePoint> malformed_limit_logged_at;
   std::map<Address, Requester> requesters;
   std::unique_ptr<DatagramSocket> socket;
   std::unique_ptr<MetricsServer> metrics_server;
--- a/packages/map_task/rank_calls_test.cc
+++ b/packages/map_task/rank_calls_test.cc
@@ -31,6 +31,7 @@
   codec.decode_experts = [](const std::string&) -> Result<RankExperts> {
     return RankExperts{4, {{1}}};
   };
+  codec.read_limit = [](const HttpHeaders&) { return LimitField{}; };
   codec.encode_order = [](const RankOrder&, const GroupMap&, std::int64_t) {
     return std::string("order");
   };
--- a/packages/map_task/rank_engine_client.cc
+++ b/packages/map_task/rank_engine_client.cc
@@ -61,13 +61,18 @@
                                   RankReply reply,
                                   std::function<void(RankReply)> done) {
   this->Get(engine, this->codec.report_path, timeout,
-            [this, reply = std::move(reply),
-             done = std::move(done)](const HttpOutcome& outcome) mutable {
+            [this, reply = std::move(reply), done = std::move(done),
+             asked_at = EventLoop::Now()](const HttpOutcome& outcome) mutable {
               if (outcome.end == HttpEnd::kComplete && outcome.status == 200) {
                 const Result<RankReport> report =
                     this->codec.decode_report("", outcome.body);
                 if (report) {
                   reply.report = report.value();
+                  if (this->on_limit) {
+                    this->on_limit({report.value().start_time_ms,
+                                    this->codec.read_limit(outcome.headers),
+                                    asked_at, EventLoop::Now()});
+                  }
                 } else {
                   reply.detail = report.error().detail;
                 }
--- a/packages/map_task/rank_engine_client.h
+++ b/packages/map_task/rank_engine_client.h
@@ -2,10 +2,12 @@
 #ifndef MAP_TASK_RANK_ENGINE_CLIENT_H_
 #define MAP_TASK_RANK_ENGINE_CLIENT_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "base/address.h"
 #include "event_loop/event_loop.h"
@@ -15,6 +17,17 @@
 
 namespace toucanhollow {
 
+// What the answer with an engine's report says of the engine's limit.
+struct EngineLimit {
+  // RankReport::start_time_ms of the engine.
+  std::int64_t start_time_ms = 0;
+  LimitField field;
+  TimePoint asked_at;
+  TimePoint received_at;
+
+  bool operator==(const EngineLimit&) const = default;
+};
+
 class RankEngineClient {
  public:
   RankEngineClient(HttpClient& client, const EngineMapCodec& codec);
@@ -28,6 +41,12 @@
                Duration timeout,
                std::function<void(RankReply)> done);
 
+  // Calls the handler with each statement of an engine on its limit that comes
+  // with a report, before the report's `done`.
+  void SetLimitHandler(std::function<void(const EngineLimit& limit)> handler) {
+    this->on_limit = std::move(handler);
+  }
+
  private:
   using ResponseHandler = std::function<void(const HttpOutcome&)>;
 
@@ -47,6 +66,7 @@
 
   HttpClient& client;
   const EngineMapCodec& codec;
+  std::function<void(const EngineLimit& limit)> on_limit;
   // The last counters read from each engine.
   std::map<Address, RankCounts> last_counts;
   // Callbacks keep a weak pointer to this, which expires with this object.
--- a/packages/relay/dispatcher.cc
+++ b/packages/relay/dispatcher.cc
@@ -724,6 +724,48 @@
   }
 }
 
+bool Dispatcher::RecordLimit(ServerConnectionPool& pool,
+                             const LimitField& field,
+                             TimePoint written_at,
+                             TimePoint now) {
+  const std::optional<ServerLimit> statement =
+      FindStatement(field, written_at, now);
+  if (!statement) {
+    if (IsMalformedLimitLogDue(pool.malformed_limit_logged_at, now)) {
+      pool.malformed_limit_logged_at = now;
+      LogJsonNow("server_limit_malformed",
+                 {{"server", std::string_view(pool.server().id)},
+                  {"source", "answer"}});
+    }
+    return false;
+  }
+  this->MergeLimit(pool, *statement, "answer");
+  return true;
+}
+
+void Dispatcher::MergeLimit(ServerConnectionPool& pool,
+                            const ServerLimit& statement,
+                            std::string_view source) {
+  if (!pool.limit && statement.kind == ServerLimitKind::kWithdrawn) {
+    return;
+  }
+  const std::optional<ServerLimit> before = pool.limit;
+  pool.limit = before ? LaterLimit(*before, statement) : statement;
+  if (!IsSameLimit(before, pool.limit)) {
+    LogJsonNow("server_limit_changed",
+               {{"server", std::string_view(pool.server().id)},
+                {"kind", LimitKindName(pool.limit->kind)},
+                {"per_s", pool.limit->per_s},
+                {"source", source}});
+  }
+}
+
+std::size_t Dispatcher::CountLimitedServers() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      this->pools,
+      [](const auto& entry) { return IsNamed(entry.second->limit); }));
+}
+
 void Dispatcher::UpdatePeerLoad(const std::string& host,
                                 const HostLoadReport& report) {
   RecordLoadReport(this->peer_loads, host, report, EventLoop::Now());
--- a/packages/relay/dispatcher.h
+++ b/packages/relay/dispatcher.h
@@ -82,6 +82,15 @@
                      const std::string& at_fault,
                      TimePoint now);
 
+  // Records what the server's own answer says of its limit. Returns false if
+  // that is malformed and was ignored.
+  bool RecordLimit(ServerConnectionPool& pool,
+                   const LimitField& field,
+                   TimePoint written_at,
+                   TimePoint now);
+  // Servers that name a limit.
+  std::size_t CountLimitedServers() const;
+
   // Counts a request, which adds to the bound on retries.
   void RecordRequest(const ServiceName& service);
   // Counts a retry and returns true if the bound that all entry hosts share
@@ -116,6 +125,10 @@
     RetryAllowance retries;
   };
 
+  // `source`: where the statement comes from, for logs.
+  void MergeLimit(ServerConnectionPool& pool,
+                  const ServerLimit& statement,
+                  std::string_view source);
   // A pseudo-random number, different at each call and host.
   std::uint64_t Draw();
   std::vector<std::shared_ptr<ServerConnectionPool>> FindUsablePools(
--- a/packages/relay/relay_codec.h
+++ b/packages/relay/relay_codec.h
@@ -15,6 +15,7 @@
 #include "relay/quarantine_record.h"
 #include "traffic/keyed_mirror.h"
 #include "traffic/known_server.h"
+#include "traffic/server_limit.h"
 #include "traffic/traffic_config.h"
 
 namespace toucanhollow {
@@ -61,6 +62,7 @@
   // True if the body has a content encoding, which no server of the platform
   // applies.
   bool encoded = false;
+  LimitField limit;
 
   bool operator==(const ResponseMetadata&) const = default;
 };
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -133,6 +133,9 @@
   this->metrics.SetGauge(
       "waiting_requests",
       static_cast<double>(this->dispatcher.waiting_requests()));
+  this->metrics.SetGauge(
+      "limited_servers",
+      static_cast<double>(this->dispatcher.CountLimitedServers()));
   this->UpdateMemoryGauges();
   return this->metrics.FormatText();
 }
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -299,7 +299,8 @@
                          return this->context.dispatcher.CheckWrite(
                              placement, EventLoop::Now());
                        },
-                       [sent, now]() mutable {
+                       [raw, sent, now]() mutable {
+                         raw->written_at = EventLoop::Now();
                          sent.connect_time = EventLoop::Now() - now;
                          LogSent(sent);
                        },
@@ -325,6 +326,7 @@
   this->response = response;
   this->response_not_run = metadata.not_run;
   this->server_at_fault = metadata.server_at_fault;
+  this->RecordLimit(response, metadata);
   this->last_progress_at = EventLoop::Now();
   this->discard_started_at = this->last_progress_at;
   this->discarded_bytes = 0;
@@ -357,6 +359,20 @@
   this->ReleaseBodyIfFinal();
 }
 
+void RelayedRequest::RecordLimit(const ResponseHead& head,
+                                 const ResponseMetadata& metadata) {
+  // Another server than the one that was meant may have answered 421, and only
+  // the seal marks an answer as the server's own.
+  if (this->pool == nullptr || head.status == kStatusMisdirected ||
+      (metadata.limit.kind == LimitFieldKind::kAbsent && !metadata.sealed)) {
+    return;
+  }
+  if (!this->context.dispatcher.RecordLimit(
+          *this->pool, metadata.limit, this->written_at, EventLoop::Now())) {
+    this->context.metrics.Count("server_limits_malformed_total");
+  }
+}
+
 void RelayedRequest::ReleaseBodyIfFinal() {
   if (!this->HasRepeatableRoute() || !this->CanRetryElsewhere(true)) {
     this->body = nullptr;
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -111,6 +111,8 @@
   // Ends the attempt without reading the rest of a discarded response.
   void AbandonDiscarded(std::string_view why);
   void OnHead(const ResponseHead& head, const ResponseMetadata& metadata);
+  // Has the dispatcher learn what the server's answer says of its limit.
+  void RecordLimit(const ResponseHead& head, const ResponseMetadata& metadata);
   void OnBody(const std::string& bytes);
   // `known_not_run`: the server stated that it did not run the request, before
   // its response was abandoned.
@@ -201,6 +203,8 @@
   // In the present or last attempt, a complete event or response has arrived.
   bool answer_began = false;
   TimePoint first_byte_at;
+  // When the request was written in the present or last attempt.
+  TimePoint written_at;
   // When the request was sent or last made progress: bytes of a response or, in
   // a stream, a new complete event.
   TimePoint last_progress_at;
--- a/packages/relay/server_connection_pool.h
+++ b/packages/relay/server_connection_pool.h
@@ -13,6 +13,7 @@
 #include "traffic/misdirection.h"
 #include "traffic/permit_availability.h"
 #include "traffic/place_request.h"
+#include "traffic/server_limit.h"
 
 namespace toucanhollow {
 
@@ -40,6 +41,9 @@
   ServerHealth health;
   PermitAvailability permits;
   std::optional<Misdirection> misdirection;
+  // The latest statement on the server's limit; empty until it names one.
+  std::optional<ServerLimit> limit;
+  std::optional<TimePoint> malformed_limit_logged_at;
 
  private:
   struct IdleConnection {
--- /dev/null
+++ b/packages/traffic/server_limit.cc
@@ -0,0 +1,58 @@
+#include "traffic/server_limit.h"
+
+#include <algorithm>
+
+namespace toucanhollow {
+namespace {
+
+constexpr Duration kMalformedLimitLogPeriod = Seconds(10);
+
+}  // namespace
+
+std::optional<ServerLimit> FindStatement(const LimitField& field,
+                                         TimePoint written_at,
+                                         TimePoint received_at) {
+  switch (field.kind) {
+    case LimitFieldKind::kAbsent:
+      return ServerLimit{ServerLimitKind::kWithdrawn, 0, written_at};
+    case LimitFieldKind::kNamed:
+      return ServerLimit{ServerLimitKind::kNamed,
+                         std::clamp(field.per_s, 0.0, kMaxServerLimitPerS),
+                         received_at};
+    case LimitFieldKind::kMalformed:
+      break;
+  }
+  return std::nullopt;
+}
+
+ServerLimit LaterLimit(const ServerLimit& left, const ServerLimit& right) {
+  if (left.at != right.at) {
+    return left.at > right.at ? left : right;
+  }
+  if (left.kind != right.kind) {
+    return left.kind == ServerLimitKind::kNamed ? left : right;
+  }
+  return left.per_s <= right.per_s ? left : right;
+}
+
+bool IsNamed(const std::optional<ServerLimit>& limit) {
+  return limit && limit->kind == ServerLimitKind::kNamed;
+}
+
+bool IsSameLimit(const std::optional<ServerLimit>& left,
+                 const std::optional<ServerLimit>& right) {
+  if (!IsNamed(left) || !IsNamed(right)) {
+    return IsNamed(left) == IsNamed(right);
+  }
+  return left->per_s == right->per_s;
+}
+
+bool IsMalformedLimitLogDue(std::optional<TimePoint> logged_at, TimePoint now) {
+  return !logged_at || now - *logged_at >= kMalformedLimitLogPeriod;
+}
+
+std::string_view LimitKindName(ServerLimitKind kind) {
+  return kind == ServerLimitKind::kNamed ? "named" : "withdrawn";
+}
+
+}  // namespace toucanhollow
