Hold at most 16 KB of pipelined requests

A caller may send requests without waiting for the answers. The relay stopped reading when more than 64 KB of them had arrived, after it had appended a whole read of up to 32 KB, and counted none of it against the memory budget. With the 1,970 connections of an entry host that is up to 185 MB beside the budget.

Reads from callers are now bounded, so that no more than 16 KB of later requests are read, and these 16 KB are counted while there are any. If there is no memory for them, they are discarded and answered with one 503 after the present answer, as a request is that finds no memory at its start. The rest of a body whose length is known is still read up to 32 KB at a time. A host that stops, or a check of the time limits, reads all that has arrived, as a smaller read might not deliver it.

--- a/packages/http_stream/tcp_connection.cc
+++ b/packages/http_stream/tcp_connection.cc
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -63,6 +64,7 @@
   bool connected = false;
   bool ended = false;
   bool reading = true;
+  std::size_t max_read_bytes = kMaxReadBytes;
   bool input_ended = false;
   bool any_sent = false;
   bool finish_writing = false;
@@ -206,7 +208,7 @@
 bool TcpConnection::State::Read() {
   static thread_local std::array<char, kMaxReadBytes> buffer;
   const ssize_t byte_count =
-      recv(this->socket, buffer.data(), buffer.size(), 0);
+      recv(this->socket, buffer.data(), this->max_read_bytes, 0);
   if (byte_count > 0) {
     if (this->callbacks.on_data) {
       const auto callback = this->callbacks.on_data;
@@ -359,6 +361,11 @@
   this->state->UpdateInterest();
 }
 
+void TcpConnection::LimitReads(std::size_t bytes) {
+  this->state->max_read_bytes =
+      std::clamp(bytes, std::size_t{1}, kMaxReadBytes);
+}
+
 Result<std::unique_ptr<TcpListener>> TcpListener::Listen(
     EventLoop& loop,
     const Address& address,
--- a/packages/http_stream/tcp_connection.h
+++ b/packages/http_stream/tcp_connection.h
@@ -78,6 +78,8 @@
   // Pauses or resumes reading. While reading is paused, TCP flow control slows
   // the peer down.
   void SetReading(bool reading);
+  // Bounds the bytes that one read delivers, at least 1.
+  void LimitReads(std::size_t bytes);
 
  private:
   struct State;
--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -11,8 +11,8 @@
 namespace {
 
 // Reading stops when this much of later requests has arrived while a request is
-// being answered.
-constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} * 1024;
+// being answered. It is counted as a whole if there are any.
+constexpr std::size_t kMaxPipelinedBytes = std::size_t{16} * 1024;
 // A caller's next request waits while more of the answers before it is queued.
 constexpr std::size_t kMaxQueuedAnswerBytes = std::size_t{64} * 1024;
 // Callers reuse connections until close to the idle timeout. Closing this much
@@ -79,7 +79,9 @@
   this->connection->LimitKernelBuffers(kKernelBufferBytes);
   this->connection_hold = context.memory.Open(MemoryUse::kConnection);
   this->connection_hold.Resize(kConnectionBytes);
+  this->pipelined_hold = context.memory.Open(MemoryUse::kConnection);
   this->answer_hold = context.memory.Open(MemoryUse::kAnswer);
+  this->LimitReads();
   this->connection->SetCallbacks(
       {nullptr, [this](std::string_view bytes) { this->OnData(bytes); },
        [this] { this->OnOutputDrained(); },
@@ -108,10 +110,7 @@
     case Phase::kClosed:
       return;
     case Phase::kResponding:
-      this->pipelined_bytes.append(bytes);
-      if (this->pipelined_bytes.size() > kMaxPipelinedBytes) {
-        this->connection->SetReading(false);
-      }
+      this->KeepPipelined(bytes);
       return;
     case Phase::kIdle:
       if (this->refuses_requests) {
@@ -169,6 +168,7 @@
     this->continue_sent = true;
     this->connection->Write("HTTP/1.1 100 Continue\r\n\r\n");
   }
+  this->LimitReads();
 }
 
 bool CallerSession::ReserveBody() {
@@ -256,7 +256,7 @@
 
 void CallerSession::StartRequest() {
   this->phase = Phase::kResponding;
-  this->pipelined_bytes = this->parser->TakeUnparsedBytes();
+  this->KeepPipelined(this->parser->TakeUnparsedBytes());
   RequestHead head = this->parser->head();
   std::shared_ptr<const std::string> body = this->TakeBody();
   this->ReleaseInput();
@@ -321,7 +321,7 @@
   // A request that was read behind this one is answered before the close.
   this->response_begun = true;
   const bool close =
-      (this->draining || this->input_ended) && this->pipelined_bytes.empty();
+      (this->draining || this->input_ended) && !this->HasPipelined();
   if (close || !this->caller_keeps_alive) {
     this->close_announced = true;
     headers.push_back({"Connection", "close"});
@@ -360,8 +360,7 @@
   this->request.reset();
   // A head sent before draining began did not announce the close, so the
   // connection stays open for another request.
-  if (this->close_announced ||
-      (this->input_ended && this->pipelined_bytes.empty())) {
+  if (this->close_announced || (this->input_ended && !this->HasPipelined())) {
     this->BeginClosing();
     return;
   }
@@ -373,6 +372,40 @@
   this->ServePipelined();
 }
 
+void CallerSession::KeepPipelined(std::string_view bytes) {
+  if (!bytes.empty() && !this->pipelined_refused) {
+    this->pipelined_refused = !this->pipelined_hold.Resize(kMaxPipelinedBytes);
+    if (!this->pipelined_refused) {
+      this->pipelined_bytes.reserve(kMaxPipelinedBytes);
+      this->pipelined_bytes.append(bytes);
+    }
+  }
+  if (this->pipelined_bytes.size() >= kMaxPipelinedBytes) {
+    this->connection->SetReading(false);
+  }
+  this->LimitReads();
+}
+
+std::string CallerSession::TakePipelined() {
+  this->pipelined_hold.Resize(0);
+  return std::exchange(this->pipelined_bytes, {});
+}
+
+bool CallerSession::HasPipelined() const {
+  return !this->pipelined_bytes.empty() || this->pipelined_refused;
+}
+
+void CallerSession::LimitReads() {
+  // What a read may hold of the present request's body.
+  std::size_t body_bytes = 0;
+  if (this->phase == Phase::kReading && this->parser->head_done()) {
+    const std::size_t length = this->parser->content_length().value_or(0);
+    body_bytes = length - std::min(length, this->parser->body_bytes());
+  }
+  this->connection->LimitReads(body_bytes + kMaxPipelinedBytes -
+                               this->pipelined_bytes.size());
+}
+
 bool CallerSession::MayServeNext() const {
   return this->connection->unsent() <= kMaxQueuedAnswerBytes;
 }
@@ -385,8 +418,12 @@
   const ResetOnExit reset{this->serving_pipelined};
   while (this->phase == Phase::kIdle && !this->pipelined_bytes.empty() &&
          this->MayServeNext()) {
-    const std::string bytes = std::exchange(this->pipelined_bytes, {});
-    this->OnData(bytes);
+    this->OnData(this->TakePipelined());
+  }
+  if (this->pipelined_refused && this->phase == Phase::kIdle &&
+      this->MayServeNext()) {
+    this->pipelined_refused = false;
+    this->RefuseInput(503, "no memory for the request", kMinMemoryRetryAfter);
   }
   if (this->input_ended && this->phase == Phase::kReading) {
     // The rest of the request cannot arrive.
@@ -399,6 +436,8 @@
   this->phase = Phase::kClosing;
   this->closing_since = EventLoop::Now();
   this->waiting_since = this->closing_since;
+  this->TakePipelined();
+  this->LimitReads();
   this->connection->SetReading(true);
   this->connection->FinishWriting();
 }
@@ -487,6 +526,7 @@
   this->request.reset();
   this->connection.reset();
   this->connection_hold = MemoryHold();
+  this->pipelined_hold = MemoryHold();
   this->answer_hold = MemoryHold();
   this->on_closed();
 }
@@ -533,11 +573,15 @@
   }
 }
 
-void CallerSession::EndInput() {
-  if (this->phase == Phase::kReading) {
-    this->connection->ReadPending();
+void CallerSession::ReadArrived() {
+  while (this->phase == Phase::kReading && this->connection->ReadPending()) {
   }
+}
+
+void CallerSession::EndInput() {
+  this->ReadArrived();
   this->CloseIfIdle();
+  this->ReadArrived();
   if (this->phase == Phase::kReading) {
     this->RefuseInput(503, "the host stops before the request has arrived",
                       Duration(0));
@@ -575,7 +619,7 @@
     case Phase::kReading:
       if (this->IsInputOverdue(now)) {
         // It may have arrived while the process did not run.
-        this->connection->ReadPending();
+        this->ReadArrived();
       }
       if (this->phase == Phase::kReading && this->IsInputOverdue(now)) {
         this->RefuseInput(408, "the request did not arrive in time");
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -91,6 +91,16 @@
                 HttpHeaders headers,
                 std::string_view framing);
   void FinishResponse();
+  // Keeps bytes of later requests, or refuses these if there is no memory.
+  void KeepPipelined(std::string_view bytes);
+  std::string TakePipelined();
+  // True if later requests have arrived that are not answered yet.
+  bool HasPipelined() const;
+  // Bounds the next read, so that no more of later requests arrives than may be
+  // held.
+  void LimitReads();
+  // Reads what has arrived of the request that is being read.
+  void ReadArrived();
   // False while so much is queued for the caller that its next request has to
   // wait.
   bool MayServeNext() const;
@@ -138,6 +148,9 @@
   std::optional<std::uint64_t> body_ticket;
   // Bytes of later requests that arrived while a request is being answered.
   std::string pipelined_bytes;
+  MemoryHold pipelined_hold;
+  // Bytes of later requests were discarded for want of memory.
+  bool pipelined_refused = false;
   bool serving_pipelined = false;
   // Start of the phase, or when the last part of a request body, or bytes on a
   // closing connection, arrived.
