Count all bytes of a head against its limit

The parsers passed the limit on the size of a head to Beast, which applies it to the bytes that it is given at once and drops the lines that it has parsed. If the reads of a connection end one byte behind a line break, it consumes line by line, and a head could have 256 fields of the limit each: 4 MB from a caller that may send 16 KB, and 16 MB from a server. The start line was never counted. This memory is not in the budget.

The head is now parsed by itself, and its bytes are counted over all calls together with those that are not parsed yet. A head of exactly the limit is still accepted, however it is split.

--- a/packages/http_stream/http_stream_test.cc
+++ b/packages/http_stream/http_stream_test.cc
@@ -525,6 +525,66 @@
   CHECK(complete_count < kRounds);
 }
 
+// A head of exactly `bytes` bytes after `begin`, in fields of about 1 KB.
+std::string PaddedHead(const std::string& begin, std::size_t bytes) {
+  constexpr std::size_t kFieldBytes = 1000;
+  const std::string name = "X-A: ";
+  const std::string empty_field = name + "\r\n";
+  std::string head = begin;
+  for (std::size_t left = bytes - begin.size() - 2; left > 0;) {
+    const std::size_t field = left < 2 * kFieldBytes ? left : kFieldBytes;
+    head += name + std::string(field - empty_field.size(), 'a') + "\r\n";
+    left -= field;
+  }
+  return head + "\r\n";
+}
+
+// Feeds pieces of this size. If it is 0, each ends behind the first byte of a
+// line.
+template <typename Parser>
+ParseProblem FindProblemInPieces(Parser parser,
+                                 const std::string& bytes,
+                                 std::size_t piece_bytes) {
+  for (std::size_t at = 0; at < bytes.size();) {
+    const std::size_t size =
+        piece_bytes == 0 ? bytes.find('\n', at) + 2 - at : piece_bytes;
+    parser.Feed(bytes.substr(at, size));
+    at += size;
+  }
+  return parser.problem();
+}
+
+// Guards against heads that are larger than allowed because they arrive in
+// pieces.
+TEST_CASE("heads are limited in size however they are split") {
+  constexpr std::size_t kMaxResponseHead = std::size_t{64} * 1024;
+  const std::size_t max_request_head = ParserLimits{}.header_bytes;
+  const std::string get = "GET / HTTP/1.1\r\nHost: h\r\n";
+  const std::string ok = "HTTP/1.1 204 No Content\r\n";
+  for (const std::size_t piece : {std::size_t{0}, std::size_t{1000},
+                                  std::size_t{4096}, std::size_t{1} << 20U}) {
+    INFO("in pieces of " << piece << " bytes");
+    const auto request_problem = [&](std::size_t bytes) {
+      return FindProblemInPieces(RequestParser(ParserLimits{}),
+                                 PaddedHead(get, bytes), piece);
+    };
+    CHECK(request_problem(max_request_head) == ParseProblem::kNone);
+    CHECK(request_problem(max_request_head + 1) ==
+          ParseProblem::kHeaderTooLarge);
+    CHECK(request_problem(4 * max_request_head) ==
+          ParseProblem::kHeaderTooLarge);
+    const auto response_problem = [&](std::size_t bytes) {
+      return FindProblemInPieces(ResponseParser(true), PaddedHead(ok, bytes),
+                                 piece);
+    };
+    CHECK(response_problem(kMaxResponseHead) == ParseProblem::kNone);
+    CHECK(response_problem(kMaxResponseHead + 1) ==
+          ParseProblem::kHeaderTooLarge);
+    CHECK(response_problem(4 * kMaxResponseHead) ==
+          ParseProblem::kHeaderTooLarge);
+  }
+}
+
 // Guards against heads that take many times their bytes once they are parsed.
 TEST_CASE("heads with too many fields are refused") {
   const auto fields = [](int count) {
--- a/packages/http_stream/message_parser.cc
+++ b/packages/http_stream/message_parser.cc
@@ -84,6 +84,19 @@
   std::size_t trailer_bytes = 0;
   // Bytes of the current chunk that have not been received yet.
   std::uint64_t chunk_left = 0;
+  // Bytes of the start line and the fields that have been parsed.
+  std::size_t head_bytes = 0;
+  std::size_t max_head_bytes = 0;
+
+  void LimitHead(std::uint32_t bytes) {
+    this->header_limit(bytes);
+    this->max_head_bytes = bytes;
+  }
+  // With this many bytes that follow those that were parsed.
+  bool IsHeadTooLarge(std::size_t pending) const {
+    return this->head_bytes + (this->is_header_done() ? 0 : pending) >
+           this->max_head_bytes;
+  }
 
  private:
   // Beast prescribes the names below.
@@ -183,6 +196,10 @@
          !NeedsMoreBytes(parser, pending.size() - consumed)) {
     error_code error;
     std::size_t parsed_bytes = 0;
+    // Beast limits the bytes of one call only. The head is parsed by itself, so
+    // that all of its bytes can be counted.
+    const bool had_head = parser.is_header_done();
+    parser.eager(had_head);
     try {
       parsed_bytes =
           parser.put(boost::asio::const_buffer(pending.data() + consumed,
@@ -193,14 +210,16 @@
       break;
     }
     consumed += parsed_bytes;
-    if (error == http::error::need_more) {
+    parser.head_bytes += had_head ? 0 : parsed_bytes;
+    if (error && error != http::error::need_more) {
+      problem = ToProblem(error);
       break;
     }
-    if (error) {
-      problem = ToProblem(error);
+    if (parser.IsHeadTooLarge(pending.size() - consumed)) {
+      problem = ParseProblem::kHeaderTooLarge;
       break;
     }
-    if (parsed_bytes == 0) {
+    if (error || parsed_bytes == 0) {
       break;
     }
   }
@@ -237,8 +256,7 @@
 RequestParser::RequestParser(ParserLimits limits)
     : state(std::make_unique<State>()) {
   this->state->header_bytes = limits.header_bytes;
-  this->state->parser.eager(true);
-  this->state->parser.header_limit(limits.header_bytes);
+  this->state->parser.LimitHead(limits.header_bytes);
   this->state->parser.body_limit(limits.body_bytes);
 }
 
@@ -331,8 +349,7 @@
 
   void StartNextResponse() {
     this->parser = std::make_unique<Parser>();
-    this->parser->eager(true);
-    this->parser->header_limit(kMaxResponseHeaderBytes);
+    this->parser->LimitHead(kMaxResponseHeaderBytes);
     // Boost 1.74 treats an unset limit as 0 if the response has a
     // Content-Length.
     this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -371,7 +388,8 @@
       state.StartNextResponse();
       continue;
     }
-    if (!had_head && state.parser->is_header_done() && !state.IsInterim()) {
+    if (!had_head && state.parser->is_header_done() &&
+        !state.parser->IsHeadTooLarge(0) && !state.IsInterim()) {
       ResponseHead& head = state.parser->head;
       // Beast does not decode other codings than "chunked".
       if (CheckResponseFraming(head.headers, state.parser->is_http_1_0) !=
