Limit the head of a response to 32 KB

A relay counts 32 KB against its memory budget for a request and its answer, with which the head of the answer could have 64 KB, and the trailer, a chunk header and the responses before the final one as much each. The limit is 32 KB now. A server with a longer head has broken its answer: the attempt ends as one with a malformed response does.

--- a/packages/http_stream/http_stream_test.cc
+++ b/packages/http_stream/http_stream_test.cc
@@ -401,7 +401,7 @@
 // Guards against unbounded memory use, and a request that waits until its
 // deadline, when a faulty server sends some part of a response without end.
 TEST_CASE("every part of a message except its body is limited in size") {
-  constexpr std::size_t kMaxAcceptedBytes = std::size_t{160} * 1024;
+  constexpr std::size_t kMaxAcceptedBytes = std::size_t{48} * 1024;
   const std::string ok = "HTTP/1.1 200 OK\r\n";
   const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
   const std::vector<std::pair<std::string, std::string>> responses = {
@@ -557,7 +557,7 @@
 // Guards against heads that are larger than allowed because they arrive in
 // pieces.
 TEST_CASE("heads are limited in size however they are split") {
-  constexpr std::size_t kMaxResponseHead = std::size_t{64} * 1024;
+  constexpr std::size_t kMaxResponseHead = std::size_t{32} * 1024;
   const std::size_t max_request_head = ParserLimits{}.header_bytes;
   const std::string get = "GET / HTTP/1.1\r\nHost: h\r\n";
   const std::string ok = "HTTP/1.1 204 No Content\r\n";
--- a/packages/http_stream/message_parser.cc
+++ b/packages/http_stream/message_parser.cc
@@ -49,7 +49,7 @@
 // Larger than any header that a server of the platform sends. Limits each part
 // of a response other than the body: the interim responses, the response head,
 // a chunk header, and the trailer.
-constexpr std::uint32_t kMaxResponseHeaderBytes = 64 * 1024;
+constexpr std::uint32_t kMaxResponseHeaderBytes = 32 * 1024;
 
 // A short field takes many times its bytes once it is parsed.
 constexpr std::size_t kMaxHeaderFields = 256;
--- a/packages/relay/server_attempt_test.cc
+++ b/packages/relay/server_attempt_test.cc
@@ -95,6 +95,30 @@
   CHECK(fixture.attempt->server_keep_alive_timeout() >= Seconds(3600));
 }
 
+// Guards against heads that take more memory than is counted for an answer.
+TEST_CASE("an attempt ends at a response head of more than 32 KB") {
+  constexpr std::size_t kFieldBytes = 1000;
+  const int fields = GENERATE(32, 34);
+  AttemptFixture fixture;
+  fixture.codec.read_response = [](const ResponseHead&) {
+    ResponseMetadata metadata;
+    metadata.request_id = "r1";
+    metadata.sealed = true;
+    return metadata;
+  };
+  fixture.Send(fixture.Connect(), std::nullopt);
+  fixture.RunFor(Milliseconds(20));
+  REQUIRE(fixture.accepted != nullptr);
+  std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+  for (int i = 0; i < fields; ++i) {
+    answer += "X-A: " + std::string(kFieldBytes - 7, 'a') + "\r\n";
+  }
+  fixture.accepted->Write(answer + "\r\n");
+  fixture.RunFor(Milliseconds(20));
+  const bool fits = fields * kFieldBytes < std::size_t{32} * 1024;
+  CHECK(fixture.end == (fits ? AttemptEnd::kComplete : AttemptEnd::kBroken));
+}
+
 // Guards against requests that were held up while their connections were made
 // and then reach a cold server together, after their permits have expired.
 TEST_CASE("a request is not written after its permit has expired") {
