Take other ports if a test site's start finds one held

It takes port numbers that were free a moment ago, and another process may hold one by the start; the failed check did not print the reason.

The start is now repeated with other ports, up to five times, if its failure is that an address cannot be opened; it is printed. Any other failure ends the case as before.

--- a/standins/platform/relay_site.h
+++ b/standins/platform/relay_site.h
@@ -91,12 +91,7 @@
   Site() {
     this->settings.process.value = "front-1";
     this->settings.data_centre.value = "west";
-    this->settings.callers = {"127.0.0.1", FreePort()};
-    this->settings.readiness = {"127.0.0.1", FreePort()};
-    this->settings.control = {"127.0.0.1", FreePort()};
-    this->settings.report_port = FreePort();
-    this->settings.metrics_port = FreePort();
-    this->settings.permit_port = FreePort();
+    this->TakePorts();
     this->settings.store = {"127.0.0.1", this->store.Port()};
     // A host that has just started uses no slack of the bound on retries; the
     // cases here are not about the bound.
@@ -105,10 +100,31 @@
     this->settings.grace = Milliseconds(4000);
   }
 
+  void TakePorts() {
+    this->settings.callers = {"127.0.0.1", FreePort()};
+    this->settings.readiness = {"127.0.0.1", FreePort()};
+    this->settings.control = {"127.0.0.1", FreePort()};
+    this->settings.report_port = FreePort();
+    this->settings.metrics_port = FreePort();
+    this->settings.permit_port = FreePort();
+  }
+
+  // Another process may take a port between FreePort and the start, which then
+  // fails with kSettingsInvalid.
   void Start() {
-    this->host = std::make_unique<RelayHost>(
-        this->loop, this->settings, PlatformCodec(), platform::EngineCodec());
-    REQUIRE(this->host->Start());
+    constexpr int kMaxStarts = 5;
+    for (int i = 0; i < kMaxStarts; ++i) {
+      this->host = std::make_unique<RelayHost>(
+          this->loop, this->settings, PlatformCodec(), platform::EngineCodec());
+      const Result<bool> started = this->host->Start();
+      if (started) {
+        return;
+      }
+      REQUIRE(started.error().code == ResultCode::kSettingsInvalid);
+      WARN(FormatFailure(started.error()));
+      this->TakePorts();
+    }
+    FAIL("no free ports");
   }
 
   void Configure() {
