--- a/standins/platform/engine_group_stand_in.cc
+++ b/standins/platform/engine_group_stand_in.cc
@@ -91,7 +91,11 @@
     return;
   }
   if (request.path == "/v1/report") {
-    writer->Respond(200, {}, this->Report(rank));
+    HttpHeaders headers;
+    if (this->limits.contains(rank)) {
+      headers.push_back({"Server-Limit", this->limits.at(rank)});
+    }
+    writer->Respond(200, headers, this->Report(rank));
   } else if (request.path == "/v1/picked") {
     writer->Respond(
         200, {}, request.query.empty() ? this->Counts() : this->Experts(rank));
--- a/standins/platform/engine_group_stand_in.h
+++ b/standins/platform/engine_group_stand_in.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -61,6 +62,8 @@
   bool refuses_maps = false;
   // Called after a rank has accepted an order, if it is not empty.
   std::function<void(const std::string& operation)> on_accepted;
+  // The limit that the report of this rank names, by rank.
+  std::map<int, std::string> limits;
   // The epoch that reports name.
   std::int64_t epoch = 1;
   // The group forms again: a new epoch with the first map, and nothing
--- a/standins/platform/relay_fleet.h
+++ b/standins/platform/relay_fleet.h
@@ -65,13 +65,15 @@
            ready.parser.head().status == 200;
   }
 
-  // An agent beside the server at this address. Its engine gives no reports.
-  std::unique_ptr<RankAgent> StartAgent(const std::string& ip) {
+  // An agent beside the server at this address. Without a port, its engine
+  // gives no reports.
+  std::unique_ptr<RankAgent> StartAgent(const std::string& ip,
+                                        std::uint16_t engine_port = 1) {
     RankAgentSettings agent_settings;
     agent_settings.process = "agent-" + ip;
     agent_settings.listen = {ip, this->settings.report_port};
     agent_settings.metrics = {ip, 0};
-    agent_settings.engine = {ip, 1};
+    agent_settings.engine = {ip, engine_port};
     auto agent = std::make_unique<RankAgent>(
         this->loop, std::move(agent_settings), platform::EngineCodec());
     REQUIRE(agent->Start());
--- a/standins/platform/relay_site.h
+++ b/standins/platform/relay_site.h
@@ -120,7 +120,7 @@
             const SealedServerStandIn& server,
             const std::string& state) {
     this->store.Put("keyed.servers", id,
-                    R"({"service":"ledger","address":"127.0.0.1:)" +
+                    R"({"service":"ledger","address":")" + server.ip() + ":" +
                         std::to_string(server.Port()) +
                         R"(","zone":"west","slots":6,"state":")" + state +
                         R"(","born":1700000000000})");
--- a/standins/platform/sealed_server_stand_in.cc
+++ b/standins/platform/sealed_server_stand_in.cc
@@ -17,6 +17,21 @@
   return text;
 }
 
+// Adds a field for each limit to the head of an answer.
+std::string NameLimits(std::string answer,
+                       const std::vector<std::string>& limits) {
+  constexpr std::string_view kLineEnd = "\r\n";
+  const std::size_t status_end = answer.find(kLineEnd);
+  if (status_end == std::string::npos) {
+    return answer;
+  }
+  std::string fields;
+  for (const std::string& limit : limits) {
+    fields.append("Server-Limit: ").append(limit).append(kLineEnd);
+  }
+  return answer.insert(status_end + kLineEnd.size(), fields);
+}
+
 }  // namespace
 
 ScriptedAnswer SealedAnswer(const std::string& body) {
@@ -29,9 +44,11 @@
   return answer;
 }
 
-SealedServerStandIn::SealedServerStandIn(EventLoop& loop) : loop(loop) {
-  auto listening = TcpListener::Listen(
-      loop, {"127.0.0.1", 0}, [this](int socket) { this->Accept(socket); });
+SealedServerStandIn::SealedServerStandIn(EventLoop& loop, std::string ip)
+    : loop(loop), listens_at(std::move(ip)) {
+  auto listening =
+      TcpListener::Listen(loop, {this->listens_at, 0},
+                          [this](int socket) { this->Accept(socket); });
   InternalCheck(listening.has_value(), "the server stand-in listens");
   this->listener = std::move(listening.value());
 }
@@ -71,6 +88,10 @@
   }
   const RequestHead head = session.parser->head();
   this->arrivals.push_back(EventLoop::Now());
+  this->log.push_back(
+      {this->arrivals.back(),
+       std::string(FindHeader(head.headers, "X-Toucanhollow-Request-Id")),
+       !this->limits.empty()});
   this->bodies.push_back(session.parser->TakeBody());
   session.parser = std::make_unique<RequestParser>(ParserLimits{});
   this->Answer(number, head);
@@ -89,7 +110,7 @@
     ++this->runs[id];
   }
   Session& session = this->sessions.at(number);
-  session.connection->Write(FillIn(answer.bytes, id));
+  session.connection->Write(NameLimits(FillIn(answer.bytes, id), this->limits));
   if (!answer.endless.empty()) {
     session.timer = std::make_unique<Timer>(
         this->loop, Milliseconds(1), Milliseconds(1),
--- a/standins/platform/sealed_server_stand_in.h
+++ b/standins/platform/sealed_server_stand_in.h
@@ -35,10 +35,19 @@
 // A whole sealed success with this body.
 ScriptedAnswer SealedAnswer(const std::string& body);
 
+// A request that the server got.
+struct ServerArrival {
+  TimePoint at;
+  std::string request_id;
+  // Whether the answer names a limit.
+  bool limited = false;
+};
+
 class SealedServerStandIn {
  public:
-  explicit SealedServerStandIn(EventLoop& loop);
+  explicit SealedServerStandIn(EventLoop& loop, std::string ip = "127.0.0.1");
 
+  const std::string& ip() const { return this->listens_at; }
   std::uint16_t Port() const;
   // Closes all connections, as at the end of its process.
   void CloseSessions();
@@ -50,6 +59,10 @@
   std::map<std::string, int> runs;  // by request id
   // When requests came, in order.
   std::vector<TimePoint> arrivals;
+  // The same requests.
+  std::vector<ServerArrival> log;
+  // Values of the limit in the head of each answer, a field each.
+  std::vector<std::string> limits;
   int closed_by_caller = 0;
 
  private:
@@ -65,6 +78,7 @@
   void Close(std::uint64_t number);
 
   EventLoop& loop;
+  std::string listens_at;
   std::unique_ptr<TcpListener> listener;
   std::map<std::uint64_t, Session> sessions;
   std::uint64_t next_session = 1;
