--- a/standins/platform/server_limit_test.cc
+++ b/standins/platform/server_limit_test.cc
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -58,6 +59,7 @@
   std::vector<std::unique_ptr<Caller>> callers;
   std::map<std::string, HostProcess> askers;  // by request id
   std::vector<int> starts;                    // by host
+  Duration ask_period = kAskPeriod;
   std::size_t asked = 0;
   std::size_t answered = 0;
 
@@ -114,7 +116,7 @@
     for (int step = 0; EventLoop::Now() - begin < time; ++step) {
       on_step(step);
       this->AskAll();
-      this->RunFor(kAskPeriod);
+      this->RunFor(this->ask_period);
     }
   }
   void Load(Duration time) {
@@ -150,7 +152,7 @@
   }
 
   // The most requests in a span that ends later than kStableWindow after the
-  // first answer with a limit, from hosts that are bound.
+  // first answer with a limit, which hosts sent while they were bound.
   std::size_t MostFromBoundHosts() const {
     std::map<HostProcess, TimePoint> told_at;
     std::vector<TimePoint> counted;
@@ -180,6 +182,38 @@
     }
     return most;
   }
+
+  // The same with all requests of the hosts that are bound at the end of the
+  // span, also with those that they sent before they were told.
+  std::size_t MostInSpan() const {
+    std::map<HostProcess, TimePoint> told_at;
+    std::vector<std::pair<TimePoint, HostProcess>> arrived;
+    std::size_t most = 0;
+    TimePoint named_at;
+    for (const ServerArrival& arrival : this->first.log) {
+      const auto asker = this->askers.find(arrival.request_id);
+      if (asker == this->askers.end()) {
+        continue;
+      }
+      arrived.emplace_back(arrival.at, asker->second);
+      if (arrival.limited) {
+        named_at = told_at.empty() ? arrival.at : named_at;
+        told_at.emplace(asker->second, arrival.at);
+      }
+      if (told_at.empty() || arrival.at - named_at < kStableWindow) {
+        continue;
+      }
+      const auto counted =
+          std::ranges::count_if(arrived, [&](const auto& earlier) {
+            const auto told = told_at.find(earlier.second);
+            return arrival.at - earlier.first < kSpan &&
+                   told != told_at.end() &&
+                   arrival.at - told->second >= kHostBoundAfter;
+          });
+      most = std::max(most, static_cast<std::size_t>(counted));
+    }
+    return most;
+  }
 };
 
 struct EngineLimitFleet : LimitFleet {
@@ -245,6 +279,22 @@
   CHECK(site.answered >= site.asked * kServedPercent / 100);
 }
 
+// Guards against requests that a host sent before it knew of the limit and that
+// it does not count.
+TEST_CASE("the span in which a server first names its limit is within it") {
+  EngineLimitFleet site;
+  for (int host = 0; host < kHosts; ++host) {
+    site.Start(host);
+  }
+  site.Settle();
+  // Five requests in a second for each server.
+  site.ask_period = Milliseconds(800);
+  site.Load(Seconds(6));
+  site.Name("2.3");
+  site.Load(Seconds(6));
+  CHECK(site.MostInSpan() <= AllowedInSpan(2.3));
+}
+
 // Guards against the same at a server without a cold phase and an agent, for
 // which one of the hosts gives permits, also while the store is away.
 TEST_CASE("relays together keep the limit that a plain server names") {
