Bound the requests to servers that name a limit

A server that named a limit on its requests went on getting as many as before: each host chose servers as if there were none, and no process counted the requests of all hosts. The bound is a sum over hosts, as for cold servers, so that a share for each host keeps it only while all hosts count alike.

The process that gives permits for a server, its agent or the leased issuer, now keeps a second bucket for each server that names a limit. A permit needs both buckets. Hosts ask for permits of a limited server even if its service has no cold phase, and state with each question what they know of the limit, so an issuer that was just started knows it, and a host that does not know is bound as well. A request that was placed without a permit is withheld if the server names a limit before it is written. Agents also take the limit from their engine's reports.

The new tests need the new types.

--- a/packages/map_task/rank_agent.cc
+++ b/packages/map_task/rank_agent.cc
@@ -24,6 +24,9 @@
 // Requesters are entry hosts that probe, and coordinators.
 constexpr std::size_t kMaxRequesters = 64;
 
+// A machine has few servers.
+constexpr std::size_t kMaxServersPerAgent = 64;
+
 Result<Address> ParseAddressField(const boost::property_tree::ptree& tree,
                                   const std::string& field) {
   Result<Address> address = ParseAddress(tree.get<std::string>(field, ""));
@@ -80,7 +83,7 @@
       engine(this->client, codec) {}
 
 Result<bool> RankAgent::Start() {
-  this->permit_issuer.permits.empty_at = EventLoop::Now();
+  BeginLedgers(this->permit_issuer, kMaxServersPerAgent, EventLoop::Now());
   auto opened =
       DatagramSocket::Bind(this->loop, this->settings.listen,
                            [this](const Address& from, std::string_view bytes) {
@@ -107,6 +110,9 @@
     return;
   }
   this->metrics.Count("permit_requests_total");
+  this->metrics.SetGauge(
+      "permits_denied_by_limit",
+      static_cast<double>(this->permit_issuer.denied_by_limit));
   if (!reply.value().empty()) {
     this->socket->Send(from, reply.value());
   }
@@ -124,20 +130,19 @@
     }
     return;
   }
-  const std::optional<ServerLimit> before = this->engine_limit;
-  const bool is_new_process =
-      std::exchange(this->engine_start_time_ms, limit.start_time_ms) !=
-      limit.start_time_ms;
-  this->engine_limit =
-      before && !is_new_process ? LaterLimit(*before, *statement) : *statement;
-  if (!IsSameLimit(before, this->engine_limit)) {
-    LogJsonNow("server_limit_changed",
-               {{"kind", LimitKindName(this->engine_limit->kind)},
-                {"per_s", this->engine_limit->per_s},
-                {"source", "report"}});
-  }
-  this->metrics.SetGauge("limited_servers",
-                         IsNamed(this->engine_limit) ? 1 : 0);
+  KnownLimits& known = this->permit_issuer.limits;
+  std::optional<ServerLimit> before;
+  if (known.engine) {
+    before = known.engine->limit;
+  }
+  MergeEngineLimit(known, limit.start_time_ms, *statement, limit.received_at);
+  const ServerLimit& after = known.engine->limit;
+  if (!IsSameLimit(before, after)) {
+    LogJsonNow("server_limit_changed", {{"kind", LimitKindName(after.kind)},
+                                        {"per_s", after.per_s},
+                                        {"source", "report"}});
+  }
+  this->metrics.SetGauge("limited_servers", IsNamed(after) ? 1 : 0);
 }
 
 void RankAgent::OnDatagram(const Address& from, std::string_view bytes) {
--- a/packages/map_task/rank_agent.h
+++ b/packages/map_task/rank_agent.h
@@ -4,7 +4,6 @@
 #ifndef MAP_TASK_RANK_AGENT_H_
 #define MAP_TASK_RANK_AGENT_H_
 
-#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -21,7 +20,6 @@
 #include "metrics/metrics.h"
 #include "metrics_server/metrics_server.h"
 #include "permit/answer_permit_request.h"
-#include "traffic/server_limit.h"
 
 namespace toucanhollow {
 
@@ -71,9 +69,6 @@
   RankEngineClient engine;
   Metrics metrics;
   PermitIssuer permit_issuer;
-  // The engine's process, and what it last said of its limit.
-  std::int64_t engine_start_time_ms = 0;
-  std::optional<ServerLimit> engine_limit;
   std::optional<TimePoint> malformed_limit_logged_at;
   std::map<Address, Requester> requesters;
   std::unique_ptr<DatagramSocket> socket;
--- a/packages/permit/answer_permit_request.h
+++ b/packages/permit/answer_permit_request.h
@@ -2,6 +2,8 @@
 #ifndef PERMIT_ANSWER_PERMIT_REQUEST_H_
 #define PERMIT_ANSWER_PERMIT_REQUEST_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -9,6 +11,7 @@
 #include "base/result.h"
 #include "base/time.h"
 #include "quarantine/isolation_ledger.h"
+#include "traffic/known_limits.h"
 #include "traffic/permit_ledger.h"
 
 namespace toucanhollow {
@@ -16,11 +19,19 @@
 // What a permit issuer has given.
 struct PermitIssuer {
   PermitLedger permits;
+  // For servers that name a limit; a request to them needs a permit of each.
+  PermitLedger limit_permits;
+  KnownLimits limits;
+  std::uint64_t denied_by_limit = 0;  // permits
   IsolationLedger isolations;
 
   bool operator==(const PermitIssuer&) const = default;
 };
 
+// Begins with empty buckets, because another issuer may have given permits just
+// before. Keeps what is known of limits.
+void BeginLedgers(PermitIssuer& issuer, std::size_t max_servers, TimePoint now);
+
 // Decides on the encoded request of the host `from` and returns the encoded
 // reply; empty if the request gets none. Fails with kFrameMalformed.
 Result<std::string> AnswerPermitRequest(PermitIssuer& issuer,
@@ -33,7 +44,8 @@
 Result<std::string> DenyPermitRequest(PermitIssuer& issuer,
                                       const Address& from,
                                       std::string_view request,
-                                      Duration wait);
+                                      Duration wait,
+                                      TimePoint now);
 
 }  // namespace toucanhollow
 
--- a/packages/permit/leased_issuer.cc
+++ b/packages/permit/leased_issuer.cc
@@ -8,11 +8,11 @@
                                         BootTime boot_now,
                                         TimePoint now) {
   if (!MayIssue(issuer.lease, boot_now)) {
-    return DenyPermitRequest(issuer.issuer, from, request, kNoIssuerWait);
+    return DenyPermitRequest(issuer.issuer, from, request, kNoIssuerWait, now);
   }
   if (issuer.ledger_begun_for != issuer.lease.issues_from) {
     issuer.ledger_begun_for = issuer.lease.issues_from;
-    issuer.issuer.permits = PermitLedger{now, kMaxLeasedServers, {}};
+    BeginLedgers(issuer.issuer, kMaxLeasedServers, now);
   }
   return AnswerPermitRequest(issuer.issuer, from, request, now);
 }
--- a/packages/permit/leased_issuer.h
+++ b/packages/permit/leased_issuer.h
@@ -32,7 +32,7 @@
 };
 
 // As AnswerPermitRequest. Outside of the lease every permit is denied, and the
-// ledger is empty when an uninterrupted lease begins.
+// ledgers are empty when an uninterrupted lease begins.
 Result<std::string> AnswerLeasedRequest(LeasedIssuer& issuer,
                                         const Address& from,
                                         std::string_view request,
--- a/packages/permit/permit_client.cc
+++ b/packages/permit/permit_client.cc
@@ -43,22 +43,20 @@
 }
 
 std::uint64_t PermitClient::Ask(const Address& agent,
-                                std::uint32_t server,
-                                const PermitRate& rate,
-                                PermitPurpose purpose,
+                                PermitRequest request,
                                 Done done) {
   const std::uint64_t serial = this->next_serial++;
-  Pending request;
-  request.agent = agent;
-  request.asked_at = EventLoop::Now();
-  request.use_until = EventLoop::BootNow() + kPermitUseTime;
-  request.done = std::move(done);
-  request.timeout =
+  request.serial = serial;
+  Pending waiting;
+  waiting.agent = agent;
+  waiting.asked_at = EventLoop::Now();
+  waiting.use_until = EventLoop::BootNow() + kPermitUseTime;
+  waiting.done = std::move(done);
+  waiting.timeout =
       std::make_unique<Timer>(this->loop, kPermitAnswerTimeout, Duration(0),
                               [this, serial] { this->Finish(serial, {}); });
-  this->pending.emplace(serial, std::move(request));
-  this->socket->Send(agent,
-                     EncodePermitRequest({serial, server, rate, purpose}));
+  this->pending.emplace(serial, std::move(waiting));
+  this->socket->Send(agent, EncodePermitRequest(request));
   return serial;
 }
 
--- a/packages/permit/permit_client.h
+++ b/packages/permit/permit_client.h
@@ -40,14 +40,10 @@
   // Opens the UDP socket. Fails with kSettingsInvalid.
   Result<bool> Open(const Address& local);
 
-  // Asks for one permit. `server` is the hash of the server's id. `done` is
-  // called once, after kPermitAnswerTimeout at the latest, and never inside
+  // Asks for one permit; the client sets the serial number of `request`. `done`
+  // is called once, after kPermitAnswerTimeout at the latest, and never inside
   // this call. Returns the number for Cancel.
-  std::uint64_t Ask(const Address& agent,
-                    std::uint32_t server,
-                    const PermitRate& rate,
-                    PermitPurpose purpose,
-                    Done done);
+  std::uint64_t Ask(const Address& agent, PermitRequest request, Done done);
   // Tells the agent that the isolated request of this call has ended.
   void EndIsolation(const Address& agent,
                     std::uint32_t server,
--- a/packages/permit/permit_codec.cc
+++ b/packages/permit/permit_codec.cc
@@ -39,6 +39,20 @@
          std::isfinite(rate.burst) && rate.burst >= 0;
 }
 
+Result<AgedLimit> DecodeLimit(const json& terms) {
+  const int kind = terms.at(4).get<int>();
+  AgedLimit limit;
+  limit.per_s = terms.at(5).get<double>();
+  limit.age = Duration(terms.at(6).get<Duration::rep>());
+  if (kind < 0 || kind > static_cast<int>(ServerLimitKind::kWithdrawn) ||
+      !IsPlausible(limit)) {
+    return MakeFailure(ResultCode::kFrameMalformed,
+                       "the limit of the server is out of range");
+  }
+  limit.kind = static_cast<ServerLimitKind>(kind);
+  return limit;
+}
+
 }  // namespace
 
 bool IsPermitMessage(std::string_view bytes) {
@@ -47,9 +61,19 @@
 
 std::string EncodePermitRequest(const PermitRequest& request) {
   json terms = json::array({request.rate.per_s, request.rate.burst});
-  if (request.purpose != PermitPurpose::kRequest) {
+  const bool has_server_terms =
+      request.start_time_ms != 0 || request.limit.has_value();
+  if (request.purpose != PermitPurpose::kRequest || has_server_terms) {
     terms.push_back(static_cast<int>(request.purpose));
   }
+  if (has_server_terms) {
+    terms.push_back(request.start_time_ms);
+  }
+  if (request.limit) {
+    terms.push_back(static_cast<int>(request.limit->kind));
+    terms.push_back(request.limit->per_s);
+    terms.push_back(request.limit->age.count());
+  }
   return ToBytes(
       json::array({kTag, request.serial, request.server, std::move(terms)}));
 }
@@ -75,6 +99,14 @@
           }
           request.purpose = static_cast<PermitPurpose>(purpose);
         }
+        // Hosts of earlier versions do not send these.
+        if (terms.size() > 3) {
+          request.start_time_ms = terms.at(3).get<std::int64_t>();
+        }
+        if (terms.size() > 4) {
+          BOOST_OUTCOME_TRY(limit, DecodeLimit(terms));
+          request.limit = limit;
+        }
         return request;
       });
 }
--- a/packages/permit/permit_message.h
+++ b/packages/permit/permit_message.h
@@ -5,9 +5,11 @@
 #define PERMIT_PERMIT_MESSAGE_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "base/time.h"
 #include "traffic/permit_ledger.h"
+#include "traffic/server_limit.h"
 
 namespace toucanhollow {
 
@@ -24,9 +26,14 @@
   std::uint64_t serial = 0;
   // Hash of the server's id.
   std::uint32_t server = 0;
-  // By the host's configuration. A rate of 0 sets no bound.
+  // By the host's configuration. A rate and a burst of 0 set no bound.
   PermitRate rate;
   PermitPurpose purpose = PermitPurpose::kRequest;
+  // Start of the server's process by the host's list, in Unix ms; 0 if the host
+  // does not tell.
+  std::int64_t start_time_ms = 0;
+  // The latest statement on the server's limit that the host knows of.
+  std::optional<AgedLimit> limit = std::nullopt;
 
   bool operator==(const PermitRequest&) const = default;
 };
--- a/packages/permit/permit_test.cc
+++ b/packages/permit/permit_test.cc
@@ -20,6 +20,15 @@
   const PermitRequest isolated{
       3, 4, {14.5, 6}, PermitPurpose::kIsolatedRequest};
   CHECK(DecodePermitRequest(EncodePermitRequest(isolated)).value() == isolated);
+  PermitRequest limited = request;
+  limited.start_time_ms = 1'700'000'000'000;
+  limited.limit = AgedLimit{ServerLimitKind::kNamed, 2.3, Milliseconds(1500)};
+  CHECK(DecodePermitRequest(EncodePermitRequest(limited)).value() == limited);
+  limited.limit->kind = ServerLimitKind::kWithdrawn;
+  limited.purpose = PermitPurpose::kIsolatedRequest;
+  CHECK(DecodePermitRequest(EncodePermitRequest(limited)).value() == limited);
+  limited.limit.reset();
+  CHECK(DecodePermitRequest(EncodePermitRequest(limited)).value() == limited);
   const PermitReply reply{7, false, Milliseconds(40)};
   CHECK(IsPermitMessage(EncodePermitReply(reply)));
   CHECK(DecodePermitReply(EncodePermitReply(reply)).value() == reply);
@@ -77,6 +86,65 @@
   CHECK(DecodePermitReply(reply.value()).value().granted);
 }
 
+// Guards against a datagram that sets a limit for ever or is believed for ever.
+TEST_CASE("a limit that is out of range is refused") {
+  PermitIssuer issuer;
+  constexpr double kInfinite = std::numeric_limits<double>::infinity();
+  constexpr double kNotANumber = std::numeric_limits<double>::quiet_NaN();
+  PermitRequest request{1, 2, {14, 6}};
+  for (const AgedLimit& limit :
+       {AgedLimit{ServerLimitKind::kNamed, kNotANumber, Duration(0)},
+        AgedLimit{ServerLimitKind::kNamed, kInfinite, Duration(0)},
+        AgedLimit{ServerLimitKind::kNamed, -1, Duration(0)},
+        AgedLimit{ServerLimitKind::kNamed, 1e300, Duration(0)},
+        AgedLimit{ServerLimitKind::kNamed, 1, Duration(-1)},
+        AgedLimit{ServerLimitKind::kNamed, 1, Duration::max()},
+        AgedLimit{static_cast<ServerLimitKind>(2), 1, Duration(0)}}) {
+    request.limit = limit;
+    CHECK_FALSE(AnswerPermitRequest(issuer, {"127.0.0.1", 7},
+                                    EncodePermitRequest(request),
+                                    TimePoint() + Seconds(10)));
+  }
+  CHECK(issuer == PermitIssuer{});
+}
+
+// Guards against a server that gets more than it takes from a host that does
+// not know of the limit yet, and against a permit of one bound that is lost
+// because the other bound denies it.
+TEST_CASE("a request to a limited server needs a permit of both bounds") {
+  PermitIssuer issuer;
+  const TimePoint begin = TimePoint() + Seconds(100);
+  BeginLedgers(issuer, 4, begin);
+  const auto ask = [&issuer](const PermitRequest& request, TimePoint now) {
+    const Result<std::string> reply = AnswerPermitRequest(
+        issuer, {"127.0.0.1", 7}, EncodePermitRequest(request), now);
+    REQUIRE(reply);
+    return DecodePermitReply(reply.value()).value();
+  };
+  const PermitRequest unaware{1, 2, {10, 5}};
+  PermitRequest aware = unaware;
+  aware.limit = AgedLimit{ServerLimitKind::kNamed, 2, Duration(0)};
+  // Both buckets are empty.
+  CHECK_FALSE(ask(aware, begin).granted);
+  const TimePoint later = begin + Seconds(1);
+  CHECK(ask(unaware, later).granted);
+  const PermitReply denied = ask(unaware, later);
+  CHECK_FALSE(denied.granted);
+  CHECK(denied.wait == Milliseconds(500));
+  // Denials took nothing of the other bucket.
+  CHECK(issuer.permits.buckets.at(2).permits == Approx(4));
+  CHECK(issuer.denied_by_limit == 2);
+  // Another server, and this one without a cold phase.
+  CHECK(ask({1, 3, {0, 0}}, later).granted);
+  CHECK_FALSE(ask({1, 2, {0, 0}}, later).granted);
+  CHECK(ask({1, 2, {0, 0}}, later + Milliseconds(500)).granted);
+  // Withdrawn by an answer to a request that was written after that.
+  PermitRequest withdrawn = unaware;
+  withdrawn.limit = AgedLimit{ServerLimitKind::kWithdrawn, 0, Milliseconds(9)};
+  CHECK(ask(withdrawn, later + Milliseconds(600)).granted);
+  CHECK(ask({1, 2, {0, 0}}, later + Milliseconds(600)).granted);
+}
+
 // Guards against a wait that does not fit its type.
 TEST_CASE("a server with a tiny rate has a finite wait") {
   PermitIssuer issuer;
@@ -143,8 +211,7 @@
   }
 
   std::uint64_t Ask() {
-    return this->client.Ask(this->agent->BoundAddress(), 5, {14, 6},
-                            PermitPurpose::kRequest,
+    return this->client.Ask(this->agent->BoundAddress(), {0, 5, {14, 6}},
                             [this](const PermitAnswer& answer) {
                               this->answers.push_back(answer);
                             });
--- a/packages/relay/dispatcher.cc
+++ b/packages/relay/dispatcher.cc
@@ -252,12 +252,16 @@
           this->settings.report_port};
 }
 
+bool Dispatcher::NeedsPermit(const ServerConnectionPool& pool) const {
+  const Service& service =
+      this->view->traffic->services.at(pool.server().service);
+  return service.cold_requests_per_s > 0 || IsNamed(pool.limit);
+}
+
 void Dispatcher::Assign(const std::shared_ptr<ServerConnectionPool>& pool,
                         WaitingRequest request,
                         TimePoint now) {
-  const Service& service =
-      this->view->traffic->services.at(pool->server().service);
-  if (service.cold_requests_per_s > 0) {
+  if (this->NeedsPermit(*pool)) {
     this->AskForPermit(pool, std::move(request), {}, now);
     return;
   }
@@ -276,15 +280,24 @@
       static_cast<int>(request.dispatch_request.prompt_tokens);
   const Service& service =
       this->view->traffic->services.at(pool->server().service);
-  const PermitRate rate =
-      FindPermitRate(service.cold_requests_per_s, this->settings.cold);
+  PermitRequest permit;
+  permit.server = pool->load_key();
+  if (service.cold_requests_per_s > 0) {
+    permit.rate =
+        FindPermitRate(service.cold_requests_per_s, this->settings.cold);
+  }
+  if (!tested_parts.empty()) {
+    permit.purpose = PermitPurpose::kIsolatedRequest;
+  }
+  permit.start_time_ms = pool->server().start_time_ms;
+  if (pool->limit) {
+    permit.limit = AgeLimit(*pool->limit, now);
+  }
   const Address issuer = this->FindIssuer(service, pool->server(), now);
   pool->permits = RecordAsk(pool->permits, now);
   const RequestId id = request.dispatch_request.request;
   const std::uint64_t serial = this->permits.Ask(
-      issuer, pool->load_key(), rate,
-      tested_parts.empty() ? PermitPurpose::kRequest
-                           : PermitPurpose::kIsolatedRequest,
+      issuer, permit,
       [this, id](const PermitAnswer& answer) { this->OnPermit(id, answer); });
   this->permit_waits.emplace(
       id, PermitWait{std::move(request), pool, issuer, serial, tested_parts});
@@ -302,9 +315,13 @@
 
 std::string_view Dispatcher::CheckWrite(const Placement& placement,
                                         TimePoint now) const {
-  return this->IsCurrent(*placement.pool, now)
-             ? ""
-             : "the server became unusable before the request was written";
+  if (!this->IsCurrent(*placement.pool, now)) {
+    return "the server became unusable before the request was written";
+  }
+  if (!placement.write_by && IsNamed(placement.pool->limit)) {
+    return "the server named a limit before the request was written";
+  }
+  return "";
 }
 
 void Dispatcher::RecordPermitAnswer(const PermitWait& wait,
@@ -325,8 +342,9 @@
   }
   const std::string_view server = pool.server().id;
   if (pool.permits.consecutive_denials == 1) {
-    LogJsonNow("permit_denied",
-               {{"server", server}, {"wait_ms", ToMilliseconds(answer.wait)}});
+    LogJsonNow("permit_denied", {{"server", server},
+                                 {"wait_ms", ToMilliseconds(answer.wait)},
+                                 {"limited", IsNamed(pool.limit)}});
   }
   if (pool.permits.consecutive_timeouts == 1) {
     LogJsonNow("permit_issuer_silent", {{"server", server}});
@@ -752,6 +770,8 @@
   const std::optional<ServerLimit> before = pool.limit;
   pool.limit = before ? LaterLimit(*before, statement) : statement;
   if (!IsSameLimit(before, pool.limit)) {
+    // A wait that followed from the limit of before ends with it.
+    pool.permits.ask_from = {};
     LogJsonNow("server_limit_changed",
                {{"server", std::string_view(pool.server().id)},
                 {"kind", LimitKindName(pool.limit->kind)},
--- a/packages/relay/dispatcher.h
+++ b/packages/relay/dispatcher.h
@@ -150,7 +150,10 @@
   Address FindIssuer(const Service& service,
                      const ListedServer& server,
                      TimePoint now) const;
-  // Assigns the request to the server, after asking for a permit if the service
+  // True for servers of services with a cold phase and for those that name a
+  // limit.
+  bool NeedsPermit(const ServerConnectionPool& pool) const;
+  // Assigns the request to the server, after asking for a permit if the server
   // needs one.
   void Assign(const std::shared_ptr<ServerConnectionPool>& pool,
               WaitingRequest request,
--- a/packages/relay/dispatcher_fixture.h
+++ b/packages/relay/dispatcher_fixture.h
@@ -21,6 +21,7 @@
   int asked = 0;
   int isolated_asked = 0;
   int isolations_ended = 0;
+  PermitRequest last_request;
   std::unique_ptr<DatagramSocket> socket;
 
   FakeAgent(EventLoop& loop, const Address& address) {
@@ -32,6 +33,7 @@
             return;
           }
           ++this->asked;
+          this->last_request = request;
           this->isolated_asked +=
               request.purpose == PermitPurpose::kIsolatedRequest ? 1 : 0;
           if (this->mode != Mode::kSilent) {
@@ -59,6 +61,8 @@
   std::vector<std::string> refused;
   std::vector<ResultCode> refusal_codes;
   std::vector<Placement> placements;
+  // Whether the requests that are placed must have a permit.
+  bool expects_permits = true;
 
   DispatcherFixture() {
     this->settings.process.value = "front-1";
@@ -106,17 +110,18 @@
     request.wait_until = EventLoop::Now() + patience;
     request.isolation_wait_until = request.wait_until;
     request.deadline = EventLoop::Now() + Seconds(8);
-    this->dispatcher->Place(request,
-                            {[this, id](const Placement& placement) {
-                               CHECK(placement.write_by);
-                               this->placed.push_back(id);
-                               this->placements.push_back(placement);
-                             },
-                             [this, id](ResultCode code, Duration retry_after) {
-                               this->refusal_codes.push_back(code);
-                               CHECK(retry_after > Duration(0));
-                               this->refused.push_back(id);
-                             }});
+    this->dispatcher->Place(
+        request,
+        {[this, id](const Placement& placement) {
+           CHECK(placement.write_by.has_value() == this->expects_permits);
+           this->placed.push_back(id);
+           this->placements.push_back(placement);
+         },
+         [this, id](ResultCode code, Duration retry_after) {
+           this->refusal_codes.push_back(code);
+           CHECK(retry_after > Duration(0));
+           this->refused.push_back(id);
+         }});
   }
 
   int Outstanding() const {
--- a/packages/relay/limited_server_test.cc
+++ b/packages/relay/limited_server_test.cc
@@ -43,5 +43,112 @@
   CHECK(dispatcher.CountLimitedServers() == 0);
 }
 
+// The servers of a service without a cold phase.
+struct WarmFixture : DispatcherFixture {
+  explicit WarmFixture(bool has_engine) {
+    this->expects_permits = false;
+    auto traffic = std::make_shared<TrafficConfig>(*this->view.traffic);
+    Service& service = traffic->services.at({"drafting"});
+    service.cold_requests_per_s = 0;
+    if (!has_engine) {
+      service.engine.reset();
+    }
+    this->view.traffic = traffic;
+    for (auto& [id, server] : this->view.servers) {
+      server.listed.start_time_ms = 1'700'000'000'000;
+    }
+    this->dispatcher->UpdateView(this->view);
+  }
+
+  // Places a request at the server; no other one is left.
+  Placement PlaceAt(const std::string& id) {
+    std::erase_if(this->view.servers,
+                  [&id](const auto& entry) { return entry.first != id; });
+    this->dispatcher->UpdateView(this->view);
+    this->Place("at " + id);
+    REQUIRE(this->placements.size() == 1);
+    return this->placements[0];
+  }
+};
+
+// Guards against a server that gets more than it takes because its service has
+// no cold phase, so that nobody asked for permits.
+TEST_CASE("a request to a server that names a limit needs a permit") {
+  WarmFixture fixture(true);
+  const Placement placement = fixture.PlaceAt("i-2");
+  FakeAgent& agent = *fixture.agents[0];
+  CHECK(agent.asked == 0);
+  CHECK(fixture.dispatcher->CheckWrite(placement, EventLoop::Now()).empty());
+  const TimePoint now = EventLoop::Now();
+  fixture.dispatcher->RecordLimit(*placement.pool, NamedField(2.3), now, now);
+  // It was placed without a permit and is not written yet.
+  CHECK_FALSE(
+      fixture.dispatcher->CheckWrite(placement, EventLoop::Now()).empty());
+  fixture.expects_permits = true;
+  fixture.Place("r2");
+  fixture.RunFor(Milliseconds(20));
+  REQUIRE(fixture.placements.size() == 2);
+  CHECK(fixture.dispatcher->CheckWrite(fixture.placements[1], EventLoop::Now())
+            .empty());
+  CHECK(agent.asked == 1);
+  CHECK(agent.last_request.rate == PermitRate{});
+  CHECK(agent.last_request.start_time_ms == 1'700'000'000'000);
+  REQUIRE(agent.last_request.limit);
+  CHECK(agent.last_request.limit->per_s == 2.3);
+  CHECK(agent.last_request.limit->age < Seconds(1));
+  // The server withdraws it.
+  fixture.expects_permits = false;
+  const TimePoint written_at = EventLoop::Now();
+  fixture.dispatcher->RecordLimit(*placement.pool, {}, written_at,
+                                  EventLoop::Now());
+  fixture.Place("r3");
+  CHECK(fixture.placements.size() == 3);
+  CHECK(agent.asked == 1);
+}
+
+// Guards against a plain server whose limit no process keeps.
+TEST_CASE("the issuer gives the permits of a limited server without an agent") {
+  WarmFixture fixture(false);
+  fixture.settings.control.ip = "127.0.0.3";
+  const Placement placement = fixture.PlaceAt("i-2");
+  const TimePoint now = EventLoop::Now();
+  fixture.dispatcher->RecordLimit(*placement.pool, NamedField(2.3), now, now);
+  fixture.expects_permits = true;
+  fixture.Place("r2");
+  fixture.RunFor(Milliseconds(20));
+  CHECK(fixture.placements.size() == 2);
+  CHECK(fixture.agents[0]->asked == 0);
+  CHECK(fixture.agents[1]->asked == 1);
+}
+
+// Guards against requests that wait for a limited server while another one is
+// free, and against a wait that outlasts the limit.
+TEST_CASE("other servers take what a limited one does not") {
+  DispatcherFixture fixture;
+  fixture.Place("r0");
+  fixture.RunFor(Milliseconds(20));
+  REQUIRE(fixture.placements.size() == 1);
+  ServerConnectionPool& limited = *fixture.placements[0].pool;
+  const bool is_first = limited.server().id == "i-2";
+  FakeAgent& agent = *fixture.agents[is_first ? 0 : 1];
+  agent.mode = FakeAgent::Mode::kDeny;
+  const TimePoint now = EventLoop::Now();
+  fixture.dispatcher->RecordLimit(limited, NamedField(0.1), now, now);
+  for (int i = 1; i <= 8; ++i) {
+    fixture.Place("r" + std::to_string(i));
+    fixture.RunFor(Milliseconds(10));
+  }
+  fixture.RunFor(Milliseconds(100));
+  CHECK(fixture.placed.size() == 9);
+  CHECK(fixture.refused.empty());
+  for (std::size_t i = 1; i < fixture.placements.size(); ++i) {
+    CHECK(fixture.placements[i].pool.get() != &limited);
+  }
+  limited.permits.ask_from = EventLoop::Now() + Seconds(5);
+  const TimePoint written_at = EventLoop::Now();
+  fixture.dispatcher->RecordLimit(limited, {}, written_at, EventLoop::Now());
+  CHECK(limited.permits.ask_from <= EventLoop::Now());
+}
+
 }  // namespace
 }  // namespace toucanhollow
--- a/packages/relay/peer_task.h
+++ b/packages/relay/peer_task.h
@@ -40,6 +40,10 @@
   void Broadcast(const std::string& bytes);
   void Send(const std::string& ip, const std::string& bytes);
   void OnJoined(const JoinAnswer& answer);
+  // Permits that this host denied as an issuer because of a server's limit.
+  std::uint64_t permits_denied_by_limit() const {
+    return this->permit_issuer.issuer.denied_by_limit;
+  }
 
  private:
   struct Peer {
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -136,6 +136,9 @@
   this->metrics.SetGauge(
       "limited_servers",
       static_cast<double>(this->dispatcher.CountLimitedServers()));
+  this->metrics.SetGauge(
+      "permits_denied_by_limit",
+      static_cast<double>(this->peers->permits_denied_by_limit()));
   this->UpdateMemoryGauges();
   return this->metrics.FormatText();
 }
--- a/packages/traffic/permit_availability.cc
+++ b/packages/traffic/permit_availability.cc
@@ -39,7 +39,8 @@
   const Duration backoff = Backoff(availability.consecutive_denials);
   const Duration jitter(static_cast<Duration::rep>(
       draw % static_cast<std::uint64_t>(backoff.count())));
-  // An agent never states more than kPermitWindow, unless its message is wrong.
+  // An issuer states more only for a server that names a very low limit, which
+  // may be withdrawn meanwhile.
   const Duration stated = std::clamp(wait, Duration(0), kPermitWindow);
   return {now + stated + jitter, availability.consecutive_denials + 1, 0};
 }
--- a/packages/traffic/permit_ledger.cc
+++ b/packages/traffic/permit_ledger.cc
@@ -31,10 +31,10 @@
   return {std::max(usable - burst, 0.0) / window, burst};
 }
 
-PermitDecision GivePermit(PermitLedger& ledger,
-                          std::uint32_t server,
-                          const PermitRate& rate,
-                          TimePoint now) {
+PermitDecision CheckPermit(PermitLedger& ledger,
+                           std::uint32_t server,
+                           const PermitRate& rate,
+                           TimePoint now) {
   const auto [entry, is_new] =
       ledger.buckets.try_emplace(server, PermitBucket{0, ledger.empty_at});
   PermitBucket& bucket = entry->second;
@@ -44,11 +44,9 @@
   bucket.updated_at = now;
   PermitDecision decision;
   decision.granted = bucket.permits >= 1;
-  if (decision.granted) {
-    bucket.permits -= 1;
-  } else if (rate.per_s <= 0 || rate.burst < 1) {
+  if (!decision.granted && (rate.per_s <= 0 || rate.burst < 1)) {
     decision.wait = kLongestWait;
-  } else {
+  } else if (!decision.granted) {
     decision.wait = std::chrono::ceil<Duration>(
         std::min(FractionalSeconds((1 - bucket.permits) / rate.per_s),
                  FractionalSeconds(kLongestWait)));
@@ -59,4 +57,19 @@
   return decision;
 }
 
+void TakePermit(PermitLedger& ledger, std::uint32_t server) {
+  ledger.buckets.at(server).permits -= 1;
+}
+
+PermitDecision GivePermit(PermitLedger& ledger,
+                          std::uint32_t server,
+                          const PermitRate& rate,
+                          TimePoint now) {
+  const PermitDecision decision = CheckPermit(ledger, server, rate, now);
+  if (decision.granted) {
+    TakePermit(ledger, server);
+  }
+  return decision;
+}
+
 }  // namespace toucanhollow
--- a/packages/traffic/permit_ledger.h
+++ b/packages/traffic/permit_ledger.h
@@ -84,6 +84,15 @@
   bool operator==(const PermitDecision&) const = default;
 };
 
+// Tells whether the bucket of the server holds a permit, without giving it.
+PermitDecision CheckPermit(PermitLedger& ledger,
+                           std::uint32_t server,
+                           const PermitRate& rate,
+                           TimePoint now);
+
+// Gives the permit that CheckPermit found just before.
+void TakePermit(PermitLedger& ledger, std::uint32_t server);
+
 // Gives a permit if the bucket of the server holds one.
 PermitDecision GivePermit(PermitLedger& ledger,
                           std::uint32_t server,
--- a/packages/traffic/server_limit.cc
+++ b/packages/traffic/server_limit.cc
@@ -35,6 +35,26 @@
   return left.per_s <= right.per_s ? left : right;
 }
 
+bool IsPlausible(const AgedLimit& limit) {
+  return limit.per_s >= 0 && limit.per_s <= kMaxServerLimitPerS &&
+         limit.age >= Duration(0) && limit.age <= kMaxLimitAge;
+}
+
+AgedLimit AgeLimit(const ServerLimit& limit, TimePoint now) {
+  return {limit.kind, limit.per_s,
+          std::clamp(now - limit.at, Duration(0), kMaxLimitAge)};
+}
+
+ServerLimit DateLimit(const AgedLimit& limit, TimePoint now) {
+  return {limit.kind, limit.per_s, now - limit.age};
+}
+
+PermitRate FindLimitRate(double per_s) {
+  const double rate = std::clamp(per_s, kMinLimitPerS, kMaxServerLimitPerS);
+  const double burst_s = std::chrono::duration<double>(kLimitBurstTime).count();
+  return {rate, std::max(rate * burst_s, 1.0)};
+}
+
 bool IsNamed(const std::optional<ServerLimit>& limit) {
   return limit && limit->kind == ServerLimitKind::kNamed;
 }
--- a/packages/traffic/server_limit.h
+++ b/packages/traffic/server_limit.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "base/time.h"
+#include "traffic/permit_ledger.h"
 
 namespace toucanhollow {
 
@@ -49,6 +50,37 @@
 // count.
 ServerLimit LaterLimit(const ServerLimit& left, const ServerLimit& right);
 
+// A statement as it is sent to other processes, whose clocks differ.
+struct AgedLimit {
+  ServerLimitKind kind = ServerLimitKind::kWithdrawn;
+  double per_s = 0;
+  // Time since ServerLimit::at.
+  Duration age{0};
+
+  bool operator==(const AgedLimit&) const = default;
+};
+
+// Older statements are sent as if they had this age.
+inline constexpr Duration kMaxLimitAge = Seconds(24 * 3600);
+
+// False for what no process sends.
+bool IsPlausible(const AgedLimit& limit);
+
+AgedLimit AgeLimit(const ServerLimit& limit, TimePoint now);
+ServerLimit DateLimit(const AgedLimit& limit, TimePoint now);
+
+// A server that takes next to nothing still gets this many requests per second,
+// so that it can withdraw its limit.
+inline constexpr double kMinLimitPerS = 0.2;
+
+// The bucket holds the permits of this time, and at least one.
+inline constexpr Duration kLimitBurstTime = Milliseconds(500);
+
+// The rate of permits for a server with this limit. All permits that are used
+// in 4 s come from 4 s and kPermitLifetime, so they are at most 4.75 times the
+// limit, or two if the limit is below kMinLimitPerS.
+PermitRate FindLimitRate(double per_s);
+
 bool IsNamed(const std::optional<ServerLimit>& limit);
 
 // True if both allow the same rate, whenever they were made.
