--- a/packages/map_task/rank_agent.cc
+++ b/packages/map_task/rank_agent.cc
@@ -24,6 +24,9 @@
 // Requesters are entry hosts that probe, and coordinators.
 constexpr std::size_t kMaxRequesters = 64;
 
+// A machine has few servers.
+constexpr std::size_t kMaxServersPerAgent = 64;
+
 Result<Address> ParseAddressField(const boost::property_tree::ptree& tree,
                                   const std::string& field) {
   Result<Address> address = ParseAddress(tree.get<std::string>(field, ""));
@@ -80,7 +83,7 @@
       engine(this->client, codec) {}
 
 Result<bool> RankAgent::Start() {
-  this->permit_issuer.permits.empty_at = EventLoop::Now();
+  BeginLedgers(this->permit_issuer, kMaxServersPerAgent, EventLoop::Now());
   auto opened =
       DatagramSocket::Bind(this->loop, this->settings.listen,
                            [this](const Address& from, std::string_view bytes) {
@@ -88,6 +91,8 @@
                            });
   BOOST_OUTCOME_TRY(bound, std::move(opened));
   this->socket = std::move(bound);
+  this->engine.SetLimitHandler(
+      [this](const EngineLimit& limit) { this->OnEngineLimit(limit); });
   this->metrics_server = std::make_unique<MetricsServer>(
       this->loop, this->settings.metrics,
       [this] { return this->metrics.FormatText(); });
@@ -105,11 +110,41 @@
     return;
   }
   this->metrics.Count("permit_requests_total");
+  this->metrics.SetGauge(
+      "permits_denied_by_limit",
+      static_cast<double>(this->permit_issuer.denied_by_limit));
   if (!reply.value().empty()) {
     this->socket->Send(from, reply.value());
   }
 }
 
+void RankAgent::OnEngineLimit(const EngineLimit& limit) {
+  const std::optional<ServerLimit> statement =
+      FindStatement(limit.field, limit.asked_at, limit.received_at);
+  if (!statement) {
+    this->metrics.Count("server_limits_malformed_total");
+    if (IsMalformedLimitLogDue(this->malformed_limit_logged_at,
+                               limit.received_at)) {
+      this->malformed_limit_logged_at = limit.received_at;
+      LogJsonNow("server_limit_malformed", {{"source", "report"}});
+    }
+    return;
+  }
+  KnownLimits& known = this->permit_issuer.limits;
+  std::optional<ServerLimit> before;
+  if (known.engine) {
+    before = known.engine->limit;
+  }
+  MergeEngineLimit(known, limit.start_time_ms, *statement, limit.received_at);
+  const ServerLimit& after = known.engine->limit;
+  if (!IsSameLimit(before, after)) {
+    LogJsonNow("server_limit_changed", {{"kind", LimitKindName(after.kind)},
+                                        {"per_s", after.per_s},
+                                        {"source", "report"}});
+  }
+  this->metrics.SetGauge("limited_servers", IsNamed(after) ? 1 : 0);
+}
+
 void RankAgent::OnDatagram(const Address& from, std::string_view bytes) {
   if (IsPermitMessage(bytes)) {
     this->OnPermitRequest(from, bytes);
--- a/packages/map_task/rank_agent.h
+++ b/packages/map_task/rank_agent.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -59,6 +60,7 @@
 
   void OnDatagram(const Address& from, std::string_view bytes);
   void OnPermitRequest(const Address& from, std::string_view bytes);
+  void OnEngineLimit(const EngineLimit& limit);
   void SendReply(const Address& from, std::uint64_t serial, RankReply reply);
 
   EventLoop& loop;
@@ -67,6 +69,7 @@
   RankEngineClient engine;
   Metrics metrics;
   PermitIssuer permit_issuer;
+  std::optional<TimePoint> malformed_limit_logged_at;
   std::map<Address, Requester> requesters;
   std::unique_ptr<DatagramSocket> socket;
   std::unique_ptr<MetricsServer> metrics_server;
