Simulate ways to keep a server's limit over all hosts

scripts/bench_cold_start compares them for a server that names 2 requests a second, at 8, 34, 100 and 300 hosts, from the moment it first names its limit.

--- a/packages/cold_start_bench/cold_start_bench_test.cc
+++ b/packages/cold_start_bench/cold_start_bench_test.cc
@@ -19,6 +19,14 @@
   }
 }
 
+TEST_CASE("permits keep a server's limit in every event, shares do not") {
+  for (const FleetEvent event : kEvents) {
+    INFO(FleetEventName(event));
+    CHECK(SimulateLimit(ColdPolicy::kPermits, event, 100, 1) <= 17);
+    CHECK(SimulateLimit(ColdPolicy::kShareWithMinimum, event, 100, 1) > 17);
+  }
+}
+
 TEST_CASE("a sound fleet sends almost all requests at once") {
   const SoundResult result = SimulateSound(ColdPolicy::kPermits, {}, 1);
   CHECK(result.sent_at_once > 0.99);
--- a/packages/cold_start_bench/simulate.cc
+++ b/packages/cold_start_bench/simulate.cc
@@ -11,14 +11,34 @@
 
 #include "base/hash.h"
 #include "traffic/permit_ledger.h"
+#include "traffic/server_limit.h"
 
 namespace toucanhollow {
 namespace {
 
-// Of the deployment that broke the bound: 26 requests in a second.
+// A bound on the requests of all hosts together in any span.
+struct FloodBound {
+  double max_requests = 0;
+  Duration span{};
+  // What an issuer gives for it.
+  PermitRate permits;
+};
+
+// Of the deployment that broke the bound of a cold server.
 constexpr double kColdRequestsPerSecond = 14;
-constexpr ColdBound kBound{1.5, 5};
-constexpr double kMaxRequestsPerSecond = 26;
+constexpr double kMaxColdRequests = 26;
+
+// A server that names a limit of 2 requests a second: 1.5 x 2 x 4 + 5 in 4 s.
+constexpr double kLimitPerSecond = 2;
+constexpr double kMaxLimitedRequests = 17;
+constexpr Duration kLimitSpan = Seconds(4);
+// Hosts have their first answer that names the limit within this time, and are
+// bound after it for kHostBoundAfter. The whole fleet is after kStableWindow.
+constexpr Duration kMaxAnswerTime = Seconds(1);
+constexpr Duration kHostBoundAfter = Milliseconds(500);
+constexpr Duration kStableWindow = Seconds(3);
+constexpr Duration kLimitPlayed = Seconds(16);
+
 // The fraction of the bound that hosts divide which do not ask an agent.
 constexpr double kUsableShare = 0.7;
 constexpr Duration kStep = Milliseconds(1);
@@ -47,14 +67,15 @@
 
 struct Server {
   PermitLedger agent;
-  // Times of the last second, by host.
+  // Times of the last span, by host.
   std::vector<std::deque<TimePoint>> sent_by_host;
   std::deque<TimePoint> arrived;
-  std::size_t most_in_a_second = 0;
+  std::size_t most_in_span = 0;
 };
 
 struct Fleet {
   ColdPolicy policy;
+  FloodBound bound;
   std::vector<View> views;
   std::vector<Server> servers;
   std::vector<Duration> news_delay;  // by host
@@ -70,8 +91,22 @@
   return view;
 }
 
-Fleet MakeFleet(ColdPolicy policy, int hosts, int servers, std::uint64_t seed) {
-  Fleet fleet{policy, {}, {}, {}, TimePoint::max(), std::mt19937_64(seed)};
+FloodBound ColdFloodBound() {
+  return {kMaxColdRequests, Seconds(1),
+          FindPermitRate(kColdRequestsPerSecond, ColdBound{})};
+}
+
+FloodBound LimitBound() {
+  return {kMaxLimitedRequests, kLimitSpan, FindLimitRate(kLimitPerSecond)};
+}
+
+Fleet MakeFleet(ColdPolicy policy,
+                const FloodBound& bound,
+                int hosts,
+                int servers,
+                std::uint64_t seed) {
+  Fleet fleet{
+      policy, bound, {}, {}, {}, TimePoint::max(), std::mt19937_64(seed)};
   fleet.views.assign(hosts, FullView(hosts));
   fleet.servers.resize(servers);
   std::uniform_int_distribution<Duration::rep> delay(0, kMaxNewsDelay.count());
@@ -99,8 +134,8 @@
   return rank->second;
 }
 
-int SentInLastSecond(std::deque<TimePoint>& sent, TimePoint now) {
-  while (!sent.empty() && now - sent.front() >= Seconds(1)) {
+int CountInSpan(std::deque<TimePoint>& sent, Duration span, TimePoint now) {
+  while (!sent.empty() && now - sent.front() >= span) {
     sent.pop_front();
   }
   return static_cast<int>(sent.size());
@@ -111,33 +146,34 @@
   const auto known = static_cast<int>(view.hosts.size());
   Server& server = fleet.servers[number];
   std::deque<TimePoint>& sent = server.sent_by_host[host];
-  constexpr double kUsable = kMaxRequestsPerSecond * kUsableShare;
-  const int share = std::max(static_cast<int>(kUsable / known), 1);
+  const FloodBound& bound = fleet.bound;
+  const double usable = bound.max_requests * kUsableShare;
+  const int share = std::max(static_cast<int>(usable / known), 1);
+  const auto sent_in_span = [&] { return CountInSpan(sent, bound.span, now); };
   switch (fleet.policy) {
     case ColdPolicy::kShareWithMinimum:
-      return SentInLastSecond(sent, now) < share;
+      return sent_in_span() < share;
     case ColdPolicy::kShare: {
-      const std::chrono::duration<double> interval(known / kUsable);
+      const std::chrono::duration<double> interval =
+          std::chrono::duration<double>(bound.span) * (known / usable);
       return sent.empty() || now - sent.back() >= interval;
     }
     case ColdPolicy::kSubset:
-      return SentInLastSecond(sent, now) < share &&
-             RankOf(view, host, number) < static_cast<int>(kUsable);
+      return sent_in_span() < share &&
+             RankOf(view, host, number) < static_cast<int>(usable);
     case ColdPolicy::kTurns: {
-      // A second may overlap two slots.
-      constexpr int kHostsInSlot = static_cast<int>(kMaxRequestsPerSecond) / 2;
-      const int slots = (known + kHostsInSlot - 1) / kHostsInSlot;
-      const auto slot = (now - TimePoint()) / Seconds(1) % slots;
-      return RankOf(view, host, number) / kHostsInSlot == slot &&
-             SentInLastSecond(sent, now) < std::max(kHostsInSlot / known, 1);
+      // A span may overlap two slots.
+      const int hosts_in_slot = static_cast<int>(bound.max_requests) / 2;
+      const int slots = (known + hosts_in_slot - 1) / hosts_in_slot;
+      const auto slot = (now - TimePoint()) / bound.span % slots;
+      return RankOf(view, host, number) / hosts_in_slot == slot &&
+             sent_in_span() < std::max(hosts_in_slot / known, 1);
     }
     case ColdPolicy::kWarmKnown:
       return now < fleet.cold_from + fleet.news_delay[host] ||
-             SentInLastSecond(sent, now) < share;
+             sent_in_span() < share;
     case ColdPolicy::kPermits:
-      return GivePermit(server.agent, 0,
-                        FindPermitRate(kColdRequestsPerSecond, kBound), now)
-          .granted;
+      return GivePermit(server.agent, 0, bound.permits, now).granted;
   }
   return false;
 }
@@ -146,11 +182,10 @@
   server.sent_by_host[host].push_back(now);
 }
 
-void Arrive(Server& server, TimePoint now) {
+void Arrive(Server& server, Duration span, TimePoint now) {
   server.arrived.push_back(now);
-  SentInLastSecond(server.arrived, now);
-  server.most_in_a_second =
-      std::max(server.most_in_a_second, server.arrived.size());
+  CountInSpan(server.arrived, span, now);
+  server.most_in_span = std::max(server.most_in_span, server.arrived.size());
 }
 
 void Restart(Fleet& fleet, TimePoint now) {
@@ -242,7 +277,7 @@
 std::string_view ColdPolicyName(ColdPolicy policy) {
   switch (policy) {
     case ColdPolicy::kShareWithMinimum:
-      return "share, at least 1 in a second (before)";
+      return "share, at least 1 in a span";
     case ColdPolicy::kShare:
       return "share without a minimum";
     case ColdPolicy::kSubset:
@@ -277,7 +312,7 @@
                   FleetEvent event,
                   int hosts,
                   std::uint64_t seed) {
-  Fleet fleet = MakeFleet(policy, hosts, 1, seed);
+  Fleet fleet = MakeFleet(policy, ColdFloodBound(), hosts, 1, seed);
   Server& server = fleet.servers.front();
   std::vector<TimePoint> next_request(hosts, kBegin);
   std::deque<TimePoint> held;
@@ -285,11 +320,11 @@
     ApplyEvent(fleet, event, now);
     if (now == fleet.cold_from) {
       // The bound is that of a cold server.
-      server.most_in_a_second = 0;
+      server.most_in_span = 0;
       server.arrived.clear();
     }
     for (; !held.empty() && held.front() <= now; held.pop_front()) {
-      Arrive(server, now);
+      Arrive(server, fleet.bound.span, now);
     }
     for (int host = 0; host < hosts; ++host) {
       if (now < next_request[host] || !MaySend(fleet, host, 0, now)) {
@@ -301,11 +336,68 @@
       if (written && *written > now) {
         held.push_back(*written);
       } else if (written) {
-        Arrive(server, now);
+        Arrive(server, fleet.bound.span, now);
+      }
+    }
+  }
+  return static_cast<int>(server.most_in_span);
+}
+
+int SimulateLimit(ColdPolicy policy,
+                  FleetEvent event,
+                  int hosts,
+                  std::uint64_t seed) {
+  Fleet fleet = MakeFleet(policy, LimitBound(), hosts, 1, seed);
+  Server& server = fleet.servers.front();
+  std::uniform_int_distribution<Duration::rep> answer_time(
+      0, kMaxAnswerTime.count());
+  // When each host has an answer that names the limit.
+  std::vector<TimePoint> told_at(hosts);
+  const auto tell_all = [&](TimePoint from) {
+    for (TimePoint& told : told_at) {
+      told = from + Duration(answer_time(fleet.random));
+    }
+  };
+  tell_all(kBegin);
+  std::vector<TimePoint> next_request(hosts, kBegin);
+  // By the time at which they are written.
+  std::multimap<TimePoint, int> held;
+  const auto arrive = [&](int host, TimePoint now) {
+    if (now - told_at[host] >= kHostBoundAfter) {
+      Arrive(server, fleet.bound.span, now);
+    }
+  };
+  for (TimePoint now = kBegin; now < kBegin + kLimitPlayed; now += kStep) {
+    ApplyEvent(fleet, event, now);
+    if (event == FleetEvent::kPowerLoss && now == kBegin + kEventAt) {
+      tell_all(now);
+    }
+    if (now == kBegin + kStableWindow) {
+      server.most_in_span = 0;
+    }
+    for (; !held.empty() && held.begin()->first <= now;
+         held.erase(held.begin())) {
+      arrive(held.begin()->second, now);
+    }
+    for (int host = 0; host < hosts; ++host) {
+      const bool is_told = now >= told_at[host];
+      if (now < next_request[host] ||
+          (is_told && !MaySend(fleet, host, 0, now))) {
+        continue;
+      }
+      if (is_told) {
+        RecordDecision(server, host, now);
+      }
+      next_request[host] = now + kFloodGap;
+      const std::optional<TimePoint> written = WrittenAt(policy, event, now);
+      if (written && *written > now) {
+        held.emplace(*written, host);
+      } else if (written) {
+        arrive(host, now);
       }
     }
   }
-  return static_cast<int>(server.most_in_a_second);
+  return static_cast<int>(server.most_in_span);
 }
 
 SoundResult SimulateSound(ColdPolicy policy,
@@ -315,7 +407,8 @@
     int host;
     TimePoint arrived_at;
   };
-  Fleet fleet = MakeFleet(policy, load.hosts, load.servers, seed);
+  Fleet fleet =
+      MakeFleet(policy, ColdFloodBound(), load.hosts, load.servers, seed);
   const std::chrono::duration<double> step(kStep);
   std::poisson_distribution<int> arrivals(load.requests_per_s * step.count());
   std::uniform_int_distribution<int> any_host(0, load.hosts - 1);
--- a/packages/cold_start_bench/simulate.h
+++ b/packages/cold_start_bench/simulate.h
@@ -1,5 +1,5 @@
-// Simulates entry hosts that send requests to servers which may be cold, and
-// compares ways to keep the bound of a cold server over all hosts.
+// Simulates entry hosts that send requests to servers which may be cold or name
+// a limit, and compares ways to keep these bounds over all hosts.
 #ifndef COLD_START_BENCH_SIMULATE_H_
 #define COLD_START_BENCH_SIMULATE_H_
 
@@ -41,6 +41,15 @@
                   int hosts,
                   std::uint64_t seed);
 
+// The most requests in 4 s that a server with a limit of 2 requests a second
+// gets from hosts that have been told of it for half a second, while all hosts
+// have more for it. The event happens 3 s after the server first named the
+// limit.
+int SimulateLimit(ColdPolicy policy,
+                  FleetEvent event,
+                  int hosts,
+                  std::uint64_t seed);
+
 struct SoundLoad {
   int hosts = 34;
   int servers = 72;
