Tell other hosts of the limits that servers name

A host learned that a server's limit had ended only from an answer to itself. With a limit of 0, each host waited for a permit of its own, one in 5 s for all of them, before it used the server again. Hosts that had no answer yet did not ask for permits of a limited server whose service has no cold phase.

Load reports now carry what a host has learned of limits from its own answers, with ages instead of times, the end of a limit for 10 s. Earlier versions pass over the new element. The start of the server's process goes with each statement, so that no process is held to the limit of an earlier one.

--- a/packages/map_task/rank_calls_test.cc
+++ b/packages/map_task/rank_calls_test.cc
@@ -6,6 +6,7 @@
 
 #include "http_server/http_server.h"
 #include "map_task/rank_agent.h"
+#include "permit/permit_client.h"
 
 namespace toucanhollow {
 namespace {
@@ -31,7 +32,12 @@
   codec.decode_experts = [](const std::string&) -> Result<RankExperts> {
     return RankExperts{4, {{1}}};
   };
-  codec.read_limit = [](const HttpHeaders&) { return LimitField{}; };
+  codec.read_limit = [](const HttpHeaders& headers) {
+    const std::string_view limit = FindHeader(headers, "limit");
+    return limit.empty() ? LimitField{}
+                         : LimitField{LimitFieldKind::kNamed,
+                                      std::stod(std::string(limit))};
+  };
   codec.encode_order = [](const RankOrder&, const GroupMap&, std::int64_t) {
     return std::string("order");
   };
@@ -43,6 +49,7 @@
   HttpClient client{loop};
   EngineMapCodec codec = MakeTestCodec();
   int orders = 0;
+  HttpHeaders headers;  // of each answer of the engine
   // The first orders, up to this number, are accepted but not answered.
   int unanswered_order_count = 0;
   std::vector<std::shared_ptr<HttpResponseWriter>> unanswered;
@@ -66,7 +73,7 @@
               return;
             }
           }
-          writer->Respond(200, {}, std::to_string(this->orders));
+          writer->Respond(200, this->headers, std::to_string(this->orders));
         });
     REQUIRE(listening);
     this->engine = std::move(listening.value());
@@ -136,6 +143,34 @@
   CHECK(fixture.orders == 2);
 }
 
+// Guards against an engine that gets more requests than it takes because its
+// agent does not read the limit in its reports.
+TEST_CASE("an agent gives the permits that its engine's limit allows") {
+  AgentFixture fixture;
+  fixture.StartAgent();
+  Metrics metrics;
+  PermitClient permits(fixture.loop, metrics);
+  REQUIRE(permits.Open({kHost, 0}));
+  const auto ask = [&] {
+    PermitAnswer got;
+    permits.Ask(fixture.agent_address, {0, 7, {0, 0}},
+                [&](const PermitAnswer& answer) {
+                  got = answer;
+                  fixture.loop.Stop();
+                });
+    fixture.loop.Run();
+    return got.outcome;
+  };
+  fixture.Ask(RankRequestKind::kReport, false);
+  CHECK(ask() == PermitOutcome::kGranted);
+  fixture.headers = {{"limit", "0"}};
+  fixture.Ask(RankRequestKind::kReport, false);
+  CHECK(ask() == PermitOutcome::kDenied);
+  fixture.headers = {};
+  fixture.Ask(RankRequestKind::kReport, false);
+  CHECK(ask() == PermitOutcome::kGranted);
+}
+
 // Guards against a group that cannot be coordinated while an agent is down.
 TEST_CASE("an engine whose agent is down is called directly") {
   AgentFixture fixture;
--- a/packages/permit/permit_codec.cc
+++ b/packages/permit/permit_codec.cc
@@ -40,16 +40,16 @@
 }
 
 Result<AgedLimit> DecodeLimit(const json& terms) {
-  const int kind = terms.at(4).get<int>();
+  const std::optional<ServerLimitKind> kind =
+      ToLimitKind(terms.at(4).get<int>());
   AgedLimit limit;
   limit.per_s = terms.at(5).get<double>();
   limit.age = Duration(terms.at(6).get<Duration::rep>());
-  if (kind < 0 || kind > static_cast<int>(ServerLimitKind::kWithdrawn) ||
-      !IsPlausible(limit)) {
+  if (!kind || !IsPlausible(limit)) {
     return MakeFailure(ResultCode::kFrameMalformed,
                        "the limit of the server is out of range");
   }
-  limit.kind = static_cast<ServerLimitKind>(kind);
+  limit.kind = *kind;
   return limit;
 }
 
--- a/packages/relay/dispatcher.cc
+++ b/packages/relay/dispatcher.cc
@@ -28,6 +28,10 @@
 // of prompts.
 constexpr int kSilentIssuerTimeouts = 2;
 
+// Hosts that have not heard of the end of a limit after this long learn of it
+// by their own answers.
+constexpr Duration kWithdrawalReportTime = Seconds(10);
+
 int MaxOutstanding(const Service& service, const ListedServer& server) {
   return service.engine ? server.slots : server.slots * kPlainLimitFactor;
 }
@@ -757,26 +761,30 @@
     }
     return false;
   }
-  this->MergeLimit(pool, *statement, "answer");
+  this->MergeLimit(pool, *statement, true);
   return true;
 }
 
 void Dispatcher::MergeLimit(ServerConnectionPool& pool,
                             const ServerLimit& statement,
-                            std::string_view source) {
+                            bool is_own) {
   if (!pool.limit && statement.kind == ServerLimitKind::kWithdrawn) {
     return;
   }
   const std::optional<ServerLimit> before = pool.limit;
   pool.limit = before ? LaterLimit(*before, statement) : statement;
+  if (pool.limit != before) {
+    pool.limit_is_own = is_own;
+  }
   if (!IsSameLimit(before, pool.limit)) {
     // A wait that followed from the limit of before ends with it.
     pool.permits.ask_from = {};
+    this->limit_changes += is_own ? 1 : 0;
     LogJsonNow("server_limit_changed",
                {{"server", std::string_view(pool.server().id)},
                 {"kind", LimitKindName(pool.limit->kind)},
                 {"per_s", pool.limit->per_s},
-                {"source", source}});
+                {"source", is_own ? "answer" : "peer"}});
   }
 }
 
@@ -788,11 +796,44 @@
 
 void Dispatcher::UpdatePeerLoad(const std::string& host,
                                 const HostLoadReport& report) {
-  RecordLoadReport(this->peer_loads, host, report, EventLoop::Now());
+  const TimePoint now = EventLoop::Now();
+  RecordLoadReport(this->peer_loads, host, report, now);
+  if (report.limits.empty()) {
+    return;
+  }
+  for (const auto& [id, pool] : this->pools) {
+    for (const ReportedLimit& reported : report.limits) {
+      if (reported.server == pool->load_key() &&
+          reported.start_time_ms == pool->server().start_time_ms) {
+        this->MergeLimit(*pool, DateLimit(reported.limit, now), false);
+      }
+    }
+  }
+}
+
+std::vector<ReportedLimit> Dispatcher::ListOwnLimits(TimePoint now) const {
+  std::vector<ReportedLimit> limits;
+  for (const auto& [id, pool] : this->pools) {
+    if (!pool->limit || !pool->limit_is_own ||
+        (!IsNamed(pool->limit) &&
+         now - pool->limit->at > kWithdrawalReportTime)) {
+      continue;
+    }
+    limits.push_back({pool->load_key(), pool->server().start_time_ms,
+                      AgeLimit(*pool->limit, now)});
+  }
+  if (limits.size() > kMaxReportedLimits) {
+    std::ranges::nth_element(
+        limits, limits.begin() + kMaxReportedLimits, {},
+        [](const ReportedLimit& entry) { return entry.limit.age; });
+    limits.resize(kMaxReportedLimits);
+  }
+  return limits;
 }
 
-HostLoadReport Dispatcher::MakeLoadReport() const {
+HostLoadReport Dispatcher::MakeLoadReport(TimePoint now) const {
   HostLoadReport report;
+  report.limits = this->ListOwnLimits(now);
   report.issuer_generation = this->issuer_generation;
   report.slow_servers.assign(this->slow_servers.begin(),
                              this->slow_servers.end());
--- a/packages/relay/dispatcher.h
+++ b/packages/relay/dispatcher.h
@@ -98,7 +98,10 @@
   bool TryAcquireRetry(const ServiceName& service);
 
   void UpdatePeerLoad(const std::string& host, const HostLoadReport& report);
-  HostLoadReport MakeLoadReport() const;
+  HostLoadReport MakeLoadReport(TimePoint now) const;
+  // Increases when an answer to this host changes what is known of a server's
+  // limit.
+  std::uint64_t own_limit_changes() const { return this->limit_changes; }
   // Sets the number of entry hosts that share the bound on retries, this one
   // included; empty while it is not known.
   void SetHostCount(std::optional<int> hosts);
@@ -125,10 +128,12 @@
     RetryAllowance retries;
   };
 
-  // `source`: where the statement comes from, for logs.
+  // `is_own`: the statement is from an answer to this host, else from a peer.
   void MergeLimit(ServerConnectionPool& pool,
                   const ServerLimit& statement,
-                  std::string_view source);
+                  bool is_own);
+  // What this host has learned of limits from its own answers.
+  std::vector<ReportedLimit> ListOwnLimits(TimePoint now) const;
   // A pseudo-random number, different at each call and host.
   std::uint64_t Draw();
   std::vector<std::shared_ptr<ServerConnectionPool>> FindUsablePools(
@@ -201,6 +206,7 @@
   std::set<std::uint32_t> slow_servers;
   std::optional<int> host_count;
   std::int64_t issuer_generation = 0;
+  std::uint64_t limit_changes = 0;
   std::uint64_t next_seed = 0;
   std::unique_ptr<Timer> timer;
   // Callbacks keep a weak pointer to this, which expires with this object.
--- a/packages/relay/dispatcher_fixture.h
+++ b/packages/relay/dispatcher_fixture.h
@@ -126,7 +126,8 @@
 
   int Outstanding() const {
     int sum = 0;
-    for (const ServerLoad& load : this->dispatcher->MakeLoadReport().loads) {
+    for (const ServerLoad& load :
+         this->dispatcher->MakeLoadReport(EventLoop::Now()).loads) {
       sum += load.outstanding;
     }
     return sum;
--- a/packages/relay/dispatcher_test.cc
+++ b/packages/relay/dispatcher_test.cc
@@ -24,7 +24,7 @@
   CHECK(fixture.placed.size() == 6);
   CHECK(fixture.refused.empty());
   CHECK(fixture.agents[1]->asked == 6);
-  CHECK(fixture.dispatcher->MakeLoadReport().loads.size() == 1);
+  CHECK(fixture.dispatcher->MakeLoadReport(EventLoop::Now()).loads.size() == 1);
 }
 
 // Guards against requests that wait longer than their callers do, and against
--- a/packages/relay/limited_server_test.cc
+++ b/packages/relay/limited_server_test.cc
@@ -121,6 +121,49 @@
   CHECK(fixture.agents[1]->asked == 1);
 }
 
+// Guards against hosts that keep to a limit only by what they were told
+// themselves, and against news that hosts tell each other in turns for ever.
+TEST_CASE("hosts tell each other what servers named to them") {
+  WarmFixture told(true);
+  WarmFixture other(true);
+  const Placement placement = told.PlaceAt("i-2");
+  const TimePoint now = EventLoop::Now();
+  CHECK(told.dispatcher->MakeLoadReport(now).limits.empty());
+  told.dispatcher->RecordLimit(*placement.pool, NamedField(2.3), now, now);
+  CHECK(told.dispatcher->own_limit_changes() == 1);
+  told.dispatcher->RecordLimit(*placement.pool, NamedField(2.3), now,
+                               now + Milliseconds(1));
+  CHECK(told.dispatcher->own_limit_changes() == 1);
+  std::uint64_t sequence = 0;
+  const auto report_at = [&told, &sequence](TimePoint time) {
+    HostLoadReport report = told.dispatcher->MakeLoadReport(time);
+    report.sequence = ++sequence;
+    return report;
+  };
+  const HostLoadReport named = report_at(now + Seconds(3));
+  REQUIRE(named.limits.size() == 1);
+  CHECK(named.limits[0].limit.age == Milliseconds(2999));
+  other.dispatcher->UpdatePeerLoad("127.0.0.9", named);
+  CHECK(other.dispatcher->CountLimitedServers() == 1);
+  CHECK(other.dispatcher->own_limit_changes() == 0);
+  CHECK(other.dispatcher->MakeLoadReport(EventLoop::Now()).limits.empty());
+  // One of an earlier process of the server.
+  HostLoadReport earlier = named;
+  earlier.limits[0].start_time_ms -= 1;
+  WarmFixture third(true);
+  third.dispatcher->UpdatePeerLoad("127.0.0.9", earlier);
+  CHECK(third.dispatcher->CountLimitedServers() == 0);
+  // The end of the limit is told as well, for some seconds.
+  told.dispatcher->RecordLimit(*placement.pool, {}, now + Seconds(4),
+                               now + Seconds(5));
+  CHECK(told.dispatcher->own_limit_changes() == 2);
+  const HostLoadReport withdrawn = report_at(now + Seconds(5));
+  REQUIRE(withdrawn.limits.size() == 1);
+  other.dispatcher->UpdatePeerLoad("127.0.0.9", withdrawn);
+  CHECK(other.dispatcher->CountLimitedServers() == 0);
+  CHECK(report_at(now + Seconds(60)).limits.empty());
+}
+
 // Guards against requests that wait for a limited server while another one is
 // free, and against a wait that outlasts the limit.
 TEST_CASE("other servers take what a limited one does not") {
--- a/packages/relay/peer_codec.cc
+++ b/packages/relay/peer_codec.cc
@@ -64,6 +64,26 @@
   return binaries;
 }
 
+Result<std::vector<ReportedLimit>> DecodeLimits(const json& entries) {
+  std::vector<ReportedLimit> limits;
+  for (const json& entry : entries) {
+    ReportedLimit reported;
+    reported.server = entry.at(0).get<std::uint32_t>();
+    reported.start_time_ms = entry.at(1).get<std::int64_t>();
+    const std::optional<ServerLimitKind> kind =
+        ToLimitKind(entry.at(2).get<int>());
+    reported.limit.per_s = entry.at(3).get<double>();
+    reported.limit.age = Duration(entry.at(4).get<Duration::rep>());
+    if (!kind || !IsPlausible(reported.limit)) {
+      return MakeFailure(ResultCode::kFrameMalformed,
+                         "the limit of a server is out of range");
+    }
+    reported.limit.kind = *kind;
+    limits.push_back(reported);
+  }
+  return limits;
+}
+
 template <typename Value, typename Decode>
 Result<Value> DecodeCbor(std::string_view bytes, Decode decode) {
   BOOST_OUTCOME_TRY(document, ReadCbor(bytes));
@@ -82,10 +102,16 @@
     loads.push_back(
         {load.server, load.outstanding, load.pending_prompt_tokens});
   }
+  json limits = json::array();
+  for (const ReportedLimit& reported : report.limits) {
+    limits.push_back({reported.server, reported.start_time_ms,
+                      static_cast<int>(reported.limit.kind),
+                      reported.limit.per_s, reported.limit.age.count()});
+  }
   return ToBytes(
       json::array({report.incarnation, report.sequence, std::move(loads),
                    report.slow_servers, report.quarantine_digest,
-                   report.issuer_generation}));
+                   report.issuer_generation, std::move(limits)}));
 }
 
 Result<HostLoadReport> DecodeLoadReport(std::string_view bytes) {
@@ -112,6 +138,10 @@
         if (document.size() > 5) {
           report.issuer_generation = document.at(5).get<std::int64_t>();
         }
+        if (document.size() > 6) {
+          BOOST_OUTCOME_TRY(limits, DecodeLimits(document.at(6)));
+          report.limits = std::move(limits);
+        }
         return report;
       });
 }
--- a/packages/relay/peer_task.cc
+++ b/packages/relay/peer_task.cc
@@ -64,6 +64,14 @@
   return batch;
 }
 
+// Differs for reports that state something else, whenever they are sent.
+std::string EncodeWithoutAges(HostLoadReport report) {
+  for (ReportedLimit& reported : report.limits) {
+    reported.limit.age = Duration(0);
+  }
+  return EncodeLoadReport(report);
+}
+
 }  // namespace
 
 PeerTask::PeerTask(EventLoop& loop,
@@ -224,18 +232,22 @@
   this->dispatcher.SetHostCount(FindHostCount(this->host_count, now));
   const auto period_factor =
       std::max<std::size_t>(hosts.size() / kPeersAtFullRate, 1);
-  HostLoadReport report = this->dispatcher.MakeLoadReport();
+  HostLoadReport report = this->dispatcher.MakeLoadReport(now);
   report.incarnation = this->incarnation;
   report.quarantine_digest = this->quarantine.Digest(now);
   report.sequence = 0;
-  std::string loads = EncodeLoadReport(report);
+  std::string loads = EncodeWithoutAges(report);
   const bool changed = loads != this->last_sent_loads;
   const Duration period =
       changed ? kReportPeriod * static_cast<Duration::rep>(period_factor)
               : kUnchangedReportPeriod;
-  if (now - this->last_report_at < period) {
+  // Hosts keep to a limit together only once they know of it.
+  const std::uint64_t limit_changes = this->dispatcher.own_limit_changes();
+  if (now - this->last_report_at < period &&
+      limit_changes == this->last_sent_limit_changes) {
     return;
   }
+  this->last_sent_limit_changes = limit_changes;
   this->last_report_at = now;
   this->last_sent_loads = std::move(loads);
   report.sequence = ++this->sequence;
--- a/packages/relay/peer_task.h
+++ b/packages/relay/peer_task.h
@@ -86,6 +86,7 @@
   std::uint64_t incarnation;
   std::uint64_t sequence = 0;
   std::string last_sent_loads;
+  std::uint64_t last_sent_limit_changes = 0;
   TimePoint last_report_at;
   TimePoint last_fetch_at;
   std::size_t next_peer = 0;
--- a/packages/relay/relay_test.cc
+++ b/packages/relay/relay_test.cc
@@ -217,7 +217,19 @@
 TEST_CASE("load reports and records survive encoding and decoding") {
   HostLoadReport report{7, 3, {{5, 2, 800}, {6, 1, 0}}};
   report.quarantine_digest = 0xffffffff;
+  const AgedLimit limit{ServerLimitKind::kNamed, 2.3, Milliseconds(40)};
+  report.limits = {{5, 1'700'000'000'000, limit},
+                   {6, 0, {ServerLimitKind::kWithdrawn, 0, Duration(0)}}};
   CHECK(DecodeLoadReport(EncodeLoadReport(report)).value() == report);
+  for (const AgedLimit& wrong :
+       {AgedLimit{static_cast<ServerLimitKind>(2), 2.3, Duration(0)},
+        AgedLimit{ServerLimitKind::kNamed, -1, Duration(0)},
+        AgedLimit{ServerLimitKind::kNamed, 1e300, Duration(0)},
+        AgedLimit{ServerLimitKind::kNamed, 2.3, Duration(-1)},
+        AgedLimit{ServerLimitKind::kNamed, 2.3, Duration::max()}}) {
+    report.limits = {{5, 0, wrong}};
+    CHECK_FALSE(DecodeLoadReport(EncodeLoadReport(report)));
+  }
   CHECK_FALSE(DecodeLoadReport("\x01"));
   CHECK_FALSE(DecodeLoadReport(EncodeLoadReport({7, 3, {{5, -1, 0}}})));
   CHECK_FALSE(DecodeLoadReport(EncodeLoadReport({7, 3, {{5, 0, -1}}})));
@@ -234,6 +246,17 @@
   CHECK_FALSE(DecodePeerViewReply("junk"));
 }
 
+// Guards against hosts of two versions that do not read each other's reports.
+TEST_CASE("a load report may end before the limits of servers") {
+  const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(
+      nlohmann::json::array({7, 3, {{5, 2, 800}}, {8, 9}, 77, 4}));
+  const Result<HostLoadReport> report =
+      DecodeLoadReport(std::string(bytes.begin(), bytes.end()));
+  REQUIRE(report);
+  CHECK(report.value() ==
+        HostLoadReport{7, 3, {{5, 2, 800}}, {8, 9}, 77, 4, {}});
+}
+
 // Guards against taking the records of a host of an earlier version for all
 // changes.
 TEST_CASE("records of a host of an earlier version vouch for nothing") {
--- a/packages/relay/server_connection_pool.h
+++ b/packages/relay/server_connection_pool.h
@@ -43,6 +43,8 @@
   std::optional<Misdirection> misdirection;
   // The latest statement on the server's limit; empty until it names one.
   std::optional<ServerLimit> limit;
+  // The statement is from an answer to this host, not from another host.
+  bool limit_is_own = false;
   std::optional<TimePoint> malformed_limit_logged_at;
 
  private:
--- a/packages/traffic/peer_load_table.h
+++ b/packages/traffic/peer_load_table.h
@@ -3,6 +3,7 @@
 #ifndef TRAFFIC_PEER_LOAD_TABLE_H_
 #define TRAFFIC_PEER_LOAD_TABLE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -11,6 +12,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "traffic/server_limit.h"
 
 namespace toucanhollow {
 
@@ -23,6 +25,16 @@
   bool operator==(const ServerLoad&) const = default;
 };
 
+// What a host has learned of a server's limit from an answer to itself.
+struct ReportedLimit {
+  std::uint32_t server = 0;  // hash of the server's id
+  // Start of the server's process, in Unix ms.
+  std::int64_t start_time_ms = 0;
+  AgedLimit limit;
+
+  bool operator==(const ReportedLimit&) const = default;
+};
+
 struct HostLoadReport {
   // Start of the sending process by the wall clock; reports of a later run
   // replace those of an earlier one.
@@ -36,10 +48,15 @@
   std::uint32_t quarantine_digest = 0;
   // IssuingGeneration of the host.
   std::int64_t issuer_generation = 0;
+  // At most kMaxReportedLimits.
+  std::vector<ReportedLimit> limits = {};
 
   bool operator==(const HostLoadReport&) const = default;
 };
 
+// Keeps reports within one datagram.
+inline constexpr std::size_t kMaxReportedLimits = 128;
+
 // The sums of the loads that several hosts put on one server.
 struct LoadSum {
   std::int64_t outstanding = 0;
--- a/packages/traffic/server_limit.cc
+++ b/packages/traffic/server_limit.cc
@@ -71,6 +71,16 @@
   return !logged_at || now - *logged_at >= kMalformedLimitLogPeriod;
 }
 
+std::optional<ServerLimitKind> ToLimitKind(int number) {
+  for (const auto kind :
+       {ServerLimitKind::kNamed, ServerLimitKind::kWithdrawn}) {
+    if (static_cast<int>(kind) == number) {
+      return kind;
+    }
+  }
+  return std::nullopt;
+}
+
 std::string_view LimitKindName(ServerLimitKind kind) {
   return kind == ServerLimitKind::kNamed ? "named" : "withdrawn";
 }
--- a/packages/traffic/server_limit.h
+++ b/packages/traffic/server_limit.h
@@ -91,6 +91,9 @@
 // at `logged_at`.
 bool IsMalformedLimitLogDue(std::optional<TimePoint> logged_at, TimePoint now);
 
+// The kind with this number in messages; nothing if there is none.
+std::optional<ServerLimitKind> ToLimitKind(int number);
+
 // For logs: "named" or "withdrawn".
 std::string_view LimitKindName(ServerLimitKind kind);
 
