Ask again for an isolated request before a low limit allows it

The permit issuer states a wait of up to 10 s for a server with a very low limit. A request that tests a part of a prompt waited as long as that, although the limit might be withdrawn meanwhile.

--- a/packages/relay/dispatcher.cc
+++ b/packages/relay/dispatcher.cc
@@ -420,7 +420,9 @@
   if (granted) {
     this->permits.EndIsolation(wait.issuer, wait.pool->load_key(), wait.serial);
   }
-  this->isolation.Add(std::move(wait.request), now + answer.wait, now);
+  // A low limit of the server may be withdrawn before the stated time.
+  this->isolation.Add(std::move(wait.request),
+                      now + std::min(answer.wait, kPermitWindow), now);
   this->StartTimer();
 }
 
--- a/packages/relay/dispatcher_fixture.h
+++ b/packages/relay/dispatcher_fixture.h
@@ -18,6 +18,7 @@
 struct FakeAgent {
   enum class Mode { kGrant, kDeny, kSilent };
   Mode mode = Mode::kGrant;
+  Duration wait = Milliseconds(20);  // that a denial states
   int asked = 0;
   int isolated_asked = 0;
   int isolations_ended = 0;
@@ -39,8 +40,8 @@
           if (this->mode != Mode::kSilent) {
             this->socket->Send(
                 from,
-                EncodePermitReply({request.serial, this->mode == Mode::kGrant,
-                                   Milliseconds(20)}));
+                EncodePermitReply(
+                    {request.serial, this->mode == Mode::kGrant, this->wait}));
           }
         });
     REQUIRE(opened);
@@ -133,6 +134,16 @@
     return sum;
   }
 
+  // Runs until this many requests are placed, or for a second.
+  void RunUntilPlaced(std::size_t count) {
+    const TimePoint begin = EventLoop::Now();
+    while (this->placements.size() < count &&
+           EventLoop::Now() - begin < Seconds(1)) {
+      this->RunFor(Milliseconds(5));
+    }
+    REQUIRE(this->placements.size() == count);
+  }
+
   void RunFor(Duration time) {
     const Timer timer(this->loop, time, Duration(0),
                       [this] { this->loop.Stop(); });
--- a/packages/relay/isolation_test.cc
+++ b/packages/relay/isolation_test.cc
@@ -178,5 +178,22 @@
   CHECK(fixture.Outstanding() == 1);
 }
 
+// Guards against a test that waits for a limit of its server which has ended.
+TEST_CASE("a test of a part does not wait for as long as a denial states") {
+  IsolationFixture fixture;
+  fixture.Crash("a");
+  for (const auto& agent : fixture.agents) {
+    agent->mode = FakeAgent::Mode::kDeny;
+    agent->wait = Seconds(10);
+  }
+  fixture.Place("r1", Seconds(4), {"a", "b"});
+  fixture.RunFor(Milliseconds(60));
+  CHECK(fixture.IsolatedAsked() == 1);
+  fixture.SetAgents(FakeAgent::Mode::kGrant);
+  fixture.RunFor(kPermitWindow);
+  fixture.RunUntilPlaced(1);
+  CHECK(fixture.refused.empty());
+}
+
 }  // namespace
 }  // namespace toucanhollow
