End silent requests before their callers leave a still machine

A request is at an engine whose machine stands still, its caller leaves after 2 s, and the end of the connection cannot reach the engine.

Cause: FailIfGroupHalted ends a silent request in time only if its model group says that it is closed or begins no pass. Besides, the limit counted from the sending, so that a request that had waited 1.15 s for room was ended after its caller had left.

The host now asks the agent on the server's machine, one question at a time for each server, once a caller has waited for 0.35 s less than the limit. A request ends at the limit if the agent leaves the question unanswered (three datagrams in 210 ms), also if the engine does not answer its agent. The limit counts from the arrival or the last event, with at least 0.3 s for the present server.

--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -38,6 +38,13 @@
       client(loop),
       memory(loop, this->metrics, this->settings.memory_bytes),
       permits(loop, this->metrics),
+      silence([this](const ListedServer& server,
+                     std::function<void(bool answers)> done) {
+        this->AskAgent(server, [done = std::move(done)](
+                                   const std::optional<RankReply>& reply) {
+          done(!reply || reply->report);
+        });
+      }),
       quarantine(loop, this->metrics),
       dispatcher(loop, this->settings, this->permits, this->quarantine) {}
 
@@ -87,8 +94,9 @@
   return services;
 }
 
-void RelayHost::CheckEngine(const ListedServer& server,
-                            std::function<void(EngineState state)> done) {
+void RelayHost::AskAgent(
+    const ListedServer& server,
+    std::function<void(const std::optional<RankReply>&)> done) {
   const PlatformView& view = this->view_task->view();
   const auto listed = view.servers.find(server.id);
   const auto service = view.traffic->services.find(server.service);
@@ -98,15 +106,12 @@
                       listed->second.missing_since.has_value();
   if (leaves || service == view.traffic->services.end() ||
       !service->second.engine) {
-    Post(this->loop, [done = std::move(done)] { done(EngineState::kUnknown); });
+    Post(this->loop, [done = std::move(done)] { done(std::nullopt); });
     return;
   }
   const RankAddress rank{server.id, AgentAddress(server, this->settings),
                          server.address};
-  this->maps->AskReport(
-      rank, [server, done = std::move(done)](const RankReply& reply) {
-        done(ClassifyEngine(reply, server));
-      });
+  this->maps->AskReport(rank, std::move(done));
 }
 
 Result<bool> RelayHost::ListenReadiness() {
@@ -202,7 +207,10 @@
        },
        [this](const ListedServer& server,
               std::function<void(EngineState state)> done) {
-         this->CheckEngine(server, std::move(done));
+         this->AskAgent(server, [server, done = std::move(done)](
+                                    const std::optional<RankReply>& reply) {
+           done(reply ? ClassifyEngine(*reply, server) : EngineState::kUnknown);
+         });
        },
        [this] { this->dispatcher.OnVerdictsChanged(); },
        [this](const QuarantineRecord& record) {
@@ -266,8 +274,9 @@
   };
   auto session = std::make_unique<CallerSession>(
       RelayContext{this->loop, this->codec, this->dispatcher, this->quarantine,
-                   this->memory, this->metrics, this->view_task->view(),
-                   this->observed_timeouts, this->stop, this->awake_since},
+                   this->memory, this->silence, this->metrics,
+                   this->view_task->view(), this->observed_timeouts, this->stop,
+                   this->awake_since},
       socket, number, closed);
   if (over_limit) {
     session->RefuseRequests();
@@ -290,6 +299,7 @@
   this->view_task->SetCoordinating(this->maps->IsCoordinator());
   this->quarantine.Sweep(now);
   this->memory.Sweep(now);
+  this->silence.Sweep(now);
   for (const auto& [number, session] : this->sessions) {
     // An exception of one session must not keep the others from being swept.
     RunGuarded(this->loop.raw(),
--- a/packages/relay/relay_host.h
+++ b/packages/relay/relay_host.h
@@ -27,6 +27,7 @@
 #include "relay/relay_codec.h"
 #include "relay/relay_memory.h"
 #include "relay/relay_settings.h"
+#include "relay/server_silence.h"
 #include "relay/stop_schedule.h"
 
 namespace toucanhollow {
@@ -58,9 +59,11 @@
   // True once this host knows which prompts crash servers, or cannot learn it.
   bool KnowsQuarantines(TimePoint now) const;
   std::vector<ExpertParallelService> ListExpertParallelServices() const;
-  // Asks the agent beside the server whether the server still runs.
-  void CheckEngine(const ListedServer& server,
-                   std::function<void(EngineState state)> done);
+  // Asks the agent beside the server for the engine's report. `done` gets
+  // nothing if the server leaves or has no agent, and an empty reply if the
+  // agent does not answer.
+  void AskAgent(const ListedServer& server,
+                std::function<void(const std::optional<RankReply>&)> done);
   Result<bool> ListenReadiness();
   std::string FormatMetrics();
   void UpdateMemoryGauges();
@@ -74,6 +77,7 @@
   HttpClient client;
   RelayMemory memory;
   PermitClient permits;
+  ServerSilence silence;
   PromptQuarantine quarantine;
   Dispatcher dispatcher;
   ObservedTimeouts observed_timeouts;
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -37,6 +37,12 @@
 // up after 2 s or later. The silence ends a request at this part of the time
 // that its caller waits.
 constexpr double kSilenceLimitFraction = 0.8;
+// A request that was sent just now is not silent yet, however long its caller
+// has been waiting.
+constexpr Duration kMinSilence = Milliseconds(300);
+// The machine of a silent server is asked this long before the limit, as the
+// question takes 210 ms if it is not answered.
+constexpr Duration kSilenceCheckLead = Milliseconds(350);
 constexpr int kLowestPriority = 9;
 constexpr int kStatusMisdirected = 421;
 // A discarded response is read up to this size and for this long, so that its
@@ -76,7 +82,8 @@
       head(std::move(head)),
       body(std::move(body)),
       arrived_at(arrived_at),
-      sink(std::move(sink)) {}
+      sink(std::move(sink)),
+      waiting_since(arrived_at) {}
 
 void RelayedRequest::Start() {
   const TimePoint now = EventLoop::Now();
@@ -246,7 +253,7 @@
   this->tried_servers.insert(chosen_pool->server().id);
   this->mode = ResponseMode::kUndecided;
   this->answer_began = false;
-  this->last_progress_at = now;
+  this->sent_at = now;
   ++this->sent_attempts;
   this->isolation = placement.isolation;
   if (!this->prompt_parts.empty()) {
@@ -325,8 +332,7 @@
   this->response = response;
   this->response_not_run = metadata.not_run;
   this->server_at_fault = metadata.server_at_fault;
-  this->last_progress_at = EventLoop::Now();
-  this->discard_started_at = this->last_progress_at;
+  this->discard_started_at = EventLoop::Now();
   this->discarded_bytes = 0;
   if (this->pool != nullptr && this->pending_prompt_tokens > 0) {
     this->pool->pending_prompt_tokens -=
@@ -353,6 +359,7 @@
     this->mode = ResponseMode::kEvents;
   } else {
     this->mode = ResponseMode::kBuffer;
+    this->waiting_since = EventLoop::Now();
   }
   this->ReleaseBodyIfFinal();
 }
@@ -375,7 +382,7 @@
       }
       return;
     case ResponseMode::kBuffer:
-      this->last_progress_at = now;
+      this->waiting_since = now;
       this->buffered += bytes;
       if (this->buffered.size() > kMaxBufferedBytes || !this->ReserveAnswer()) {
         this->mode = ResponseMode::kRaw;
@@ -387,7 +394,7 @@
       const std::string complete = SplitEvents(this->events, bytes);
       this->ForwardBody(complete);
       if (this->events.last_id != last_id) {
-        this->last_progress_at = now;
+        this->waiting_since = now;
       }
       if (!complete.empty()) {
         this->MarkBegun(now);
@@ -405,7 +412,7 @@
       return;
     }
     case ResponseMode::kRaw:
-      this->last_progress_at = now;
+      this->waiting_since = now;
       this->ForwardBody(bytes);
       return;
   }
@@ -448,7 +455,7 @@
     const auto self = this->shared_from_this();
     this->attempt->CheckUnwritten();
   }
-  this->FailIfGroupHalted(now);
+  this->FailIfServerHalted(now);
 }
 
 void RelayedRequest::ForwardBody(std::string_view bytes) {
@@ -475,7 +482,7 @@
                             this->sink.unsent_bytes());
 }
 
-void RelayedRequest::FailIfGroupHalted(TimePoint now) {
+void RelayedRequest::FailIfServerHalted(TimePoint now) {
   // A stopping host ends streams at the end of its grace time and not before.
   if (this->context.stop && this->response_started) {
     return;
@@ -485,17 +492,27 @@
                             this->route->max_event_gap) *
       kSilenceLimitFraction);
   // What the host did not see while it stood still is nobody's silence.
-  const auto is_silent = [this, now, limit] {
+  const auto is_waiting = [this, now](Duration least) {
     return this->attempt != nullptr &&
-           now - std::max(this->last_progress_at, this->context.awake_since) >=
-               limit &&
-           this->context.dispatcher.IsHaltedOrStalled(*this->pool, now);
+           now - std::max(this->waiting_since, this->context.awake_since) >=
+               least &&
+           now - this->sent_at >= kMinSilence;
   };
-  if (!is_silent()) {
+  if (!is_waiting(limit - kSilenceCheckLead)) {
+    return;
+  }
+  const bool machine_silent =
+      this->context.silence.IsSilent(this->pool->server(), now);
+  const auto is_halted = [&] {
+    return is_waiting(limit) &&
+           (machine_silent ||
+            this->context.dispatcher.IsHaltedOrStalled(*this->pool, now));
+  };
+  if (!is_halted()) {
     return;
   }
   this->ReadPending();
-  if (!is_silent()) {
+  if (!is_halted()) {
     return;
   }
   this->maybe_ran = this->maybe_ran || this->attempt->any_sent();
@@ -503,8 +520,9 @@
   this->pool->health = RecordFailure(this->pool->health, now);
   this->ReleaseServer(AttemptResult::kLost);
   this->EndIsolation();
-  this->Fail(
-      502, "the model group executes no passes and the server does not answer");
+  this->Fail(502, machine_silent ? "the server's machine does not answer"
+                                 : "the model group executes no passes and the "
+                                   "server does not answer");
 }
 
 void RelayedRequest::OnOutputDrained() {
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -24,6 +24,7 @@
 #include "relay/relay_codec.h"
 #include "relay/relay_memory.h"
 #include "relay/server_attempt.h"
+#include "relay/server_silence.h"
 #include "relay/stop_schedule.h"
 #include "traffic/caller_retry.h"
 #include "traffic/event_splitter.h"
@@ -36,6 +37,7 @@
   Dispatcher& dispatcher;
   PromptQuarantine& quarantine;
   RelayMemory& memory;
+  ServerSilence& silence;
   Metrics& metrics;
   const PlatformView& view;
   ObservedTimeouts& observed_timeouts;
@@ -88,7 +90,7 @@
   void OnOutputDrained();
   // To be called periodically: stops reading a discarded response that takes
   // too long, and fails a request that makes no progress while its model group
-  // executes no passes.
+  // executes no passes or the machine of its server is silent.
   void Sweep(TimePoint now);
   HeldMemory held_memory() const;
 
@@ -105,9 +107,9 @@
   void Send(const Placement& placement);
   ServerRequestMetadata MakeServerMetadata(const ServerConnectionPool& pool,
                                            TimePoint now) const;
-  // Fails the request if it makes no progress and its model group is closed or
-  // stalled.
-  void FailIfGroupHalted(TimePoint now);
+  // Fails the request before its caller leaves, if it makes no progress and its
+  // model group is closed or stalled, or the machine of its server is silent.
+  void FailIfServerHalted(TimePoint now);
   // Ends the attempt without reading the rest of a discarded response.
   void AbandonDiscarded(std::string_view why);
   void OnHead(const ResponseHead& head, const ResponseMetadata& metadata);
@@ -201,9 +203,10 @@
   // In the present or last attempt, a complete event or response has arrived.
   bool answer_began = false;
   TimePoint first_byte_at;
-  // When the request was sent or last made progress: bytes of a response or, in
-  // a stream, a new complete event.
-  TimePoint last_progress_at;
+  TimePoint sent_at;
+  // Since when the caller has been waiting: its arrival, or the last progress,
+  // which is bytes of a response or, in a stream, a new complete event.
+  TimePoint waiting_since;
   // Size of a discarded response so far, in bytes, and when its head arrived.
   std::size_t discarded_bytes = 0;
   TimePoint discard_started_at;
--- a/standins/platform/platform_relay_test.cc
+++ b/standins/platform/platform_relay_test.cc
@@ -657,6 +657,84 @@
   CheckSilentStreamEnds(site, [&site] { site.group.still = true; });
 }
 
+// Guards against work for a caller that leaves while the machine of its server
+// stands still, which cannot be told so: the group says that it executes
+// passes.
+TEST_CASE(
+    "a request ends before its caller leaves a machine that stands still") {
+  RankSite site;
+  site.Start();
+  REQUIRE(Serves(site));
+  const bool begun = GENERATE(false, true);
+  ScriptedAnswer silent;
+  if (begun) {
+    silent.bytes = StreamHead() + Chunk("id: 1\ndata: a\n\n");
+  }
+  silent.later = Chunk(": nothing");
+  silent.delay = Seconds(60);
+  site.first.script.push_back(silent);
+  const int closed = site.first.closed_by_caller;
+  Caller caller(site.loop, site.settings.callers.port);
+  std::string request = Request("POST", "/m/x", "r1", "", "p");
+  caller.connection->Write(request.replace(request.find("1500"), 4, "6000"));
+  const TimePoint asked_at = EventLoop::Now();
+  REQUIRE(site.RunUntil([&] {
+    return begun ? caller.parser.head_done() : site.first.runs.contains("r1");
+  }));
+  site.RunFor(Milliseconds(800));
+  site.agent.reset();
+  CHECK(site.RunUntil([&] { return caller.parser.done() || caller.ended; }));
+  CHECK(EventLoop::Now() - asked_at < Milliseconds(2000));
+  CHECK(EventLoop::Now() - asked_at >= Milliseconds(1500));
+  CHECK(caller.parser.done() == !begun);
+  if (!begun) {
+    CHECK(caller.parser.head().status == 502);
+  }
+  CHECK(site.RunUntil([&] { return site.first.closed_by_caller > closed; }));
+}
+
+// Guards against time that a request waited for room and its caller did too,
+// and that is left out of the limit on silence.
+TEST_CASE("the limit on silence counts from the arrival of the request") {
+  RankSite site;
+  site.Start();
+  REQUIRE(Serves(site));
+  constexpr int kSlots = 6;
+  ScriptedAnswer silent;
+  silent.later = " ";
+  silent.delay = Seconds(60);
+  std::vector<std::unique_ptr<Caller>> first;
+  for (int i = 0; i < kSlots; ++i) {
+    site.first.script.push_back(silent);
+    first.push_back(
+        std::make_unique<Caller>(site.loop, site.settings.callers.port));
+    std::string request =
+        Request("POST", "/m/x", "r" + std::to_string(i), "", "p");
+    first.back()->connection->Write(
+        request.replace(request.find("1500"), 4, "9000"));
+  }
+  REQUIRE(site.RunUntil([&] { return site.first.runs.contains("r5"); }));
+  site.first.script.push_back(silent);
+  // A shorter deadline is that of a caller that returns, which waits longer.
+  Caller caller(site.loop, site.settings.callers.port);
+  std::string request = Request("POST", "/m/x", "late", "", "p");
+  caller.connection->Write(request.replace(request.find("1500"), 4, "6000"));
+  const TimePoint asked_at = EventLoop::Now();
+  site.RunFor(Milliseconds(1000));
+  CHECK_FALSE(site.first.runs.contains("late"));
+  first.clear();
+  REQUIRE(site.RunUntil([&] { return site.first.runs.contains("late"); }));
+  const bool group_stands = GENERATE(false, true);
+  site.group.open = !group_stands;
+  if (!group_stands) {
+    site.agent.reset();
+  }
+  CHECK(site.RunUntil([&] { return caller.parser.done() || caller.ended; }));
+  CHECK(caller.parser.done());
+  CHECK(caller.parser.head().status == 502);
+  CHECK(EventLoop::Now() - asked_at < Milliseconds(2000));
+}
+
 // Guards against a stream that a stopping host cuts for a silence of its
 // server, though the grace time is not over and its caller still waits.
 TEST_CASE("a silent stream of a stopping host is left to its server") {
