--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -169,6 +169,7 @@
                        "100-continue")) {
     this->InviteBody();
   }
+  this->LimitReads();
 }
 
 void CallerSession::InviteBody() {
@@ -176,7 +177,6 @@
     this->continue_sent = true;
     this->connection->Write(kInterimResponse);
   }
-  this->LimitReads();
 }
 
 bool CallerSession::ReserveBody() {
