Send interim responses only to callers that have ended their input

Since a caller whose body had waited for memory got an interim response (100) without having asked for one.

Such a request is now placed 10 ms after its body has arrived. If the input has ended by then, it is placed after the probes that tell a half-close from a close. So a caller that left while its body waited still has nothing run for it, and one that only waits sees nothing but its answer.

--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -57,6 +57,8 @@
 // A reset comes after the first one at the latest, and the next one fails. Some
 // clients limit the interim responses that they take.
 constexpr int kCallerProbes = 3;
+// A caller that left while its body waited for memory has closed behind it.
+constexpr Duration kInputEndWait = Milliseconds(10);
 
 constexpr std::string_view kInterimResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -167,16 +169,10 @@
   if (this->parser->head_done() && !this->continue_sent &&
       IsSameHeaderName(FindHeader(this->parser->head().headers, "Expect"),
                        "100-continue")) {
-    this->InviteBody();
-  }
-  this->LimitReads();
-}
-
-void CallerSession::InviteBody() {
-  if (!this->parser->head().is_http_1_0) {
     this->continue_sent = true;
     this->connection->Write(kInterimResponse);
   }
+  this->LimitReads();
 }
 
 bool CallerSession::ReserveBody() {
@@ -203,7 +199,7 @@
         this->body_ticket.reset();
         this->waiting_since = EventLoop::Now();
         if (this->TakeBodyAnswer(std::move(late_answer))) {
-          this->InviteBody();
+          this->body_waited = true;
           this->connection->SetReading(true);
           this->Advance();
         }
@@ -310,6 +306,21 @@
       this->context,
       this->number * kMaxRequestsPerSession + this->request_count,
       std::move(head), std::move(body), EventLoop::Now(), std::move(sink));
+  if (std::exchange(this->body_waited, false)) {
+    this->start_timer = std::make_unique<Timer>(
+        this->context.loop, kInputEndWait, kInputEndWait,
+        [this] { this->StartUnlessCallerLeaves(); });
+    return;
+  }
+  const auto active_request = this->request;
+  active_request->Start();
+}
+
+void CallerSession::StartUnlessCallerLeaves() {
+  if (this->input_ended && this->probes_left > 0) {
+    return;
+  }
+  const auto ended_timer = std::move(this->start_timer);
   const auto active_request = this->request;
   active_request->Start();
 }
@@ -532,6 +543,7 @@
   }
   this->phase = Phase::kClosed;
   this->ReleaseInput();
+  this->start_timer.reset();
   this->request.reset();
   this->connection.reset();
   this->connection_hold = MemoryHold();
@@ -656,6 +668,9 @@
         return;
       }
       this->ProbeCaller();
+      if (this->start_timer != nullptr) {
+        return;
+      }
       // Keeps the request alive: the call may finish it, which resets
       // `this->request`.
       const auto active_request = this->request;
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 
+#include "event_loop/event_loop.h"
 #include "http_stream/message_parser.h"
 #include "http_stream/tcp_connection.h"
 #include "relay/relay_memory.h"
@@ -67,9 +68,6 @@
   // Sees to it that there is memory for the body that is being read. Returns
   // false while there is none: reading is then paused, or the request refused.
   bool ReserveBody();
-  // Asks for the rest of the body by an interim response. A caller that has
-  // closed meanwhile answers with a reset.
-  void InviteBody();
   // Returns false if the request was refused.
   bool TakeBodyAnswer(BodyAnswer answer);
   // Refuses the request for want of memory. `expected_wait`: until there may be
@@ -84,6 +82,9 @@
   // memory for them.
   bool ReserveAnswer(std::size_t bytes);
   void StartRequest();
+  // Starts the request whose body has waited, unless its caller has left or may
+  // have.
+  void StartUnlessCallerLeaves();
   void RefuseInput(int status,
                    std::string_view why,
                    std::optional<Duration> retry_after = std::nullopt);
@@ -140,6 +141,10 @@
   bool response_begun = false;
   // Interim responses that are still to be sent after the end of the input.
   int probes_left = 0;
+  // The body of the present request has waited for memory.
+  bool body_waited = false;
+  // Set until the present request is started, if its body has waited.
+  std::unique_ptr<Timer> start_timer;
   std::uint64_t request_count = 0;
   // Of the connection and, while there is one, its request.
   MemoryHold connection_hold;
--- a/standins/platform/body_memory_test.cc
+++ b/standins/platform/body_memory_test.cc
@@ -136,6 +136,36 @@
   CHECK(site.first.runs["r2"] == 0);
 }
 
+// Guards against clients that take an interim response for the answer, and
+// against a half-close behind a body that is taken for the caller's leaving.
+TEST_CASE("a body that has waited is answered once, also after a half-close") {
+  const bool half_closes = GENERATE(false, true);
+  SmallSite site;
+  site.Delay(Milliseconds(300));
+  Caller before(site.loop, site.settings.callers);
+  before.connection->Write(Upload("r1"));
+  REQUIRE(site.RunUntil([&] { return site.first.runs["r1"] == 1; }));
+  Caller caller(site.loop, site.settings.callers);
+  std::string received;
+  caller.connection->SetCallbacks(
+      {nullptr,
+       [&](std::string_view bytes) {
+         received += bytes;
+         caller.parser.Feed(bytes);
+       },
+       nullptr, [&](ConnectionEnd) { caller.ended = true; }});
+  caller.connection->Write(Upload("r2"));
+  if (half_closes) {
+    caller.connection->FinishWriting();
+  }
+  site.RunFor(Milliseconds(50));
+  CHECK(Metric(site, "waiting_bodies") == 1);
+  CHECK(site.RunUntilEnded(caller));
+  CHECK(Status(caller) == 200);
+  CHECK(site.first.runs["r2"] == 1);
+  CHECK((received.find(" 100 ") != std::string::npos) == half_closes);
+}
+
 // Guards against bodies that wait in the memory of the kernel, whose buffer has
 // grown with earlier ones.
 TEST_CASE("the kernel holds little of a body that waits for memory") {
