Let callers of a test go on until the listener has closed

A thread that has 300 connections now waits for the answer to the oldest and goes on, so that the storm lasts until a connection is refused. All checks are as they were.

--- a/standins/platform/stop_process_test.cc
+++ b/standins/platform/stop_process_test.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <chrono>
 #include <csignal>
+#include <deque>
 #include <memory>
 #include <string>
 #include <thread>
@@ -51,8 +52,12 @@
 // Opens connections as fast as it can until none is accepted any more, each
 // with a request, and then waits for the answers.
 void Storm(const Address& host, std::atomic<bool>& stop, Counts& counts) {
-  std::vector<std::unique_ptr<SocketCaller>> callers;
-  while (!stop && callers.size() < kMaxCallersPerThread) {
+  std::deque<std::unique_ptr<SocketCaller>> callers;
+  while (!stop) {
+    if (callers.size() == kMaxCallersPerThread) {
+      AwaitAnswer(*callers.front(), counts);
+      callers.pop_front();
+    }
     auto caller = std::make_unique<SocketCaller>(host);
     if (caller->end() != SocketCaller::End::kOpen) {
       ++counts.not_connected;
