Give each test process its own addresses of relays

Test programs that run at the same time listen on the same addresses, 127.0.0.10 and up, with ports that each of them takes for free: beside four other runs, "relays together keep the limit that a plain server names" ended with "cannot listen on 127.0.0.10:60565: Address already in use". The relays of RelayFleet have addresses of the process now, as RelayProcess has. The 11 cases of several relays pass (send_permit_test, server_limit_test).

--- a/standins/platform/own_loopback.h
+++ b/standins/platform/own_loopback.h
@@ -13,12 +13,12 @@
 namespace toucanhollow {
 
 // A loopback address of this process alone: ports of other tests do not meet
-// those of the program.
-inline std::string OwnLoopbackIp() {
+// those of the program. `last` is the last number of the address.
+inline std::string OwnLoopbackIp(int last = 9) {
   constexpr int kOctet = 200;
   const int pid = getpid();
   return "127." + std::to_string(1 + pid / kOctet % kOctet) + "." +
-         std::to_string(1 + pid % kOctet) + ".9";
+         std::to_string(1 + pid % kOctet) + "." + std::to_string(last);
 }
 
 // An address on OwnLoopbackIp that was not returned before. The ports are below
--- a/standins/platform/relay_fleet.h
+++ b/standins/platform/relay_fleet.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "map_task/rank_agent.h"
+#include "standins/platform/own_loopback.h"
 #include "standins/platform/relay_site.h"
 
 namespace toucanhollow {
@@ -32,7 +33,7 @@
   explicit RelayFleet(int count) {
     for (int i = 0; i < count; ++i) {
       RelaySettings host = this->settings;
-      const std::string ip = "127.0.0." + std::to_string(10 + i);
+      const std::string ip = OwnLoopbackIp(10 + i);
       host.process.value = "front-" + std::to_string(i);
       host.callers.ip = ip;
       host.readiness.ip = ip;
--- a/standins/platform/server_limit_test.cc
+++ b/standins/platform/server_limit_test.cc
@@ -20,7 +20,7 @@
 // Each host gets a request as often as this.
 constexpr Duration kAskPeriod = Milliseconds(100);
 constexpr char kLimitedIp[] = "127.0.0.1";
-constexpr char kOtherIp[] = "127.0.0.2";
+constexpr int kOtherIpEnd = 8;
 
 // The bound: in any span of this length, this many times what the limit allows,
 // and the slack.
@@ -53,7 +53,7 @@
 };
 
 struct LimitFleet : RelayFleet {
-  SealedServerStandIn other{this->loop, kOtherIp};
+  SealedServerStandIn other{this->loop, OwnLoopbackIp(kOtherIpEnd)};
   std::unique_ptr<RankAgent> agent;
   std::unique_ptr<RankAgent> other_agent;
   std::vector<std::unique_ptr<Caller>> callers;
@@ -222,13 +222,13 @@
                             .sets = 1,
                             .experts = 4,
                             .places = 4,
-                            .ips = {kLimitedIp, kOtherIp}}};
+                            .ips = {kLimitedIp, this->other.ip()}}};
 
   EngineLimitFleet()
       : LimitFleet(R"(,"cold_s":3,"cold_per_s":200,)"
                    R"("engine":{"slots":6,"sets":1,"places":4,"spare":1})") {
     this->StartFirstAgent();
-    this->other_agent = this->StartAgent(kOtherIp, this->group.Port(1));
+    this->other_agent = this->StartAgent(this->other.ip(), this->group.Port(1));
   }
 
   void StartFirstAgent() {
