Read what callers send before what servers answer in a turn of the loop

A caller that shut its sending side down behind its request lost a streamed answer if the host stood still, or only got no processor time, from then until the answer began: its connection was closed behind the first events.

libev calls the descriptors of one priority in the reverse order of their becoming ready. When the half-close and the begin of the answer had both arrived, the host read the answer first and sent its head. A half-close that is seen then cannot be told from a close, because a response under way has no place for an interim response, and ended the request.

Accepted connections are now read before other descriptors in one turn of the loop. Timers and posted functions remain behind all descriptors.

The test stops the real program after it has passed a request on, until the half-close and the first event have come.

--- a/packages/event_loop/event_loop.cc
+++ b/packages/event_loop/event_loop.cc
@@ -101,9 +101,11 @@
 
 namespace {
 
-// Above that of timers, which is 0, and below that of signals.
-constexpr int kIoPriority = 1;
-static_assert(kIoPriority > 0 && kIoPriority < EV_MAXPRI);
+// Signals have EV_MAXPRI.
+constexpr int kFirstIoPriority = 1;
+constexpr int kIoPriority = 0;
+constexpr int kTimerPriority = -1;
+static_assert(kFirstIoPriority < EV_MAXPRI && kTimerPriority >= EV_MINPRI);
 
 // A timer that is later than this shows that the process did not run.
 constexpr Duration kMaxTimerDelay = Milliseconds(50);
@@ -128,7 +130,8 @@
 IoWatcher::IoWatcher(EventLoop& loop,
                      int file_descriptor,
                      Interest interest,
-                     std::function<void(Interest ready)> ready)
+                     std::function<void(Interest ready)> ready,
+                     Order order)
     : state(std::make_unique<State>()) {
   this->state->loop = loop.raw();
   this->state->ready = std::move(ready);
@@ -145,7 +148,8 @@
         });
       },
       file_descriptor, ToEvents(interest));
-  ev_set_priority(&this->state->watcher, kIoPriority);
+  ev_set_priority(&this->state->watcher,
+                  order == Order::kFirst ? kFirstIoPriority : kIoPriority);
   this->state->watcher.data = this->state.get();
   if (interest != kNone) {
     ev_io_start(this->state->loop, &this->state->watcher);
@@ -227,6 +231,7 @@
         });
       },
       ToSeconds(delay), ToSeconds(repeat));
+  ev_set_priority(&this->state->watcher, kTimerPriority);
   this->state->watcher.data = this->state.get();
   // libev starts timers from its cached time, which lags after long callbacks.
   ev_now_update(loop.raw());
@@ -284,6 +289,7 @@
         RunGuarded(loop, running.front().function);
       },
       0.0, 0.0);
+  ev_set_priority(&added->watcher, kTimerPriority);
   added->watcher.data = &*added;
   ev_timer_start(loop.raw(), &added->watcher);
 }
--- a/packages/event_loop/event_loop.h
+++ b/packages/event_loop/event_loop.h
@@ -84,15 +84,18 @@
 }
 
 // Watches a file descriptor until destroyed. In one turn of the loop, ready
-// descriptors come before expired timers.
+// descriptors come before expired timers, those of kFirst before the others.
+// Otherwise their order is not the one in which they became ready.
 class IoWatcher {
  public:
   enum Interest { kNone = 0, kRead = 1, kWrite = 2, kReadWrite = 3 };
+  enum class Order { kUsual, kFirst };
   // `ready` is called with the conditions that are met.
   IoWatcher(EventLoop& loop,
             int file_descriptor,
             Interest interest,
-            std::function<void(Interest ready)> ready);
+            std::function<void(Interest ready)> ready,
+            Order order = Order::kUsual);
   ~IoWatcher();
   void SetInterest(Interest interest);
 
--- a/packages/http_stream/tcp_connection.cc
+++ b/packages/http_stream/tcp_connection.cc
@@ -60,6 +60,7 @@
 struct TcpConnection::State : std::enable_shared_from_this<State> {
   EventLoop& loop;
   int socket = -1;
+  IoWatcher::Order order;
   bool connected = false;
   bool ended = false;
   bool reading = true;
@@ -72,7 +73,8 @@
   std::unique_ptr<IoWatcher> watcher;
   ConnectionCallbacks callbacks;
 
-  State(EventLoop& loop, int socket) : loop(loop), socket(socket) {}
+  State(EventLoop& loop, int socket, IoWatcher::Order order)
+      : loop(loop), socket(socket), order(order) {}
   ~State() { this->Close(); }
 
   void StartWatching();
@@ -96,7 +98,7 @@
   this->interest = this->connected ? IoWatcher::kRead : IoWatcher::kWrite;
   this->watcher = std::make_unique<IoWatcher>(
       this->loop, this->socket, this->interest,
-      [this](IoWatcher::Interest ready) { this->OnReady(ready); });
+      [this](IoWatcher::Interest ready) { this->OnReady(ready); }, this->order);
 }
 
 void TcpConnection::State::Close() {
@@ -238,14 +240,14 @@
 }
 
 TcpConnection::TcpConnection(EventLoop& loop, int socket)
-    : state(std::make_shared<State>(loop, socket)) {
+    : state(std::make_shared<State>(loop, socket, IoWatcher::Order::kFirst)) {
   ConfigureSocket(socket, kCallerUserTimeoutMs);
   this->state->connected = true;
   this->state->StartWatching();
 }
 
 TcpConnection::TcpConnection(EventLoop& loop, const Address& address)
-    : state(std::make_shared<State>(loop, -1)) {
+    : state(std::make_shared<State>(loop, -1, IoWatcher::Order::kUsual)) {
   State& state = *this->state;
   state.socket = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const sockaddr_in socket_address = ToSocketAddress(address);
--- a/packages/http_stream/tcp_connection.h
+++ b/packages/http_stream/tcp_connection.h
@@ -38,7 +38,8 @@
 // May be destroyed inside its own callbacks. The destructor closes the socket.
 class TcpConnection {
  public:
-  // Takes ownership of a connected socket.
+  // Takes ownership of a socket that was accepted. What its peer sends is read
+  // before what arrives on other connections in the same turn of the loop.
   TcpConnection(EventLoop& loop, int socket);
   // Starts to connect. A failure is reported later through on_end, never inside
   // the constructor.
--- a/standins/platform/half_close_test.cc
+++ b/standins/platform/half_close_test.cc
@@ -1,9 +1,12 @@
 // Callers that shut their sending side down behind a request, and callers that
 // close.
+#include <csignal>
 #include <string>
+#include <thread>
 
 #include <catch2/catch.hpp>
 
+#include "standins/platform/relay_process.h"
 #include "standins/platform/relay_site.h"
 #include "standins/platform/socket_caller.h"
 
@@ -157,4 +160,30 @@
                       Milliseconds(400)));
 }
 
+// Guards against a half-close that is taken for a close because the host reads
+// the begin of the answer first, although that arrived later.
+TEST_CASE("a half-close that arrives before the answer is seen before it") {
+  RelayProcess site(Seconds(8));
+  const std::string end = "0\r\n\r\n";
+  ScriptedAnswer stream = Late(end, Milliseconds(400));
+  stream.bytes = StreamText().substr(0, StreamText().size() - end.size());
+  site.first.script = {stream};
+  SocketCaller caller(site.settings.callers);
+  REQUIRE(caller.Send(Request("POST", "/m/x", "r1", "", "p")));
+  // The server does not run meanwhile.
+  std::this_thread::sleep_for(Milliseconds(100));
+  site.process->Signal(SIGSTOP);
+  caller.HalfClose();
+  REQUIRE(site.RunUntil([&] { return site.first.runs.contains("r1"); }));
+  site.RunFor(Milliseconds(50));
+  site.process->Signal(SIGCONT);
+  site.RunUntil([&caller] {
+    caller.Poll();
+    return caller.parser.done() || caller.end() != SocketCaller::End::kOpen;
+  });
+  CHECK(caller.status() == 200);
+  CHECK(caller.parser.done());
+  CHECK(caller.parser.TakeBody() == "id: 1\ndata: a\n\n");
+}
+
 }  // namespace toucanhollow
