Keep a limit that an engine's reports do not name

Seen by servers: an engine that names its limit in the answers to requests, but not in its reports, gets as many requests as before it named one.

Cause: an agent takes each report without the field for the end of the limit. It reads reports several times a second, so each of them ends what the hosts' last questions stated.

A report without a limit now ends one only if a report of the same process of the engine has named one. Otherwise the hosts' statements decide, as for a server without an agent.

--- a/packages/traffic/known_limits.cc
+++ b/packages/traffic/known_limits.cc
@@ -71,8 +71,10 @@
   // after the clock was set back.
   if (!known.engine || known.engine->start_time_ms != start_time_ms) {
     known.engine = {start_time_ms, statement, now};
+    known.engine_reports_limit = IsNamed(statement);
     return;
   }
+  known.engine_reports_limit = known.engine_reports_limit || IsNamed(statement);
   Merge(*known.engine, start_time_ms, statement, now);
 }
 
@@ -84,8 +86,10 @@
   std::int64_t engine_start = 0;
   if (known.engine && IsCurrent(*known.engine, now) &&
       !StartedBefore(known.engine->start_time_ms, start_time_ms)) {
-    found = known.engine->limit;
     engine_start = known.engine->start_time_ms;
+    if (known.engine_reports_limit) {
+      found = known.engine->limit;
+    }
   }
   const auto entry = known.by_server.find(server);
   if (entry != known.by_server.end() && IsCurrent(entry->second, now) &&
--- a/packages/traffic/known_limits.h
+++ b/packages/traffic/known_limits.h
@@ -33,6 +33,9 @@
   std::map<std::uint32_t, KnownLimit> by_server;  // hash of the server's id
   // By the reports of the engine beside the issuer. Its id is not known.
   std::optional<KnownLimit> engine;
+  // The reports of that process of the engine have named a limit. Those of
+  // another one may not, whatever its answers to requests name.
+  bool engine_reports_limit = false;
 
   bool operator==(const KnownLimits&) const = default;
 };
--- a/packages/traffic/known_limits_test.cc
+++ b/packages/traffic/known_limits_test.cc
@@ -68,6 +68,23 @@
   CHECK_FALSE(FindLimit(known, kServer + 1, 6, At(151)));
 }
 
+// Guards against reports that never name a limit and end one that the engine's
+// answers to requests name.
+TEST_CASE("a report ends a limit only if reports have named one") {
+  KnownLimits known;
+  MergeEngineLimit(known, 5, Withdrawn(90), At(91));
+  MergeLimit(known, kServer, 5, Named(2, 100), At(101));
+  MergeEngineLimit(known, 5, Withdrawn(110), At(111));
+  CHECK(FindLimit(known, kServer, 5, At(112)) == Named(2, 100));
+  MergeEngineLimit(known, 5, Named(2, 120), At(121));
+  MergeEngineLimit(known, 5, Withdrawn(130), At(131));
+  CHECK_FALSE(FindLimit(known, kServer, 5, At(132)));
+  MergeEngineLimit(known, 6, Withdrawn(140), At(141));
+  MergeLimit(known, kServer, 6, Named(3, 150), At(151));
+  MergeEngineLimit(known, 6, Withdrawn(160), At(161));
+  CHECK(FindLimit(known, kServer, 6, At(162)) == Named(3, 150));
+}
+
 // Guards against an issuer whose memory grows with the servers that are named.
 TEST_CASE("an issuer knows a bounded number of limits") {
   KnownLimits known;
--- a/standins/platform/server_limit_test.cc
+++ b/standins/platform/server_limit_test.cc
@@ -279,6 +279,30 @@
   CHECK(site.answered >= site.asked * kServedPercent / 100);
 }
 
+// Guards against the reports of an engine, which need not name the limit that
+// its answers to requests name, and which then end it.
+TEST_CASE("relays together keep a limit that an engine's reports do not name") {
+  EngineLimitFleet site;
+  for (int host = 0; host < kHosts; ++host) {
+    site.Start(host);
+  }
+  site.Settle();
+  site.first.limits = {"2.3"};
+  site.Load(Seconds(8), [&site](int step) {
+    if (step == 40) {
+      site.StartFirstAgent();
+    }
+  });
+  CHECK(site.MostFromBoundHosts() <= AllowedInSpan(2.3));
+  CHECK(site.CountSince(EventLoop::Now() - Seconds(4)) >= 4);
+  site.first.limits.clear();
+  site.Load(Seconds(4));
+  CHECK(site.CountSince(EventLoop::Now() - Seconds(1)) >= 20);
+  site.Finish();
+  CAPTURE(site.asked);
+  CHECK(site.answered >= site.asked * kServedPercent / 100);
+}
+
 // Guards against requests that a host sent before it knew of the limit and that
 // it does not count.
 TEST_CASE("the span in which a server first names its limit is within it") {
