Test limited servers without an issuer of permits

Seen by callers: a service without an engine whose servers all name a limit answers nothing while no entry host holds the lease of the issuer, for instance while the store is away. The servers would take the requests.

Cause: a host asks for a permit for each request to a limited server, and hosts without the lease deny them all. Services without a cold phase needed no issuer before.

server_limit_test "limited servers are used while the store is away": 0 requests in 4 s at a server that takes 60 a second, 503 of 1,360 answered. The same case without limits passes.

--- a/standins/platform/server_limit_test.cc
+++ b/standins/platform/server_limit_test.cc
@@ -394,6 +394,27 @@
   CHECK(site.CountSince(raised_at) <= AllowedInSpan(12));
 }
 
+// Guards against a service that gets nothing while the store is away, because
+// all its servers name limits and no host may give permits.
+TEST_CASE("limited servers are used while the store is away") {
+  LimitFleet site("");
+  for (int host = 0; host < kHosts; ++host) {
+    site.Start(host);
+  }
+  site.Settle();
+  site.first.limits = {"60"};
+  site.other.limits = {"60"};
+  site.Load(Seconds(5));
+  site.store.SetDown(true);
+  site.Load(Seconds(8));
+  const TimePoint begin = EventLoop::Now();
+  site.Load(Seconds(4));
+  CHECK(site.CountSince(begin) >= 40);
+  site.Finish();
+  CAPTURE(site.asked);
+  CHECK(site.answered >= site.asked * kServedPercent / 100);
+}
+
 // Guards against a value that cannot be read and shuts a server out.
 TEST_CASE("a server whose limit cannot be read is not limited") {
   EngineLimitFleet site;
