Test a request whose server's agent does not run

Seen by callers: a stream is cut, or a request fails with 502, at 0.8 of the time that its caller waits, although its server answers in time, if the agent beside the server ends or starts again in the 0.35 s before.

--- a/standins/platform/platform_relay_test.cc
+++ b/standins/platform/platform_relay_test.cc
@@ -693,6 +693,28 @@
   CHECK(site.RunUntil([&] { return site.first.closed_by_caller > closed; }));
 }
 
+// Guards against an answer that is cut because only the agent beside its server
+// does not run.
+TEST_CASE("a request is left to its server while the agent starts again") {
+  RankSite site;
+  site.Start();
+  REQUIRE(Serves(site));
+  ScriptedAnswer slow;
+  slow.bytes = StreamHead() + Chunk("id: 1\ndata: a\n\n");
+  slow.later = Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
+  slow.delay = Milliseconds(1800);
+  site.first.script.push_back(slow);
+  Caller caller(site.loop, site.settings.callers.port);
+  std::string request = Request("POST", "/m/x", "r1", "", "p");
+  caller.connection->Write(request.replace(request.find("1500"), 4, "6000"));
+  REQUIRE(site.RunUntil([&] { return caller.parser.head_done(); }));
+  site.RunFor(Milliseconds(1000));
+  site.agent.reset();
+  CHECK(site.RunUntil([&] { return caller.parser.done() || caller.ended; }));
+  CHECK(caller.parser.done());
+  CHECK(caller.parser.TakeBody() == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
 // Guards against time that a request waited for room and its caller did too,
 // and that is left out of the limit on silence.
 TEST_CASE("the limit on silence counts from the arrival of the request") {
