Wait until a host uses a server before the test stops it

"answers that arrived while the host stood still are passed on" failed in one run of all tests (load average 13): not all of its requests reached the server. It waited 1.2 s for the host to read the server's entry, which the host does at intervals of up to a second, and until then the former entry allows 12 requests at once.

The server has an entry and an address of its own now, and the case waits until it is used.

--- a/standins/platform/paused_host_test.cc
+++ b/standins/platform/paused_host_test.cc
@@ -36,13 +36,16 @@
 // passed between their arrival and the time at which the host read them.
 TEST_CASE("answers that arrived while the host stood still are passed on") {
   RelayProcess site(Seconds(8));
+  SealedServerStandIn& server = site.second;
   site.store.Put("keyed.servers", "i-1", std::nullopt);
   site.store.Put("keyed.servers", "i-2",
                  R"({"service":"ledger","address":"127.0.0.1:)" +
-                     std::to_string(site.first.Port()) +
+                     std::to_string(server.Port()) +
                      R"(","zone":"west","slots":400,"state":"ready",)"
                      R"("born":1700000000000})");
-  site.RunFor(Milliseconds(1200));
+  // Its entry comes behind the end of the other one.
+  REQUIRE(
+      site.RunUntil([&] { return Serves(site) && !server.arrivals.empty(); }));
   // More connections than the loop takes from the kernel in one turn, and more
   // bytes than it reads from one of them.
   const auto [count, size] =
@@ -50,11 +53,11 @@
   ScriptedAnswer answer;
   answer.later = SealedAnswer(std::string(size, 'a')).bytes;
   answer.delay = Milliseconds(400);
-  site.first.script.assign(count, answer);
-  const std::size_t before = site.first.arrivals.size();
+  server.script.assign(count, answer);
+  const std::size_t before = server.arrivals.size();
   const auto callers = AskMany(site, count);
   REQUIRE(site.RunUntil(
-      [&] { return site.first.arrivals.size() == before + callers.size(); }));
+      [&] { return server.arrivals.size() == before + callers.size(); }));
   site.process->Signal(SIGSTOP);
   site.RunFor(Milliseconds(1300));
   site.process->Signal(SIGCONT);
