Treat a status outside of HTTP as a broken response

Callers got an answer with status 101, 600 or 999 if a server sent one. Responses with a status below 100 were skipped as interim ones: their bodies were parsed as the next response, or the caller waited for one until its deadline (504). The HTTP client reported 000, 600 and 999 as complete.

ClassifyStatus knows interim statuses (100 to 199 but 101, which no request asks for) and final ones (200 to 599). The response parser and the HTTP client treat all others as a malformed response, so that an idempotent request goes to another server and any other is answered with 502.

--- a/packages/http_client/http_client.cc
+++ b/packages/http_client/http_client.cc
@@ -52,8 +52,12 @@
   } else if (Trim(line, kSpace).empty()) {
     std::int64_t status = 0;
     curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-    // The header of the final response follows that of an interim one (1xx).
-    if (status >= 200 && !call->header_complete) {
+    const StatusClass status_class = ClassifyStatus(static_cast<int>(status));
+    if (status_class == StatusClass::kInvalid) {
+      return 0;
+    }
+    // The header of the final response follows that of an interim one.
+    if (status_class == StatusClass::kFinal && !call->header_complete) {
       call->header_complete = true;
       call->outcome.status = static_cast<int>(status);
       if (call->callbacks.on_header) {
--- a/packages/http_client/http_client_test.cc
+++ b/packages/http_client/http_client_test.cc
@@ -125,6 +125,19 @@
   CHECK(fixture.server.requests == 2);
 }
 
+// Guards against a status that no caller can interpret and that is returned.
+TEST_CASE("a response whose status is no HTTP status is a broken one") {
+  Fixture fixture;
+  for (const char* status : {"000", "099", "101", "600", "999"}) {
+    INFO(status);
+    fixture.server.response =
+        std::string("HTTP/1.1 ") + status + " X\r\nContent-Length: 2\r\n\r\nno";
+    const HttpOutcome outcome = fixture.Fetch(fixture.MakeCall());
+    CHECK(outcome.end == HttpEnd::kBroken);
+    CHECK(outcome.status == 0);
+  }
+}
+
 // Guards against a new connection for each repeatable call.
 TEST_CASE("repeatable calls reuse a connection") {
   Fixture fixture;
--- a/packages/http_message/http_message.cc
+++ b/packages/http_message/http_message.cc
@@ -35,6 +35,18 @@
 
 }  // namespace
 
+StatusClass ClassifyStatus(int status) {
+  constexpr int kFirstInterim = 100;
+  constexpr int kSwitchingProtocols = 101;
+  constexpr int kFirstFinal = 200;
+  constexpr int kLast = 599;
+  if (status < kFirstInterim || status > kLast ||
+      status == kSwitchingProtocols) {
+    return StatusClass::kInvalid;
+  }
+  return status < kFirstFinal ? StatusClass::kInterim : StatusClass::kFinal;
+}
+
 bool IsSameHeaderName(std::string_view left, std::string_view right) {
   return std::ranges::equal(left, right, {}, ToLower, ToLower);
 }
--- a/packages/http_message/http_message.h
+++ b/packages/http_message/http_message.h
@@ -20,6 +20,15 @@
 
 using HttpHeaders = std::vector<HttpHeader>;
 
+enum class StatusClass {
+  kInterim,
+  kFinal,
+  // No status of HTTP, or 101, which no request here asks for.
+  kInvalid,
+};
+
+StatusClass ClassifyStatus(int status);
+
 // Returns true if the names are equal ignoring case.
 bool IsSameHeaderName(std::string_view left, std::string_view right);
 
--- a/packages/http_message/http_message_test.cc
+++ b/packages/http_message/http_message_test.cc
@@ -17,6 +17,20 @@
   CHECK_FALSE(QueryValue(query, "i").has_value());
 }
 
+// Guards against a status outside of HTTP that is taken for an interim or a
+// final one.
+TEST_CASE("statuses are classified by their range") {
+  for (int status : {-1, 0, 1, 99, 101, 600, 999}) {
+    CHECK(ClassifyStatus(status) == StatusClass::kInvalid);
+  }
+  for (int status : {100, 102, 103, 199}) {
+    CHECK(ClassifyStatus(status) == StatusClass::kInterim);
+  }
+  for (int status : {200, 299, 404, 599}) {
+    CHECK(ClassifyStatus(status) == StatusClass::kFinal);
+  }
+}
+
 // Guards against accepting a numeric prefix, which would turn a damaged offset
 // into a different valid one.
 TEST_CASE("text with anything but a decimal number is refused") {
--- a/packages/http_stream/http_stream_test.cc
+++ b/packages/http_stream/http_stream_test.cc
@@ -272,6 +272,30 @@
   CHECK(parser.TakeUnparsedBytes() == "rest");
 }
 
+// Guards against a status that no caller can interpret, and against the rest of
+// such a response that is taken for the next one.
+TEST_CASE("a response whose status is no final or interim one is malformed") {
+  const std::string rest =
+      " X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n"
+      "Content-Length: 0\r\n\r\n";
+  for (const char* status : {"000", "001", "099", "101", "600", "999", "20",
+                             "2000", "2 0", "", "+200", "-20"}) {
+    for (const char* before : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+      const std::string bytes =
+          before + std::string("HTTP/1.1 ") + status + rest;
+      for (std::size_t split = 0; split <= bytes.size(); ++split) {
+        ResponseParser parser(true);
+        parser.Feed(bytes.substr(0, split));
+        parser.Feed(bytes.substr(split));
+        INFO("status '" << status << "', split at " << split);
+        REQUIRE(parser.problem() == ParseProblem::kMalformed);
+        REQUIRE_FALSE(parser.head_done());
+        REQUIRE_FALSE(parser.done());
+      }
+    }
+  }
+}
+
 TEST_CASE("a response to HEAD has no body") {
   ResponseParser parser(false);
   parser.Feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
--- a/packages/http_stream/message_parser.cc
+++ b/packages/http_stream/message_parser.cc
@@ -15,6 +15,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include "http_message/body_framing.h"
+#include "http_message/http_message.h"
 #include "http_stream/write_message.h"
 
 namespace boost {
@@ -117,7 +118,9 @@
                         BeastText reason,
                         int version,
                         error_code& error) override {
-    error = {};
+    error = ClassifyStatus(status) == StatusClass::kInvalid
+                ? make_error_code(http::error::bad_status)
+                : error_code();
     this->is_http_1_0 = version < kHttp11;
     if constexpr (!IsRequest) {
       this->head.status = status;
@@ -357,8 +360,8 @@
   }
 
   bool IsInterim() const {
-    return this->parser->is_header_done() && this->parser->head.status < 200 &&
-           this->parser->head.status != 101;
+    return this->parser->is_header_done() &&
+           ClassifyStatus(this->parser->head.status) == StatusClass::kInterim;
   }
 };
 
--- a/standins/platform/unframed_answer_test.cc
+++ b/standins/platform/unframed_answer_test.cc
@@ -76,6 +76,31 @@
   CHECK(site.first.runs["r2"] == 1);
 }
 
+// Guards against a status that no caller can interpret and that is passed on.
+TEST_CASE("an answer whose status is no HTTP status is not passed on") {
+  UnframedSite site;
+  for (const char* status : {"000", "099", "101", "600", "999"}) {
+    INFO(status);
+    ScriptedAnswer answer;
+    answer.bytes = std::string("HTTP/1.1 ") + status +
+                   " X\r\nX-Toucanhollow-Request-Id: {id}\r\n"
+                   "X-Toucanhollow-Response-Seal: seal\r\n"
+                   "Content-Length: 2\r\n\r\nno";
+    site.first.script.push_back(answer);
+    const std::string safe_id = std::string("s") + status;
+    const Answered safe = Ask(site, Request("GET", "/s/x", safe_id));
+    CHECK(safe.status == 200);
+    CHECK(safe.body == "ok");
+    CHECK(site.first.runs[safe_id] == 2);
+    site.first.script.push_back(answer);
+    const std::string unsafe_id = std::string("u") + status;
+    const Answered unsafe =
+        Ask(site, Request("POST", "/u/x", unsafe_id, "", "payment"));
+    CHECK(unsafe.status == 502);
+    CHECK(site.first.runs[unsafe_id] == 1);
+  }
+}
+
 // Guards against a coded body that is passed on as the server's own.
 TEST_CASE("an answer with an unknown transfer coding is not passed on") {
   UnframedSite site;
