Report a response that libcurl cannot read as broken, not as unsent

libcurl ends a transfer with the same error for a URL of an unknown protocol and for a response with an unknown version or status, which HttpClient mapped to a connection that was never established. A call that its server had carried out, for instance an append to the store, counted as certainly not sent.

A transfer that got as far as sending its request is reported as broken.

Before: the case fails for the statuses 20 and 2000 with kNotConnected. After: it passes.

--- a/packages/http_client/http_client.cc
+++ b/packages/http_client/http_client.cc
@@ -161,7 +161,8 @@
   curl_easy_setopt(easy, CURLOPT_PRIVATE, &call);
 }
 
-HttpEnd ToEnd(const ActiveCall& call, CURLcode code) {
+// `connected`: the connection was established.
+HttpEnd ToEnd(const ActiveCall& call, CURLcode code, bool connected) {
   if (call.too_large) {
     return HttpEnd::kResponseTooLarge;
   }
@@ -173,8 +174,10 @@
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
     case CURLE_URL_MALFORMAT:
-    case CURLE_UNSUPPORTED_PROTOCOL:
       return HttpEnd::kNotConnected;
+    case CURLE_UNSUPPORTED_PROTOCOL:
+      // Of the URL, or of a response with an unknown version or status.
+      return connected ? HttpEnd::kBroken : HttpEnd::kNotConnected;
     default:
       return HttpEnd::kBroken;
   }
@@ -305,9 +308,10 @@
     curl_off_t pretransfer_us = 0;
     curl_easy_getinfo(call->easy, CURLINFO_PRETRANSFER_TIME_T, &pretransfer_us);
     curl_multi_remove_handle(this->multi, call->easy);
-    call->outcome.end = ToEnd(*call, code);
+    const bool connected = pretransfer_us > 0;
+    call->outcome.end = ToEnd(*call, code, connected);
     call->outcome.maybe_sent =
-        call->outcome.end != HttpEnd::kNotConnected && pretransfer_us > 0;
+        call->outcome.end != HttpEnd::kNotConnected && connected;
     if (call->outcome.end != HttpEnd::kComplete) {
       call->outcome.error = curl_easy_strerror(code);
     }
--- a/packages/http_client/http_client_test.cc
+++ b/packages/http_client/http_client_test.cc
@@ -128,7 +128,7 @@
 // Guards against a status that no caller can interpret and that is returned.
 TEST_CASE("a response whose status is no HTTP status is a broken one") {
   Fixture fixture;
-  for (const char* status : {"000", "099", "101", "600", "999"}) {
+  for (const char* status : {"000", "099", "101", "600", "999", "20", "2000"}) {
     INFO(status);
     fixture.server.response =
         std::string("HTTP/1.1 ") + status + " X\r\nContent-Length: 2\r\n\r\nno";
