Reject JSON that is nested too deeply to be written safely

A record of the store whose field has another type than expected is quoted in the message that refuses it. The JSON library recurses once for each level when it writes a value, so a field with some 60,000 nested lists (120 KB; the store takes records of 256 KB) overflows the stack of 8 MB. The process ends with SIGSEGV and without a line in its log, and so does each process that starts after it and reads the record, on every host.

ParseJson rejects text with more than 64 levels, as ReadCbor does for datagrams.

--- a/packages/json_fields/field_reader_test.cc
+++ b/packages/json_fields/field_reader_test.cc
@@ -1,8 +1,13 @@
 #include "json_fields/field_reader.h"
 
+#include <string>
+#include <vector>
+
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include "json_fields/json_fields.h"
+
 namespace toucanhollow {
 namespace {
 
@@ -59,5 +64,36 @@
   CHECK(failures[1].detail == "high is '11'; use a number from 0 to 10");
 }
 
+std::string Nested(std::size_t levels, const std::string& text) {
+  return std::string(levels, '[') + text + std::string(levels, ']');
+}
+
+// Guards against a record whose message overflows the stack of the process.
+TEST_CASE("deeply nested JSON is rejected") {
+  constexpr std::size_t kLevels = 120000;
+  const auto document = ParseJson("{\"slots\":" + Nested(kLevels, "") + "}");
+  if (document) {
+    std::vector<Failure> failures;
+    FieldReader reader(*document, "", failures);
+    reader.ReadNumber("slots", 0);
+  }
+  CHECK_FALSE(document);
+  CHECK_FALSE(ParseJson(std::string(kLevels, '[')));
+  CHECK_FALSE(ParseJson(Nested(kMaxJsonNesting + 1, "1")));
+  CHECK(ParseJson(Nested(kMaxJsonNesting, "1")));
+}
+
+// Guards against text that is counted as nesting.
+TEST_CASE("brackets in strings do not count as nesting") {
+  const std::string brackets(1000, '{');
+  CHECK(ParseJson("[\"" + brackets + "\\\"" + brackets + "\\\\\",{}]"));
+  CHECK_FALSE(ParseJson("[\"\\\\\"," + Nested(1000, "") + "]"));
+  std::string list = "[0";
+  for (int i = 0; i < 1000; ++i) {
+    list += ",[{}]";
+  }
+  CHECK(ParseJson(list + "]"));
+}
+
 }  // namespace
 }  // namespace toucanhollow
--- a/packages/json_fields/json_fields.cc
+++ b/packages/json_fields/json_fields.cc
@@ -30,10 +30,34 @@
   return bytes;
 }
 
+// Exact for the part of the text that is valid JSON.
+bool IsNestedTooDeeply(std::string_view text) {
+  std::size_t levels = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char character = text[i];
+    if (in_string) {
+      if (character == '\\') {
+        ++i;
+      }
+      in_string = character != '"';
+    } else if (character == '"') {
+      in_string = true;
+    } else if (character == '[' || character == '{') {
+      if (++levels > kMaxJsonNesting) {
+        return true;
+      }
+    } else if ((character == ']' || character == '}') && levels > 0) {
+      --levels;
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
 std::optional<json> ParseJson(std::string_view text) {
-  if (text.size() > kMaxPayloadBytes) {
+  if (text.size() > kMaxPayloadBytes || IsNestedTooDeeply(text)) {
     return std::nullopt;
   }
   json value = json::parse(text, nullptr, /*allow_exceptions=*/false);
--- a/packages/json_fields/json_fields.h
+++ b/packages/json_fields/json_fields.h
@@ -16,8 +16,12 @@
 // Longer payloads are not parsed.
 constexpr std::size_t kMaxPayloadBytes = std::size_t{4} << 20;
 
-// Returns the parsed value, or none if the text is not exactly one JSON value
-// or is longer than kMaxPayloadBytes.
+// Valid payloads have only a few nesting levels.
+constexpr std::size_t kMaxJsonNesting = 64;
+
+// Returns the parsed value, or none if the text is not exactly one JSON value,
+// is longer than kMaxPayloadBytes or has more than kMaxJsonNesting levels: the
+// library recurses once for each level when it writes or copies a value.
 std::optional<nlohmann::json> ParseJson(std::string_view text);
 
 // Returns compact JSON text. Replaces invalid UTF-8 with U+FFFD instead of
