Test the real program with records of other writers

The case puts them, truncated and oversized values where each kind of record has a field, into the store of the real program, kills and starts it beside them, and asks it to serve a sound configuration afterwards.

--- /dev/null
+++ b/standins/platform/hostile_record_test.cc
@@ -0,0 +1,78 @@
+// Records of other writers in the store, which the real program reads at once
+// and again at each start.
+#include <csignal>
+
+#include <optional>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "standins/platform/relay_process.h"
+
+namespace toucanhollow {
+namespace {
+
+std::string Lists(std::size_t levels) {
+  return std::string(levels, '[') + std::string(levels, ']');
+}
+
+std::string Objects(std::size_t levels) {
+  std::string text;
+  for (std::size_t i = 0; i < levels; ++i) {
+    text += "{\"a\":";
+  }
+  return text + "0" + std::string(levels, '}');
+}
+
+// Puts the text where each kind of record has a field of another type.
+void PutEverywhere(PlatformStoreStandIn& store, const std::string& text) {
+  for (const char* field :
+       {"version", "routes", "services", "limits", "tenants"}) {
+    std::string config = ConfigText(2, "\"k1\"");
+    const std::string name = std::string("\"") + field + "\":";
+    config.insert(config.find(name) + name.size(), text + ",\"other\":");
+    store.Put("keyed.op", "config", config);
+  }
+  store.Put("keyed.op", "config", text);
+  store.Put("keyed.op", "evacuate/west", text);
+  for (const char* field : {"service", "address", "zone", "version", "slots",
+                            "state", "born", "sequence", "cold_left_ms"}) {
+    store.Put("keyed.servers", std::string("i-") + field,
+              std::string("{\"") + field + "\":" + text + "}");
+  }
+  store.Put("keyed.servers", "i-record", text);
+  store.Put("keyed.status", "quarantine/1", text);
+  store.Put("keyed.status", "quarantine/2", "{\"service\":" + text + "}");
+  store.Put("keyed.status", "other", text);
+}
+
+// Guards against a record that ends each host that reads it, by a stack that
+// overflows for instance, and each one that starts after it.
+TEST_CASE("records of other writers do not end a host") {
+  constexpr std::size_t kListLevels = 120'000;
+  constexpr std::size_t kObjectLevels = 40'000;
+  RelayProcess site(Seconds(4));
+  for (const std::string& text :
+       {Lists(kListLevels), std::string(kListLevels, '['),
+        Objects(kObjectLevels), std::string("1e999"), std::string("\xff\xfe"),
+        "\"" + std::string(kListLevels, '\\') + "\""}) {
+    INFO("record of " << text.size() << " bytes: " << text.substr(0, 8));
+    PutEverywhere(site.store, text);
+    site.RunFor(Milliseconds(300));
+    REQUIRE(site.process->IsRunning());
+    site.process->Signal(SIGKILL);
+    REQUIRE(site.RunUntil([&] { return !site.process->IsRunning(); }));
+    site.process->Start();
+    site.RunFor(Milliseconds(500));
+    REQUIRE(site.process->IsRunning());
+  }
+  site.store.Put("keyed.op", "evacuate/west", std::nullopt);
+  site.store.Put("keyed.op", "config", ConfigText(3, "\"k1\""));
+  site.List("i-1", site.first, "ready");
+  CHECK(site.RunUntil(
+      [&] { return Ask(site, Request("GET", "/s/x", "after")).status == 200; },
+      Seconds(5)));
+}
+
+}  // namespace
+}  // namespace toucanhollow
