Play a whole deployment with bodies, kept connections and limits in the soak

Prompts had no bodies and one connection each, all processes never ended at the same moment, and an end was recorded without what its process had logged last. Settings are written anew before each start and each SIGHUP. A prompt counts as passed on when its server has it, no longer only when the answer has begun, so that a close soon after it on a kept connection is not excused.

Runs without the new flags send what they sent before.

--- a/soak/agent_process.cc
+++ b/soak/agent_process.cc
@@ -1,6 +1,7 @@
 #include "soak/agent_process.h"
 
 #include <fstream>
+#include <sstream>
 #include <utility>
 
 namespace toucanhollow {
@@ -12,16 +13,19 @@
   const std::string& ip = options.engine.ip;
   const std::string name = "agent-" + ip;
   const std::string file = options.directory + "/" + name + ".ini";
-  std::ofstream(file) << "[process]\nname = " << name
-                      << "\n[listen]\nagent = " << ip << ":" << options.port
-                      << "\nmetrics = " << ip << ":" << options.port + 1
-                      << "\n[engine]\naddress = " << ip << ":"
-                      << options.engine.port << "\n";
+  std::ostringstream text;
+  text << "[process]\nname = " << name << "\n[listen]\nagent = " << ip << ":"
+       << options.port << "\nmetrics = " << ip << ":" << options.port + 1
+       << "\n[engine]\naddress = " << ip << ":" << options.engine.port << "\n";
   ProcessOptions process;
   process.name = name;
   process.arguments = {options.program, "--role=rank_agent",
                        "--settings=" + file};
+  process.write_settings = [file, text = text.str()] {
+    std::ofstream(file) << text;
+  };
   process.first_signal_after = options.first_signal_after;
+  process.limits = options.limits;
   process.signals_while_loading = options.signals_while_loading;
   process.log_file = options.directory + "/" + name + ".log";
   auto agent = std::make_unique<SupervisedProcess>(loop, log, ledger,
--- a/soak/caller_load.cc
+++ b/soak/caller_load.cc
@@ -1,5 +1,6 @@
 #include "soak/caller_load.h"
 
+#include <algorithm>
 #include <deque>
 #include <utility>
 
@@ -13,6 +14,8 @@
 constexpr Duration kLeavesAfter = Milliseconds(30);
 // One request in so many on a kept connection is followed by another at once.
 constexpr unsigned int kPairOneIn = 12;
+// So many callers pause for the planned time; more of them pause for longer.
+constexpr int kHurriedCallers = 24;
 
 }  // namespace
 
@@ -45,7 +48,11 @@
                        std::vector<HostView> hosts,
                        unsigned int seed,
                        int callers)
-    : loop(loop), ledger(ledger), hosts(std::move(hosts)), random(seed) {
+    : loop(loop),
+      ledger(ledger),
+      hosts(std::move(hosts)),
+      random(seed),
+      pause_factor(std::max(1, callers / kHurriedCallers)) {
   for (int i = 0; i < callers; ++i) {
     this->callers.push_back(std::make_unique<Caller>());
     this->callers.back()->keeps_connection = i % 2 == 0;
@@ -196,7 +203,7 @@
     this->OnEnd(caller, ConnectionEnd::kOrderly);
   } else if (caller.waiting.empty()) {
     caller.patience.reset();
-    this->Later(caller, PlanPause(this->random));
+    this->Later(caller, PlanPause(this->random) * this->pause_factor);
   }
 }
 
@@ -230,7 +237,7 @@
                           end);
   }
   this->Disconnect(caller);
-  this->Later(caller, kReconnectPause);
+  this->Later(caller, kReconnectPause * this->pause_factor);
 }
 
 void CallerLoad::Disconnect(Caller& caller) {
--- a/soak/caller_load.h
+++ b/soak/caller_load.h
@@ -63,6 +63,7 @@
   Ledger& ledger;
   std::vector<HostView> hosts;
   std::mt19937 random;
+  int pause_factor;
   std::vector<std::unique_ptr<Caller>> callers;
   std::uint64_t next_id = 1;
   bool finishing = false;
--- a/soak/group_site.cc
+++ b/soak/group_site.cc
@@ -8,7 +8,6 @@
 namespace toucanhollow {
 namespace {
 
-constexpr int kRanksOfGroup = 4;
 constexpr int kSlots = 6;
 constexpr int kEvents = 8;
 constexpr Duration kSendPeriod = Milliseconds(25);
@@ -95,32 +94,33 @@
       hosts(std::move(hosts)),
       options(std::move(options)),
       random(this->options.seed ^ 0x85ebca6bU) {
-  for (int first = 0; first + kRanksOfGroup <= this->options.servers;
-       first += kRanksOfGroup) {
+  for (int first = 0; first + this->options.ranks <= this->options.servers;
+       first += this->options.ranks) {
     EngineGroupShape shape;
-    shape.name = "g" + std::to_string(first / kRanksOfGroup);
-    for (int rank = 0; rank < kRanksOfGroup; ++rank) {
+    shape.ranks = this->options.ranks;
+    shape.name = "g" + std::to_string(first / this->options.ranks);
+    for (int rank = 0; rank < this->options.ranks; ++rank) {
       shape.ips.push_back(this->options.server_ip(first + rank));
     }
     this->groups.push_back(std::make_unique<EngineGroupStandIn>(loop, shape));
     EngineGroupStandIn& group = *this->groups.back();
     group.demand = UnevenDemand(shape);
     group.late_every = kLateEvery;
-    for (int number = 0; number < kRanksOfGroup; ++number) {
+    for (int number = 0; number < this->options.ranks; ++number) {
       auto rank = std::make_unique<Rank>();
       rank->group = &group;
       rank->number = number;
       rank->address = {shape.ips[number], group.Port(number)};
-      this->agents.push_back(
-          StartAgent(loop, log, ledger,
-                     {this->options.program, this->options.directory,
-                      this->options.agent_port, rank->address,
-                      this->options.first_signal_after,
-                      this->options.signals_while_loading}));
+      this->agents.push_back(StartAgent(
+          loop, log, ledger,
+          {this->options.program, this->options.directory,
+           this->options.agent_port, rank->address,
+           this->options.first_signal_after,
+           this->options.signals_while_loading, this->options.limits}));
       this->Register(*rank, "ready");
       this->ranks.push_back(std::move(rank));
     }
-    const std::size_t base = this->ranks.size() - kRanksOfGroup;
+    const std::size_t base = this->ranks.size() - this->options.ranks;
     group.serve = [this, base](
                       int number, const HttpRequest& request,
                       const std::shared_ptr<HttpResponseWriter>& writer) {
@@ -174,6 +174,11 @@
   load.seed = this->random();
   load.draw = [](std::mt19937&) { return Prompt{}; };
   load.answer = Answer;
+  load.arrived = [this](const std::string& id) {
+    return this->arrived.contains(id);
+  };
+  load.keeps_connections = this->options.largest_body > 0;
+  load.largest_body = this->options.largest_body;
   load.broke_off = [this](const std::string& id) {
     return this->broken_off.contains(id);
   };
@@ -203,6 +208,8 @@
     writer->Respond(421, {{"X-Toucanhollow-Request-Id", id}}, "");
     return;
   }
+  this->arrived.insert(id);
+  CheckPromptBody(this->ledger, id, request.body, this->options.largest_body);
   auto stream = std::make_unique<Stream>();
   stream->rank = &rank;
   stream->request = id;
--- a/soak/group_site.h
+++ b/soak/group_site.h
@@ -73,6 +73,8 @@
   std::vector<std::unique_ptr<Timer>> timers;
   // Ids of requests that a rank broke off.
   std::set<std::string> broken_off;
+  // Ids of requests that have arrived at a rank.
+  std::set<std::string> arrived;
   TimePoint faults_until;
 };
 
--- a/soak/prompt_load.h
+++ b/soak/prompt_load.h
@@ -1,5 +1,5 @@
-// PromptLoad: callers that each send one prompt to a model service on a new
-// connection, and check the stream that they get.
+// PromptLoad: callers that send prompts to a model service, on new or on kept
+// connections, and check the stream that they get.
 #ifndef SOAK_PROMPT_LOAD_H_
 #define SOAK_PROMPT_LOAD_H_
 
@@ -39,8 +39,22 @@
   std::function<std::string(const std::string& id)> answer;
   // True if a server that ran the request broke it off.
   std::function<bool(const std::string& id)> broke_off;
+  // True if a server has seen the request.
+  std::function<bool(const std::string& id)> arrived;
+  // Every second prompt goes to a kept connection. Prompts have bodies of up to
+  // this size, every second one in chunks; without bodies if 0.
+  bool keeps_connections = false;
+  std::size_t largest_body = 0;
 };
 
+// The body of a prompt of this size.
+std::string PromptBody(const std::string& id, std::size_t size);
+// `body` reached a server, where `largest` is the largest body that is sent.
+void CheckPromptBody(Ledger& ledger,
+                     const std::string& id,
+                     const std::string& body,
+                     std::size_t largest);
+
 class PromptLoad {
  public:
   PromptLoad(EventLoop& loop,
@@ -56,8 +70,19 @@
 
  private:
   struct Sent;
+  // A connection without a request under way.
+  struct Kept {
+    std::size_t host = 0;
+    std::unique_ptr<TcpConnection> connection;
+  };
 
   void SendOne();
+  // A connection on which the answer to an earlier prompt was read, or a new
+  // one.
+  void TakeConnection(Sent& sent);
+  // Sends the body, which begins `sent_chunks` chunks in if it is in chunks.
+  void SendBody(Sent& sent);
+  void Release(Sent& sent);
   void OnData(Sent& sent, std::string_view bytes);
   void OnAnswer(Sent& sent);
   void OnEnd(Sent& sent, std::optional<ConnectionEnd> how);
@@ -68,7 +93,9 @@
   PromptLoadOptions options;
   std::mt19937 random;
   std::map<std::string, std::unique_ptr<Sent>> prompts;  // by id
+  std::map<std::uint64_t, Kept> kept;
   std::uint64_t next_id = 1;
+  std::uint64_t next_kept = 1;
   Timer timer;
 };
 
--- a/soak/prompt_site.cc
+++ b/soak/prompt_site.cc
@@ -72,12 +72,12 @@
   for (int number = 0; number < this->options.servers; ++number) {
     this->engines.push_back(std::make_unique<CrashingEngineStandIn>(
         loop, store, "draft", this->options.server_ip(number)));
-    this->agents.push_back(
-        StartAgent(loop, log, ledger,
-                   {this->options.program, this->options.directory,
-                    this->options.agent_port, this->engines.back()->address(),
-                    this->options.first_signal_after,
-                    this->options.signals_while_loading}));
+    this->agents.push_back(StartAgent(
+        loop, log, ledger,
+        {this->options.program, this->options.directory,
+         this->options.agent_port, this->engines.back()->address(),
+         this->options.first_signal_after, this->options.signals_while_loading,
+         this->options.limits}));
   }
 }
 
@@ -101,6 +101,18 @@
   load.seed = this->random();
   load.draw = DrawPrompt;
   load.answer = Answer;
+  load.arrived = [this](const std::string& id) {
+    return std::ranges::any_of(this->engines, [&id](const auto& engine) {
+      return engine->arrived.contains(id);
+    });
+  };
+  load.keeps_connections = this->options.largest_body > 0;
+  load.largest_body = this->options.largest_body;
+  for (const auto& engine : this->engines) {
+    engine->on_body = [this](const std::string& id, const std::string& body) {
+      CheckPromptBody(this->ledger, id, body, this->options.largest_body);
+    };
+  }
   load.broke_off = [this](const std::string& id) {
     return std::ranges::any_of(this->engines, [&id](const auto& engine) {
       return engine->broken_off.contains(id);
--- a/soak/prompt_site.h
+++ b/soak/prompt_site.h
@@ -32,9 +32,14 @@
   // Of the agents.
   Duration first_signal_after{0};
   bool signals_while_loading = true;
+  ProcessLimits limits;
   int servers = 4;
   unsigned int seed = 1;
   Duration faults_for = Seconds(8);
+  // Ranks of a group.
+  int ranks = 4;
+  // Of the bodies of prompts; none if 0. Callers keep connections if not.
+  std::size_t largest_body = 0;
 };
 
 class PromptSite {
--- a/soak/site_text.cc
+++ b/soak/site_text.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <sstream>
 
 #include "soak/check_promises.h"
@@ -63,7 +64,7 @@
   return text.str();
 }
 
-std::string ConfigText(int version) {
+std::string ConfigText(int version, std::size_t largest_body) {
   return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" +
          PlannedRoutesText() + "," + PromptRouteText() + "," +
          GroupRouteText() +
@@ -72,8 +73,9 @@
          std::to_string(kColdRequestsPerSecond) + "}," + PromptServiceText() +
          "," + GroupServiceText() +
          R"(],)"
-         R"("limits":{"max_header_bytes":4096,"max_body_bytes":1000,)"
-         R"("header_timeout_ms":1000,"idle_timeout_ms":15000},)"
+         R"("limits":{"max_header_bytes":4096,"max_body_bytes":)" +
+         std::to_string(std::max<std::size_t>(1000, largest_body + 100)) +
+         R"(,"header_timeout_ms":1000,"idle_timeout_ms":15000},)"
          R"("tenants":[{"name":"acc","api_keys":["k1"]}]})";
 }
 
--- a/soak/site_text.h
+++ b/soak/site_text.h
@@ -26,7 +26,8 @@
                              std::uint16_t store_port,
                              const std::vector<std::string>& seeds);
 
-std::string ConfigText(int version);
+// Bodies of requests may be so large, but at least 1,000 bytes.
+std::string ConfigText(int version, std::size_t largest_body);
 
 }  // namespace toucanhollow
 
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -1,6 +1,7 @@
 // Plays one run of the fault soak and reports what was broken. Exits with 1 if
 // a promise was broken.
 #include <csignal>
+#include <cstdint>
 #include <filesystem>
 #include <iostream>
 
@@ -28,7 +29,24 @@
 DEFINE_int32(engines,
              8,
              "model servers with an agent each, at most 64; half of them are "
-             "ranks of groups of four");
+             "ranks of groups");
+DEFINE_int32(ranks, 4, "ranks of a group");
+DEFINE_int32(callers, 24, "callers of the services without models");
+DEFINE_uint64(largest_body,
+              0,
+              "prompts have bodies of up to this size, half of them in chunks, "
+              "and half of them go to kept connections; 0 for neither");
+DEFINE_double(joint_restart_seconds,
+              0,
+              "how often all processes are told to end, or are killed, at the "
+              "same moment; 0 for never");
+DEFINE_int32(processors,
+             0,
+             "the processes under test run on the first so many processors; 0 "
+             "for all");
+DEFINE_bool(site_limits,
+            false,
+            "limits on descriptors, file sizes and data as on a site");
 DEFINE_string(program, "build/bin/toucanhollow", "the program under test");
 DEFINE_string(directory, "run/soak", "settings and logs go here");
 
@@ -39,6 +57,21 @@
       static_cast<toucanhollow::Duration::rep>(seconds * 1e6));
 }
 
+void SetLimits(toucanhollow::SoakOptions& options) {
+  options.host_limits.processors = FLAGS_processors;
+  constexpr std::uint64_t kMegabyte = 1 << 20;
+  if (FLAGS_site_limits) {
+    options.host_limits.descriptors = 4100;
+    options.host_limits.file_bytes = 4 * kMegabyte;
+    options.host_limits.data_bytes = 260 * kMegabyte;
+  }
+  options.agent_limits = options.host_limits;
+  if (FLAGS_site_limits) {
+    options.agent_limits.descriptors = 2048;
+    options.agent_limits.data_bytes = 128 * kMegabyte;
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -55,6 +88,11 @@
   options.signals.interrupts = FLAGS_interrupts;
   options.hosts = FLAGS_hosts;
   options.engines = FLAGS_engines;
+  SetLimits(options);
+  options.ranks = FLAGS_ranks;
+  options.callers = FLAGS_callers;
+  options.largest_body = FLAGS_largest_body;
+  options.joint_restart_period = FromSeconds(FLAGS_joint_restart_seconds);
   options.program = FLAGS_program;
   options.directory = FLAGS_directory + "/seed-" + std::to_string(FLAGS_seed);
   std::filesystem::remove_all(options.directory);
--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -22,6 +22,9 @@
 constexpr unsigned int kConfiguredOneIn = 3;
 constexpr int kConfigurations = 4;
 constexpr Duration kConfigurationPeriod = Milliseconds(35);
+// Of the settings of a process that starts with all others.
+constexpr int kChangesAtStart = 6;
+constexpr Duration kChangePeriod = Milliseconds(17);
 
 }  // namespace
 
@@ -121,7 +124,8 @@
 }
 
 void SoakSite::Publish() {
-  this->store.Put("keyed.op", "config", ConfigText(this->version++));
+  this->store.Put("keyed.op", "config",
+                  ConfigText(this->version++, this->options.largest_body));
 }
 
 void SoakSite::ScheduleSignals(Duration length) {
@@ -132,6 +136,43 @@
   }
 }
 
+void SoakSite::ScheduleJointRestarts(Duration length) {
+  const Duration period = this->options.joint_restart_period;
+  if (period == Duration(0)) {
+    return;
+  }
+  bool kills = false;
+  for (Duration at = period; at < length; at += period) {
+    this->After(at, [this, kills] { this->RestartAll(kills); });
+    kills = !kills;
+  }
+}
+
+std::vector<SupervisedProcess*> SoakSite::Agents() const {
+  std::vector<SupervisedProcess*> agents = this->prompts->Agents();
+  std::ranges::copy(this->groups->Agents(), std::back_inserter(agents));
+  return agents;
+}
+
+void SoakSite::RestartAll(bool kills) {
+  std::vector<SupervisedProcess*> all = this->Agents();
+  for (const auto& host : this->hosts) {
+    this->NoteDisturbance(*host);
+    all.push_back(host->process.get());
+  }
+  SignalSeries changes;
+  changes.at_next_start = true;
+  for (int i = 0; i < kChangesAtStart; ++i) {
+    changes.signals.push_back({i * kChangePeriod, SIGHUP});
+  }
+  for (SupervisedProcess* process : all) {
+    process->Play(changes);
+    if (kills) {
+      process->Kill(Duration(0));
+    }
+  }
+}
+
 void SoakSite::PlaySeries(const SignalSeries& series) {
   if (series.which % kConfiguredOneIn == 0) {
     for (int i = 0; i < kConfigurations; ++i) {
@@ -139,8 +180,7 @@
     }
   }
   if (series.to_agent) {
-    std::vector<SupervisedProcess*> agents = this->prompts->Agents();
-    std::ranges::copy(this->groups->Agents(), std::back_inserter(agents));
+    const std::vector<SupervisedProcess*> agents = this->Agents();
     agents[series.which % agents.size()]->Play(series);
     return;
   }
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr int kServers = 3;
-constexpr int kCallers = 24;
 constexpr Duration kTick = Milliseconds(50);
 // Between the parts of a run.
 constexpr Duration kPause = Seconds(4);
@@ -48,10 +47,13 @@
   const std::string ip = HostIp(number);
   const std::string name = "host-" + ip;
   const std::string file = this->options.directory + "/" + name + ".ini";
-  std::ofstream(file) << HostSettingsText(
-      name, ip, host.store_link.Port(),
-      {HostIp(0), HostIp(this->options.hosts - 1)});
   ProcessOptions process;
+  process.write_settings =
+      [file,
+       text = HostSettingsText(name, ip, host.store_link.Port(),
+                               {HostIp(0), HostIp(this->options.hosts - 1)})] {
+        std::ofstream(file) << text;
+      };
   process.name = name;
   process.arguments = {this->options.program, "--role=relay",
                        "--settings=" + file};
@@ -59,6 +61,7 @@
   process.grace = kHostGrace;
   process.first_signal_after = this->options.first_signal_after;
   process.signals_while_loading = this->options.signals_while_loading;
+  process.limits = this->options.host_limits;
   process.on_restart = [this, &host] { this->NoteDisturbance(host); };
   host.process = std::make_unique<SupervisedProcess>(
       this->loop, this->fault_log, this->ledger, std::move(process));
@@ -129,8 +132,11 @@
   site.agent_port = kReportPort;
   site.first_signal_after = this->options.first_signal_after;
   site.signals_while_loading = this->options.signals_while_loading;
+  site.limits = this->options.agent_limits;
   site.seed = this->options.seed;
   site.servers = this->options.engines / 2;
+  site.ranks = this->options.ranks;
+  site.largest_body = this->options.largest_body;
   site.faults_for =
       this->options.signals_for + kPause + this->options.faults_for;
   site.server_ip = PromptServerIp;
@@ -162,9 +168,11 @@
   this->RunFor(Milliseconds(500));
   this->prompts->Start();
   this->groups->Start();
-  this->callers = std::make_unique<CallerLoad>(
-      this->loop, this->ledger, std::move(views), this->options.seed, kCallers);
+  this->callers =
+      std::make_unique<CallerLoad>(this->loop, this->ledger, std::move(views),
+                                   this->options.seed, this->options.callers);
   this->ScheduleSignals(this->options.signals_for);
+  this->ScheduleJointRestarts(this->options.signals_for);
   this->RunFor(this->options.signals_for + kPause);
   this->Schedule(PlanFaults(this->options.seed, this->options.faults_for));
   this->ScheduleSignals(this->options.faults_for);
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -34,8 +34,17 @@
   Duration first_signal_after{0};
   bool signals_while_loading = true;
   int hosts = 3;
-  // Model servers; every second one is a rank of a group of four.
+  // Model servers; every second one is a rank of a group of `ranks`.
   int engines = 8;
+  int ranks = 4;
+  int callers = 24;
+  ProcessLimits host_limits;
+  ProcessLimits agent_limits;
+  // Bodies of prompts, and the limit on bodies; prompts have none if 0.
+  std::size_t largest_body = 0;
+  // How often all processes are told to end, or are killed, while signals come;
+  // never if 0.
+  Duration joint_restart_period{0};
   std::string program;
   // Settings and logs go here; it must exist.
   std::string directory;
@@ -81,6 +90,11 @@
   void Schedule(const std::vector<Fault>& faults);
   // Signals for this long, beside configurations in quick succession.
   void ScheduleSignals(Duration length);
+  // All processes end at about the same moment, and their settings change while
+  // they start again.
+  void ScheduleJointRestarts(Duration length);
+  void RestartAll(bool kills);
+  std::vector<SupervisedProcess*> Agents() const;
   void PlaySeries(const SignalSeries& series);
   void Begin(const Fault& fault);
   void BeginAtHost(const Fault& fault, Host& host);
--- a/soak/supervised_process.cc
+++ b/soak/supervised_process.cc
@@ -4,6 +4,11 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdint>
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <system_error>
 #include <utility>
 
 namespace toucanhollow {
@@ -12,6 +17,26 @@
 constexpr Duration kCheckPeriod = Milliseconds(5);
 constexpr Duration kLoadingCheckPeriod = Milliseconds(1);
 
+// 0 if there is no such file.
+std::uintmax_t FileSize(const std::string& file) {
+  std::error_code error;
+  const std::uintmax_t size = std::filesystem::file_size(file, error);
+  return error ? 0 : size;
+}
+
+std::string LastLine(const std::string& file) {
+  constexpr std::uintmax_t kMostBytes = 2000;
+  std::ifstream in(file);
+  const std::uintmax_t size = FileSize(file);
+  in.seekg(static_cast<std::streamoff>(size - std::min(size, kMostBytes)));
+  std::string line;
+  std::string last;
+  while (std::getline(in, line)) {
+    last = line;
+  }
+  return last;
+}
+
 }  // namespace
 
 bool EndedBeforeKill(int wait_status) {
@@ -26,12 +51,17 @@
       log(log),
       ledger(ledger),
       options(std::move(options)),
-      process(this->options.arguments, this->options.log_file),
+      process(this->options.arguments,
+              this->options.log_file,
+              this->options.limits),
       ticker(loop, kCheckPeriod, kCheckPeriod, [this] {
         this->Check(EventLoop::Now());
       }) {}
 
 void SupervisedProcess::Start() {
+  if (this->options.write_settings) {
+    this->options.write_settings();
+  }
   this->process.Start();
   this->running = true;
   this->killed = false;
@@ -40,7 +70,8 @@
   this->loaded = false;
   this->stopping.reset();
   this->started = EventLoop::Now();
-  this->log.Note({{"started", this->options.name}});
+  this->log.Note({{"started", this->options.name},
+                  {"log_bytes", FileSize(this->options.log_file)}});
   if (this->at_next_start) {
     const SignalSeries series = *std::exchange(this->at_next_start, {});
     this->PlaySignals(series.signals, series.restart_pause);
@@ -145,6 +176,9 @@
         this->loop, wait, Duration(0),
         [this, signal, pause] { this->PlaySignal(signal, pause); }));
   } else if (signal == SIGHUP) {
+    if (this->options.write_settings) {
+      this->options.write_settings();
+    }
     this->Send(SIGHUP);
   } else {
     this->TerminateNow(signal, pause);
@@ -181,9 +215,12 @@
 void SupervisedProcess::NoteEnd() {
   const int status = this->process.status();
   const Duration age = EventLoop::Now() - this->started;
+  const std::string last_line = LastLine(this->options.log_file);
   this->log.Note({{"ended", this->options.name},
                   {"wait_status", status},
-                  {"age_ms", ToMilliseconds(age)}});
+                  {"age_ms", ToMilliseconds(age)},
+                  {"log_bytes", FileSize(this->options.log_file)},
+                  {"last_line", last_line}});
   // Connections of a process that was disturbed end with it.
   this->disturbed = std::max(this->disturbed, this->disturbed_at());
   if (this->killed && !this->grace_over) {
@@ -196,7 +233,7 @@
   }
   const std::string end = ": ended with wait status " + std::to_string(status) +
                           ", " + std::to_string(ToMilliseconds(age)) +
-                          " ms after its start";
+                          " ms after its start, its log ends with " + last_line;
   if (!this->stopping) {
     NoteBroken(this->ledger, this->options.name + end + ", by itself");
   } else if (status != 0) {
--- a/soak/supervised_process.h
+++ b/soak/supervised_process.h
@@ -22,6 +22,7 @@
   std::string name;
   std::vector<std::string> arguments;
   std::string log_file;
+  ProcessLimits limits;
   // From SIGTERM or SIGINT to SIGKILL.
   Duration grace = Seconds(4);
   // SIGHUP, SIGTERM and SIGINT come no earlier than this after the start.
@@ -29,6 +30,8 @@
   // They come also while the dynamic loader works, when no code of the program
   // can handle them.
   bool signals_while_loading = true;
+  // Called before each start and each SIGHUP, if it is not empty.
+  std::function<void()> write_settings;
   // Called when the process is started again.
   std::function<void()> on_restart;
 };
--- a/standins/platform/crashing_engine_stand_in.cc
+++ b/standins/platform/crashing_engine_stand_in.cc
@@ -113,6 +113,7 @@
     return;
   }
   const RequestHead head = session.parser->head();
+  const std::string body = session.parser->TakeBody();
   session.parser = std::make_unique<RequestParser>(ParserLimits{});
   if (FindHeader(head.headers, "X-Toucanhollow-Expect-Instance") != this->id) {
     session.connection->Write(
@@ -127,6 +128,10 @@
          std::string(FindHeader(head.headers, "X-Toucanhollow-Request-Id"))});
   }
   session.request = FindHeader(head.headers, "X-Toucanhollow-Request-Id");
+  this->arrived.insert(session.request);
+  if (this->on_body) {
+    this->on_body(session.request, body);
+  }
   session.work = std::make_unique<Timer>(
       this->loop, kPrefillTime, Duration(0),
       [this, number, head] { this->Begin(number, head); });
--- a/standins/platform/crashing_engine_stand_in.h
+++ b/standins/platform/crashing_engine_stand_in.h
@@ -5,6 +5,7 @@
 #define STANDINS_PLATFORM_CRASHING_ENGINE_STAND_IN_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -47,6 +48,10 @@
   std::vector<Arrival> deadly_arrivals;
   // When the server ended because of such a request.
   std::vector<TimePoint> deadly_crashes;
+  // Ids of requests that have arrived whole.
+  std::set<std::string> arrived;
+  // Called with the body of each, if it is not empty.
+  std::function<void(const std::string& id, const std::string& body)> on_body;
   // Ids of requests that ran when the server ended.
   std::set<std::string> broken_off;
 
--- a/standins/process/child_process.cc
+++ b/standins/process/child_process.cc
@@ -1,7 +1,9 @@
 #include "standins/process/child_process.h"
 
 #include <fcntl.h>
+#include <sched.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -24,11 +26,36 @@
   return (std::stoull(set, nullptr, kHexadecimal) >> (signal - 1) & 1) != 0;
 }
 
+void Limit(__rlimit_resource kind, std::uint64_t most) {
+  if (most > 0) {
+    const rlimit limit{most, most};
+    setrlimit(kind, &limit);
+  }
+}
+
+// Of the calling process, from which a program inherits them.
+void Apply(const ProcessLimits& limits) {
+  Limit(RLIMIT_NOFILE, limits.descriptors);
+  Limit(RLIMIT_FSIZE, limits.file_bytes);
+  Limit(RLIMIT_DATA, limits.data_bytes);
+  if (limits.processors > 0) {
+    cpu_set_t set;
+    CPU_ZERO(&set);
+    for (int processor = 0; processor < limits.processors; ++processor) {
+      CPU_SET(processor, &set);
+    }
+    sched_setaffinity(0, sizeof(set), &set);
+  }
+}
+
 }  // namespace
 
 ChildProcess::ChildProcess(std::vector<std::string> arguments,
-                           std::string log_file)
-    : arguments(std::move(arguments)), log_file(std::move(log_file)) {}
+                           std::string log_file,
+                           ProcessLimits limits)
+    : arguments(std::move(arguments)),
+      log_file(std::move(log_file)),
+      limits(limits) {}
 
 ChildProcess::~ChildProcess() {
   if (this->IsRunning()) {
@@ -64,6 +91,7 @@
         close(fd);
       }
     }
+    Apply(this->limits);
     execv(raw[0], raw.data());
     constexpr int kNotStarted = 127;
     _exit(kNotStarted);
--- a/standins/process/child_process.h
+++ b/standins/process/child_process.h
@@ -4,15 +4,28 @@
 
 #include <sys/types.h>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
 namespace toucanhollow {
 
+// What a process may use; no limit of its own if 0.
+struct ProcessLimits {
+  // The first processors of the machine.
+  int processors = 0;
+  std::uint64_t descriptors = 0;
+  // Of each file that it writes.
+  std::uint64_t file_bytes = 0;
+  std::uint64_t data_bytes = 0;
+};
+
 class ChildProcess {
  public:
   // `log_file` gets what the process writes.
-  ChildProcess(std::vector<std::string> arguments, std::string log_file);
+  ChildProcess(std::vector<std::string> arguments,
+               std::string log_file,
+               ProcessLimits limits = {});
   // Kills the process if it still runs.
   ~ChildProcess();
   ChildProcess(const ChildProcess&) = delete;
@@ -35,6 +48,7 @@
  private:
   std::vector<std::string> arguments;
   std::string log_file;
+  ProcessLimits limits;
   pid_t child = -1;
   int wait_status = 0;
 };
