Ignore signals that are not meant to end a process

Cause: SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR and SIGXCPU had their default action, which ends the process at once: its callers' requests get no answer and the log has no line. They come without being meant so, from the soft limit on processor time, from timers and descriptors that survive execve, and from tools that rotate logs.

Change: they are ignored from the first instructions on, as SIGPIPE and SIGXFSZ are. Signals of the real-time range keep their default action, since other libraries in the process use them.

--- a/apps/early_signals.cc
+++ b/apps/early_signals.cc
@@ -7,7 +7,7 @@
 
 __attribute__((no_sanitize("address", "undefined"))) void PrepareSignals() {
   BlockProcessSignals();
-  IgnoreWriteSignals();
+  IgnoreHarmlessSignals();
 }
 
 using InitFunction = void (*)();
--- a/apps/process_signals_test.cc
+++ b/apps/process_signals_test.cc
@@ -198,6 +198,26 @@
   }
 }
 
+// Guards against an end by the default action of a signal that is not meant to
+// end the process.
+TEST_CASE("a signal without a use ends no process") {
+  for (const ProcessRole role : kRoles) {
+    for (const int signal : {SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF,
+                             SIGIO, SIGPWR, SIGXCPU, SIGPIPE, SIGXFSZ}) {
+      TestProcess process(role, 1);
+      process.Start();
+      REQUIRE(process.WaitForStart());
+      process.Signal(signal);
+      std::this_thread::sleep_for(Milliseconds(20));
+      INFO("signal " << signal);
+      CHECK(process.IsRunning());
+      process.Signal(SIGTERM);
+      CHECK(WaitUntil([&] { return !process.IsRunning(); }));
+      CHECK(process.HasExitedWith(0));
+    }
+  }
+}
+
 // Guards against a log file that ends the process when it reaches the limit on
 // file sizes.
 TEST_CASE("a log file of the maximum size ends no process") {
--- a/packages/process_signals/process_signals.cc
+++ b/packages/process_signals/process_signals.cc
@@ -26,9 +26,18 @@
   ChangeMask(SIG_UNBLOCK);
 }
 
-__attribute__((no_sanitize("address", "undefined"))) void IgnoreWriteSignals() {
+__attribute__((no_sanitize("address", "undefined"))) void
+IgnoreHarmlessSignals() {
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGXFSZ, SIG_IGN);
+  std::signal(SIGXCPU, SIG_IGN);
+  std::signal(SIGALRM, SIG_IGN);
+  std::signal(SIGPROF, SIG_IGN);
+  std::signal(SIGVTALRM, SIG_IGN);
+  std::signal(SIGIO, SIG_IGN);
+  std::signal(SIGPWR, SIG_IGN);
+  std::signal(SIGUSR1, SIG_IGN);
+  std::signal(SIGUSR2, SIG_IGN);
 }
 
 }  // namespace toucanhollow
--- a/packages/process_signals/process_signals.h
+++ b/packages/process_signals/process_signals.h
@@ -1,5 +1,5 @@
-// The signals that stop or reload a process. They are blocked until watchers
-// for them exist, because their default action ends the process.
+// The signals that stop or reload a process, which are blocked until watchers
+// for them exist, and those that must not end it.
 #ifndef PROCESS_SIGNALS_PROCESS_SIGNALS_H_
 #define PROCESS_SIGNALS_PROCESS_SIGNALS_H_
 
@@ -12,9 +12,11 @@
 // Unblocks them, also if the parent process had blocked them.
 void UnblockProcessSignals();
 
-// Ignores the signals that a write to a closed connection or to a file of the
-// maximum size raises; the write then fails.
-void IgnoreWriteSignals();
+// Ignores the signals that a process gets without being meant to end: from a
+// write to a closed connection or to a file of the maximum size (the write then
+// fails), from the soft limit on processor time, from timers and descriptors
+// that it has inherited, and from tools that rotate logs.
+void IgnoreHarmlessSignals();
 
 }  // namespace toucanhollow
 
