Let another writer put records into the soak's store

Every 3 s the soak puts an entry that names no server: nested lists, a field of nested lists, fields of other types, and bytes that are no JSON.

--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -1,6 +1,7 @@
 // The faults and signals that a SoakSite plays.
 #include <algorithm>
 #include <csignal>
+#include <iterator>
 #include <utility>
 
 #include "soak/site_text.h"
@@ -128,6 +129,17 @@
                   ConfigText(this->version++, this->options.largest_body));
 }
 
+void SoakSite::PutForeignRecord() {
+  constexpr std::size_t kLevels = 120'000;
+  const std::string nested =
+      std::string(kLevels, '[') + std::string(kLevels, ']');
+  const std::string values[] = {nested, R"({"slots":)" + nested + "}",
+                                R"({"service":"ledger","address":7})", "\xff"};
+  const int number = this->foreign_records++;
+  this->store.Put("keyed.servers", "foreign-" + std::to_string(number),
+                  values[number % std::size(values)]);
+}
+
 void SoakSite::ScheduleSignals(Duration length) {
   SignalOptions signals = this->options.signals;
   signals.length = length;
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -11,6 +11,7 @@
 
 constexpr int kServers = 3;
 constexpr Duration kTick = Milliseconds(50);
+constexpr Duration kForeignRecordPeriod = Seconds(3);
 // Between the parts of a run.
 constexpr Duration kPause = Seconds(4);
 // Time from the begin of the last fault to the end. The longest fault lasts
@@ -164,6 +165,9 @@
     views.push_back(std::move(view));
   }
   const Timer ticker(this->loop, kTick, kTick, [this] { this->Tick(); });
+  const Timer foreign_writer(this->loop, kForeignRecordPeriod,
+                             kForeignRecordPeriod,
+                             [this] { this->PutForeignRecord(); });
   this->StartModelSites(views);
   this->RunFor(Milliseconds(500));
   this->prompts->Start();
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -105,6 +105,8 @@
   void DrainServer(Server& server);
   void RestartServer(Server& server);
   void Publish();
+  // Of another writer, without an entry that names a server to use.
+  void PutForeignRecord();
   void CheckRecovery();
   // The host is disturbed now and for this time, and has to be in touch again
   // for a while before it is held to the bounds.
@@ -131,6 +133,7 @@
   std::unique_ptr<GroupSite> groups;
   std::vector<std::unique_ptr<Timer>> timers;
   int version = 1;
+  int foreign_records = 0;
   int next_server = 1;
   int outages = 0;
   TimePoint store_disturbed_at;
