Log the signal that a fault of the program raises

Cause: a process that SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT or SIGQUIT ended left no line in its log, so that a record of ends could not tell a fault of the program from a signal of somebody else.

Change: relay and rank_agent write a last line, fatal_signal, with the signal, the address and the offset in the program, from a stack of their own, so that a stack that has ended is logged as well. The signal then ends the process as before. A signal that something else handles, such as a sanitizer, is left to it, and a pipe that is full does not hold the end up.

--- a/apps/process_signals_test.cc
+++ b/apps/process_signals_test.cc
@@ -218,6 +218,23 @@
   }
 }
 
+// Guards against an end whose reason is in no log.
+TEST_CASE("a signal that a fault of the program raises is logged") {
+  for (const ProcessRole role :
+       {ProcessRole::kRelay, ProcessRole::kRankAgent}) {
+    for (const int signal : {SIGABRT, SIGQUIT}) {
+      TestProcess process(role, 1);
+      process.Start();
+      REQUIRE(process.WaitForStart());
+      process.Signal(signal);
+      CHECK(WaitUntil([&] { return !process.IsRunning(); }));
+      INFO(process.Log());
+      CHECK(process.CountInLog("\"event\":\"fatal_signal\",\"signal\":" +
+                               std::to_string(signal) + ",") == 1);
+    }
+  }
+}
+
 // Guards against a log file that ends the process when it reaches the limit on
 // file sizes.
 TEST_CASE("a log file of the maximum size ends no process") {
--- a/packages/json_log/json_log.cc
+++ b/packages/json_log/json_log.cc
@@ -16,6 +16,7 @@
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/make_shared.hpp>
 
+#include "json_log/fatal_signal.h"
 #include "line_output/line_output.h"
 
 namespace toucanhollow {
@@ -171,6 +172,10 @@
         State().dropped += output->WriteLine(line) ? 0 : 1;
       },
       process, rate_limit);
+  std::string fields = ",\"process\":";
+  AppendText(fields, process);
+  fields += ",\"event\":\"fatal_signal\"";
+  LogFatalSignals(std::move(fields));
 }
 
 void StartJsonLogTo(std::function<void(std::string_view line)> sink,
--- a/packages/json_log/json_log.h
+++ b/packages/json_log/json_log.h
@@ -31,7 +31,8 @@
 // Starts writing lines {"time":..,"process":..,"event":..,fields}. Logging
 // never blocks: lines beyond the rate limit, and lines that standard output
 // cannot accept without blocking, are dropped and counted in a later line
-// "log_dropped".
+// "log_dropped". A signal that a fault of the program raises writes the last
+// line, "fatal_signal".
 void StartJsonLog(std::string_view process, const LogRateLimit& rate_limit);
 
 // Like StartJsonLog, but passes every line to `sink`; for tests.
