Send half-closed callers the rest of a stream

Seen by callers: a caller that shuts its sending side down after its answer has begun (HTTP/1.1 allows that) got the stream without its end; the server's work was ended.

Cause: the end of a caller's input in the midst of an answer was taken for its leaving, because no interim response can be written there.

So the connection stays open for 200 ms after the end of the input, and for as long as the stream needs if bytes of it were written meanwhile. A stream that is silent for these 200 ms ends as before, so that work for a caller that has left ends within half a second.

The case of a silent stream is unchanged.

--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -59,6 +59,9 @@
 // A reset comes after the first one at the latest, and the next one fails. Some
 // clients limit the interim responses that they take.
 constexpr int kCallerProbes = 3;
+// A stream that has begun shows by its next bytes whether a caller whose input
+// has ended still reads. One that sends none for this long counts as abandoned.
+constexpr Duration kHalfCloseSilence = Milliseconds(200);
 // A caller that left while its body waited for memory has closed behind it.
 constexpr Duration kInputEndWait = Milliseconds(10);
 
@@ -288,6 +291,7 @@
     this->SendHead(status, reason, std::move(headers), "");
   };
   sink.send_chunk = [this](std::string_view bytes) {
+    this->silence_end.reset();
     this->connection->Write(WriteChunk(bytes));
   };
   sink.finish = [this] {
@@ -380,6 +384,7 @@
 
 void CallerSession::FinishResponse() {
   this->request.reset();
+  this->silence_end.reset();
   // A head sent before draining began did not announce the close, so the
   // connection stays open for another request.
   if (this->close_announced || (this->input_ended && !this->HasPipelined())) {
@@ -497,10 +502,13 @@
 }
 
 bool CallerSession::MayStillRead() {
-  if (this->phase != Phase::kResponding || this->response_begun ||
-      this->is_http_1_0) {
+  if (this->phase != Phase::kResponding || this->is_http_1_0) {
     return false;
   }
+  if (this->response_begun) {
+    this->silence_end = EventLoop::Now() + kHalfCloseSilence;
+    return true;
+  }
   this->probes_left = kCallerProbes;
   this->ProbeCaller();
   return true;
@@ -705,6 +713,9 @@
       }
       this->ProbeCaller();
       this->CheckUnreadCaller();
+      if (this->silence_end && now >= *this->silence_end) {
+        this->OnEnd(ConnectionEnd::kOrderly);
+      }
       if (this->phase == Phase::kClosed || this->start_timer != nullptr) {
         return;
       }
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -61,7 +61,7 @@
   // the connection stays open for what it is owed.
   bool OnInputEnd();
   // True if the caller, whose input has ended, may still read its answer, which
-  // interim responses are to show.
+  // interim responses or the next bytes of the answer are to show.
   bool MayStillRead();
   // Notices a caller that has left while the connection is not read.
   void CheckUnreadCaller();
@@ -151,6 +151,9 @@
   bool response_begun = false;
   // Interim responses that are still to be sent after the end of the input.
   int probes_left = 0;
+  // Set after an end of the input in the midst of a response, until its next
+  // bytes are sent: the caller counts as gone then.
+  std::optional<TimePoint> silence_end;
   // The body of the present request has waited for memory.
   bool body_waited = false;
   // Set until the present request is started, if its body has waited.
--- a/standins/platform/half_close_test.cc
+++ b/standins/platform/half_close_test.cc
@@ -194,8 +194,61 @@
   CHECK(site.first.runs["later"] == kLater);
 }
 
-// A stream under way has no place for the bytes that tell a half-close from a
-// close, and a caller of HTTP/1.0 does not expect them.
+// Guards against a stream that is cut because its caller shuts its sending side
+// down after the first event.
+TEST_CASE("a half-closed caller gets the rest of a stream that has begun") {
+  HalfCloseSite site;
+  const std::string end = "0\r\n\r\n";
+  ScriptedAnswer stream =
+      Late("f\r\nid: 2\ndata: b\n\n\r\n" + end, Milliseconds(150));
+  stream.bytes = StreamText().substr(0, StreamText().size() - end.size());
+  site.first.script = {stream};
+  SocketCaller caller(site.settings.callers);
+  REQUIRE(caller.Send(Request("POST", "/m/x", "r1", "", "p")));
+  REQUIRE(site.RunUntil([&caller] {
+    caller.Poll();
+    return caller.parser.head_done();
+  }));
+  caller.HalfClose();
+  REQUIRE(site.RunUntilAnswered(caller));
+  CHECK(caller.status() == 200);
+  CHECK(caller.parser.TakeBody() == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
+// Guards against a stream that goes on for a caller that has left, or is cut
+// for one that still reads.
+TEST_CASE("the events of a stream tell a half-close from a close") {
+  HalfCloseSite site;
+  ScriptedAnswer stream;
+  stream.bytes = StreamText().substr(0, StreamText().size() - 5);
+  stream.endless = "5\r\n: c\n\n\r\n";
+  site.first.script = {stream};
+  const int closed = site.first.closed_by_caller;
+  const auto has_left = [&] { return site.first.closed_by_caller > closed; };
+  TimePoint closed_at;
+  {
+    SocketCaller caller(site.settings.callers);
+    REQUIRE(caller.Send(Request("POST", "/m/x", "r1", "", "p")));
+    REQUIRE(site.RunUntil([&caller] {
+      caller.Poll();
+      return caller.parser.head_done();
+    }));
+    caller.HalfClose();
+    CHECK_FALSE(site.RunUntil(
+        [&] {
+          caller.Poll();
+          return has_left();
+        },
+        Milliseconds(800)));
+    caller.Poll();
+    closed_at = EventLoop::Now();
+  }
+  CHECK(site.RunUntil(has_left));
+  CHECK(EventLoop::Now() - closed_at < Milliseconds(400));
+}
+
+// A stream that is silent has no place for the bytes that tell a half-close
+// from a close, and a caller of HTTP/1.0 does not expect them.
 TEST_CASE("a half-close that cannot be told from a close is one") {
   HalfCloseSite site;
   ScriptedAnswer silent = Silence();
