Give the requests of a host numbers that never coincide

A request is identified by the number of its connection times 2^20 plus its count on the connection. The 1,048,577th request of a kept connection thus has the number of the first request of the next one. If both wait for a permit at once, the second answer finds no request, and a broken invariant ends the process (SIGABRT) with all of its requests; in the queue one takes the place of the other, which is not answered before its deadline. A caller can bring this about by keeping a connection open.

--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -5,6 +5,7 @@
 
 #include "http_stream/write_message.h"
 #include "json_log/json_log.h"
+#include "relay/request_number.h"
 #include "traffic/caller_retry.h"
 
 namespace toucanhollow {
@@ -303,10 +304,8 @@
     return this->ReserveAnswer(bytes);
   };
   ++this->request_count;
-  constexpr std::uint64_t kMaxRequestsPerSession = 1U << 20U;
   this->request = std::make_shared<RelayedRequest>(
-      this->context,
-      this->number * kMaxRequestsPerSession + this->request_count,
+      this->context, RequestNumber(this->number, this->request_count),
       std::move(head), std::move(body), EventLoop::Now(), std::move(sink));
   if (std::exchange(this->body_waited, false)) {
     this->start_timer = std::make_unique<Timer>(
