--- a/soak/check_promises.h
+++ b/soak/check_promises.h
@@ -60,6 +60,9 @@
   // requests may have ended by that, as on a machine with too much work.
   TimePoint ticked_at;
   TimePoint stalled_at;
+  // Between two ticks of late, and when it ended.
+  Duration longest_pause{0};
+  TimePoint longest_pause_at;
   std::int64_t stalls = 0;
   // Requests that ended without a complete answer.
   std::map<RequestEndKind, std::int64_t> ended;
