Reject CBOR strings of indefinite length

One datagram to the report port or the port for calls of ranks ended a relay with SIGSEGV and without a line in its log; an agent reads such datagrams with the same function.

Cause: a string of indefinite length may contain another one, for which the JSON library recurses before it calls the checker of the nesting. 35,000 bytes of 0x7f (or 0x5f) overflow the stack of 8 MB; a datagram holds 65,507.

Change: ReadCbor walks over the heads of all items, without recursion, and rejects strings of indefinite length.

Before: the case of cbor_test ends with SIGSEGV, and so does that of malformed_datagram_test at its first datagrams. After: all pass, and the relay serves on.

--- a/packages/cbor/read_cbor.cc
+++ b/packages/cbor/read_cbor.cc
@@ -1,6 +1,7 @@
 #include "cbor/read_cbor.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 
 namespace toucanhollow {
@@ -36,9 +37,52 @@
   int depth = 0;
 };
 
+// NestingChecker is not called for the nesting of such strings. Exact for the
+// part of the bytes that is valid CBOR.
+bool HasStringOfIndefiniteLength(std::string_view bytes) {
+  constexpr unsigned kByteString = 2;
+  constexpr unsigned kTextString = 3;
+  constexpr unsigned kFirstSizedArgument = 24;
+  constexpr unsigned kLastSizedArgument = 27;
+  constexpr unsigned kIndefinite = 31;
+  while (!bytes.empty()) {
+    const auto head = static_cast<unsigned char>(bytes.front());
+    bytes.remove_prefix(1);
+    const unsigned type = head >> 5U;
+    const unsigned info = head & 0x1fU;
+    const bool is_string = type == kByteString || type == kTextString;
+    if (is_string && info == kIndefinite) {
+      return true;
+    }
+    std::uint64_t argument = info;
+    if (info >= kFirstSizedArgument && info <= kLastSizedArgument) {
+      const std::size_t size = std::size_t{1} << (info - kFirstSizedArgument);
+      if (size > bytes.size()) {
+        return false;
+      }
+      argument = 0;
+      for (const char byte : bytes.substr(0, size)) {
+        argument = argument << 8U | static_cast<unsigned char>(byte);
+      }
+      bytes.remove_prefix(size);
+    }
+    if (is_string) {
+      if (argument > bytes.size()) {
+        return false;
+      }
+      bytes.remove_prefix(argument);
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
 Result<json> ReadCbor(std::string_view bytes) {
+  if (HasStringOfIndefiniteLength(bytes)) {
+    return MakeFailure(ResultCode::kFrameMalformed,
+                       "a string has an indefinite length");
+  }
   // The library throws if a declared size exceeds the available memory, even
   // with exceptions disabled.
   try {
--- a/packages/cbor/read_cbor.h
+++ b/packages/cbor/read_cbor.h
@@ -14,9 +14,10 @@
 inline constexpr int kMaxCborNesting = 16;
 
 // Decodes the bytes, which must be exactly one CBOR value. Fails with
-// kFrameMalformed if they are not valid CBOR, if bytes follow the value, or if
-// they have kMaxCborNesting or more levels: the library recurses once for each
-// level, which could overflow the stack.
+// kFrameMalformed if they are not valid CBOR, if bytes follow the value, if
+// they have kMaxCborNesting or more levels, or if a string has an indefinite
+// length: the library recurses once for each level and for each such string
+// inside another one, which could overflow the stack.
 Result<nlohmann::json> ReadCbor(std::string_view bytes);
 
 }  // namespace toucanhollow
--- a/packages/cbor/read_cbor_test.cc
+++ b/packages/cbor/read_cbor_test.cc
@@ -1,7 +1,9 @@
 #include "cbor/read_cbor.h"
 
+#include <cstdint>
 #include <random>
 #include <string>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -32,6 +34,34 @@
   CHECK_FALSE(ReadCbor(std::string(60000, '\x9f')));
 }
 
+// Guards against a datagram of strings inside strings that overflows the stack.
+TEST_CASE("strings of indefinite length are rejected") {
+  for (const std::string& begin :
+       {std::string("\x7f"), std::string("\x5f"), std::string("\x7f\x61t"),
+        std::string("\x5f\x41"
+                    "b")}) {
+    std::string bytes;
+    for (int i = 0; i < 60000; ++i) {
+      bytes += begin;
+    }
+    CHECK_FALSE(ReadCbor(bytes));
+    CHECK_FALSE(ReadCbor("\x82\x19\x7f\x7f" + bytes));
+    CHECK_FALSE(ReadCbor("\xa1\x61k" + bytes));
+  }
+}
+
+// Guards against a part of a value that is taken for the head of a string.
+TEST_CASE("values that contain the head of such a string are decoded") {
+  const json value = {
+      {"text", std::string(300, '\x7f')},
+      {"bytes", json::binary(std::vector<std::uint8_t>(70000, 0x5f))},
+      {"\x7f\x5f", {0x7f, 0x7f5f, 0x7f7f5f5f, 0x7f7f7f7f5f5f5f5f, -0x7f60}},
+      {"number", 1.9919471e159}};
+  const auto read = ReadCbor(ToBytes(value));
+  REQUIRE(read);
+  CHECK(read.value() == value);
+}
+
 // Guards against an input that is small and still nested deep enough to
 // overflow a small stack.
 TEST_CASE("nesting is limited in inputs of any size") {
--- a/standins/platform/malformed_datagram_test.cc
+++ b/standins/platform/malformed_datagram_test.cc
@@ -186,5 +186,21 @@
   CHECK(site.escaped.empty());
 }
 
+// Guards against a datagram that overflows the stack of the process.
+TEST_CASE("a relay and an agent serve on after datagrams of nested items") {
+  constexpr std::size_t kMaxDatagramBytes = 65507;
+  DatagramSite site;
+  REQUIRE(Serves(site));
+  for (const char head : {'\x5f', '\x7f', '\x81', '\x9f', '\xbf', '\xc1'}) {
+    for (const Address& port : site.Ports()) {
+      site.sender->Send(port, std::string(kMaxDatagramBytes, head));
+    }
+    site.RunFor(Milliseconds(5));
+  }
+  CHECK(Serves(site));
+  CHECK(site.AgentAnswers());
+  CHECK(site.escaped.empty());
+}
+
 }  // namespace
 }  // namespace toucanhollow
