Close the servers' idle connections until descriptors are counted

Requests of the crowd that still waited opened connections to servers after the servers had closed theirs. A server closes idle connections, as its Keep-Alive says; the stand-in never does, and the host keeps at most 8 of them a server.

The stand-ins now close their connections at each poll.

--- a/standins/platform/client_crowd_test.cc
+++ b/standins/platform/client_crowd_test.cc
@@ -170,10 +170,11 @@
     this->crowd.Leave();
     this->first.script.clear();
     this->second.script.clear();
-    this->first.CloseSessions();
-    this->second.CloseSessions();
     const bool descriptors_are_back = this->RunUntil(
         [this] {
+          // As servers close idle connections; requests that waited open more.
+          this->first.CloseSessions();
+          this->second.CloseSessions();
           return CountDescriptors(this->process->pid()) <=
                  this->descriptors_before;
         },
