Count the bytes that the kernel holds unread for each connection

Clients that send on behind an unanswered request, or read none of their answers, fill the receive buffer of a connection whose reading is paused. It was set to 128 KB, which the kernel doubles, so 217 KB lay unread for each connection and were counted by nobody.

The receive buffer is now 8 KB from the first byte on, for callers through the listening socket. It is raised to at most 128 KB while a body is read that memory was reserved for, and while reading is paused behind later requests, if there is memory for twice that; the memory is held until the connection ends, as TCP does not take back a window. Each connection counts 20 KB, and a connection without memory is refused.

What a parsed head takes is still not counted.

The largest window is 64 KB now, so that 4 MB take 64 round trips.

--- a/packages/http_stream/tcp_connection.cc
+++ b/packages/http_stream/tcp_connection.cc
@@ -49,6 +49,11 @@
              sizeof(user_timeout_ms));
 }
 
+void SetReceiveBuffer(int socket, std::size_t bytes) {
+  const int size = static_cast<int>(bytes);
+  setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+}
+
 sockaddr_in ToSocketAddress(const Address& address) {
   sockaddr_in socket_address{};
   socket_address.sin_family = AF_INET;
@@ -249,10 +254,15 @@
   this->state->StartWatching();
 }
 
-TcpConnection::TcpConnection(EventLoop& loop, const Address& address)
+TcpConnection::TcpConnection(EventLoop& loop,
+                             const Address& address,
+                             std::size_t receive_bytes)
     : state(std::make_shared<State>(loop, -1, IoWatcher::Order::kUsual)) {
   State& state = *this->state;
   state.socket = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (receive_bytes > 0) {
+    SetReceiveBuffer(state.socket, receive_bytes);
+  }
   const sockaddr_in socket_address = ToSocketAddress(address);
   const bool connect_started =
       state.socket >= 0 &&
@@ -285,10 +295,19 @@
   }
 }
 
-void TcpConnection::LimitKernelBuffers(std::size_t bytes) {
+void TcpConnection::LimitReceiveBuffer(std::size_t bytes) {
+  if (this->state->socket >= 0) {
+    SetReceiveBuffer(this->state->socket, bytes);
+    // The window does not follow a buffer that is raised later.
+    const int window = static_cast<int>(bytes);
+    setsockopt(this->state->socket, IPPROTO_TCP, TCP_WINDOW_CLAMP, &window,
+               sizeof(window));
+  }
+}
+
+void TcpConnection::LimitSendBuffer(std::size_t bytes) {
   const int size = static_cast<int>(bytes);
   if (this->state->socket >= 0) {
-    setsockopt(this->state->socket, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
     setsockopt(this->state->socket, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
   }
 }
@@ -381,10 +400,14 @@
 Result<std::unique_ptr<TcpListener>> TcpListener::Listen(
     EventLoop& loop,
     const Address& address,
-    std::function<void(int socket)> on_accept) {
+    std::function<void(int socket)> on_accept,
+    std::size_t receive_bytes) {
   std::unique_ptr<TcpListener> listener(new TcpListener(loop));
   listener->socket =
       ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (receive_bytes > 0) {
+    SetReceiveBuffer(listener->socket, receive_bytes);
+  }
   const int on = 1;
   setsockopt(listener->socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   const sockaddr_in socket_address = ToSocketAddress(address);
--- a/packages/http_stream/tcp_connection.h
+++ b/packages/http_stream/tcp_connection.h
@@ -49,8 +49,11 @@
   // before what arrives on other connections in the same turn of the loop.
   TcpConnection(EventLoop& loop, int socket);
   // Starts to connect. A failure is reported later through on_end, never inside
-  // the constructor.
-  TcpConnection(EventLoop& loop, const Address& address);
+  // the constructor. `receive_bytes`, if it is not 0, is as for
+  // LimitReceiveBuffer and holds from the first byte on.
+  TcpConnection(EventLoop& loop,
+                const Address& address,
+                std::size_t receive_bytes = 0);
   ~TcpConnection();
   TcpConnection(const TcpConnection&) = delete;
   TcpConnection& operator=(const TcpConnection&) = delete;
@@ -81,10 +84,12 @@
   // Returns false as long as no byte passed to Write can have left this host.
   bool any_sent() const;
   bool connected() const;
-  // Bounds the bytes that the kernel holds for each direction, which it
+  // Bounds the bytes that the kernel holds for one direction, which it
   // otherwise raises to several MB on fast connections. Its bookkeeping takes
-  // about as much again.
-  void LimitKernelBuffers(std::size_t bytes);
+  // about as much again, and unread bytes may fill that part too. A peer may
+  // still send what it was allowed to send before the bound was lowered.
+  void LimitReceiveBuffer(std::size_t bytes);
+  void LimitSendBuffer(std::size_t bytes);
   // Pauses or resumes reading. While reading is paused, TCP flow control slows
   // the peer down.
   void SetReading(bool reading);
@@ -99,10 +104,13 @@
 class TcpListener {
  public:
   // Fails with kSettingsInvalid if the address cannot be bound.
+  // `receive_bytes`, if it is not 0, is as for TcpConnection's
+  // LimitReceiveBuffer and holds for each connection from its first byte on.
   static Result<std::unique_ptr<TcpListener>> Listen(
       EventLoop& loop,
       const Address& address,
-      std::function<void(int socket)> on_accept);
+      std::function<void(int socket)> on_accept,
+      std::size_t receive_bytes = 0);
   ~TcpListener();
   std::uint16_t Port() const;
   // Makes the kernel ignore new connections, which then find no listener or the
--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -5,6 +5,7 @@
 
 #include "http_stream/write_message.h"
 #include "json_log/json_log.h"
+#include "relay/receive_buffer.h"
 #include "traffic/caller_retry.h"
 
 namespace toucanhollow {
@@ -34,11 +35,19 @@
 // Longest time between two parts of a request body.
 constexpr Duration kBodyStallTimeout = Seconds(5);
 
-// 4 MB arrive within 0.2 s at a round-trip time of 6 ms.
-constexpr std::size_t kKernelBufferBytes = std::size_t{128} * 1024;
-// What a connection and a request take beside a large body or answer.
-constexpr std::size_t kConnectionBytes = std::size_t{4} * 1024;
-constexpr std::size_t kRequestBytes = std::size_t{32} * 1024;
+constexpr std::size_t kSendBufferBytes = std::size_t{128} * 1024;
+// While a body is read that memory was reserved for, and while reading is
+// paused behind later requests: the end of the connection is noticed only if
+// all bytes before it fit. TCP windows stay below 64 KB, as their scale is
+// fixed by the buffer of the listener.
+constexpr std::size_t kRaisedReceiveBufferBytes = std::size_t{128} * 1024;
+// What an open connection takes, with all that the kernel holds unread.
+constexpr std::size_t kConnectionBytes =
+    std::size_t{4} * 1024 + 2 * kReceiveBufferBytes;
+// What a request takes beside a large body or answer, with what the kernel
+// holds unread of its server's answer.
+constexpr std::size_t kRequestBytes =
+    std::size_t{16} * 1024 + 2 * kReceiveBufferBytes;
 // Bodies up to this size are part of kRequestBytes.
 constexpr std::size_t kSmallRequestBodyBytes = std::size_t{16} * 1024;
 // Answers up to this size are part of kRequestBytes.
@@ -82,9 +91,11 @@
       on_closed(std::move(on_closed)),
       waiting_since(EventLoop::Now()),
       idle_timeout(this->Limits().idle_timeout) {
-  this->connection->LimitKernelBuffers(kKernelBufferBytes);
+  this->connection->LimitReceiveBuffer(kReceiveBufferBytes);
+  this->connection->LimitSendBuffer(kSendBufferBytes);
   this->connection_hold = context.memory.Open(MemoryUse::kConnection);
-  this->connection_hold.Resize(kConnectionBytes);
+  this->refuses_requests = !this->connection_hold.Resize(kConnectionBytes);
+  this->raised_buffer_hold = context.memory.Open(MemoryUse::kLargeBody);
   this->pipelined_hold = context.memory.Open(MemoryUse::kConnection);
   this->answer_hold = context.memory.Open(MemoryUse::kAnswer);
   this->LimitReads();
@@ -123,7 +134,7 @@
         this->RefuseInput(503, "too many connections", kRefusedRetryAfter);
         return;
       }
-      if (!this->connection_hold.Resize(kRequestBytes)) {
+      if (!this->connection_hold.Resize(kConnectionBytes + kRequestBytes)) {
         this->RefuseInput(503, "no memory for the request",
                           kMinMemoryRetryAfter);
         return;
@@ -217,12 +228,31 @@
 bool CallerSession::TakeBodyAnswer(BodyAnswer answer) {
   if (answer.verdict == BodyVerdict::kGranted) {
     this->body_hold = std::move(answer.hold);
+    this->RaiseReceiveBuffer(
+        std::min(kRaisedReceiveBufferBytes, this->body_hold.bytes()));
     return true;
   }
   this->RefuseBody(answer.expected_wait);
   return false;
 }
 
+void CallerSession::RaiseReceiveBuffer(std::size_t bytes) {
+  // The caller may fill the larger window at any later time, so the memory is
+  // held until the connection ends.
+  const std::size_t most =
+      std::max(this->raised_buffer_hold.bytes(), 2 * bytes);
+  if (this->raised_buffer_hold.Resize(most)) {
+    this->connection->LimitReceiveBuffer(bytes);
+    this->receive_buffer_raised = true;
+  }
+}
+
+void CallerSession::LowerReceiveBuffer() {
+  if (std::exchange(this->receive_buffer_raised, false)) {
+    this->connection->LimitReceiveBuffer(kReceiveBufferBytes);
+  }
+}
+
 void CallerSession::RefuseBody(Duration expected_wait) {
   const Duration retry_after =
       std::clamp(expected_wait, kMinMemoryRetryAfter, kMaxMemoryRetryAfter);
@@ -263,6 +293,7 @@
 
 void CallerSession::StartRequest() {
   this->phase = Phase::kResponding;
+  this->LowerReceiveBuffer();
   this->KeepPipelined(this->parser->TakeUnparsedBytes());
   RequestHead head = this->parser->head();
   std::shared_ptr<const std::string> body = this->TakeBody();
@@ -387,6 +418,7 @@
     return;
   }
   this->phase = Phase::kIdle;
+  this->LowerReceiveBuffer();
   this->waiting_since = EventLoop::Now();
   this->idle_timeout = this->Limits().idle_timeout;
   this->connection_hold.Resize(kConnectionBytes);
@@ -404,6 +436,7 @@
   }
   if (this->pipelined_bytes.size() >= kMaxPipelinedBytes) {
     this->connection->SetReading(false);
+    this->RaiseReceiveBuffer(kRaisedReceiveBufferBytes);
   }
   this->LimitReads();
 }
@@ -575,6 +608,7 @@
   this->request.reset();
   this->connection.reset();
   this->connection_hold = MemoryHold();
+  this->raised_buffer_hold = MemoryHold();
   this->pipelined_hold = MemoryHold();
   this->answer_hold = MemoryHold();
   this->on_closed();
@@ -656,6 +690,10 @@
   this->refuses_requests = true;
 }
 
+bool CallerSession::IsRefusing() const {
+  return this->refuses_requests;
+}
+
 void CallerSession::Abort(std::string_view reason) {
   if (this->request != nullptr) {
     const auto cancelled_request = std::move(this->request);
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -37,6 +37,8 @@
   // Makes the connection one that refuses its first request with 503, for a
   // host with too many connections.
   void RefuseRequests();
+  // True for a connection that refuses its first request.
+  bool IsRefusing() const;
   // Closes the connection at once and cancels its request, if there is one.
   void Abort(std::string_view reason);
   bool IsClosed() const;
@@ -78,6 +80,9 @@
   bool ReserveBody();
   // Returns false if the request was refused.
   bool TakeBodyAnswer(BodyAnswer answer);
+  // Lets the kernel hold more unread bytes, if there is memory for them.
+  void RaiseReceiveBuffer(std::size_t bytes);
+  void LowerReceiveBuffer();
   // Refuses the request for want of memory. `expected_wait`: until there may be
   // some.
   void RefuseBody(Duration expected_wait);
@@ -158,6 +163,8 @@
   std::uint64_t request_count = 0;
   // Of the connection and, while there is one, its request.
   MemoryHold connection_hold;
+  MemoryHold raised_buffer_hold;
+  bool receive_buffer_raised = false;
   // Of responses that their server or their caller has not ended yet.
   MemoryHold answer_hold;
   // Of the body that is being read.
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -1,7 +1,5 @@
 #include "relay/relay_host.h"
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -11,6 +9,7 @@
 #include "process_limits/process_memory.h"
 #include "relay/agent_address.h"
 #include "relay/max_sessions.h"
+#include "relay/receive_buffer.h"
 
 namespace toucanhollow {
 namespace {
@@ -26,8 +25,8 @@
 // A host that has just started is not ready before it knows the quarantines of
 // the others, but no longer than this.
 constexpr Duration kQuarantineWait = Seconds(1);
-// Connections beyond the limit that are open to be told so. Further ones are
-// closed without an answer.
+// Connections beyond the limit, or without memory, that are open to be told so.
+// Further ones are closed without an answer.
 constexpr std::size_t kMaxRefusedSessions = 32;
 
 }  // namespace
@@ -272,9 +271,9 @@
       {this->settings.control.ip, this->settings.rank_call_port}));
   BOOST_OUTCOME_TRYV(this->ListenReadiness());
   // Connections are taken from here on, so that nothing may fail afterwards.
-  auto listening =
-      TcpListener::Listen(this->loop, this->settings.callers,
-                          [this](int socket) { this->OnAccept(socket); });
+  auto listening = TcpListener::Listen(
+      this->loop, this->settings.callers,
+      [this](int socket) { this->OnAccept(socket); }, kReceiveBufferBytes);
   BOOST_OUTCOME_TRY(opened_listener, std::move(listening));
   this->listener = std::move(opened_listener);
   this->metrics_server = std::make_unique<MetricsServer>(
@@ -300,14 +299,6 @@
 }
 
 void RelayHost::OnAccept(int socket) {
-  const bool over_limit = this->sessions.size() >= this->max_sessions;
-  if (over_limit) {
-    this->metrics.Count("sessions_refused_total");
-    if (this->sessions.size() >= this->max_sessions + kMaxRefusedSessions) {
-      close(socket);
-      return;
-    }
-  }
   const std::uint64_t number = this->next_session++;
   const auto closed = [this, number] {
     Post(this->loop, [this, number, token = std::weak_ptr<int>(this->alive)] {
@@ -322,9 +313,18 @@
                    this->view_task->view(), this->observed_timeouts, this->stop,
                    this->awake_since},
       socket, number, closed);
-  if (over_limit) {
+  if (this->sessions.size() >= this->max_sessions) {
     session->RefuseRequests();
   }
+  if (session->IsRefusing()) {
+    this->metrics.Count("sessions_refused_total");
+    const auto refusing = std::ranges::count_if(
+        this->sessions,
+        [](const auto& entry) { return entry.second->IsRefusing(); });
+    if (static_cast<std::size_t>(refusing) >= kMaxRefusedSessions) {
+      return;
+    }
+  }
   if (this->stop) {
     session->StartDraining(EventLoop::Now());
   }
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -6,6 +6,7 @@
 #include "base/hash.h"
 #include "http_stream/write_message.h"
 #include "json_log/json_log.h"
+#include "relay/receive_buffer.h"
 #include "relay/request_log.h"
 #include "relay/server_request.h"
 #include "traffic/check_caller.h"
@@ -58,7 +59,7 @@
 // A longer part of an event needs memory of its own.
 constexpr std::size_t kMaxUncountedEventBytes = std::size_t{16} * 1024;
 // Of a connection to a server.
-constexpr std::size_t kKernelBufferBytes = std::size_t{128} * 1024;
+constexpr std::size_t kSendBufferBytes = std::size_t{128} * 1024;
 
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
@@ -287,9 +288,9 @@
   }
   const bool reused = connection != nullptr;
   if (!reused) {
-    connection = std::make_unique<TcpConnection>(this->context.loop,
-                                                 chosen_pool->server().address);
-    connection->LimitKernelBuffers(kKernelBufferBytes);
+    connection = std::make_unique<TcpConnection>(
+        this->context.loop, chosen_pool->server().address, kReceiveBufferBytes);
+    connection->LimitSendBuffer(kSendBufferBytes);
     this->context.metrics.Count("server_connections_total");
   }
   SentLine sent;
