Refuse engine answers of more than 1 MB

An answer of 4.1 MB that holds empty objects took 161 MB in the agent (118 MB for empty lists), where the deploy file gives its machine 128 MB: the platform ends a process over the limit. An answer of this size came from the default limit of the HTTP client.

Reports, counts and lists of experts are some thousand numbers. They may have 1 MB now; a longer answer counts as none.

Before: the new case of map_task_test fails for all three kinds of reading. After: it passes.

--- a/packages/map_task/rank_calls_test.cc
+++ b/packages/map_task/rank_calls_test.cc
@@ -49,7 +49,8 @@
   HttpClient client{loop};
   EngineMapCodec codec = MakeTestCodec();
   int orders = 0;
-  HttpHeaders headers;  // of each answer of the engine
+  HttpHeaders headers;      // of each answer of the engine
+  std::size_t padding = 0;  // spaces at the end of each answer of the engine
   // The first orders, up to this number, are accepted but not answered.
   int unanswered_order_count = 0;
   std::vector<std::shared_ptr<HttpResponseWriter>> unanswered;
@@ -73,7 +74,9 @@
               return;
             }
           }
-          writer->Respond(200, this->headers, std::to_string(this->orders));
+          writer->Respond(
+              200, this->headers,
+              std::to_string(this->orders) + std::string(this->padding, ' '));
         });
     REQUIRE(listening);
     this->engine = std::move(listening.value());
@@ -171,6 +174,27 @@
   CHECK(ask() == PermitOutcome::kGranted);
 }
 
+// Guards against an answer that takes more memory than the process may have.
+TEST_CASE("an engine's answer of more than 1 MB is refused") {
+  constexpr std::size_t kAccepted = 100'000;
+  constexpr std::size_t kRefused = 1'100'000;
+  AgentFixture fixture;
+  fixture.StartAgent();
+  // Choices are counted from the first reading on.
+  fixture.Ask(RankRequestKind::kChoices, false);
+  for (const RankRequestKind kind :
+       {RankRequestKind::kReport, RankRequestKind::kChoices,
+        RankRequestKind::kExperts}) {
+    for (const std::size_t padding : {kAccepted, kRefused}) {
+      fixture.padding = padding;
+      const RankReply reply = fixture.Ask(kind, false)[0].reply;
+      INFO("kind " << static_cast<int>(kind) << ", " << padding << " bytes");
+      CHECK((reply.report || reply.choices || reply.experts) ==
+            (padding == kAccepted));
+    }
+  }
+}
+
 // Guards against a group that cannot be coordinated while an agent is down.
 TEST_CASE("an engine whose agent is down is called directly") {
   AgentFixture fixture;
--- a/packages/map_task/rank_engine_client.cc
+++ b/packages/map_task/rank_engine_client.cc
@@ -1,5 +1,6 @@
 #include "map_task/rank_engine_client.h"
 
+#include <cstddef>
 #include <utility>
 
 #include "map_task/choice_delta.h"
@@ -7,6 +8,10 @@
 namespace toucanhollow {
 namespace {
 
+// Engines report some thousand numbers. A parsed answer may take 40 times its
+// length in memory.
+constexpr std::size_t kMaxAnswerBytes = std::size_t{1} << 20;
+
 std::string MakeUrl(const Address& engine, const std::string& path) {
   return "http://" + engine.ip + ":" + std::to_string(engine.port) + path;
 }
@@ -33,6 +38,7 @@
     : client(client), codec(codec) {}
 
 void RankEngineClient::Start(HttpCall call, ResponseHandler on_response) {
+  call.max_response_bytes = kMaxAnswerBytes;
   this->client.Start(
       std::move(call),
       {nullptr, nullptr,
