Limit the lists and maps of a CBOR message

An answer of 4 MB, which the HTTP client takes from whatever listens at a peer's control address, may be a list of empty maps. Decoded it takes 676 MB; the deploy file gives a relay 260 MB, and the platform ends a process over the limit.

Before: the new case of cbor_test fails for lists and for maps.

--- a/packages/cbor/read_cbor.cc
+++ b/packages/cbor/read_cbor.cc
@@ -9,7 +9,7 @@
 
 using nlohmann::json;
 
-class NestingChecker : public nlohmann::json_sax<json> {
+class ContainerChecker : public nlohmann::json_sax<json> {
  public:
   bool null() override { return true; }
   bool boolean(bool) override { return true; }
@@ -19,12 +19,8 @@
   bool string(string_t&) override { return true; }
   bool binary(binary_t&) override { return true; }
   bool key(string_t&) override { return true; }
-  bool start_object(std::size_t) override {
-    return ++this->depth < kMaxCborNesting;
-  }
-  bool start_array(std::size_t) override {
-    return ++this->depth < kMaxCborNesting;
-  }
+  bool start_object(std::size_t) override { return this->BeginContainer(); }
+  bool start_array(std::size_t) override { return this->BeginContainer(); }
   bool end_object() override { return --this->depth >= 0; }
   bool end_array() override { return --this->depth >= 0; }
   bool parse_error(std::size_t,
@@ -34,10 +30,16 @@
   }
 
  private:
+  bool BeginContainer() {
+    return ++this->containers <= kMaxCborContainers &&
+           ++this->depth < kMaxCborNesting;
+  }
+
+  int containers = 0;
   int depth = 0;
 };
 
-// NestingChecker is not called for the nesting of such strings. Exact for the
+// ContainerChecker is not called for the nesting of such strings. Exact for the
 // part of the bytes that is valid CBOR.
 bool HasStringOfIndefiniteLength(std::string_view bytes) {
   constexpr unsigned kByteString = 2;
@@ -86,11 +88,12 @@
   // The library throws if a declared size exceeds the available memory, even
   // with exceptions disabled.
   try {
-    NestingChecker checker;
+    ContainerChecker checker;
     if (!json::sax_parse(bytes, &checker, json::input_format_t::cbor)) {
       return MakeFailure(
           ResultCode::kFrameMalformed,
-          "the bytes are not valid CBOR or are nested too deeply");
+          "the bytes are not valid CBOR, are nested too deeply or have too "
+          "many lists and maps");
     }
     return json::from_cbor(bytes);
   } catch (const json::exception& error) {
--- a/packages/cbor/read_cbor_test.cc
+++ b/packages/cbor/read_cbor_test.cc
@@ -74,6 +74,23 @@
   CHECK(ReadCbor(std::string(kMaxCborNesting - 1, '\x81') + '\x01'));
 }
 
+// Guards against a small message that takes more memory than a process may
+// have.
+TEST_CASE("the number of lists and maps is limited") {
+  const auto list_of = [](std::size_t count, char item) {
+    std::string bytes = "\x9a";
+    for (const unsigned shift : {24U, 16U, 8U, 0U}) {
+      bytes += static_cast<char>(count >> shift);
+    }
+    return bytes + std::string(count, item);
+  };
+  for (const char item : {'\x80', '\xa0'}) {
+    CHECK(ReadCbor(list_of(kMaxCborContainers - 1, item)));
+    CHECK_FALSE(ReadCbor(list_of(kMaxCborContainers, item)));
+  }
+  CHECK(ReadCbor(list_of(4 * kMaxCborContainers, '\x01')));
+}
+
 // Guards against malformed input that crashes the process.
 TEST_CASE("mutated bytes are decoded or rejected") {
   const std::string valid = ToBytes({{"loads", {{1, 2, 3}, {4, 5, 6}}},
