Name the era in each answer of the store stand-in

The stand-in answered a read whose time ended without new records with status 200 and no era. Hosts take such an answer for that of an older store, log store_answer_outdated every 0.4 s while a topic is quiet, and count the store as unavailable.

--- a/standins/platform/platform_store_stand_in.cc
+++ b/standins/platform/platform_store_stand_in.cc
@@ -249,8 +249,8 @@
         if (found != this->waiting.end()) {
           const WaitingRead read = std::move(found->second);
           this->waiting.erase(found);
-          read.writer->Respond(200, {},
-                               this->Page(this->topics[read.topic], read.from));
+          this->Respond(*read.writer, 200,
+                        this->Page(this->topics[read.topic], read.from));
         }
       });
   this->waiting.emplace(number,
