Leave requests to an engine whose reports come late

Seen by callers: a stream of a sound engine was cut, or answered 502 ("the server's machine does not answer"), after 1.6 s without an event, while the agent beside the engine answered.

Cause: the agent waits 60 ms for its engine's report and then answers without one. The host took that answer for the silence of the machine, although it shows that the machine runs. The check is for machines that stand still, which cannot be told that a caller has left; docs/request-stages.md says that neither the agent nor the engine answers there.

An answer of the agent now counts, with a report or without. A machine that stands still has no agent that answers, so the requests there end as before.

The new case of platform_relay_test fails on the code before (2 assertions) and passes now, with the 12 other cases on silent servers. Not shown: an engine that hangs on a machine that runs; its requests go on until their callers leave or their time is over.

--- a/packages/map_task/group_map_task.cc
+++ b/packages/map_task/group_map_task.cc
@@ -124,13 +124,14 @@
   this->NotifySlowRanks();
 }
 
-void GroupMapTask::AskReport(const RankAddress& rank,
-                             bool fall_back_to_engine,
-                             std::function<void(const RankReply& reply)> done) {
+void GroupMapTask::AskReport(
+    const RankAddress& rank,
+    bool fall_back_to_engine,
+    std::function<void(const RankAnswer& answer)> done) {
   this->calls.Start(
       {{rank, {.kind = RankRequestKind::kReport}}}, fall_back_to_engine,
       [done = std::move(done)](const std::vector<RankAnswer>& answers) {
-        done(answers.front().reply);
+        done(answers.front());
       });
 }
 
--- a/packages/map_task/group_map_task.h
+++ b/packages/map_task/group_map_task.h
@@ -61,7 +61,7 @@
   // answer. `done` is called once, with an empty reply if there is no answer.
   void AskReport(const RankAddress& rank,
                  bool fall_back_to_engine,
-                 std::function<void(const RankReply& reply)> done);
+                 std::function<void(const RankAnswer& answer)> done);
   // True while this host is the coordinator of all groups.
   bool IsCoordinator() const;
   // Resigns as coordinator. Unfinished rounds are left to the next coordinator.
--- a/packages/map_task/rank_calls.cc
+++ b/packages/map_task/rank_calls.cc
@@ -112,6 +112,7 @@
   }
   const Pending answered = std::move(request->second);
   this->pending.erase(request);
+  answered.batch->answers[answered.index].agent_answered = true;
   this->Finish(answered.batch, answered.index,
                std::move(message.value().reply));
 }
--- a/packages/map_task/rank_calls.h
+++ b/packages/map_task/rank_calls.h
@@ -44,6 +44,8 @@
   std::string server;
   // Status 0 if no answer came.
   RankReply reply;
+  // The reply is the agent's, perhaps without what its engine did not answer.
+  bool agent_answered = false;
 };
 
 class RankCalls {
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -49,8 +49,9 @@
         // still.
         this->AskAgent(
             server, true,
-            [done = std::move(done)](const std::optional<RankReply>& reply) {
-              done(!reply || reply->report);
+            [done = std::move(done)](const std::optional<RankAnswer>& answer) {
+              // An engine may be slow on a machine that runs.
+              done(!answer || answer->agent_answered || answer->reply.report);
             });
       }),
       quarantine(loop, this->metrics),
@@ -105,7 +106,7 @@
 void RelayHost::AskAgent(
     const ListedServer& server,
     bool fall_back_to_engine,
-    std::function<void(const std::optional<RankReply>&)> done) {
+    std::function<void(const std::optional<RankAnswer>&)> done) {
   const PlatformView& view = this->view_task->view();
   const auto listed = view.servers.find(server.id);
   const auto service = view.traffic->services.find(server.service);
@@ -248,9 +249,9 @@
               std::function<void(EngineState state)> done) {
          this->AskAgent(server, false,
                         [server, done = std::move(done)](
-                            const std::optional<RankReply>& reply) {
-                          done(reply ? ClassifyEngine(*reply, server)
-                                     : EngineState::kUnknown);
+                            const std::optional<RankAnswer>& answer) {
+                          done(answer ? ClassifyEngine(answer->reply, server)
+                                      : EngineState::kUnknown);
                         });
        },
        [this] { this->dispatcher.OnVerdictsChanged(); },
--- a/packages/relay/relay_host.h
+++ b/packages/relay/relay_host.h
@@ -65,7 +65,7 @@
   // empty reply if there is no answer.
   void AskAgent(const ListedServer& server,
                 bool fall_back_to_engine,
-                std::function<void(const std::optional<RankReply>&)> done);
+                std::function<void(const std::optional<RankAnswer>&)> done);
   Result<bool> ListenReadiness();
   std::string FormatMetrics();
   void UpdateMemoryGauges();
--- a/packages/relay/server_silence.h
+++ b/packages/relay/server_silence.h
@@ -21,7 +21,7 @@
 
 class ServerSilence {
  public:
-  // Asks the server's agent whether the engine answers. `done` is called once,
+  // Asks whether the server's machine answers. `done` is called once,
   // never inside this call; its argument is false only if there was no answer.
   using Ask = std::function<void(const ListedServer& server,
                                  std::function<void(bool answers)> done)>;
--- a/standins/platform/platform_relay_test.cc
+++ b/standins/platform/platform_relay_test.cc
@@ -525,15 +525,21 @@
                    R"("sets":1,"places":4,"spare":1}})");
     this->store.Put("keyed.op", "config", config);
     this->List("i-1", this->first, "ready");
+    this->StartAgent(this->group.Port(0));
+    this->first.report = [this] { return this->group.Report(0); };
+  }
+
+  // Starts an agent in place of the present one.
+  void StartAgent(std::uint16_t engine_port) {
+    this->agent.reset();
     RankAgentSettings agent_settings;
     agent_settings.process = "agent";
     agent_settings.listen = {"127.0.0.1", this->settings.report_port};
     agent_settings.metrics = {"127.0.0.1", 0};
-    agent_settings.engine = {"127.0.0.1", this->group.Port(0)};
+    agent_settings.engine = {"127.0.0.1", engine_port};
     this->agent = std::make_unique<RankAgent>(this->loop, agent_settings,
                                               platform::EngineCodec());
     REQUIRE(this->agent->Start());
-    this->first.report = [this] { return this->group.Report(0); };
   }
 
   // The machine of the engine and its agent does not run any more.
@@ -722,6 +728,28 @@
   CHECK(caller.parser.TakeBody() == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
 
+// Guards against an answer that is cut because its engine takes longer for a
+// report than the agent beside it waits.
+TEST_CASE("a request is left to its server while reports come late") {
+  RankSite site;
+  site.Start();
+  REQUIRE(Serves(site));
+  ScriptedAnswer slow;
+  slow.bytes = StreamHead() + Chunk("id: 1\ndata: a\n\n");
+  slow.later = Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
+  slow.delay = Milliseconds(1800);
+  site.first.script.push_back(slow);
+  Caller caller(site.loop, site.settings.callers.port);
+  std::string request = Request("POST", "/m/x", "r1", "", "p");
+  caller.connection->Write(request.replace(request.find("1500"), 4, "6000"));
+  REQUIRE(site.RunUntil([&] { return caller.parser.head_done(); }));
+  site.first.report_delay = Milliseconds(100);
+  site.StartAgent(site.first.Port());
+  CHECK(site.RunUntil([&] { return caller.parser.done() || caller.ended; }));
+  CHECK(caller.parser.done());
+  CHECK(caller.parser.TakeBody() == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
 // Guards against time that a request waited for room and its caller did too,
 // and that is left out of the limit on silence.
 TEST_CASE("the limit on silence counts from the arrival of the request") {
--- a/standins/platform/sealed_server_stand_in.cc
+++ b/standins/platform/sealed_server_stand_in.cc
@@ -91,9 +91,16 @@
     session.parser = std::make_unique<RequestParser>(ParserLimits{});
     if (this->report) {
       const std::string text = this->report();
-      session.connection->Write(
-          "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(text.size()) +
-          "\r\n\r\n" + text);
+      session.timer = std::make_unique<Timer>(
+          this->loop, this->report_delay, Duration(0),
+          [this, number,
+           answer = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                    std::to_string(text.size()) + "\r\n\r\n" + text] {
+            const auto found = this->sessions.find(number);
+            if (found != this->sessions.end()) {
+              found->second.connection->Write(answer);
+            }
+          });
     }
     return;
   }
--- a/standins/platform/sealed_server_stand_in.h
+++ b/standins/platform/sealed_server_stand_in.h
@@ -68,6 +68,8 @@
   // The text of the engine's report. Without it, questions for the report are
   // not answered, as by an engine whose machine stands still.
   std::function<std::string()> report;
+  // How long a question for the report waits for its answer.
+  Duration report_delay{0};
 
  private:
   struct Session {
