Keep a receive buffer that was raised until the connection ends

The kernel then dropped what the caller sent into the window it had been offered: the second body of 3 MB on a kept connection stood still after 32 KB, and its caller's connection broke after 3.4 s without an answer.

The buffer stays raised, as its memory is held until the connection ends anyway. It is counted for bodies of up to 256 KB, so that the metric of large bodies is that of bodies alone.

--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -99,7 +99,7 @@
   this->connection->LimitSendBuffer(kSendBufferBytes);
   this->connection_hold = context.memory.Open(MemoryUse::kConnection);
   this->refuses_requests = !this->connection_hold.Resize(kConnectionBytes);
-  this->raised_buffer_hold = context.memory.Open(MemoryUse::kLargeBody);
+  this->raised_buffer_hold = context.memory.Open(MemoryUse::kSmallBody);
   this->pipelined_hold = context.memory.Open(MemoryUse::kConnection);
   this->answer_hold = context.memory.Open(MemoryUse::kAnswer);
   this->LimitReads();
@@ -241,19 +241,11 @@
 }
 
 void CallerSession::RaiseReceiveBuffer(std::size_t bytes) {
-  // The caller may fill the larger window at any later time, so the memory is
-  // held until the connection ends.
-  const std::size_t most =
-      std::max(this->raised_buffer_hold.bytes(), 2 * bytes);
-  if (this->raised_buffer_hold.Resize(most)) {
+  // The buffer is not lowered again before the connection ends: the kernel
+  // would drop bytes that the caller sends into the window it was offered.
+  if (2 * bytes > this->raised_buffer_hold.bytes() &&
+      this->raised_buffer_hold.Resize(2 * bytes)) {
     this->connection->LimitReceiveBuffer(bytes);
-    this->receive_buffer_raised = true;
-  }
-}
-
-void CallerSession::LowerReceiveBuffer() {
-  if (std::exchange(this->receive_buffer_raised, false)) {
-    this->connection->LimitReceiveBuffer(kReceiveBufferBytes);
   }
 }
 
@@ -297,7 +289,6 @@
 
 void CallerSession::StartRequest() {
   this->phase = Phase::kResponding;
-  this->LowerReceiveBuffer();
   this->KeepPipelined(this->parser->TakeUnparsedBytes());
   RequestHead head = this->parser->head();
   std::shared_ptr<const std::string> body = this->TakeBody();
@@ -422,7 +413,6 @@
     return;
   }
   this->phase = Phase::kIdle;
-  this->LowerReceiveBuffer();
   this->waiting_since = EventLoop::Now();
   this->idle_timeout = this->Limits().idle_timeout;
   this->connection_hold.Resize(kConnectionBytes);
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -80,9 +80,9 @@
   bool ReserveBody();
   // Returns false if the request was refused.
   bool TakeBodyAnswer(BodyAnswer answer);
-  // Lets the kernel hold more unread bytes, if there is memory for them.
+  // Lets the kernel hold more unread bytes from now on, if there is memory for
+  // them.
   void RaiseReceiveBuffer(std::size_t bytes);
-  void LowerReceiveBuffer();
   // Refuses the request for want of memory. `expected_wait`: until there may be
   // some.
   void RefuseBody(Duration expected_wait);
@@ -167,7 +167,6 @@
   // Of the connection and, while there is one, its request.
   MemoryHold connection_hold;
   MemoryHold raised_buffer_hold;
-  bool receive_buffer_raised = false;
   // Of responses that their server or their caller has not ended yet.
   MemoryHold answer_hold;
   // Of the body that is being read.
--- a/standins/platform/body_memory_test.cc
+++ b/standins/platform/body_memory_test.cc
@@ -1,4 +1,5 @@
 // Bodies that wait for memory, and how it is given back.
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -212,6 +213,33 @@
   CHECK(site.first.bodies.back().size() == 2'015'000);
 }
 
+// Guards against limits that a sound request meets when nothing else is held.
+TEST_CASE("a body of the largest size is served in chunks of any size") {
+  constexpr std::size_t kLargestBytes = 4 * kMebibyte;
+  Site site;
+  site.settings.memory_bytes = 128 * kMebibyte;
+  site.store.Put("keyed.op", "config", LargeBodyConfig());
+  site.List("i-1", site.first, "ready");
+  site.Start();
+  REQUIRE(Serves(site));
+  Caller kept(site.loop, site.settings.callers);
+  for (const std::size_t chunk_bytes : {7, 1000, 65'536, 4'194'304}) {
+    INFO("chunks of " << chunk_bytes << " bytes");
+    std::string bytes = ChunkedHead("c" + std::to_string(chunk_bytes));
+    for (std::size_t left = kLargestBytes; left > 0;) {
+      const std::size_t size = std::min(left, chunk_bytes);
+      bytes += Chunk(size);
+      left -= size;
+    }
+    kept.parser = ResponseParser(true);
+    kept.connection->Write(bytes + std::string(LastChunk()));
+    REQUIRE(site.RunUntil([&] { return Ended(kept); }, Seconds(10)));
+    CHECK(Status(kept) == 200);
+    CHECK_FALSE(kept.ended);
+    CHECK(site.first.bodies.back().size() == kLargestBytes);
+  }
+}
+
 TEST_CASE("a small body in chunks needs no memory of its own") {
   SmallSite site;
   site.Delay(Seconds(1));
