Count what the head of a request takes once it is parsed

A head of 16 KB with 250 fields takes more than the 32 KB that were counted for a request with its body and its server's answer, and an unfinished chunk line was not counted: 47 KB resident for each such client were measured.

RequestParser reports the memory of its head and of input that is not parsed yet; a session counts twice that, as the head is copied for the server, beyond 4 KB. A request without memory for its head is refused with 503.

--- a/packages/http_stream/http_stream_test.cc
+++ b/packages/http_stream/http_stream_test.cc
@@ -1,3 +1,4 @@
+#include <malloc.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -190,6 +191,35 @@
   CHECK(parser.TakeUnparsedBytes() == "GET /b HTTP/1.1\r\n");
 }
 
+std::size_t AllocatedBytes() {
+  const struct mallinfo2 heap = mallinfo2();
+  return heap.uordblks + heap.hblkhd;
+}
+
+// Guards against heads that take more memory than is counted for them.
+TEST_CASE("the memory of a head is counted as the allocator does") {
+  // Freed blocks that the allocator caches count as allocated.
+  constexpr std::size_t kCachedBytes = 4096;
+  for (const std::size_t value_bytes : {1, 20, 50}) {
+    for (const char* end : {"", "\r\n"}) {
+      std::string head = "GET /a HTTP/1.1\r\nHost: h\r\n";
+      for (int i = 0; i < 250; ++i) {
+        head += "F" + std::to_string(i) + ": " + std::string(value_bytes, 'v') +
+                "\r\n";
+      }
+      head += end;
+      const std::size_t before = AllocatedBytes();
+      RequestParser parser(ParserLimits{20'000, 0});
+      parser.Feed(head);
+      const std::size_t taken = AllocatedBytes() - before;
+      INFO(value_bytes << " bytes a value, ended by '" << end << "'");
+      CHECK(parser.problem() == ParseProblem::kNone);
+      CHECK(parser.head_memory_bytes() + kCachedBytes >= taken);
+      CHECK(parser.head_memory_bytes() <= 2 * taken);
+    }
+  }
+}
+
 TEST_CASE("too large headers and bodies are reported separately") {
   RequestParser small(ParserLimits{64, 4});
   small.Feed("GET /" + std::string(200, 'a') + " HTTP/1.1\r\nHost: h\r\n\r\n");
--- a/packages/http_stream/message_parser.cc
+++ b/packages/http_stream/message_parser.cc
@@ -72,6 +72,15 @@
   return ParseProblem::kMalformed;
 }
 
+// Bytes that the allocator adds to a block.
+constexpr std::size_t kBlockBytes = 16;
+
+// Memory of a text outside of its object.
+std::size_t TextMemoryBytes(const std::string& text) {
+  static const std::size_t inline_bytes = std::string().capacity();
+  return text.capacity() <= inline_bytes ? 0 : text.capacity() + kBlockBytes;
+}
+
 // Stores the message that Beast parses. `Head` is RequestHead or ResponseHead.
 template <bool IsRequest, typename Head>
 class Collector : public http::basic_parser<IsRequest> {
@@ -85,6 +94,8 @@
   std::size_t trailer_bytes = 0;
   // Bytes of the current chunk that have not been received yet.
   std::uint64_t chunk_left = 0;
+  // Memory of the fields that have been parsed.
+  std::size_t field_memory_bytes = 0;
   // Bytes of the start line and the fields that have been parsed.
   std::size_t head_bytes = 0;
   std::size_t max_head_bytes = 0;
@@ -145,6 +156,9 @@
       return;
     }
     this->head.headers.push_back({ToString(name), ToString(value)});
+    const HttpHeader& field = this->head.headers.back();
+    this->field_memory_bytes +=
+        TextMemoryBytes(field.name) + TextMemoryBytes(field.value);
   }
   void on_header_impl(error_code& error) override { error = {}; }
   void on_body_init_impl(const boost::optional<std::uint64_t>& content_length,
@@ -325,6 +339,13 @@
 std::size_t RequestParser::held_bytes() const {
   return this->state->parser.body.size() + this->state->pending.size();
 }
+std::size_t RequestParser::head_memory_bytes() const {
+  const State& state = *this->state;
+  return sizeof(State) + TextMemoryBytes(state.pending) +
+         TextMemoryBytes(state.parser.head.target) +
+         state.parser.head.headers.capacity() * sizeof(HttpHeader) +
+         state.parser.field_memory_bytes;
+}
 std::optional<std::uint64_t> RequestParser::content_length() const {
   const boost::optional<std::uint64_t> length =
       this->state->parser.content_length();
--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -49,6 +49,8 @@
 // holds unread of its server's answer.
 constexpr std::size_t kRequestBytes =
     std::size_t{16} * 1024 + 2 * kReceiveBufferBytes;
+// Heads that take up to this, twice, are part of kRequestBytes.
+constexpr std::size_t kSmallHeadBytes = std::size_t{4} * 1024;
 // Bodies up to this size are part of kRequestBytes.
 constexpr std::size_t kSmallRequestBodyBytes = std::size_t{16} * 1024;
 // Answers up to this size are part of kRequestBytes.
@@ -176,6 +178,10 @@
       this->RefuseInput(501, "unknown transfer coding");
       return;
   }
+  if (!this->ReserveHead()) {
+    this->RefuseInput(503, "no memory for the request", kMinMemoryRetryAfter);
+    return;
+  }
   if (this->parser->done()) {
     this->StartRequest();
     return;
@@ -192,6 +198,15 @@
   this->LimitReads();
 }
 
+bool CallerSession::ReserveHead() {
+  // The parsed head is copied for the server that gets the request.
+  const std::size_t head = 2 * this->parser->head_memory_bytes();
+  const std::size_t other = kRequestBytes - kSmallHeadBytes;
+  return this->connection_hold.Resize(
+      std::max(this->connection_hold.bytes(),
+               kConnectionBytes + std::max(kRequestBytes, head + other)));
+}
+
 bool CallerSession::ReserveBody() {
   if (this->body_ticket) {
     return false;
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -88,6 +88,9 @@
   void RefuseBody(Duration expected_wait);
   // When a body must have got its memory.
   TimePoint BodyWaitEnd(TimePoint now) const;
+  // Counts what the head that is being read takes. Returns false if there is no
+  // memory for it.
+  bool ReserveHead();
   // Gives back what is held for a request that is being read.
   void ReleaseInput();
   std::shared_ptr<const std::string> TakeBody();
