Count unparsed input of a request that is read, not of later ones

Input behind a complete request was counted for its head and as pipelined input as well: 'little is held of requests behind one that is not answered' failed since with 91,462 bytes of 69,632, in one of 62 cases of its program. A complete request counts its head alone; the session takes the rest at once and counts it as pipelined.

After: the cases of pipelined_memory_test and body_memory_test pass, as does http_stream_test, whose comparison now leaves out what the session takes.

--- a/packages/http_stream/http_stream_test.cc
+++ b/packages/http_stream/http_stream_test.cc
@@ -211,6 +211,9 @@
       const std::size_t before = AllocatedBytes();
       RequestParser parser(ParserLimits{20'000, 0});
       parser.Feed(head);
+      if (parser.done()) {
+        parser.TakeUnparsedBytes();
+      }
       const std::size_t taken = AllocatedBytes() - before;
       INFO(value_bytes << " bytes a value, ended by '" << end << "'");
       CHECK(parser.problem() == ParseProblem::kNone);
--- a/packages/http_stream/message_parser.cc
+++ b/packages/http_stream/message_parser.cc
@@ -341,8 +341,9 @@
 }
 std::size_t RequestParser::head_memory_bytes() const {
   const State& state = *this->state;
-  return sizeof(State) + TextMemoryBytes(state.pending) +
-         TextMemoryBytes(state.parser.head.target) +
+  const std::size_t unparsed =
+      state.parser.is_done() ? 0 : TextMemoryBytes(state.pending);
+  return sizeof(State) + unparsed + TextMemoryBytes(state.parser.head.target) +
          state.parser.head.headers.capacity() * sizeof(HttpHeader) +
          state.parser.field_memory_bytes;
 }
--- a/packages/http_stream/message_parser.h
+++ b/packages/http_stream/message_parser.h
@@ -50,8 +50,8 @@
   const RequestHead& head() const;
   // Bytes of the body and of what has not been parsed yet.
   std::size_t held_bytes() const;
-  // Memory that the head and what has not been parsed yet take, without the
-  // body. Many short fields take several times their bytes.
+  // Memory that the head and what has not been parsed yet of the request take,
+  // without the body. Many short fields take several times their bytes.
   std::size_t head_memory_bytes() const;
   // The length of the body, once the head has arrived and if it names one.
   std::optional<std::uint64_t> content_length() const;
