--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -49,6 +49,8 @@
 // holds unread of its server's answer.
 constexpr std::size_t kRequestBytes =
     std::size_t{16} * 1024 + 2 * kReceiveBufferBytes;
+// Heads that take up to this, twice, are part of kRequestBytes.
+constexpr std::size_t kSmallHeadBytes = std::size_t{4} * 1024;
 // Bodies up to this size are part of kRequestBytes.
 constexpr std::size_t kSmallRequestBodyBytes = std::size_t{16} * 1024;
 // Answers up to this size are part of kRequestBytes.
@@ -99,7 +101,7 @@
   this->connection->LimitSendBuffer(kSendBufferBytes);
   this->connection_hold = context.memory.Open(MemoryUse::kConnection);
   this->refuses_requests = !this->connection_hold.Resize(kConnectionBytes);
-  this->raised_buffer_hold = context.memory.Open(MemoryUse::kLargeBody);
+  this->raised_buffer_hold = context.memory.Open(MemoryUse::kSmallBody);
   this->pipelined_hold = context.memory.Open(MemoryUse::kConnection);
   this->answer_hold = context.memory.Open(MemoryUse::kAnswer);
   this->LimitReads();
@@ -176,6 +178,10 @@
       this->RefuseInput(501, "unknown transfer coding");
       return;
   }
+  if (!this->ReserveHead()) {
+    this->RefuseInput(503, "no memory for the request", kMinMemoryRetryAfter);
+    return;
+  }
   if (this->parser->done()) {
     this->StartRequest();
     return;
@@ -192,6 +198,15 @@
   this->LimitReads();
 }
 
+bool CallerSession::ReserveHead() {
+  // The parsed head is copied for the server that gets the request.
+  const std::size_t head = 2 * this->parser->head_memory_bytes();
+  const std::size_t other = kRequestBytes - kSmallHeadBytes;
+  return this->connection_hold.Resize(
+      std::max(this->connection_hold.bytes(),
+               kConnectionBytes + std::max(kRequestBytes, head + other)));
+}
+
 bool CallerSession::ReserveBody() {
   if (this->body_ticket) {
     return false;
@@ -241,19 +256,11 @@
 }
 
 void CallerSession::RaiseReceiveBuffer(std::size_t bytes) {
-  // The caller may fill the larger window at any later time, so the memory is
-  // held until the connection ends.
-  const std::size_t most =
-      std::max(this->raised_buffer_hold.bytes(), 2 * bytes);
-  if (this->raised_buffer_hold.Resize(most)) {
+  // The buffer is not lowered again before the connection ends: the kernel
+  // would drop bytes that the caller sends into the window it was offered.
+  if (2 * bytes > this->raised_buffer_hold.bytes() &&
+      this->raised_buffer_hold.Resize(2 * bytes)) {
     this->connection->LimitReceiveBuffer(bytes);
-    this->receive_buffer_raised = true;
-  }
-}
-
-void CallerSession::LowerReceiveBuffer() {
-  if (std::exchange(this->receive_buffer_raised, false)) {
-    this->connection->LimitReceiveBuffer(kReceiveBufferBytes);
   }
 }
 
@@ -297,7 +304,6 @@
 
 void CallerSession::StartRequest() {
   this->phase = Phase::kResponding;
-  this->LowerReceiveBuffer();
   this->KeepPipelined(this->parser->TakeUnparsedBytes());
   RequestHead head = this->parser->head();
   std::shared_ptr<const std::string> body = this->TakeBody();
@@ -422,7 +428,6 @@
     return;
   }
   this->phase = Phase::kIdle;
-  this->LowerReceiveBuffer();
   this->waiting_since = EventLoop::Now();
   this->idle_timeout = this->Limits().idle_timeout;
   this->connection_hold.Resize(kConnectionBytes);
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -80,14 +80,17 @@
   bool ReserveBody();
   // Returns false if the request was refused.
   bool TakeBodyAnswer(BodyAnswer answer);
-  // Lets the kernel hold more unread bytes, if there is memory for them.
+  // Lets the kernel hold more unread bytes from now on, if there is memory for
+  // them.
   void RaiseReceiveBuffer(std::size_t bytes);
-  void LowerReceiveBuffer();
   // Refuses the request for want of memory. `expected_wait`: until there may be
   // some.
   void RefuseBody(Duration expected_wait);
   // When a body must have got its memory.
   TimePoint BodyWaitEnd(TimePoint now) const;
+  // Counts what the head that is being read takes. Returns false if there is no
+  // memory for it.
+  bool ReserveHead();
   // Gives back what is held for a request that is being read.
   void ReleaseInput();
   std::shared_ptr<const std::string> TakeBody();
@@ -167,7 +170,6 @@
   // Of the connection and, while there is one, its request.
   MemoryHold connection_hold;
   MemoryHold raised_buffer_hold;
-  bool receive_buffer_raised = false;
   // Of responses that their server or their caller has not ended yet.
   MemoryHold answer_hold;
   // Of the body that is being read.
