--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -37,9 +37,9 @@
 constexpr Duration kBodyStallTimeout = Seconds(5);
 
 constexpr std::size_t kSendBufferBytes = std::size_t{128} * 1024;
-// While a body is read that memory was reserved for, and while reading is
-// paused behind later requests: the end of the connection is noticed only if
-// all bytes before it fit. TCP windows stay below 64 KB, as their scale is
+// From the first body on that memory was reserved for, or from a pause of
+// reading behind later requests on: the end of the connection is noticed only
+// if all bytes before it fit. TCP windows stay below 64 KB, as their scale is
 // fixed by the buffer of the listener.
 constexpr std::size_t kRaisedReceiveBufferBytes = std::size_t{128} * 1024;
 // What an open connection takes, with all that the kernel holds unread.
