Give started hosts in tests ports that no socket of the machine holds

Cause: FreePort asks the system for a port and gives it up at once. A site in the test's own process tries again with other ports; a started program and the hosts of a fleet cannot.

Change: these take ports below the range from which the system chooses, on an address of the process's own, and none is returned twice (NextOwnAddress). The range begins at a number of the process's own, as agents of some cases bind the same number on 127.0.0.1.

--- a/standins/platform/client_crowd_test.cc
+++ b/standins/platform/client_crowd_test.cc
@@ -440,8 +440,8 @@
       (std::filesystem::temp_directory_path() / "agent_XXXXXX").string();
   REQUIRE(mkdtemp(pattern.data()) != nullptr);
   const std::filesystem::path directory = pattern;
-  const Address agent{OwnLoopbackIp(), FreePort()};
-  const Address metrics{OwnLoopbackIp(), FreePort()};
+  const Address agent = NextOwnAddress();
+  const Address metrics = NextOwnAddress();
   const auto port = [](const Address& address) {
     return address.ip + ":" + std::to_string(address.port);
   };
--- a/standins/platform/own_loopback.h
+++ b/standins/platform/own_loopback.h
@@ -23,9 +23,14 @@
 
 // An address on OwnLoopbackIp that was not returned before. The ports are below
 // those that the system chooses for sockets, some of which are bound to all
-// addresses.
+// addresses. They begin at a number of the process's own, as some are bound on
+// 127.0.0.1 too.
 inline Address NextOwnAddress() {
-  static std::uint16_t next_port = 12000;
+  constexpr std::uint16_t kFirstPort = 12000;
+  constexpr int kPortsPerProcess = 200;
+  constexpr int kRanges = 100;
+  static auto next_port = static_cast<std::uint16_t>(
+      kFirstPort + getpid() % kRanges * kPortsPerProcess);
   return {OwnLoopbackIp(), next_port++};
 }
 
--- a/standins/platform/relay_fleet.h
+++ b/standins/platform/relay_fleet.h
@@ -31,6 +31,7 @@
   std::vector<std::unique_ptr<RelayHost>> hosts;
 
   explicit RelayFleet(int count) {
+    this->TakeOwnAddresses();
     for (int i = 0; i < count; ++i) {
       RelaySettings host = this->settings;
       const std::string ip = OwnLoopbackIp(10 + i);
--- a/standins/platform/relay_process.h
+++ b/standins/platform/relay_process.h
@@ -36,10 +36,7 @@
 
   explicit RelayProcess(Duration grace, std::size_t memory_mb = 160) {
     this->settings.grace = grace;
-    for (Address* address : {&this->settings.callers, &this->settings.readiness,
-                             &this->settings.control}) {
-      address->ip = OwnLoopbackIp();
-    }
+    this->TakeOwnAddresses();
     std::string pattern =
         (std::filesystem::temp_directory_path() / "relay_XXXXXX").string();
     REQUIRE(mkdtemp(pattern.data()) != nullptr);
@@ -56,7 +53,7 @@
                         << "\ncontrol = " << port(this->settings.control)
                         << "\nreport_port = " << this->settings.report_port
                         << "\nmetrics_port = " << this->settings.metrics_port
-                        << "\nrank_call_port = " << FreePort()
+                        << "\nrank_call_port = " << NextOwnAddress().port
                         << "\npermit_port = " << this->settings.permit_port
                         << "\n[store]\naddress = " << port(this->settings.store)
                         << "\n[peers]\nseeds = " << port(this->settings.control)
--- a/standins/platform/relay_site.h
+++ b/standins/platform/relay_site.h
@@ -18,6 +18,7 @@
 #include "platform/engine_calls.h"
 #include "platform/platform_codec.h"
 #include "relay/relay_host.h"
+#include "standins/platform/own_loopback.h"
 #include "standins/platform/platform_store_stand_in.h"
 #include "standins/platform/sealed_server_stand_in.h"
 
@@ -109,6 +110,17 @@
     this->settings.permit_port = FreePort();
   }
 
+  // For hosts that are started once: FreePort may return a port twice, and the
+  // system may give it to a socket of another process before the start.
+  void TakeOwnAddresses() {
+    this->settings.callers = NextOwnAddress();
+    this->settings.readiness = NextOwnAddress();
+    this->settings.control = NextOwnAddress();
+    this->settings.report_port = NextOwnAddress().port;
+    this->settings.metrics_port = NextOwnAddress().port;
+    this->settings.permit_port = NextOwnAddress().port;
+  }
+
   // Another process may take a port between FreePort and the start, which then
   // fails with kSettingsInvalid.
   void Start() {
