Test starts with signals that the parent has blocked

Seen: a signal that comes before the first instruction of a process ends it, as the kernel's default actions hold then. A mask is inherited through execve, so a parent can block SIGHUP, SIGINT and SIGTERM before it forks; no test showed that the program keeps them pending through its whole start.

Change: TestProcess and ChildProcess start a process with these signals blocked on request. The copy of the parent before execve cannot be ended by them either, so such a start does not wait for the program. Two cases, for all four roles: SIGHUP, and SIGHUP with SIGTERM, 0 to 5 ms after the fork; and SIGHUP, SIGTERM or SIGINT that is pending before execve, so that any moment at which the mask is opened before the handlers stand ends the process.

--- a/apps/process_signals_test.cc
+++ b/apps/process_signals_test.cc
@@ -14,6 +14,7 @@
 #include <catch2/catch.hpp>
 
 #include "apps/process_site.h"
+#include "event_loop/event_loop.h"
 #include "standins/platform/relay_site.h"
 
 namespace toucanhollow {
@@ -24,6 +25,11 @@
 constexpr int kMoments = 20;
 constexpr Duration kMomentStep = Duration(600);
 
+// Signals that the parent has blocked are sent this long after the fork.
+constexpr std::array<Duration, 6> kMomentsAfterFork = {
+    Duration(0),    Duration(200),  Duration(500),
+    Duration(1000), Duration(2000), Duration(5000)};
+
 constexpr std::array<ProcessRole, 4> kRoles = {
     ProcessRole::kRelay, ProcessRole::kRankAgent, ProcessRole::kEntryHost,
     ProcessRole::kEndpoint};
@@ -48,6 +54,36 @@
   }
 };
 
+// Counts "reloaded" of either interface.
+int CountReloads(const TestProcess& process) {
+  return process.CountInLog("\"event\":\"reloaded\"") +
+         process.CountInLog("reloaded phase=");
+}
+
+// A process that was sent a SIGHUP, a stop or both has handled them.
+void CheckSignalsHandled(TestProcess& process, bool stopped) {
+  if (stopped) {
+    CHECK(WaitUntil([&] { return !process.IsRunning(); }));
+    INFO(process.Log());
+    CHECK(process.HasExitedWith(0));
+    CHECK(process.CountInLog("exiting") == 1);
+    return;
+  }
+  const bool started = process.WaitForStart();
+  WaitUntil([&] { return CountReloads(process) > 0 || !process.IsRunning(); });
+  INFO(process.Log());
+  CHECK(started);
+  CHECK(CountReloads(process) == 1);
+  CHECK(process.IsRunning());
+}
+
+// Without the inaccuracy of a timer.
+void SleepExactly(Duration time) {
+  const TimePoint end = EventLoop::Now() + time;
+  while (EventLoop::Now() < end) {
+  }
+}
+
 int ThreadsOf(TestProcess& process) {
   process.Start();
   REQUIRE(process.WaitForStart());
@@ -75,15 +111,7 @@
     Started started;
     REQUIRE(started.SignalAtEachMoment(role, {SIGHUP}) == kMoments);
     for (const auto& process : started.processes) {
-      INFO(process->Log());
-      CHECK(process->WaitForStart());
-      const auto count_reloads = [&] {
-        return process->CountInLog("\"event\":\"reloaded\"") +
-               process->CountInLog("reloaded phase=");
-      };
-      WaitUntil([&] { return count_reloads() > 0 || !process->IsRunning(); });
-      CHECK(count_reloads() == 1);
-      CHECK(process->IsRunning());
+      CheckSignalsHandled(*process, false);
     }
   }
 }
@@ -94,10 +122,44 @@
     Started started;
     REQUIRE(started.SignalAtEachMoment(role, {SIGTERM, SIGINT}) == kMoments);
     for (const auto& process : started.processes) {
-      CHECK(WaitUntil([&] { return !process->IsRunning(); }));
-      INFO(process->Log());
-      CHECK(process->HasExitedWith(0));
-      CHECK(process->CountInLog("exiting") == 1);
+      CheckSignalsHandled(*process, true);
+    }
+  }
+}
+
+// Guards against signals of a start that are lost or end the process although
+// its parent blocked them before.
+TEST_CASE("SIGHUP and SIGTERM that the parent blocks wait for the handlers") {
+  for (const ProcessRole role : kRoles) {
+    for (const bool stopped : {false, true}) {
+      std::vector<std::unique_ptr<TestProcess>> processes;
+      for (const Duration moment : kMomentsAfterFork) {
+        processes.push_back(std::make_unique<TestProcess>(
+            role, 1 + static_cast<int>(processes.size())));
+        TestProcess& process = *processes.back();
+        process.Start(StartMask::kSignalsBlocked);
+        SleepExactly(moment);
+        process.Signal(SIGHUP);
+        if (stopped) {
+          process.Signal(SIGTERM);
+        }
+      }
+      for (const auto& process : processes) {
+        CheckSignalsHandled(*process, stopped);
+      }
+    }
+  }
+}
+
+// Guards against a moment of the start at which a signal that is pending since
+// before the program is let through to its default action.
+TEST_CASE("signals that are pending when the program begins are handled") {
+  for (const ProcessRole role : kRoles) {
+    for (const std::string signal : {"HUP", "TERM", "INT"}) {
+      TestProcess process(role, 1, "kill -" + signal + " $$");
+      process.Start(StartMask::kSignalsBlocked);
+      INFO(signal);
+      CheckSignalsHandled(process, signal != "HUP");
     }
   }
 }
--- a/apps/process_site.h
+++ b/apps/process_site.h
@@ -47,7 +47,9 @@
   TestProcess(ProcessRole role, int number, const std::string& commands);
   TestProcess(ProcessRole role, int number, const OtherProgram& program);
 
-  void Start() { this->child.Start(); }
+  void Start(StartMask mask = StartMask::kInherited) {
+    this->child.Start(mask);
+  }
   void Signal(int signal) { this->child.Signal(signal); }
   bool IsRunning() { return this->child.IsRunning(); }
   // True if it has ended with this exit status, and not by a signal.
--- a/standins/process/child_process.cc
+++ b/standins/process/child_process.cc
@@ -15,6 +15,7 @@
 #include <utility>
 
 #include "base/check.h"
+#include "process_signals/process_signals.h"
 
 namespace toucanhollow {
 namespace {
@@ -64,7 +65,7 @@
   }
 }
 
-void ChildProcess::Start() {
+void ChildProcess::Start(StartMask mask) {
   InternalCheck(!this->IsRunning(), "a process is started once at a time");
   std::vector<char*> raw;
   for (std::string& argument : this->arguments) {
@@ -74,6 +75,11 @@
   // The program's start closes the other end.
   std::array<int, 2> started{};
   InternalCheck(pipe2(started.data(), O_CLOEXEC) == 0, "a pipe can be opened");
+  sigset_t before;
+  pthread_sigmask(SIG_SETMASK, nullptr, &before);
+  if (mask == StartMask::kSignalsBlocked) {
+    BlockProcessSignals();
+  }
   this->child = fork();
   InternalCheck(this->child >= 0, "a child process can be started");
   if (this->child == 0) {
@@ -96,9 +102,11 @@
     constexpr int kNotStarted = 127;
     _exit(kNotStarted);
   }
+  pthread_sigmask(SIG_SETMASK, &before, nullptr);
   close(started[1]);
   char byte = 0;
-  while (read(started[0], &byte, 1) < 0 && errno == EINTR) {
+  while (mask == StartMask::kInherited && read(started[0], &byte, 1) < 0 &&
+         errno == EINTR) {
   }
   close(started[0]);
 }
--- a/standins/process/child_process.h
+++ b/standins/process/child_process.h
@@ -20,6 +20,14 @@
   std::uint64_t data_bytes = 0;
 };
 
+// The mask of signals that a process inherits.
+enum class StartMask {
+  kInherited,
+  // SIGTERM, SIGINT and SIGHUP are blocked, so that they stay pending until the
+  // process unblocks them.
+  kSignalsBlocked
+};
+
 class ChildProcess {
  public:
   // `log_file` gets what the process writes.
@@ -32,8 +40,9 @@
   ChildProcess& operator=(const ChildProcess&) = delete;
 
   // Returns once the program has begun, so that a signal reaches the program
-  // and not the copy of this process before it.
-  void Start();
+  // and not the copy of this process before it. With blocked signals, which
+  // stay pending for the program, it returns at once.
+  void Start(StartMask mask = StartMask::kInherited);
   void Signal(int signal);
   // Whether the process blocks or catches the signal. False while the dynamic
   // loader works: its default action ends the process then.
