Let the fault soak block signals before each start

It could hold signals back (--nosignals_while_loading), but could not play a supervisor that blocks them before it starts a process.

Hosts and agents start with SIGHUP, SIGINT and SIGTERM blocked and unblock them themselves.

--- a/soak/agent_process.cc
+++ b/soak/agent_process.cc
@@ -27,6 +27,7 @@
   process.first_signal_after = options.first_signal_after;
   process.limits = options.limits;
   process.signals_while_loading = options.signals_while_loading;
+  process.signals_blocked_at_start = options.signals_blocked_at_start;
   process.log_file = options.directory + "/" + name + ".log";
   auto agent = std::make_unique<SupervisedProcess>(loop, log, ledger,
                                                    std::move(process));
--- a/soak/agent_process.h
+++ b/soak/agent_process.h
@@ -19,6 +19,7 @@
   // Signals of a series come no earlier than this after a start.
   Duration first_signal_after{0};
   bool signals_while_loading = true;
+  bool signals_blocked_at_start = false;
   ProcessLimits limits = {};
 };
 
--- a/soak/group_site.cc
+++ b/soak/group_site.cc
@@ -116,7 +116,8 @@
           {this->options.program, this->options.directory,
            this->options.agent_port, rank->address,
            this->options.first_signal_after,
-           this->options.signals_while_loading, this->options.limits}));
+           this->options.signals_while_loading,
+           this->options.signals_blocked_at_start, this->options.limits}));
       this->Register(*rank, "ready");
       this->ranks.push_back(std::move(rank));
     }
--- a/soak/prompt_site.cc
+++ b/soak/prompt_site.cc
@@ -77,7 +77,7 @@
         {this->options.program, this->options.directory,
          this->options.agent_port, this->engines.back()->address(),
          this->options.first_signal_after, this->options.signals_while_loading,
-         this->options.limits}));
+         this->options.signals_blocked_at_start, this->options.limits}));
   }
 }
 
--- a/soak/prompt_site.h
+++ b/soak/prompt_site.h
@@ -32,6 +32,7 @@
   // Of the agents.
   Duration first_signal_after{0};
   bool signals_while_loading = true;
+  bool signals_blocked_at_start = false;
   ProcessLimits limits;
   int servers = 4;
   unsigned int seed = 1;
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -24,6 +24,10 @@
             true,
             "signals come also while the dynamic loader works, when no code of "
             "the program can handle them");
+DEFINE_bool(signals_blocked_at_start,
+            false,
+            "processes start with SIGHUP, SIGTERM and SIGINT blocked, so that "
+            "they stay pending until the program handles them");
 DEFINE_bool(interrupts, true, "SIGINT is among the signals");
 DEFINE_int32(hosts, 3, "entry hosts, at most 40");
 DEFINE_int32(engines,
@@ -85,6 +89,7 @@
   options.contact_faults_for = FromSeconds(FLAGS_contact_seconds);
   options.first_signal_after = FromSeconds(FLAGS_first_signal_ms / 1000);
   options.signals_while_loading = FLAGS_signals_while_loading;
+  options.signals_blocked_at_start = FLAGS_signals_blocked_at_start;
   options.signals.interrupts = FLAGS_interrupts;
   options.hosts = FLAGS_hosts;
   options.engines = FLAGS_engines;
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -62,6 +62,7 @@
   process.grace = kHostGrace;
   process.first_signal_after = this->options.first_signal_after;
   process.signals_while_loading = this->options.signals_while_loading;
+  process.signals_blocked_at_start = this->options.signals_blocked_at_start;
   process.limits = this->options.host_limits;
   process.on_restart = [this, &host] { this->NoteDisturbance(host); };
   host.process = std::make_unique<SupervisedProcess>(
@@ -133,6 +134,7 @@
   site.agent_port = kReportPort;
   site.first_signal_after = this->options.first_signal_after;
   site.signals_while_loading = this->options.signals_while_loading;
+  site.signals_blocked_at_start = this->options.signals_blocked_at_start;
   site.limits = this->options.agent_limits;
   site.seed = this->options.seed;
   site.servers = this->options.engines / 2;
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -33,6 +33,7 @@
   SignalOptions signals;
   Duration first_signal_after{0};
   bool signals_while_loading = true;
+  bool signals_blocked_at_start = false;
   int hosts = 3;
   // Model servers; every second one is a rank of a group of `ranks`.
   int engines = 8;
--- a/soak/supervised_process.cc
+++ b/soak/supervised_process.cc
@@ -62,7 +62,9 @@
   if (this->options.write_settings) {
     this->options.write_settings();
   }
-  this->process.Start();
+  this->process.Start(this->options.signals_blocked_at_start
+                          ? StartMask::kSignalsBlocked
+                          : StartMask::kInherited);
   this->running = true;
   this->killed = false;
   this->grace_over = false;
--- a/soak/supervised_process.h
+++ b/soak/supervised_process.h
@@ -30,6 +30,8 @@
   // They come also while the dynamic loader works, when no code of the program
   // can handle them.
   bool signals_while_loading = true;
+  // It starts with SIGHUP, SIGTERM and SIGINT blocked.
+  bool signals_blocked_at_start = false;
   // Called before each start and each SIGHUP, if it is not empty.
   std::function<void()> write_settings;
   // Called when the process is started again.
--- a/soak/supervised_process_test.cc
+++ b/soak/supervised_process_test.cc
@@ -97,6 +97,21 @@
   CHECK(supervised.ledger.broken.size() == 1);
 }
 
+// Guards against an option that does not reach the start of the process.
+TEST_CASE("a signal that is blocked at the start ends no process") {
+  ProcessOptions options;
+  options.arguments = {"/bin/sh", "-c", "while :; do :; done"};
+  options.grace = Milliseconds(200);
+  options.signals_blocked_at_start = true;
+  Supervised supervised(std::move(options));
+  supervised.process->Start();
+  supervised.process->Terminate(SIGTERM, Duration(0));
+  supervised.RunToRestart();
+  REQUIRE(supervised.ledger.broken.size() == 1);
+  CHECK(supervised.ledger.broken.front().find("grace time") !=
+        std::string::npos);
+}
+
 // Guards against a process that does not end in its grace time.
 TEST_CASE("a process that runs on after its grace time breaks a promise") {
   ProcessOptions options;
