Leave memory to bodies beside idle connections with large buffers

Seen by the review of the memory fix: callers that had each sent one body of 200 KB and were idle took the memory of all bodies.

Cause: holds up to 256 KB for each connection whose receive buffer was raised, until it ends, in the share of small bodies, which counts against that of larger ones too.

Change: once an answer leaves the connection idle, these bytes are held for a use of their own, which fills the budget to 25% at most. Without room the answer announces the close of the connection, so that no request is lost. What the kernel may hold stays counted at every moment.

Ruled out: not counting buffers while the host reads.

--- a/packages/overload/memory_budget.cc
+++ b/packages/overload/memory_budget.cc
@@ -13,7 +13,7 @@
 constexpr std::size_t kProcessBytes = std::size_t{48} * 1024 * 1024;
 // The percentage of the capacity that each use may fill, by MemoryUse.
 constexpr std::array<std::size_t, kMemoryUseCount> kMaxPercent = {100, 70, 60,
-                                                                  50};
+                                                                  50, 25};
 
 std::size_t Index(MemoryUse use) {
   return static_cast<std::size_t>(use);
--- a/packages/overload/memory_budget.h
+++ b/packages/overload/memory_budget.h
@@ -10,8 +10,15 @@
 // What the bytes are held for, the most important first. Each use may fill a
 // smaller part of the budget than the one before it, so that it leaves room for
 // those before it.
-enum class MemoryUse { kConnection, kAnswer, kSmallBody, kLargeBody };
-inline constexpr std::size_t kMemoryUseCount = 4;
+enum class MemoryUse {
+  kConnection,
+  kAnswer,
+  kSmallBody,
+  kLargeBody,
+  // Large receive buffers of connections that stay open after their answer.
+  kIdleBuffer
+};
+inline constexpr std::size_t kMemoryUseCount = 5;
 
 struct MemoryBudget {
   std::size_t capacity = 0;
--- a/packages/overload/memory_budget_test.cc
+++ b/packages/overload/memory_budget_test.cc
@@ -54,6 +54,11 @@
 // Guards against large bodies that leave no memory for small requests.
 TEST_CASE("less important uses leave room for more important ones") {
   MemoryBudget budget{1000, {}};
+  CHECK(FreeBytes(budget, MemoryUse::kIdleBuffer) == 250);
+  budget = Hold(budget, MemoryUse::kIdleBuffer, 250);
+  CHECK(FreeBytes(budget, MemoryUse::kIdleBuffer) == 0);
+  CHECK(FreeBytes(budget, MemoryUse::kLargeBody) == 250);
+  budget = Release(budget, MemoryUse::kIdleBuffer, 250);
   CHECK(FreeBytes(budget, MemoryUse::kLargeBody) == 500);
   budget = Hold(budget, MemoryUse::kLargeBody, 500);
   CHECK(FreeBytes(budget, MemoryUse::kLargeBody) == 0);
--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -259,11 +259,16 @@
   // The buffer is not lowered again before the connection ends: the kernel
   // would drop bytes that the caller sends into the window it was offered.
   if (2 * bytes > this->raised_buffer_hold.bytes() &&
+      this->raised_buffer_hold.ChangeUse(MemoryUse::kSmallBody) &&
       this->raised_buffer_hold.Resize(2 * bytes)) {
     this->connection->LimitReceiveBuffer(bytes);
   }
 }
 
+bool CallerSession::MayKeepBuffer() {
+  return this->raised_buffer_hold.ChangeUse(MemoryUse::kIdleBuffer);
+}
+
 void CallerSession::RefuseBody(Duration expected_wait) {
   const Duration retry_after =
       std::clamp(expected_wait, kMinMemoryRetryAfter, kMaxMemoryRetryAfter);
@@ -383,8 +388,10 @@
   // A request that was read behind this one is answered before the close.
   this->response_begun = true;
   const bool close =
-      (this->draining || this->input_ended) && !this->HasPipelined();
-  if (close || !this->caller_keeps_alive) {
+      !this->caller_keeps_alive ||
+      ((this->draining || this->input_ended || !this->MayKeepBuffer()) &&
+       !this->HasPipelined());
+  if (close) {
     this->close_announced = true;
     headers.push_back({"Connection", "close"});
   }
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -83,6 +83,9 @@
   // Lets the kernel hold more unread bytes from now on, if there is memory for
   // them.
   void RaiseReceiveBuffer(std::size_t bytes);
+  // Returns false if the connection has a larger receive buffer than may be
+  // kept for it once it is idle.
+  bool MayKeepBuffer();
   // Refuses the request for want of memory. `expected_wait`: until there may be
   // some.
   void RefuseBody(Duration expected_wait);
--- a/packages/relay/relay_memory.cc
+++ b/packages/relay/relay_memory.cc
@@ -16,6 +16,7 @@
     {MemoryUse::kAnswer, "use=\"answer\""},
     {MemoryUse::kSmallBody, "use=\"small_body\""},
     {MemoryUse::kLargeBody, "use=\"large_body\""},
+    {MemoryUse::kIdleBuffer, "use=\"idle_buffer\""},
 }};
 
 }  // namespace
@@ -153,6 +154,19 @@
   return true;
 }
 
+bool MemoryHold::ChangeUse(MemoryUse next) {
+  if (this->held > 0 && next != this->use) {
+    MemoryBudget& budget = this->state->admission.budget;
+    const MemoryBudget others = Release(budget, this->use, this->held);
+    if (this->held > FreeBytes(others, next)) {
+      return false;
+    }
+    budget = Hold(others, next, this->held);
+  }
+  this->use = next;
+  return true;
+}
+
 RelayMemory::RelayMemory(EventLoop& loop, Metrics& metrics, std::size_t limit)
     : state(std::make_shared<detail::RelayMemoryState>(loop, metrics, limit)) {}
 
--- a/packages/relay/relay_memory.h
+++ b/packages/relay/relay_memory.h
@@ -30,6 +30,9 @@
   std::size_t bytes() const { return this->held; }
   // Returns false, and changes nothing, if the budget has no room for more.
   bool Resize(std::size_t bytes);
+  // Holds the bytes for another use. Returns false, and changes nothing, if
+  // that use has no room for them.
+  bool ChangeUse(MemoryUse next);
 
  private:
   friend class RelayMemory;
--- a/standins/platform/client_crowd_test.cc
+++ b/standins/platform/client_crowd_test.cc
@@ -373,6 +373,64 @@
   site.Check();
 }
 
+// Callers that are idle behind a large body each, on kept connections.
+std::vector<std::unique_ptr<Caller>> IdleCallers(CrowdSite& site, int count) {
+  constexpr std::size_t kBodyBytes = 200'000;
+  std::vector<std::unique_ptr<Caller>> callers;
+  int served = 0;
+  for (int i = 0; i < count; ++i) {
+    auto caller = std::make_unique<Caller>(site.loop, site.settings.callers);
+    caller->connection->Write(LengthHead(Id(i), kBodyBytes) +
+                              std::string(kBodyBytes, 'b'));
+    site.RunUntil([&] { return caller->parser.done() || caller->ended; });
+    served += caller->parser.done() && caller->parser.head().status == 200;
+    caller->parser = ResponseParser(true);
+    callers.push_back(std::move(caller));
+  }
+  CHECK(served == count);
+  return callers;
+}
+
+// Guards against receive buffers of idle connections that count as if they were
+// full.
+TEST_CASE("idle connections that have sent large bodies leave memory") {
+  constexpr int kIdleCallers = 75;
+  constexpr std::size_t kBodyBytes = 1'000'000;
+  CrowdSite site;
+  auto callers = IdleCallers(site, kIdleCallers);
+  CHECK(
+      Ask(site, LengthHead("large", kBodyBytes) + std::string(kBodyBytes, 'b'))
+          .status == 200);
+  site.Sample();
+  callers.clear();
+  site.Check();
+}
+
+// Guards against large receive buffers that are not counted once connections
+// have been idle.
+TEST_CASE("a crowd that sends on, on connections that have sent large bodies") {
+  constexpr int kIdleCallers = 600;
+  CrowdSite site;
+  auto callers = IdleCallers(site, kIdleCallers);
+  site.AnswerWith(DelayedAnswer(kServerDelay));
+  std::string later;
+  while (later.size() < 128 * kKibibyte) {
+    later += Request("GET", "/s/x", "later");
+  }
+  for (const auto& caller : callers) {
+    if (!caller->ended) {
+      caller->connection->Write(later);
+    }
+  }
+  const TimePoint end = EventLoop::Now() + Seconds(4);
+  while (EventLoop::Now() < end) {
+    site.RunFor(Milliseconds(10));
+    site.Sample();
+  }
+  callers.clear();
+  site.Check();
+}
+
 // Guards against bodies that pile up for servers that read nothing.
 TEST_CASE("a crowd with whole bodies for servers that read nothing") {
   CrowdSite site;
