Begin the crowds when the servers are known with their slots

In "sends on and reads none of its large answers" 26 requests of 1,000 clients reached a server; "whole bodies for servers that read nothing" sent 14 requests to a server that reads.

Change: the site waits until the second server, which is only in the new records, has got a request. The case with servers that read nothing waits until a request no longer reaches the earlier ones. Crowds and bounds are as they were.

--- a/standins/platform/client_crowd_test.cc
+++ b/standins/platform/client_crowd_test.cc
@@ -125,6 +125,11 @@
       return Ask(*this, LengthHead("probe", 2000) + std::string(2000, 'p'))
                  .status == 200;
     }));
+    // Both servers are used with their slots once the second one is.
+    REQUIRE(this->RunUntil([this] {
+      return Ask(*this, Request("GET", "/s/x", "slots")).status == 200 &&
+             !this->second.runs.empty();
+    }));
     this->first.CloseSessions();
     this->second.CloseSessions();
     this->RunFor(Milliseconds(200));
@@ -451,7 +456,18 @@
                        R"(","zone":"west","slots":2000,"state":"ready",)" +
                        R"("born":1700000000000})");
   }
-  site.RunFor(Milliseconds(500));
+  // Requests go to the new addresses once the earlier ones get none.
+  const auto runs = [&site] {
+    return site.first.runs.size() + site.second.runs.size();
+  };
+  int asked = 0;
+  REQUIRE(site.RunUntil([&] {
+    const std::size_t before = runs();
+    const std::string id = "moved" + std::to_string(asked++);
+    std::string request = Request("GET", "/s/x", id);
+    Ask(site, request.replace(request.find("1500"), 4, "100"));
+    return runs() == before;
+  }));
   const auto large = Shared(std::string(kMaxBodyBytes, 'b'));
   const auto small = Shared(std::string(15 * kKibibyte, 'b'));
   for (int i = 0; i < kManyClients; ++i) {
