Test second copies of answers on reused connections at every split

The tests so far sent a copy with a length, after the next request was written, and split it at every eighth byte; that a kept connection with unread bytes is not used was tested for a close only.

Added to relay_test: copies of an earlier answer, and of two, that come before, around and after the next request is written; copies of the same answer behind it or on the kept connection; each with a length, in chunks, after an interim response and without a length, split at every byte. A caller gets its own answer or, behind a copy that ends with its connection, none; the connection is not used again.

--- a/packages/relay/server_attempt_test.cc
+++ b/packages/relay/server_attempt_test.cc
@@ -3,10 +3,12 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
 #include "http_stream/tcp_connection.h"
+#include "relay/server_connection_pool.h"
 
 namespace toucanhollow {
 namespace {
@@ -168,5 +170,163 @@
   CHECK_FALSE(fixture.end);
 }
 
+// An answer to this request: its head without the framing, and a body of four
+// bytes.
+struct FramedAnswer {
+  std::string bytes;
+  bool ends_with_connection = false;
+};
+
+std::vector<FramedAnswer> FrameAnswers(const std::string& id,
+                                       const std::string& body) {
+  const std::string head = "HTTP/1.1 200 OK\r\nId: " + id + "\r\n";
+  const std::string with_length = head + "Content-Length: 4\r\n\r\n" + body;
+  return {
+      {with_length},
+      {head + "Transfer-Encoding: chunked\r\n\r\n2\r\n" + body.substr(0, 2) +
+       "\r\n2\r\n" + body.substr(2) + "\r\n0\r\n\r\n"},
+      {"HTTP/1.1 100 Continue\r\n\r\n" + with_length},
+      {head + "\r\n" + body, true},
+  };
+}
+
+// One request on a connection that has carried others, and what its caller
+// gets.
+struct ReusedConnection {
+  AttemptFixture fixture;
+  std::vector<std::string> head_ids;
+  std::string body;
+
+  ReusedConnection() {
+    this->fixture.codec.read_response = [](const ResponseHead& head) {
+      ResponseMetadata metadata;
+      metadata.request_id = FindHeader(head.headers, "Id");
+      metadata.sealed = true;
+      return metadata;
+    };
+  }
+
+  std::unique_ptr<TcpConnection> Connect() {
+    this->fixture.accepted.reset();
+    std::unique_ptr<TcpConnection> connection = this->fixture.Connect();
+    while (this->fixture.accepted == nullptr || !connection->connected()) {
+      this->fixture.RunFor(Milliseconds(1));
+    }
+    this->head_ids.clear();
+    this->body.clear();
+    this->fixture.end.reset();
+    return connection;
+  }
+
+  // Sends request r1 on it.
+  void Send(std::unique_ptr<TcpConnection> connection) {
+    AttemptCallbacks callbacks;
+    callbacks.on_head = [this](const ResponseHead&,
+                               const ResponseMetadata& metadata) {
+      this->head_ids.push_back(metadata.request_id);
+    };
+    callbacks.on_body = [this](const std::string& bytes) {
+      this->body += bytes;
+    };
+    callbacks.on_end = [this](AttemptEnd end, std::string_view) {
+      this->fixture.end = end;
+    };
+    this->fixture.attempt = std::make_unique<ServerAttempt>(
+        std::move(connection), true, this->fixture.codec,
+        "GET / HTTP/1.1\r\n\r\n", "r1", true, std::move(callbacks));
+    this->fixture.attempt->Start(std::nullopt);
+  }
+
+  void Write(const std::string& bytes) { this->fixture.accepted->Write(bytes); }
+
+  void Read() {
+    while (!this->fixture.end && this->fixture.attempt->ReadPending()) {
+    }
+  }
+};
+
+// Guards against a caller that gets another request's answer, which came before
+// or after the request was written on a connection that is in use again.
+TEST_CASE("a copy of an earlier answer is nobody's, however it is split") {
+  ReusedConnection reused;
+  const std::string mine = FrameAnswers("r1", "mine")[0].bytes;
+  const bool doubled = GENERATE(false, true);
+  const std::size_t before_request = GENERATE(0, 1, 2);
+  for (const FramedAnswer& copy : FrameAnswers("r0", "left")) {
+    const std::string older = FrameAnswers("r-1", "past")[1].bytes;
+    const std::string bytes =
+        (doubled ? older : std::string()) + copy.bytes + mine;
+    for (std::size_t split = 0; split <= bytes.size(); ++split) {
+      INFO("split at " << split << " of " << bytes);
+      std::unique_ptr<TcpConnection> connection = reused.Connect();
+      const std::vector<std::string> pieces = {bytes.substr(0, split),
+                                               bytes.substr(split)};
+      for (std::size_t i = 0; i < before_request; ++i) {
+        reused.Write(pieces[i]);
+      }
+      reused.Send(std::move(connection));
+      reused.Read();
+      for (std::size_t i = before_request; i < pieces.size(); ++i) {
+        reused.Write(pieces[i]);
+        reused.Read();
+      }
+      if (copy.ends_with_connection) {
+        // Whatever follows such a copy is part of it.
+        REQUIRE(reused.head_ids.empty());
+        REQUIRE(reused.body.empty());
+        reused.fixture.accepted.reset();
+        reused.Read();
+        REQUIRE(reused.fixture.end == AttemptEnd::kBroken);
+        REQUIRE(reused.head_ids.empty());
+        REQUIRE(reused.body.empty());
+        continue;
+      }
+      REQUIRE(reused.fixture.end == AttemptEnd::kComplete);
+      REQUIRE(reused.head_ids == std::vector<std::string>{"r1"});
+      REQUIRE(reused.body == "mine");
+      REQUIRE(reused.fixture.attempt->TakeConnection() == nullptr);
+    }
+  }
+}
+
+// Guards against a kept connection with unread bytes that carries another
+// request.
+TEST_CASE("a connection with bytes behind its answer is not used again") {
+  ReusedConnection reused;
+  for (const FramedAnswer& mine : FrameAnswers("r1", "mine")) {
+    if (mine.ends_with_connection) {
+      continue;
+    }
+    for (const FramedAnswer& copy : FrameAnswers("r1", "mine")) {
+      const std::string bytes = mine.bytes + copy.bytes;
+      for (std::size_t split = 0; split < bytes.size(); ++split) {
+        INFO("split at " << split << " of " << bytes);
+        reused.Send(reused.Connect());
+        reused.Write(bytes.substr(0, split));
+        reused.Read();
+        ServerConnectionPool pool({});
+        const TimePoint now = EventLoop::Now();
+        const auto keep = [&] {
+          auto connection = reused.fixture.attempt->TakeConnection();
+          if (connection != nullptr) {
+            pool.AddIdle(std::move(connection), Seconds(5), now);
+          }
+        };
+        if (reused.fixture.end) {
+          keep();
+        }
+        reused.Write(bytes.substr(split));
+        if (!reused.fixture.end) {
+          reused.Read();
+          keep();
+        }
+        REQUIRE(reused.fixture.end == AttemptEnd::kComplete);
+        REQUIRE(reused.body == "mine");
+        REQUIRE(pool.TakeIdle(now) == nullptr);
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace toucanhollow
