Leave a server that answers others' requests without end

Seen: a server that sent whole answers to other requests, one after another and without bodies, was read until the request's deadline: a safe request of a route with 800 ms ended with 504 after 802 ms instead of going to another server.

Cause: answers to other requests were limited to 256 KB by their bodies alone. Heads, interim responses, chunk extensions and trailers were not counted across answers.

Change: everything that is received before the head of the request's own answer is counted, with the same limit.

--- a/packages/relay/server_attempt.cc
+++ b/packages/relay/server_attempt.cc
@@ -25,8 +25,9 @@
   return Seconds(std::min(ParseDecimal(digits).value_or(0), kMaxKeepAliveS));
 }
 
-// Responses to earlier requests are skipped up to this size. One that does not
-// end would otherwise block the request until its deadline.
+// Responses to earlier requests are skipped up to this size in all, heads and
+// framing included. One that does not end, or one after another, would
+// otherwise block the request until its deadline.
 constexpr std::size_t kMaxStrayBytes = std::size_t{256} * 1024;
 
 // A body up to this size is copied behind the head, to be sent with it.
@@ -55,7 +56,8 @@
   // The response being read belongs to an earlier request.
   bool stray = false;
   bool any_stray = false;
-  std::size_t stray_bytes = 0;
+  // What was received before the head of this request's response.
+  std::size_t skipped_bytes = 0;
   bool ended = false;
   bool reusable = false;
   Duration keep_alive_timeout{0};
@@ -151,6 +153,14 @@
   this->parser->Feed(bytes);
   while (!this->ended && this->Advance()) {
   }
+  if (this->ended || (this->head_seen && !this->stray)) {
+    return;
+  }
+  this->skipped_bytes += bytes.size();
+  if (this->skipped_bytes > kMaxStrayBytes) {
+    this->End(AttemptEnd::kBroken,
+              "responses to other requests exceeded the size limit");
+  }
 }
 
 // Handles the parser's new output. Returns true if a stray response was skipped
@@ -166,14 +176,7 @@
     return false;
   }
   const std::string body = this->parser->TakeBody();
-  if (this->stray) {
-    this->stray_bytes += body.size();
-    if (this->stray_bytes > kMaxStrayBytes) {
-      this->End(AttemptEnd::kBroken,
-                "a response to another request exceeded the size limit");
-      return false;
-    }
-  } else if (!body.empty()) {
+  if (!this->stray && !body.empty()) {
     const auto callback = this->callbacks.on_body;
     callback(body);
     if (this->ended) {
--- a/packages/relay/server_attempt_test.cc
+++ b/packages/relay/server_attempt_test.cc
@@ -328,5 +328,30 @@
   }
 }
 
+// Guards against a request that waits until its deadline behind answers to
+// others, each of them whole and none with a body.
+TEST_CASE("answers to other requests are skipped up to a size only") {
+  constexpr std::size_t kMaxReadBytes = std::size_t{300} * 1024;
+  ReusedConnection reused;
+  const std::string head = "HTTP/1.1 204 No Content\r\nId: r0\r\n";
+  const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nId: r0\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string stray = GENERATE_COPY(
+      head + "\r\n", interim + head + "\r\n",
+      chunked + "0;" + std::string(2000, 'e') + "\r\n\r\n",
+      chunked + "0\r\nX-A: " + std::string(2000, 'a') + "\r\n\r\n");
+  reused.Send(reused.Connect());
+  std::size_t written = 0;
+  while (!reused.fixture.end && written < 2 * kMaxReadBytes) {
+    reused.Write(stray);
+    written += stray.size();
+    reused.Read();
+  }
+  CHECK(reused.fixture.end == AttemptEnd::kBroken);
+  CHECK(written < kMaxReadBytes);
+  CHECK(reused.head_ids.empty());
+}
+
 }  // namespace
 }  // namespace toucanhollow
--- a/standins/platform/platform_relay_test.cc
+++ b/standins/platform/platform_relay_test.cc
@@ -206,6 +206,8 @@
       {"HTTP/1.1 200 OK\r\nX-A: ", "a"},
       {"", "no answer at all "},
       {stray, "others "},
+      {"",
+       "HTTP/1.1 204 No Content\r\nX-Toucanhollow-Request-Id: other\r\n\r\n"},
       {failure + "\r\n", "failed "},
       {failure + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nabcde\r\n"},
   };
