Test what counts as progress of a stream at its bounds

The rule in RelayedRequest: only a new whole event is progress of a stream, any byte of another answer; without progress a request ends after 0.8 of the time that its caller waits if its group stands or the machine of its server is silent, and at its route's time or its caller's deadline in any case. The tests had one piece of a comment, and one sound pause.

Added to platform_relay_test: every 100 ms a single byte, an empty line, a comment line, a whole block of a comment, an event that was passed on before, a byte of a chunk extension, an interim response, or a byte of a header line; each with a group that stands and with one that makes passes. And six events 1.9 s apart through a caller that reads every 0.6 s, over 9.6 s with an idle time of 1 s, and 1.45 s apart from a server whose reports do not come. The stand-in for servers writes an answer in pieces for that.

Result: no fault found. Stalled answers ended after 1.70 to 1.71 s (group stands) and 3.01 s (route's time of 3 s), with 502 or 504 if nothing was sent, else cut without a last chunk. Both sound streams were whole.

--- a/standins/platform/platform_relay_test.cc
+++ b/standins/platform/platform_relay_test.cc
@@ -10,6 +10,7 @@
 #include "map_task/rank_agent.h"
 #include "standins/platform/engine_group_stand_in.h"
 #include "standins/platform/relay_site.h"
+#include "standins/platform/socket_caller.h"
 
 namespace toucanhollow {
 namespace {
@@ -672,6 +673,59 @@
   CheckSilentStreamEnds(site, [&site] { site.group.still = true; });
 }
 
+struct Dripping {
+  // What the server writes first, and then every 100 ms.
+  std::string begin;
+  std::string unit;
+};
+
+// Guards against a request that is held open by bytes that bring its caller no
+// new event, beyond the limit on silence if its group stands, and otherwise
+// beyond its route's time.
+TEST_CASE("bytes that make no new event are no progress") {
+  const std::string event = "id: 1\ndata: a\n\n";
+  const std::string unframed =
+      "HTTP/1.1 200 OK\r\nX-Toucanhollow-Request-Id: {id}\r\n"
+      "X-Toucanhollow-Response-Seal: seal\r\n"
+      "Content-Type: text/event-stream\r\n\r\n";
+  const auto dripping = GENERATE_COPY(
+      Dripping{unframed + event, "d"}, Dripping{unframed + event, "\n"},
+      Dripping{unframed + event, ": x\n"},
+      Dripping{StreamHead() + Chunk(event), Chunk(": x\n\n")},
+      Dripping{StreamHead() + Chunk(event), Chunk(event)},
+      Dripping{StreamHead() + Chunk(event) + "1;", "e"},
+      Dripping{"", "HTTP/1.1 102 Processing\r\n\r\n"},
+      Dripping{"HTTP/1.1 200 OK\r\nX-A: ", "a"});
+  const bool stands = GENERATE(true, false);
+  INFO("after '" << dripping.begin << "' again and again '" << dripping.unit
+                 << "', group stands: " << stands);
+  RankSite site;
+  site.Start();
+  REQUIRE(Serves(site));
+  ScriptedAnswer answer;
+  answer.bytes = dripping.begin;
+  answer.piece = [unit = dripping.unit](int) { return unit; };
+  answer.delay = Milliseconds(100);
+  site.first.script.push_back(answer);
+  const int closed = site.first.closed_by_caller;
+  Caller caller(site.loop, site.settings.callers.port);
+  std::string request = Request("POST", "/m/x", "r1", "", "p");
+  caller.connection->Write(request.replace(request.find("1500"), 4, "6000"));
+  const TimePoint asked_at = EventLoop::Now();
+  REQUIRE(site.RunUntil([&] { return site.first.runs.contains("r1"); }));
+  site.group.open = !stands;
+  CHECK(site.RunUntil([&] { return caller.parser.done() || caller.ended; }));
+  const Duration lasted = EventLoop::Now() - asked_at;
+  CHECK(lasted >= Milliseconds(stands ? 1500 : 2900));
+  CHECK(lasted < Milliseconds(stands ? 2000 : 3400));
+  const bool begun = dripping.begin.find(event) != std::string::npos;
+  CHECK(caller.parser.done() == !begun);
+  if (!begun) {
+    CHECK(caller.parser.head().status == (stands ? 502 : 504));
+  }
+  CHECK(site.RunUntil([&] { return site.first.closed_by_caller > closed; }));
+}
+
 // Guards against work for a caller that leaves while the machine of its server
 // stands still, which cannot be told so: the group says that it executes
 // passes.
@@ -872,6 +926,65 @@
   CHECK(answered.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
 
+// Guards against the same beyond every idle time of callers' and servers'
+// connections, through a caller that reads seldom, and against a stream that is
+// cut because only its server's reports do not come.
+TEST_CASE("a stream with events just under the limits lasts for its time") {
+  constexpr int kEvents = 5;
+  RankSite site;
+  std::string config = ConfigText(2, "\"k1\"");
+  const auto replace = [&config](const std::string& from,
+                                 const std::string& to) {
+    config.replace(config.find(from), from.size(), to);
+  };
+  replace(R"({"name":"ledger","max_conns":96})",
+          R"({"name":"ledger","max_conns":96,"engine":{"slots":6,)"
+          R"("sets":1,"places":4,"spare":1}})");
+  replace(R"("timeout_ms":3000)", R"("timeout_ms":12000)");
+  replace(R"("idle_timeout_ms":15000)", R"("idle_timeout_ms":1000)");
+  site.store.Put("keyed.op", "config", config);
+  site.Start();
+  REQUIRE(Serves(site));
+  const bool reports_come = GENERATE(true, false);
+  INFO("reports come: " << reports_come);
+  std::string events;
+  const auto make_event = [](int number) {
+    return "id: " + std::to_string(number) +
+           "\ndata: " + std::string(20'000, 'a') + "\n\n";
+  };
+  for (int i = 0; i <= kEvents; ++i) {
+    events += make_event(i);
+  }
+  ScriptedAnswer slow;
+  slow.bytes =
+      "HTTP/1.1 200 OK\r\nX-Toucanhollow-Request-Id: {id}\r\n"
+      "X-Toucanhollow-Response-Seal: seal\r\nContent-Length: " +
+      std::to_string(events.size()) +
+      "\r\nContent-Type: text/event-stream\r\n\r\n" + make_event(0);
+  slow.piece = [make_event](int number) {
+    return number < kEvents ? make_event(number + 1) : std::string();
+  };
+  // Callers leave after 2 s; a silent machine ends a request after 1.6 s.
+  slow.delay = Milliseconds(reports_come ? 1900 : 1450);
+  site.first.script.push_back(slow);
+  SocketCaller caller(site.settings.callers);
+  std::string request = Request("POST", "/m/x", "r1", "", "p");
+  REQUIRE(caller.Send(request.replace(request.find("1500"), 4, "15000")));
+  REQUIRE(site.RunUntil([&] { return site.first.runs.contains("r1"); }));
+  if (!reports_come) {
+    site.StandStill();
+  }
+  const TimePoint limit = EventLoop::Now() + Seconds(12);
+  while (!caller.parser.done() && caller.end() == SocketCaller::End::kOpen &&
+         EventLoop::Now() < limit) {
+    site.RunFor(Milliseconds(600));
+    caller.Poll();
+  }
+  CHECK(caller.status() == 200);
+  const bool whole = caller.parser.TakeBody() == events;
+  CHECK(whole);
+}
+
 int StatusWithKey(Site& site, const std::string& key) {
   std::string request = Request("GET", "/s/x", "r");
   const std::string sent = "Token k1";
--- a/standins/platform/sealed_server_stand_in.cc
+++ b/standins/platform/sealed_server_stand_in.cc
@@ -139,6 +139,17 @@
             found->second.connection->Write(text);
           }
         });
+  } else if (answer.piece) {
+    session.pieces = 0;
+    session.timer = std::make_unique<Timer>(
+        this->loop, answer.delay, answer.delay,
+        [this, number, piece = answer.piece] {
+          const auto found = this->sessions.find(number);
+          if (found != this->sessions.end()) {
+            Session& found_session = found->second;
+            found_session.connection->Write(piece(found_session.pieces++));
+          }
+        });
   } else if (!answer.later.empty()) {
     session.timer = std::make_unique<Timer>(
         this->loop, answer.delay, Duration(0),
--- a/standins/platform/sealed_server_stand_in.h
+++ b/standins/platform/sealed_server_stand_in.h
@@ -29,6 +29,9 @@
   Duration delay{0};
   // Written again and again after `bytes`, until the connection ends.
   std::string endless;
+  // Gives what is written after `bytes`, a piece after each `delay`, until it
+  // gives an empty one. `number` counts from 0. May be null.
+  std::function<std::string(int number)> piece = nullptr;
   // False for a refusal that the server states.
   bool runs = true;
 };
@@ -76,6 +79,8 @@
     std::unique_ptr<TcpConnection> connection;
     std::unique_ptr<RequestParser> parser;
     std::unique_ptr<Timer> timer;
+    // Of the present answer, written so far.
+    int pieces = 0;
   };
 
   void Accept(int socket);
