Bound the time in which the body of a request may arrive

Seen: a caller that sent its body a byte at a time, in chunks of one byte, or in an endless chunk extension was read on for as long as that lasted: none of the three was answered in 7.5 s. A body of 900 bytes may take 75 minutes so.

Cause: any byte of a body counted as progress for the next 5 s, and nothing bounded the whole.

Change: a body must also arrive within 5 s of its head, or within the time that its caller waits (its deadline and its route's time, the shorter one) if that is longer. Then the request is refused with 408; it has not run.

A trial bound of the caller's time alone failed "a stop under load answers every request that was begun": there a body ends 2.9 s after its head and the caller's deadline of 1.5 s, and is to be served. That test is as it was.

Result: "a slow body is read for 5 s, or as long as its caller waits" (standin_platform_test): the three stalled bodies had no answer after 7.5 s before; now 408 within 4.9 to 5.5 s, or 6.4 to 7.0 s with a route of 6.5 s, and two sound bodies that take as long are served. relay_test passes, 82 cases; "a stop under load" passes.

--- a/packages/relay/caller_session.cc
+++ b/packages/relay/caller_session.cc
@@ -8,6 +8,7 @@
 #include "relay/receive_buffer.h"
 #include "relay/request_number.h"
 #include "traffic/caller_retry.h"
+#include "traffic/find_route.h"
 
 namespace toucanhollow {
 namespace {
@@ -33,7 +34,8 @@
 constexpr Duration kRefusedRetryAfter = Milliseconds(500);
 // Retry-After time of refusals that are not caused by load.
 constexpr Duration kShortRetryAfter = Milliseconds(500);
-// Longest time between two parts of a request body.
+// Longest time between two parts of a request body, and for all of them if the
+// caller does not wait longer for its answer.
 constexpr Duration kBodyStallTimeout = Seconds(5);
 
 constexpr std::size_t kSendBufferBytes = std::size_t{128} * 1024;
@@ -149,6 +151,7 @@
           ParserLimits{this->Limits().header_bytes, this->Limits().body_bytes});
       this->phase = Phase::kReading;
       this->waiting_since = EventLoop::Now();
+      this->body_due.reset();
       this->continue_sent = false;
       break;
     case Phase::kReading:
@@ -186,6 +189,10 @@
     this->StartRequest();
     return;
   }
+  if (this->parser->head_done() && !this->body_due) {
+    this->body_due =
+        EventLoop::Now() + std::max(this->FindPatience(), kBodyStallTimeout);
+  }
   if (this->parser->head_done() && !this->ReserveBody()) {
     return;
   }
@@ -714,10 +721,26 @@
   this->Close();
 }
 
+Duration CallerSession::FindPatience() const {
+  const auto& traffic = this->context.view.traffic;
+  const RequestHead& head = this->parser->head();
+  const Route* const route =
+      traffic == nullptr
+          ? nullptr
+          : FindRoute(*traffic, FindHeader(head.headers, "Host"), head.target);
+  const Duration longest =
+      route == nullptr ? this->Limits().idle_timeout : route->timeout;
+  const std::optional<RequestMetadata> metadata = this->ArrivedMetadata();
+  return metadata && metadata->deadline ? std::min(*metadata->deadline, longest)
+                                        : longest;
+}
+
 bool CallerSession::IsInputOverdue(TimePoint now) const {
-  return now - this->waiting_since > (this->parser->head_done()
-                                          ? kBodyStallTimeout
-                                          : this->Limits().header_timeout);
+  if (!this->parser->head_done()) {
+    return now - this->waiting_since > this->Limits().header_timeout;
+  }
+  return now - this->waiting_since > kBodyStallTimeout ||
+         (this->body_due && now > *this->body_due);
 }
 
 void CallerSession::Sweep(TimePoint now) {
--- a/packages/relay/caller_session.h
+++ b/packages/relay/caller_session.h
@@ -134,6 +134,8 @@
   void Close();
   // True if the request being read has taken too long.
   bool IsInputOverdue(TimePoint now) const;
+  // How long the caller whose request's head has arrived waits for its answer.
+  Duration FindPatience() const;
   const IngressLimits& Limits() const;
 
   RelayContext context;
@@ -187,6 +189,9 @@
   // Start of the phase, or when the last part of a request body, or bytes on a
   // closing connection, arrived.
   TimePoint waiting_since;
+  // When the body that is being read must have arrived. Empty until the head
+  // has.
+  std::optional<TimePoint> body_due;
   // When the last bytes for the caller were handed to the kernel.
   TimePoint closing_since;
   Duration idle_timeout;
