--- a/packages/json_fields/field_reader.cc
+++ b/packages/json_fields/field_reader.cc
@@ -38,7 +38,8 @@
                                     const char* remedy_if_required) {
   this->read_names.emplace_back(name);
   const json* field = FindField(this->object, name);
-  if (field == nullptr && remedy_if_required != nullptr) {
+  if (field == nullptr && remedy_if_required != nullptr &&
+      this->failures.size() < kMaxFailures) {
     this->failures.push_back(
         MissingField(this->prefix + name, remedy_if_required));
   }
@@ -48,6 +49,9 @@
 void FieldReader::AddInvalidField(const char* name,
                                   const json& value,
                                   const char* remedy) {
+  if (this->failures.size() >= kMaxFailures) {
+    return;
+  }
   this->failures.push_back(
       InvalidField(this->prefix + name, FormatValue(value), remedy));
 }
@@ -164,6 +168,9 @@
     return;
   }
   for (const auto& [name, value] : this->object.items()) {
+    if (findings.size() >= kMaxFailures) {
+      return;
+    }
     if (std::ranges::find(this->read_names, name) == this->read_names.end()) {
       findings.push_back(
           MakeFailure(ResultCode::kRecordUnknownField,
--- a/packages/json_fields/field_reader.h
+++ b/packages/json_fields/field_reader.h
@@ -8,6 +8,7 @@
 #ifndef JSON_FIELDS_FIELD_READER_H_
 #define JSON_FIELDS_FIELD_READER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -20,6 +21,10 @@
 
 namespace toucanhollow {
 
+// Failures of one record that are collected. A record may have as many wrong
+// fields as bytes.
+inline constexpr std::size_t kMaxFailures = 32;
+
 class FieldReader {
  public:
   // `object` and `failures` must outlive the reader. `prefix` is put in front
@@ -30,7 +35,7 @@
 
   // Each of the following returns its default if the field is missing or
   // wrong. A wrong field is added to the failures, and so is a missing one if
-  // `remedy_if_required` is not null.
+  // `remedy_if_required` is not null. Nothing is added to kMaxFailures.
 
   // The field, or null if it is missing.
   const nlohmann::json* FindMember(const char* name,
@@ -57,7 +62,7 @@
   void AddInvalidField(const char* name,
                        const nlohmann::json& value,
                        const char* remedy);
-  // Adds the fields that were not read.
+  // Adds the fields that were not read, up to kMaxFailures findings.
   void ReportUnknown(std::vector<Failure>& findings) const;
 
  private:
--- a/packages/json_fields/field_reader_test.cc
+++ b/packages/json_fields/field_reader_test.cc
@@ -64,6 +64,22 @@
   CHECK(failures[1].detail == "high is '11'; use a number from 0 to 10");
 }
 
+// Guards against a failure kept for each wrong element of a long list.
+TEST_CASE("the failures of one record are bounded") {
+  const json object = json::parse(R"({"wrong":null})");
+  std::vector<Failure> failures;
+  std::vector<Failure> findings;
+  for (std::size_t i = 0; i < 2 * kMaxFailures; ++i) {
+    FieldReader reader(object, "", failures);
+    reader.ReadName("missing", "name it");
+    reader.ReadName("wrong", "name it");
+    FieldReader(object, "", failures).ReportUnknown(findings);
+  }
+  CHECK(failures.size() == kMaxFailures);
+  CHECK(failures.front().detail == "missing is missing; name it");
+  CHECK(findings.size() == kMaxFailures);
+}
+
 std::string Nested(std::size_t levels, const std::string& text) {
   return std::string(levels, '[') + text + std::string(levels, ']');
 }
--- a/standins/platform/hostile_record_test.cc
+++ b/standins/platform/hostile_record_test.cc
@@ -2,11 +2,14 @@
 // and again at each start.
 #include <csignal>
 
+#include <array>
+#include <cstddef>
 #include <optional>
 #include <string>
 
 #include <catch2/catch.hpp>
 
+#include "standins/platform/client_crowd.h"
 #include "standins/platform/relay_process.h"
 
 namespace toucanhollow {
@@ -24,6 +27,24 @@
   return text + "0" + std::string(levels, '}');
 }
 
+// The peak of the process's resident memory.
+std::size_t PeakMb(const RelayProcess& site) {
+  constexpr std::size_t kMebibyte = std::size_t{1} << 20;
+  return PeakResidentBytes(site.process->pid()) / kMebibyte;
+}
+
+// "begin", the element as often as it fits, "end".
+std::string Repeated(const std::string& begin,
+                     const std::string& element,
+                     const std::string& end,
+                     std::size_t bytes) {
+  std::string text = begin + element;
+  while (text.size() + element.size() + 1 + end.size() <= bytes) {
+    text += "," + element;
+  }
+  return text + end;
+}
+
 // Puts the text where each kind of record has a field of another type.
 void PutEverywhere(PlatformStoreStandIn& store, const std::string& text) {
   for (const char* field :
@@ -74,5 +95,34 @@
       Seconds(5)));
 }
 
+// Guards against a failure kept for each wrong element, which takes a multiple
+// of the record's size.
+TEST_CASE("a configuration of wrong elements takes little memory") {
+  constexpr std::size_t kBytes = 255'000;
+  constexpr std::size_t kMostMb = 10;
+  const std::string route =
+      R"({"name":"r","host":"h","path_prefix":"/a/","kind":"safe",)";
+  for (const auto& [begin, element, end] :
+       {std::array<std::string, 3>{R"("routes":[)", "1", "]"},
+        {R"("routes":[)" + route + R"("split":[)", "1", "]}]"},
+        {R"("routes":[],"services":[)", "1", "]"},
+        {R"("routes":[],"services":[],"tenants":[)", "1", "]"},
+        {R"("routes":[],"services":[],"tenants":[{"name":"t","api_keys":[)",
+         "1", "]}]"}}) {
+    INFO(begin);
+    RelayProcess site(Seconds(4));
+    const std::size_t before = PeakMb(site);
+    REQUIRE(before > 0);
+    site.store.Put(
+        "keyed.op", "config",
+        R"({"version":2,)" + Repeated(begin, element, end, kBytes) + "}");
+    site.RunFor(Milliseconds(400));
+    REQUIRE(site.process->IsRunning());
+    const std::size_t peak = PeakMb(site);
+    INFO("before " << before << " MB, peak " << peak << " MB");
+    CHECK(peak <= before + kMostMb);
+  }
+}
+
 }  // namespace
 }  // namespace toucanhollow
