Bound what a host keeps of values that it does not use

400 records of 250 KB that no host can use (refused entries of servers, refused rules, other keys of the operators' topic, values under evacuate/) brought an entry host from 13 to 113 MB while it followed the log, and to 185 MB at its next start. KeyedMirror kept every value whole, and the pages of newest records were collected before they were merged.

Of such a value a host needs the key, the position, that it is there, and after a restore of the store its order; peers need the same. Values of more than 256 bytes that are not used are now replaced, before they are merged or collected, by a summary with length, hash and the reason of the refusal, and their order is kept in known_order (so far removed_order, which peers are sent already). Of the records that no host can use, the newest 1,024 of a topic are kept; older ones are dropped as tombstones are, so that peers which may lack the change are sent all keys. An unusable record that is held over a usable one after a restore is not dropped. Usable records and the configuration stay whole. The first replaced value and the first dropped records are logged.

The stand-in of the store now ends its pages as the protocol of the store says (500 items or 1 MB), which it did not.

--- a/packages/relay/keyed_topic_task.cc
+++ b/packages/relay/keyed_topic_task.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "json_log/json_log.h"
+#include "traffic/unusable_values.h"
 
 namespace toucanhollow {
 namespace {
@@ -50,6 +51,10 @@
            this->codec.decode_operator_key(key).kind ==
                OperatorKeyKind::kTraffic;
   };
+  this->rules.read_value = [this](const std::string& key,
+                                  const std::string& value) {
+    return this->ReadValue(key, value);
+  };
   this->ReadNewest("");
 }
 
@@ -164,10 +169,13 @@
     this->snapshot_end = page.value().end;
     this->snapshot_read_at = EventLoop::Now();
   }
-  std::ranges::move(page.value().records,
-                    std::back_inserter(this->snapshot_records));
-  if (page.value().has_more) {
-    this->ReadNewest(this->snapshot_records.back().key);
+  const bool has_more = page.value().has_more;
+  const std::string last_key = has_more ? page.value().records.back().key : "";
+  this->ReduceUnused(page.value().records);
+  this->ReportDropped(
+      AppendPage(this->snapshot_records, std::move(page.value().records)));
+  if (has_more) {
+    this->ReadNewest(last_key);
     return;
   }
   RecordBatch batch;
@@ -240,6 +248,7 @@
   }
   this->OnAnswered();
   this->consecutive_gone = 0;
+  this->ReduceUnused(page.value().records);
   this->NotifyChange(
       this->Merge({BatchCoverage::kChanges, std::move(page.value().records),
                    from, page.value().next}));
@@ -300,7 +309,9 @@
 void KeyedTopicTask::MergeFromPeer(const RecordBatch& batch) {
   const StorePosition before = this->records.end;
   this->latest_era = std::max(this->latest_era, batch.end.era);
-  const std::vector<std::string> changed = this->Merge(batch);
+  RecordBatch reduced = batch;
+  this->ReduceUnused(reduced.records);
+  const std::vector<std::string> changed = this->Merge(reduced);
   if (this->records.end > before) {
     // Without a complete read so far, the batch takes its place.
     this->following_log = true;
@@ -317,14 +328,68 @@
 
 std::vector<std::string> KeyedTopicTask::Merge(const RecordBatch& batch) {
   const StorePosition before = this->records.end;
+  const std::uint64_t dropped_before = this->records.dropped_unusable;
   std::vector<std::string> changed =
       MergeBatch(this->records, batch, this->rules);
+  this->ReportDropped(this->records.dropped_unusable - dropped_before);
   if (this->records.end.era != before.era) {
     this->OnEraEntered(before, changed.size());
   }
   return changed;
 }
 
+ValueReading KeyedTopicTask::ReadValue(const std::string& key,
+                                       const std::string& value) const {
+  if (this->topic != KeyedTopic::kOperator) {
+    const Result<ListedServer> server = this->codec.decode_server(key, value);
+    return server ? ValueReading{}
+                  : ValueReading{ValueUse::kNone, server.error().detail};
+  }
+  switch (this->codec.decode_operator_key(key).kind) {
+    case OperatorKeyKind::kTraffic:
+      // One key. A host answers by a configuration that it cannot read, too.
+      return {};
+    case OperatorKeyKind::kEvacuation:
+      return {ValueUse::kPresence, "only the key counts"};
+    case OperatorKeyKind::kPromptRule: {
+      const Result<PromptRuleRecord> rule =
+          this->codec.decode_prompt_rule(value);
+      return rule ? ValueReading{}
+                  : ValueReading{ValueUse::kNone, rule.error().detail};
+    }
+    case OperatorKeyKind::kOther:
+      break;
+  }
+  return {ValueUse::kNone, "the key is not known"};
+}
+
+void KeyedTopicTask::ReduceUnused(std::vector<KeyedRecord>& records) {
+  const std::size_t replaced = ReduceUnusedValues(records, this->rules);
+  if (replaced == 0 || std::exchange(this->logged_replaced, true)) {
+    return;
+  }
+  const auto first = std::ranges::find_if(records, [](const auto& record) {
+    return record.value && IsValueSummary(*record.value);
+  });
+  LogJsonNow("store_value_summarized",
+             {{"topic", TopicName(this->topic)},
+              {"key", std::string_view(first->key)},
+              {"era", first->position.era.value},
+              {"offset", first->position.number},
+              {"detail", std::string_view(*first->value)},
+              {"max_bytes", static_cast<std::int64_t>(kMaxUnusedValueBytes)}});
+}
+
+void KeyedTopicTask::ReportDropped(std::uint64_t dropped) {
+  if (dropped == 0 || std::exchange(this->logged_dropped, true)) {
+    return;
+  }
+  LogJsonNow("store_unusable_dropped",
+             {{"topic", TopicName(this->topic)},
+              {"dropped", static_cast<std::int64_t>(dropped)},
+              {"max_records", static_cast<std::int64_t>(kMaxUnusableRecords)}});
+}
+
 std::size_t KeyedTopicTask::CountValues() const {
   return static_cast<std::size_t>(std::ranges::count_if(
       this->records.records,
--- a/packages/relay/keyed_topic_task.h
+++ b/packages/relay/keyed_topic_task.h
@@ -82,6 +82,12 @@
   std::vector<std::string> Merge(const RecordBatch& batch);
   void OnEraEntered(StorePosition before, std::size_t changed);
   void EndHeld(HeldKind kind);
+  ValueReading ReadValue(const std::string& key,
+                         const std::string& value) const;
+  // Bounds what is kept of values that are not used.
+  void ReduceUnused(std::vector<KeyedRecord>& records);
+  // Logs the first unusable records that were not retained.
+  void ReportDropped(std::uint64_t dropped);
   std::size_t CountValues() const;
   void OnAnswered();
   void OnFailed(const HttpOutcome& outcome);
@@ -119,6 +125,10 @@
   TimePoint snapshot_read_at;
   StoreContact contact;
   int consecutive_failures = 0;
+  // Whether the first value replaced by a summary, and the first unusable
+  // records that were dropped, have been logged.
+  bool logged_replaced = false;
+  bool logged_dropped = false;
   // Reads of the log since the last answer that had the position.
   int consecutive_gone = 0;
   TimePoint last_answer_at;
--- a/packages/relay/keyed_topic_task_test.cc
+++ b/packages/relay/keyed_topic_task_test.cc
@@ -10,6 +10,7 @@
 #include <catch2/catch.hpp>
 
 #include "http_server/http_server.h"
+#include "traffic/unusable_values.h"
 
 namespace toucanhollow {
 namespace {
@@ -84,6 +85,15 @@
   return std::nullopt;
 }
 
+// Every value but "1" is unusable.
+Result<ListedServer> DecodeServerDigit(const std::string&,
+                                       const std::string& value) {
+  if (value != "1") {
+    return MakeFailure(ResultCode::kRecordMalformed, "no digit");
+  }
+  return ListedServer{};
+}
+
 struct StoreAnswer {
   int status = 200;
   std::string body = {};
@@ -118,6 +128,7 @@
     this->codec.decode_read = DecodeReadDigits;
     this->codec.decode_era = DecodeTestEra;
     this->codec.decode_order = DecodeNoOrder;
+    this->codec.decode_server = DecodeServerDigit;
     auto listening = HttpServer::Listen(
         this->loop, {},
         [this](const HttpRequest& request,
@@ -385,5 +396,46 @@
   CHECK_FALSE(fixture.task->mirror().records.at("a").value);
 }
 
+constexpr std::size_t kLongBytes = 250'000;
+
+// As DecodeNewestDigit, with a long value that no host can use on the page.
+Result<NewestPage> DecodeLongNewest(const std::string& body, StoreEra era) {
+  Result<NewestPage> page = DecodeNewestDigit(body, era);
+  page.value().records.insert(page.value().records.begin(),
+                              {"b", std::string(kLongBytes, 'x'), {era, 1}});
+  return page;
+}
+
+// As DecodeReadDigits, with a long value that no host can use.
+Result<LogPage> DecodeLongRead(const std::string& body, StorePosition from) {
+  Result<LogPage> page = DecodeReadDigits(body, from);
+  page.value().records.push_back({"c", std::string(kLongBytes, 'x'), from});
+  return page;
+}
+
+// Guards against a long value that is kept although no host can use it,
+// whichever way it came.
+TEST_CASE("of a long value that no host can use a summary is kept") {
+  Fixture fixture({{200, "2m"}, {200, "2"}, {200, "33"}});
+  fixture.codec.decode_newest = DecodeLongNewest;
+  fixture.codec.decode_read = DecodeLongRead;
+  REQUIRE(fixture.RunUntilReads(4));
+  fixture.task->MergeFromPeer({BatchCoverage::kSomeRecords,
+                               {{"d", std::string(kLongBytes, 'x'), {{}, 3}}},
+                               {},
+                               {{}, 3}});
+  const auto& records = fixture.task->mirror().records;
+  CHECK(fixture.reads[1] == "/newest?after=m");
+  CHECK(records.at("m").value == "1");
+  CHECK_FALSE(records.at("m").unusable);
+  for (const char* key : {"b", "c", "d"}) {
+    INFO(key);
+    REQUIRE(records.contains(key));
+    CHECK(records.at(key).unusable);
+    CHECK(IsValueSummary(*records.at(key).value));
+    CHECK(records.at(key).value->ends_with("no digit"));
+  }
+}
+
 }  // namespace
 }  // namespace toucanhollow
--- a/packages/relay/peer_codec.cc
+++ b/packages/relay/peer_codec.cc
@@ -21,12 +21,12 @@
 json ToJson(const KeyedRecord& record) {
   json entry{record.key, record.position.number,
              record.value ? json(*record.value) : json(nullptr)};
-  if (record.position.era != StoreEra{} || record.removed_order) {
+  if (record.position.era != StoreEra{} || record.known_order) {
     entry.push_back(record.position.era.value);
   }
-  if (record.removed_order) {
-    entry.push_back(record.removed_order->major);
-    entry.push_back(record.removed_order->minor);
+  if (record.known_order) {
+    entry.push_back(record.known_order->major);
+    entry.push_back(record.known_order->minor);
   }
   return entry;
 }
@@ -70,8 +70,8 @@
     record.position.era = era;
   }
   if (entry.size() > 4) {
-    record.removed_order = RecordOrder{entry.at(4).get<std::int64_t>(),
-                                       entry.at(5).get<std::int64_t>()};
+    record.known_order = RecordOrder{entry.at(4).get<std::int64_t>(),
+                                     entry.at(5).get<std::int64_t>()};
   }
   return record;
 }
--- a/packages/relay/platform_view_task.cc
+++ b/packages/relay/platform_view_task.cc
@@ -5,6 +5,7 @@
 
 #include "base/hash.h"
 #include "json_log/json_log.h"
+#include "traffic/unusable_values.h"
 
 namespace toucanhollow {
 namespace {
@@ -27,6 +28,14 @@
          before.listed.address == after.listed.address;
 }
 
+// Why the record is refused. A summary has the reason of the value that it
+// replaces.
+std::string_view RefusalDetail(const KeyedRecord& record,
+                               const Failure& failure) {
+  return IsValueSummary(*record.value) ? std::string_view(*record.value)
+                                       : std::string_view(failure.detail);
+}
+
 }  // namespace
 
 bool HasStoreContact(const PlatformView& view) {
@@ -179,7 +188,7 @@
                {{"key", std::string_view(record.key)},
                 {"era", record.position.era.value},
                 {"offset", record.position.number},
-                {"detail", std::string_view(rule.error().detail)}});
+                {"detail", RefusalDetail(record, rule.error())}});
     return;
   }
   LogJsonNow("prompt_rule_taken",
@@ -208,7 +217,7 @@
                    {{"server", std::string_view(key)},
                     {"era", record.position.era.value},
                     {"offset", record.position.number},
-                    {"detail", std::string_view(decoded.error().detail)}});
+                    {"detail", RefusalDetail(record, decoded.error())}});
       }
     }
     const auto known = this->current_view.servers.find(key);
--- a/packages/traffic/keyed_mirror.cc
+++ b/packages/traffic/keyed_mirror.cc
@@ -6,23 +6,43 @@
 namespace toucanhollow {
 namespace {
 
-void PruneTombstones(KeyedMirror& mirror) {
-  std::vector<StorePosition> removed;
+// Drops the oldest of the records that fit, except the newest `limit` of them.
+// Returns the number of dropped records.
+std::size_t PruneOldest(
+    KeyedMirror& mirror,
+    std::size_t limit,
+    const std::function<bool(const KeyedRecord& record)>& fits) {
+  std::vector<StorePosition> positions;
   for (const auto& [key, record] : mirror.records) {
-    if (!record.value) {
-      removed.push_back(record.position);
+    if (fits(record)) {
+      positions.push_back(record.position);
     }
   }
-  if (removed.size() <= kMaxTombstones) {
-    return;
+  if (positions.size() <= limit) {
+    return 0;
   }
-  const auto middle = removed.begin() + static_cast<std::ptrdiff_t>(
-                                            removed.size() - kMaxTombstones);
-  std::ranges::nth_element(removed, middle);
-  std::erase_if(mirror.records, [&](const auto& entry) {
-    return !entry.second.value && entry.second.position < *middle;
-  });
+  const auto middle =
+      positions.begin() + static_cast<std::ptrdiff_t>(positions.size() - limit);
+  std::ranges::nth_element(positions, middle);
+  const std::size_t dropped =
+      std::erase_if(mirror.records, [&](const auto& entry) {
+        return fits(entry.second) && entry.second.position < *middle;
+      });
   mirror.removals_from = std::max(mirror.removals_from, *middle);
+  return dropped;
+}
+
+void PruneTombstones(KeyedMirror& mirror) {
+  PruneOldest(mirror, kMaxTombstones,
+              [](const KeyedRecord& record) { return !record.value; });
+}
+
+void PruneUnusable(KeyedMirror& mirror) {
+  mirror.dropped_unusable += PruneOldest(
+      mirror, kMaxUnusableRecords, [&mirror](const KeyedRecord& record) {
+        // A held one may give way to the record that it has overtaken.
+        return record.unusable && !mirror.overtaken.contains(record.key);
+      });
 }
 
 bool CoversPosition(const KeyedMirror& mirror, const RecordBatch& batch) {
@@ -39,8 +59,10 @@
 
 std::optional<RecordOrder> FindOrder(const KeyedRecord& record,
                                      const RecordRules& rules) {
-  return record.value ? rules.order(record.key, *record.value)
-                      : record.removed_order;
+  if (record.known_order || !record.value) {
+    return record.known_order;
+  }
+  return rules.order(record.key, *record.value);
 }
 
 // Decides between two records of one key. `later` belongs to the later era.
@@ -135,20 +157,21 @@
     mirror.overtaken.erase(record.key);
   }
   const bool changed = !IsSameRecord(known, record);
-  std::optional<RecordOrder> removed_order = record.removed_order;
-  if (!record.value && !removed_order) {
-    removed_order = FindOrder(known, rules);
+  std::optional<RecordOrder> known_order = record.known_order;
+  if (!record.value && !known_order) {
+    known_order = FindOrder(known, rules);
   }
   known = record;
-  known.removed_order = removed_order;
+  known.known_order = known_order;
   return changed;
 }
 
 void Remove(KeyedRecord& record,
             StorePosition position,
             const RecordRules& rules) {
-  record.removed_order = FindOrder(record, rules);
+  record.known_order = FindOrder(record, rules);
   record.value.reset();
+  record.unusable = false;
   record.position = position;
 }
 
@@ -189,6 +212,7 @@
                                     const RecordBatch& batch,
                                     const RecordRules& rules) {
   PruneTombstones(mirror);
+  PruneUnusable(mirror);
   std::set<std::string> changed;
   if (batch.coverage == BatchCoverage::kAllKeys &&
       batch.end.era > mirror.end.era) {
--- a/packages/traffic/keyed_mirror.h
+++ b/packages/traffic/keyed_mirror.h
@@ -49,14 +49,32 @@
   // Empty if the record removes the key.
   std::optional<std::string> value;
   StorePosition position;
-  // The order of the value that was removed, if the record removes the key and
-  // the value was known.
-  std::optional<RecordOrder> removed_order = {};
+  // The order of a value that the record does not hold, if it was known: the
+  // value was removed, or a summary has replaced it.
+  std::optional<RecordOrder> known_order = {};
+  // True if no host can use the value.
+  bool unusable = false;
 
   bool operator==(const KeyedRecord&) const = default;
 };
 
-// What the records of a topic mean, as far as a restore needs it.
+// What hosts use of a value.
+enum class ValueUse {
+  kWhole,
+  // Only that the key has a value.
+  kPresence,
+  // Nothing; the record ends an earlier one of its key.
+  kNone,
+};
+
+struct ValueReading {
+  ValueUse use = ValueUse::kWhole;
+  std::string detail;  // why the value is not used, if it is not
+
+  bool operator==(const ValueReading&) const = default;
+};
+
+// What the records of a topic mean, as far as a mirror needs it.
 struct RecordRules {
   // Empty if the value has no order or cannot be read.
   std::function<std::optional<RecordOrder>(const std::string& key,
@@ -68,6 +86,9 @@
   // their own order, however long that takes.
   std::function<bool(const std::string& key)> is_permanent =
       [](const std::string&) { return false; };
+  std::function<ValueReading(const std::string& key, const std::string& value)>
+      read_value =
+          [](const std::string&, const std::string&) { return ValueReading{}; };
 };
 
 struct KeyedMirror {
@@ -76,9 +97,9 @@
   // offset or a newer one. A key without a record had no value there, or is
   // removed by a later record.
   StorePosition end;
-  // Removals from this offset on are all in `records`. Earlier ones may be
-  // missing: a read of the newest records does not list them, and old ones are
-  // dropped.
+  // Removals and unusable values from this offset on are all in `records`.
+  // Earlier ones may be missing: a read of the newest records does not list
+  // removals, and old ones of both are dropped.
   StorePosition removals_from;
   // The newest records of the era of `end` that are older, by their own order,
   // than the records of earlier eras that `records` holds.
@@ -88,6 +109,8 @@
   // from peers, as nothing would end their hold later.
   bool takes_held = false;
   bool takes_held_removals = false;
+  // Number of unusable records that were dropped for kMaxUnusableRecords.
+  std::uint64_t dropped_unusable = 0;
 
   bool operator==(const KeyedMirror&) const = default;
 };
@@ -119,6 +142,11 @@
 // A merge may exceed this until the next one.
 inline constexpr std::size_t kMaxTombstones = 4096;
 
+// Unusable records that are retained, so that peers learn of what they replace.
+// Without its record, such a key is as one without a value. A merge may exceed
+// this until the next one.
+inline constexpr std::size_t kMaxUnusableRecords = 1024;
+
 // Merges the records of the batch and moves the position to its end if it
 // covers every change from the position on. Returns the keys whose newest
 // record changed; `records` holds each of them until the next merge.
--- a/standins/platform/hostile_record_test.cc
+++ b/standins/platform/hostile_record_test.cc
@@ -95,6 +95,59 @@
       Seconds(5)));
 }
 
+// Guards against values that no host can use and that fill its memory, as they
+// arrive or at its next start, and against usable records that are lost with
+// them.
+TEST_CASE("records that no host can use take little memory") {
+  constexpr int kRecordsOfKind = 100;
+  constexpr std::size_t kBytes = 250'000;
+  constexpr std::size_t kMostMb = 16;
+  constexpr const char* kBegin = R"({"service":"ledger","zone":)";
+  const std::string spaces(kBytes, ' ');
+  RelayProcess site(Seconds(4));
+  const std::size_t before = PeakMb(site);
+  REQUIRE(before > 0);
+  for (int i = 0; i < kRecordsOfKind; ++i) {
+    const std::string number = std::to_string(i);
+    // In turn: wrong fields, and bytes that are no JSON.
+    site.store.Put(
+        "keyed.servers", "w-" + number,
+        i % 2 == 0 ? kBegin + number + spaces + "}" : number + spaces);
+    site.store.Put("keyed.op", "evacuate/" + number, spaces);
+    site.store.Put("keyed.op", "prompt/" + number, "{" + spaces);
+    site.store.Put("keyed.op", "other/" + number, spaces);
+    site.RunFor(Milliseconds(5));
+  }
+  site.store.Put("keyed.servers", "i-1", std::nullopt);
+  site.store.Put("keyed.servers", "i-2",
+                 R"({"service":"ledger","address":")" + site.second.ip() + ":" +
+                     std::to_string(site.second.Port()) +
+                     R"(","zone":"west","slots":6,"state":"ready",)" +
+                     R"("born":1700000000000)" + spaces + "}");
+  const auto answers = [&site](int status) {
+    return site.RunUntil(
+        [&] {
+          return Ask(site, Request("GET", "/s/x", "after")).status == status;
+        },
+        Seconds(10));
+  };
+  site.RunFor(Seconds(3));
+  CHECK(answers(200));
+  const std::size_t peak = PeakMb(site);
+  site.process->Signal(SIGKILL);
+  REQUIRE(site.RunUntil([&] { return !site.process->IsRunning(); }));
+  site.process->Start();
+  CHECK(answers(200));
+  site.RunFor(Seconds(1));
+  const std::size_t restarted_peak = PeakMb(site);
+  INFO("before " << before << " MB, peak " << peak << " MB, after a start "
+                 << restarted_peak << " MB");
+  CHECK(peak <= before + kMostMb);
+  CHECK(restarted_peak <= before + kMostMb);
+  site.store.Put("keyed.op", "evacuate/west", spaces);
+  CHECK(answers(503));
+}
+
 // Guards against a failure kept for each wrong element, which takes a multiple
 // of the record's size.
 TEST_CASE("a configuration of wrong elements takes little memory") {
--- a/standins/platform/platform_store_stand_in.cc
+++ b/standins/platform/platform_store_stand_in.cc
@@ -133,7 +133,8 @@
   }
   if (request.path == "/v1/log-newest") {
     const auto topic = QueryValue(request.query, "topic").value_or("");
-    this->Respond(*writer, 200, this->Newest(this->topics[topic]));
+    const auto after = QueryValue(request.query, "after").value_or("");
+    this->Respond(*writer, 200, this->Newest(this->topics[topic], after));
   } else if (request.path == "/v1/log-read") {
     this->Read(request, writer);
   } else if (request.path == "/v1/log-append") {
@@ -266,29 +267,42 @@
     const Record& record = topic.records[i];
     const std::string content =
         Number(record.key.size(), 1) + record.key + record.value.value_or("");
+    if (i > static_cast<std::size_t>(from) &&
+        page.size() + content.size() > this->page_bytes) {
+      break;
+    }
     page += Number(content.size(), 4) + content;
   }
   return page;
 }
 
-std::string PlatformStoreStandIn::Newest(const Topic& topic) const {
-  std::map<std::string, json> items;
+std::string PlatformStoreStandIn::Newest(const Topic& topic,
+                                         const std::string& after) const {
+  constexpr std::size_t kMaxItems = 500;
+  std::map<std::string, std::size_t> offsets;
   for (std::size_t i = 0; i < topic.records.size(); ++i) {
     const Record& record = topic.records[i];
     if (record.value) {
-      items[record.key] = {{"key", record.key},
-                           {"value", EncodeBase64(*record.value)},
-                           {"offset", i}};
+      offsets[record.key] = i;
     } else {
-      items.erase(record.key);
+      offsets.erase(record.key);
     }
   }
   json list = json::array();
-  for (const auto& [key, item] : items) {
-    list.push_back(item);
+  std::size_t bytes = 0;
+  auto entry = offsets.upper_bound(after);
+  for (; entry != offsets.end() && list.size() < kMaxItems; ++entry) {
+    const std::string value = EncodeBase64(*topic.records[entry->second].value);
+    bytes += value.size();
+    if (!list.empty() && bytes > this->page_bytes) {
+      break;
+    }
+    list.push_back(
+        {{"key", entry->first}, {"value", value}, {"offset", entry->second}});
   }
-  return json{
-      {"items", list}, {"has_more", false}, {"end", topic.records.size()}}
+  return json{{"items", list},
+              {"has_more", entry != offsets.end()},
+              {"end", topic.records.size()}}
       .dump();
 }
 
--- a/standins/platform/platform_store_stand_in.h
+++ b/standins/platform/platform_store_stand_in.h
@@ -60,6 +60,9 @@
   void Reassign();
   // When members joined or stayed in the group, in order.
   std::vector<TimePoint> joins;
+  // Answers of reads end after this, as in the protocol of the store, but have
+  // at least one record.
+  std::size_t page_bytes = std::size_t{1} << 20;
   // Drops the history of a topic; the newest records stay.
   void Compact(const std::string& topic);
 
@@ -98,7 +101,8 @@
   void RefuseWaiting();
   void RemoveMembers(const std::function<bool(const std::string&)>& removes);
   std::string Page(const Topic& topic, std::int64_t from) const;
-  std::string Newest(const Topic& topic) const;
+  // The keys after `after`.
+  std::string Newest(const Topic& topic, const std::string& after) const;
 
   EventLoop& loop;
   std::unique_ptr<HttpServer> server;
