Quote at most 80 bytes of a value in a message

The message that refuses a record or an answer held what it quoted in full: FieldReader cut values, but the address and state of a server's entry, the names of services and tenants, the rule on a prompt, the era of an answer and the names of unknown fields came by other ways. Such a message is written to the log.

QuoteText (base/field_failure.h) cuts a quoted text to 80 bytes (kMaxQuotedBytes, so far in FieldReader). InvalidField and ParseAddress use it, and the other places that quote texts of others. Messages still begin with the field and the beginning of the value.

--- a/packages/json_fields/field_reader.cc
+++ b/packages/json_fields/field_reader.cc
@@ -15,18 +15,6 @@
 
 using nlohmann::json;
 
-// Longer values are truncated in messages.
-constexpr std::size_t kMaxQuotedBytes = 80;
-
-std::string FormatValue(const json& value) {
-  std::string text = DumpJson(value);
-  if (text.size() > kMaxQuotedBytes) {
-    text.resize(kMaxQuotedBytes);
-    text += "...";
-  }
-  return text;
-}
-
 }  // namespace
 
 FieldReader::FieldReader(const json& object,
@@ -53,7 +41,7 @@
     return;
   }
   this->failures.push_back(
-      InvalidField(this->prefix + name, FormatValue(value), remedy));
+      InvalidField(this->prefix + name, DumpJson(value), remedy));
 }
 
 std::string FieldReader::ReadString(const char* name,
@@ -174,7 +162,7 @@
     if (std::ranges::find(this->read_names, name) == this->read_names.end()) {
       findings.push_back(
           MakeFailure(ResultCode::kRecordUnknownField,
-                      this->prefix + name +
+                      this->prefix + QuoteText(name) +
                           " is not known to this version; check its spelling"));
     }
   }
--- a/packages/json_fields/field_reader_test.cc
+++ b/packages/json_fields/field_reader_test.cc
@@ -80,6 +80,25 @@
   CHECK(findings.size() == kMaxFailures);
 }
 
+// Guards against a message as long as the record that it refuses.
+TEST_CASE("messages quote the beginning of a long name or value") {
+  constexpr std::size_t kLongBytes = 250'000;
+  constexpr std::size_t kMaxMessageBytes = 200;
+  const std::string text(kLongBytes, 'x');
+  const json object = json{{"a", text}, {text, 1}};
+  std::vector<Failure> failures;
+  FieldReader reader(object, "p.", failures);
+  reader.ReadNumber("a", 0);
+  reader.ReportUnknown(failures);
+  REQUIRE(failures.size() == 2);
+  CHECK(failures[0].detail.starts_with("p.a is '\"xxx"));
+  CHECK(failures[0].detail.ends_with("xxx...'; use a number"));
+  CHECK(failures[1].detail.starts_with("p.xxx"));
+  for (const Failure& failure : failures) {
+    CHECK(failure.detail.size() < kMaxMessageBytes);
+  }
+}
+
 std::string Nested(std::size_t levels, const std::string& text) {
   return std::string(levels, '[') + text + std::string(levels, ']');
 }
--- a/packages/settings/parse_address.cc
+++ b/packages/settings/parse_address.cc
@@ -4,12 +4,14 @@
 
 #include <charconv>
 
+#include "base/field_failure.h"
+
 namespace toucanhollow {
 
 Result<Address> ParseAddress(std::string_view text) {
   const auto fail = [&](std::string_view reason) {
     return MakeFailure(ResultCode::kSettingsInvalid,
-                       "\"" + std::string(text) + "\" " + std::string(reason) +
+                       "\"" + QuoteText(text) + "\" " + std::string(reason) +
                            "; write an IPv4 address and port by number, for "
                            "example 127.0.0.1:8080");
   };
