Read a topic another way at pauses when a page is too large

A host whose store answered a read of a topic with more than 4 MB (the limit of a call; the protocol's pages have 1 MB) asked for the same page every 0.4 s without an end, 13 times in 5 s, and read nothing else of the topic. Pages of newest records before such a page were read and not used. The reader of quarantine records did the same every second without a line in the log.

KeyedTopicTask now reads the newest records after a page of the log that is too large, and the log, if it has a position in the era, after such a page of newest records. What the pages before it list is merged as some records, which moves no position. The pauses double from 100 ms to 5 s (FindTooLargePause) until a page of the log is read again; the first answer is logged as store_answer_too_large. The reader of quarantine records pauses and logs likewise.

The host serves meanwhile and takes new configurations, before and after.

--- a/packages/relay/keyed_topic_task.cc
+++ b/packages/relay/keyed_topic_task.cc
@@ -143,6 +143,10 @@
 }
 
 void KeyedTopicTask::OnNewest(const HttpOutcome& outcome, bool is_first_page) {
+  if (outcome.end == HttpEnd::kResponseTooLarge) {
+    this->OnTooLarge(outcome, /*of_log=*/false);
+    return;
+  }
   const bool usable = this->AdoptEra(outcome);
   if (outcome.end != HttpEnd::kComplete || outcome.status != 200 || !usable) {
     this->OnFailed(outcome);
@@ -213,6 +217,10 @@
 }
 
 void KeyedTopicTask::OnLog(const HttpOutcome& outcome, StorePosition from) {
+  if (outcome.end == HttpEnd::kResponseTooLarge) {
+    this->OnTooLarge(outcome, /*of_log=*/true);
+    return;
+  }
   const bool usable = this->AdoptEra(outcome);
   const bool is_answer =
       outcome.end == HttpEnd::kComplete &&
@@ -248,6 +256,7 @@
   }
   this->OnAnswered();
   this->consecutive_gone = 0;
+  this->consecutive_too_large = 0;
   this->ReduceUnused(page.value().records);
   this->NotifyChange(
       this->Merge({BatchCoverage::kChanges, std::move(page.value().records),
@@ -284,20 +293,10 @@
   const ReadFailure failure = may_be_connection
                                   ? ReadFailure::kConnectionLost
                                   : ReadFailure::kStoreUnavailable;
-  if (this->consecutive_failures == 0) {
-    LogJsonNow("store_lost",
-               {{"topic", TopicName(this->topic)},
-                {"status", static_cast<std::int64_t>(outcome.status)},
-                {"detail", std::string_view(outcome.error)},
-                {"era", this->records.end.era.value},
-                {"offset", this->records.end.number}});
-  }
-  this->contact = RecordFailure(this->contact, failure, this->sent_at);
-  this->callbacks.on_contact(this->contact);
   const Duration period =
       kInitialRetryPeriod *
       (1 << std::min(this->consecutive_failures, kMaxRetryDoublings));
-  ++this->consecutive_failures;
+  this->RecordFailedRead(outcome, failure);
   if (may_be_connection) {
     this->Schedule(Duration(0));
     return;
@@ -306,6 +305,45 @@
   this->Schedule(std::max(period - since_sent, kMinRetryDelay));
 }
 
+void KeyedTopicTask::OnTooLarge(const HttpOutcome& outcome, bool of_log) {
+  const int earlier = this->consecutive_too_large++;
+  if (earlier == 0) {
+    LogJsonNow("store_answer_too_large",
+               {{"topic", TopicName(this->topic)},
+                {"of_log", of_log},
+                {"era", this->records.end.era.value},
+                {"offset", this->records.end.number},
+                {"detail", std::string_view(outcome.error)}});
+  }
+  this->RecordFailedRead(outcome, ReadFailure::kStoreUnavailable);
+  // A log without a position in the latest era is not read, see ReadNext.
+  this->following_log = !of_log;
+  this->Schedule(FindTooLargePause(earlier));
+  // What the pages before this one list counts. Records of an era that the
+  // mirror is not in wait for the list of all keys.
+  const std::vector<KeyedRecord> read =
+      std::exchange(this->snapshot_records, {});
+  if (!read.empty() && (this->records.end == StorePosition{} ||
+                        this->records.end.era == this->snapshot_end.era)) {
+    this->NotifyChange(
+        this->Merge({BatchCoverage::kSomeRecords, read, {}, {}}));
+  }
+}
+
+void KeyedTopicTask::RecordFailedRead(const HttpOutcome& outcome,
+                                      ReadFailure failure) {
+  if (this->consecutive_failures++ == 0) {
+    LogJsonNow("store_lost",
+               {{"topic", TopicName(this->topic)},
+                {"status", static_cast<std::int64_t>(outcome.status)},
+                {"detail", std::string_view(outcome.error)},
+                {"era", this->records.end.era.value},
+                {"offset", this->records.end.number}});
+  }
+  this->contact = RecordFailure(this->contact, failure, this->sent_at);
+  this->callbacks.on_contact(this->contact);
+}
+
 void KeyedTopicTask::MergeFromPeer(const RecordBatch& batch) {
   const StorePosition before = this->records.end;
   this->latest_era = std::max(this->latest_era, batch.end.era);
--- a/packages/relay/keyed_topic_task.h
+++ b/packages/relay/keyed_topic_task.h
@@ -91,6 +91,11 @@
   std::size_t CountValues() const;
   void OnAnswered();
   void OnFailed(const HttpOutcome& outcome);
+  // The answer to a read of the log, or of the newest records, is longer than
+  // the host accepts. The other way of reading may still work.
+  void OnTooLarge(const HttpOutcome& outcome, bool of_log);
+  // Notes the failure and logs the first one in a row.
+  void RecordFailedRead(const HttpOutcome& outcome, ReadFailure failure);
   void StartCall(HttpCall request,
                  Duration wait,
                  std::function<void(const HttpOutcome& outcome)> on_done);
@@ -131,6 +136,8 @@
   bool logged_dropped = false;
   // Reads of the log since the last answer that had the position.
   int consecutive_gone = 0;
+  // Answers that were too large since the log was last read.
+  int consecutive_too_large = 0;
   TimePoint last_answer_at;
   TimePoint sent_at;
   HttpCallId call = 0;
--- a/packages/relay/keyed_topic_task_test.cc
+++ b/packages/relay/keyed_topic_task_test.cc
@@ -437,5 +437,51 @@
   }
 }
 
+// A body that is longer than the client accepts.
+std::string TooLargeBody() {
+  std::string body;
+  body.resize(HttpCall{}.max_response_bytes + 1, '9');
+  return body;
+}
+
+// Guards against a host that asks again and again for a page of the log that is
+// too large, although it could read the newest records.
+TEST_CASE("newest records are read in place of a log that is too large") {
+  Fixture fixture({{200, "2"}, {200, TooLargeBody()}, {200, "6"}, {200, "66"}});
+  REQUIRE(fixture.RunUntilReads(5));
+  CHECK(fixture.reads[1].starts_with("/read?from=2"));
+  CHECK(fixture.reads[2] == kNewestRead);
+  CHECK(fixture.reads[3].starts_with("/read?from=6"));
+  CHECK(fixture.read_at[2] - fixture.read_at[1] >= Milliseconds(99));
+  CHECK(fixture.contact.answering_since);
+  CHECK(fixture.complete == std::vector<std::int64_t>{2, 6, 6});
+}
+
+// Guards against records that are not used because a later page of the list is
+// too large, and against reads of it without growing pauses.
+TEST_CASE("the pages before one that is too large count") {
+  Fixture fixture({});
+  for (int i = 0; i < 4; ++i) {
+    fixture.script.push_back({.body = "2m", .era = "1"});
+    fixture.script.push_back({.body = TooLargeBody(), .era = "1"});
+  }
+  fixture.script.push_back({.body = "2m", .era = "1"});
+  fixture.script.push_back({.body = "2", .era = "1"});
+  REQUIRE(fixture.RunUntilReads(3));
+  CHECK(fixture.task->mirror().records.contains("m"));
+  CHECK(fixture.task->mirror().end == StorePosition{});
+  CHECK(fixture.complete.empty());
+  REQUIRE(fixture.RunUntilReads(11));
+  for (const std::size_t i : {1U, 3U, 5U, 7U}) {
+    INFO("read " << i);
+    CHECK(fixture.reads[i] == "/newest?after=m");
+    CHECK(fixture.reads[i + 1] == kNewestRead);
+    CHECK(fixture.read_at[i + 1] - fixture.read_at[i] >=
+          Milliseconds((50 << ((i + 1) / 2)) - 1));
+  }
+  CHECK(fixture.complete == std::vector<std::int64_t>{2});
+  CHECK(fixture.reads[10].starts_with("/read?from=2"));
+}
+
 }  // namespace
 }  // namespace toucanhollow
--- a/packages/relay/quarantine_store_task.cc
+++ b/packages/relay/quarantine_store_task.cc
@@ -1,8 +1,10 @@
 #include "relay/quarantine_store_task.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "json_log/json_log.h"
+#include "traffic/read_timing.h"
 
 namespace toucanhollow {
 namespace {
@@ -69,8 +71,21 @@
       era ? this->codec.decode_newest(outcome.body, era.value())
           : Result<NewestPage>(era.error());
   if (!page) {
-    this->read_retry = std::make_unique<Timer>(
-        this->loop, kRetryDelay, Duration(0), [this] { this->Read(""); });
+    const bool too_large = outcome.end == HttpEnd::kResponseTooLarge;
+    if (too_large && this->consecutive_too_large == 0) {
+      LogJsonNow("store_answer_too_large",
+                 {{"topic", "status"},
+                  {"of_log", false},
+                  {"detail", std::string_view(outcome.error)}});
+    }
+    const Duration pause = too_large
+                               ? FindTooLargePause(this->consecutive_too_large)
+                               : Duration(0);
+    this->consecutive_too_large =
+        too_large ? this->consecutive_too_large + 1 : 0;
+    this->read_retry =
+        std::make_unique<Timer>(this->loop, std::max(kRetryDelay, pause),
+                                Duration(0), [this] { this->Read(""); });
     return;
   }
   this->rewrite.OnEra(era.value());
--- a/packages/relay/quarantine_store_task.h
+++ b/packages/relay/quarantine_store_task.h
@@ -69,6 +69,7 @@
   QuarantineStoreCallbacks callbacks;
   QuarantineRewriteTask rewrite;
   HttpCallId read_call = 0;
+  int consecutive_too_large = 0;
   std::unique_ptr<Timer> read_retry;
   std::map<std::string, Pending> pending;  // by key
 };
--- a/packages/traffic/read_timing.cc
+++ b/packages/traffic/read_timing.cc
@@ -3,6 +3,13 @@
 #include <algorithm>
 
 namespace toucanhollow {
+namespace {
+
+constexpr Duration kMinTooLargePause = Milliseconds(100);
+constexpr Duration kMaxTooLargePause = Seconds(5);
+constexpr int kMaxDoublings = 6;
+
+}  // namespace
 
 ReadTiming PlanReads(Duration contact_bound, Duration max_read_delay) {
   const Duration available =
@@ -17,4 +24,9 @@
   return timing.read_delay + timing.long_poll_wait + kAnswerTimeout;
 }
 
+Duration FindTooLargePause(int earlier) {
+  return std::min(kMinTooLargePause * (1 << std::min(earlier, kMaxDoublings)),
+                  kMaxTooLargePause);
+}
+
 }  // namespace toucanhollow
--- a/packages/traffic/read_timing.h
+++ b/packages/traffic/read_timing.h
@@ -38,6 +38,11 @@
 // How long after the last answer a host that has lost contact notices it.
 Duration FindDetectionTime(const ReadTiming& timing);
 
+// The pause after an answer that is longer than the host accepts, which may
+// cost megabytes at each read. `earlier` is the number of such answers since
+// the log was last read.
+Duration FindTooLargePause(int earlier);
+
 }  // namespace toucanhollow
 
 #endif  // TRAFFIC_READ_TIMING_H_
--- a/packages/traffic/store_contact_test.cc
+++ b/packages/traffic/store_contact_test.cc
@@ -90,5 +90,14 @@
   CHECK(FindServerHoldEnd(contact, kContactBound, At(9000)) == At(11500));
 }
 
+// Guards against reads of megabytes in quick succession, and against pauses
+// that grow without a bound.
+TEST_CASE("pauses after answers that are too large grow up to a bound") {
+  CHECK(FindTooLargePause(0) == Milliseconds(100));
+  CHECK(FindTooLargePause(3) == Milliseconds(800));
+  CHECK(FindTooLargePause(6) == Seconds(5));
+  CHECK(FindTooLargePause(1'000'000) == Seconds(5));
+}
+
 }  // namespace
 }  // namespace toucanhollow
--- a/standins/platform/hostile_record_test.cc
+++ b/standins/platform/hostile_record_test.cc
@@ -148,6 +148,50 @@
   CHECK(answers(503));
 }
 
+// Guards against reads of megabytes without a bound on their rate, and against
+// a host that stops reading what it still can.
+TEST_CASE("pages of the store that are too large are read seldom") {
+  constexpr int kRecords = 24;
+  constexpr int kMaxReads = 3;
+  RelayProcess site(Seconds(4));
+  site.RunFor(Seconds(2));
+  site.store.page_bytes = std::size_t{64} << 20;
+  const auto list = [&site](const std::string& id, const std::string& more) {
+    site.store.Put("keyed.servers", id,
+                   R"({"service":"ledger","address":")" + site.second.ip() +
+                       ":" + std::to_string(site.second.Port()) +
+                       R"(","zone":"west","slots":6,"state":"draining",)" +
+                       R"("born":1700000000000)" + more + "}");
+  };
+  for (int i = 0; i < kRecords; ++i) {
+    list("j-" + std::to_string(i), std::string(250'000, ' '));
+  }
+  // The pauses have grown by then.
+  site.RunFor(Seconds(4));
+  const int before = site.store.reads["keyed.servers"];
+  site.RunFor(Seconds(5));
+  const int reads = site.store.reads["keyed.servers"] - before;
+  INFO(reads << " reads in 5 s");
+  CHECK(reads > 0);
+  CHECK(reads <= kMaxReads);
+  CHECK(Ask(site, Request("GET", "/s/x", "meanwhile")).status == 200);
+  site.store.Put("keyed.op", "config", ConfigText(2, "\"k2\""));
+  const auto answers = [&site](int status) {
+    return site.RunUntil(
+        [&] {
+          return Ask(site, Request("GET", "/s/x", "after")).status == status;
+        },
+        Seconds(10));
+  };
+  CHECK(answers(401));
+  site.store.Put("keyed.op", "config", ConfigText(3, "\"k1\""));
+  CHECK(answers(200));
+  site.store.Put("keyed.servers", "i-1", std::nullopt);
+  site.store.page_bytes = std::size_t{1} << 20;
+  CHECK(answers(503));
+  CHECK(site.process->IsRunning());
+}
+
 // Guards against a failure kept for each wrong element, which takes a multiple
 // of the record's size.
 TEST_CASE("a configuration of wrong elements takes little memory") {
--- a/standins/platform/platform_store_stand_in.cc
+++ b/standins/platform/platform_store_stand_in.cc
@@ -125,6 +125,9 @@
     const HttpRequest& request,
     const std::shared_ptr<HttpResponseWriter>& writer) {
   ++this->calls[request.path];
+  if (request.path == "/v1/log-newest" || request.path == "/v1/log-read") {
+    ++this->reads[QueryValue(request.query, "topic").value_or("")];
+  }
   if (this->down ||
       (!this->unreadable_topic.empty() &&
        QueryValue(request.query, "topic") == this->unreadable_topic)) {
--- a/standins/platform/platform_store_stand_in.h
+++ b/standins/platform/platform_store_stand_in.h
@@ -43,6 +43,8 @@
   std::optional<std::int64_t> era = 1;
   // The calls answered so far, by path.
   std::map<std::string, int> calls;
+  // Those of them that read a topic's log or newest records, by topic.
+  std::map<std::string, int> reads;
   // Whether members of groups are given a partition, and which one.
   void SetCoordinator(bool gives) { this->coordinator = gives; }
   int given_partition = 0;
