Test the bound on the number of unusable records with the real program

The bound of 1,024 unusable records a topic had unit tests alone; the test with the real program had 400 long ones, which the bound on the length covers.

--- a/standins/platform/hostile_record_test.cc
+++ b/standins/platform/hostile_record_test.cc
@@ -148,6 +148,42 @@
   CHECK(answers(503));
 }
 
+// Guards against short values that no host can use and that fill its memory by
+// their number.
+TEST_CASE("many records that no host can use take little memory") {
+  constexpr int kRecords = 40'000;
+  constexpr std::size_t kBytes = 200;
+  constexpr std::size_t kMostMb = 16;
+  RelayProcess site(Seconds(4));
+  const std::size_t before = PeakMb(site);
+  REQUIRE(before > 0);
+  for (int i = 0; i < kRecords; ++i) {
+    site.store.Put("keyed.servers", "w-" + std::to_string(i),
+                   std::string(kBytes, 'x'));
+  }
+  site.List("i-1", site.first, "draining");
+  site.List("i-2", site.second, "ready");
+  const auto serves = [&site] {
+    return site.RunUntil(
+        [&] {
+          return Ask(site, Request("GET", "/s/x", "after")).status == 200;
+        },
+        Seconds(20));
+  };
+  site.RunFor(Seconds(5));
+  CHECK(serves());
+  const std::size_t peak = PeakMb(site);
+  site.process->Signal(SIGKILL);
+  REQUIRE(site.RunUntil([&] { return !site.process->IsRunning(); }));
+  site.process->Start();
+  CHECK(serves());
+  const std::size_t restarted_peak = PeakMb(site);
+  INFO("before " << before << " MB, peak " << peak << " MB, after a start "
+                 << restarted_peak << " MB");
+  CHECK(peak <= before + kMostMb);
+  CHECK(restarted_peak <= before + kMostMb);
+}
+
 // Guards against reads of megabytes without a bound on their rate, and against
 // a host that stops reading what it still can.
 TEST_CASE("pages of the store that are too large are read seldom") {
