--- a/packages/json_fields/field_reader.cc
+++ b/packages/json_fields/field_reader.cc
@@ -15,18 +15,6 @@
 
 using nlohmann::json;
 
-// Longer values are truncated in messages.
-constexpr std::size_t kMaxQuotedBytes = 80;
-
-std::string FormatValue(const json& value) {
-  std::string text = DumpJson(value);
-  if (text.size() > kMaxQuotedBytes) {
-    text.resize(kMaxQuotedBytes);
-    text += "...";
-  }
-  return text;
-}
-
 }  // namespace
 
 FieldReader::FieldReader(const json& object,
@@ -38,7 +26,8 @@
                                     const char* remedy_if_required) {
   this->read_names.emplace_back(name);
   const json* field = FindField(this->object, name);
-  if (field == nullptr && remedy_if_required != nullptr) {
+  if (field == nullptr && remedy_if_required != nullptr &&
+      this->failures.size() < kMaxFailures) {
     this->failures.push_back(
         MissingField(this->prefix + name, remedy_if_required));
   }
@@ -48,8 +37,11 @@
 void FieldReader::AddInvalidField(const char* name,
                                   const json& value,
                                   const char* remedy) {
+  if (this->failures.size() >= kMaxFailures) {
+    return;
+  }
   this->failures.push_back(
-      InvalidField(this->prefix + name, FormatValue(value), remedy));
+      InvalidField(this->prefix + name, DumpJson(value), remedy));
 }
 
 std::string FieldReader::ReadString(const char* name,
@@ -164,10 +156,13 @@
     return;
   }
   for (const auto& [name, value] : this->object.items()) {
+    if (findings.size() >= kMaxFailures) {
+      return;
+    }
     if (std::ranges::find(this->read_names, name) == this->read_names.end()) {
       findings.push_back(
           MakeFailure(ResultCode::kRecordUnknownField,
-                      this->prefix + name +
+                      this->prefix + QuoteText(name) +
                           " is not known to this version; check its spelling"));
     }
   }
--- a/packages/json_fields/field_reader_test.cc
+++ b/packages/json_fields/field_reader_test.cc
@@ -64,6 +64,41 @@
   CHECK(failures[1].detail == "high is '11'; use a number from 0 to 10");
 }
 
+// Guards against a failure kept for each wrong element of a long list.
+TEST_CASE("the failures of one record are bounded") {
+  const json object = json::parse(R"({"wrong":null})");
+  std::vector<Failure> failures;
+  std::vector<Failure> findings;
+  for (std::size_t i = 0; i < 2 * kMaxFailures; ++i) {
+    FieldReader reader(object, "", failures);
+    reader.ReadName("missing", "name it");
+    reader.ReadName("wrong", "name it");
+    FieldReader(object, "", failures).ReportUnknown(findings);
+  }
+  CHECK(failures.size() == kMaxFailures);
+  CHECK(failures.front().detail == "missing is missing; name it");
+  CHECK(findings.size() == kMaxFailures);
+}
+
+// Guards against a message as long as the record that it refuses.
+TEST_CASE("messages quote the beginning of a long name or value") {
+  constexpr std::size_t kLongBytes = 250'000;
+  constexpr std::size_t kMaxMessageBytes = 200;
+  const std::string text(kLongBytes, 'x');
+  const json object = json{{"a", text}, {text, 1}};
+  std::vector<Failure> failures;
+  FieldReader reader(object, "p.", failures);
+  reader.ReadNumber("a", 0);
+  reader.ReportUnknown(failures);
+  REQUIRE(failures.size() == 2);
+  CHECK(failures[0].detail.starts_with("p.a is '\"xxx"));
+  CHECK(failures[0].detail.ends_with("xxx...'; use a number"));
+  CHECK(failures[1].detail.starts_with("p.xxx"));
+  for (const Failure& failure : failures) {
+    CHECK(failure.detail.size() < kMaxMessageBytes);
+  }
+}
+
 std::string Nested(std::size_t levels, const std::string& text) {
   return std::string(levels, '[') + text + std::string(levels, ']');
 }
--- a/packages/relay/keyed_topic_task.cc
+++ b/packages/relay/keyed_topic_task.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "json_log/json_log.h"
+#include "traffic/unusable_values.h"
 
 namespace toucanhollow {
 namespace {
@@ -50,6 +51,10 @@
            this->codec.decode_operator_key(key).kind ==
                OperatorKeyKind::kTraffic;
   };
+  this->rules.read_value = [this](const std::string& key,
+                                  const std::string& value) {
+    return this->ReadValue(key, value);
+  };
   this->ReadNewest("");
 }
 
@@ -138,6 +143,10 @@
 }
 
 void KeyedTopicTask::OnNewest(const HttpOutcome& outcome, bool is_first_page) {
+  if (outcome.end == HttpEnd::kResponseTooLarge) {
+    this->OnTooLarge(outcome, /*of_log=*/false);
+    return;
+  }
   const bool usable = this->AdoptEra(outcome);
   if (outcome.end != HttpEnd::kComplete || outcome.status != 200 || !usable) {
     this->OnFailed(outcome);
@@ -164,10 +173,13 @@
     this->snapshot_end = page.value().end;
     this->snapshot_read_at = EventLoop::Now();
   }
-  std::ranges::move(page.value().records,
-                    std::back_inserter(this->snapshot_records));
-  if (page.value().has_more) {
-    this->ReadNewest(this->snapshot_records.back().key);
+  const bool has_more = page.value().has_more;
+  const std::string last_key = has_more ? page.value().records.back().key : "";
+  this->ReduceUnused(page.value().records);
+  this->ReportDropped(
+      AppendPage(this->snapshot_records, std::move(page.value().records)));
+  if (has_more) {
+    this->ReadNewest(last_key);
     return;
   }
   RecordBatch batch;
@@ -205,6 +217,10 @@
 }
 
 void KeyedTopicTask::OnLog(const HttpOutcome& outcome, StorePosition from) {
+  if (outcome.end == HttpEnd::kResponseTooLarge) {
+    this->OnTooLarge(outcome, /*of_log=*/true);
+    return;
+  }
   const bool usable = this->AdoptEra(outcome);
   const bool is_answer =
       outcome.end == HttpEnd::kComplete &&
@@ -240,6 +256,8 @@
   }
   this->OnAnswered();
   this->consecutive_gone = 0;
+  this->consecutive_too_large = 0;
+  this->ReduceUnused(page.value().records);
   this->NotifyChange(
       this->Merge({BatchCoverage::kChanges, std::move(page.value().records),
                    from, page.value().next}));
@@ -275,20 +293,10 @@
   const ReadFailure failure = may_be_connection
                                   ? ReadFailure::kConnectionLost
                                   : ReadFailure::kStoreUnavailable;
-  if (this->consecutive_failures == 0) {
-    LogJsonNow("store_lost",
-               {{"topic", TopicName(this->topic)},
-                {"status", static_cast<std::int64_t>(outcome.status)},
-                {"detail", std::string_view(outcome.error)},
-                {"era", this->records.end.era.value},
-                {"offset", this->records.end.number}});
-  }
-  this->contact = RecordFailure(this->contact, failure, this->sent_at);
-  this->callbacks.on_contact(this->contact);
   const Duration period =
       kInitialRetryPeriod *
       (1 << std::min(this->consecutive_failures, kMaxRetryDoublings));
-  ++this->consecutive_failures;
+  this->RecordFailedRead(outcome, failure);
   if (may_be_connection) {
     this->Schedule(Duration(0));
     return;
@@ -297,10 +305,51 @@
   this->Schedule(std::max(period - since_sent, kMinRetryDelay));
 }
 
+void KeyedTopicTask::OnTooLarge(const HttpOutcome& outcome, bool of_log) {
+  const int earlier = this->consecutive_too_large++;
+  if (earlier == 0) {
+    LogJsonNow("store_answer_too_large",
+               {{"topic", TopicName(this->topic)},
+                {"of_log", of_log},
+                {"era", this->records.end.era.value},
+                {"offset", this->records.end.number},
+                {"detail", std::string_view(outcome.error)}});
+  }
+  this->RecordFailedRead(outcome, ReadFailure::kStoreUnavailable);
+  // A log without a position in the latest era is not read, see ReadNext.
+  this->following_log = !of_log;
+  this->Schedule(FindTooLargePause(earlier));
+  // What the pages before this one list counts. Records of an era that the
+  // mirror is not in wait for the list of all keys.
+  const std::vector<KeyedRecord> read =
+      std::exchange(this->snapshot_records, {});
+  if (!read.empty() && (this->records.end == StorePosition{} ||
+                        this->records.end.era == this->snapshot_end.era)) {
+    this->NotifyChange(
+        this->Merge({BatchCoverage::kSomeRecords, read, {}, {}}));
+  }
+}
+
+void KeyedTopicTask::RecordFailedRead(const HttpOutcome& outcome,
+                                      ReadFailure failure) {
+  if (this->consecutive_failures++ == 0) {
+    LogJsonNow("store_lost",
+               {{"topic", TopicName(this->topic)},
+                {"status", static_cast<std::int64_t>(outcome.status)},
+                {"detail", std::string_view(outcome.error)},
+                {"era", this->records.end.era.value},
+                {"offset", this->records.end.number}});
+  }
+  this->contact = RecordFailure(this->contact, failure, this->sent_at);
+  this->callbacks.on_contact(this->contact);
+}
+
 void KeyedTopicTask::MergeFromPeer(const RecordBatch& batch) {
   const StorePosition before = this->records.end;
   this->latest_era = std::max(this->latest_era, batch.end.era);
-  const std::vector<std::string> changed = this->Merge(batch);
+  RecordBatch reduced = batch;
+  this->ReduceUnused(reduced.records);
+  const std::vector<std::string> changed = this->Merge(reduced);
   if (this->records.end > before) {
     // Without a complete read so far, the batch takes its place.
     this->following_log = true;
@@ -317,14 +366,68 @@
 
 std::vector<std::string> KeyedTopicTask::Merge(const RecordBatch& batch) {
   const StorePosition before = this->records.end;
+  const std::uint64_t dropped_before = this->records.dropped_unusable;
   std::vector<std::string> changed =
       MergeBatch(this->records, batch, this->rules);
+  this->ReportDropped(this->records.dropped_unusable - dropped_before);
   if (this->records.end.era != before.era) {
     this->OnEraEntered(before, changed.size());
   }
   return changed;
 }
 
+ValueReading KeyedTopicTask::ReadValue(const std::string& key,
+                                       const std::string& value) const {
+  if (this->topic != KeyedTopic::kOperator) {
+    const Result<ListedServer> server = this->codec.decode_server(key, value);
+    return server ? ValueReading{}
+                  : ValueReading{ValueUse::kNone, server.error().detail};
+  }
+  switch (this->codec.decode_operator_key(key).kind) {
+    case OperatorKeyKind::kTraffic:
+      // One key. A host answers by a configuration that it cannot read, too.
+      return {};
+    case OperatorKeyKind::kEvacuation:
+      return {ValueUse::kPresence, "only the key counts"};
+    case OperatorKeyKind::kPromptRule: {
+      const Result<PromptRuleRecord> rule =
+          this->codec.decode_prompt_rule(value);
+      return rule ? ValueReading{}
+                  : ValueReading{ValueUse::kNone, rule.error().detail};
+    }
+    case OperatorKeyKind::kOther:
+      break;
+  }
+  return {ValueUse::kNone, "the key is not known"};
+}
+
+void KeyedTopicTask::ReduceUnused(std::vector<KeyedRecord>& records) {
+  const std::size_t replaced = ReduceUnusedValues(records, this->rules);
+  if (replaced == 0 || std::exchange(this->logged_replaced, true)) {
+    return;
+  }
+  const auto first = std::ranges::find_if(records, [](const auto& record) {
+    return record.value && IsValueSummary(*record.value);
+  });
+  LogJsonNow("store_value_summarized",
+             {{"topic", TopicName(this->topic)},
+              {"key", std::string_view(first->key)},
+              {"era", first->position.era.value},
+              {"offset", first->position.number},
+              {"detail", std::string_view(*first->value)},
+              {"max_bytes", static_cast<std::int64_t>(kMaxUnusedValueBytes)}});
+}
+
+void KeyedTopicTask::ReportDropped(std::uint64_t dropped) {
+  if (dropped == 0 || std::exchange(this->logged_dropped, true)) {
+    return;
+  }
+  LogJsonNow("store_unusable_dropped",
+             {{"topic", TopicName(this->topic)},
+              {"dropped", static_cast<std::int64_t>(dropped)},
+              {"max_records", static_cast<std::int64_t>(kMaxUnusableRecords)}});
+}
+
 std::size_t KeyedTopicTask::CountValues() const {
   return static_cast<std::size_t>(std::ranges::count_if(
       this->records.records,
--- a/packages/relay/keyed_topic_task.h
+++ b/packages/relay/keyed_topic_task.h
@@ -82,9 +82,20 @@
   std::vector<std::string> Merge(const RecordBatch& batch);
   void OnEraEntered(StorePosition before, std::size_t changed);
   void EndHeld(HeldKind kind);
+  ValueReading ReadValue(const std::string& key,
+                         const std::string& value) const;
+  // Bounds what is kept of values that are not used.
+  void ReduceUnused(std::vector<KeyedRecord>& records);
+  // Logs the first unusable records that were not retained.
+  void ReportDropped(std::uint64_t dropped);
   std::size_t CountValues() const;
   void OnAnswered();
   void OnFailed(const HttpOutcome& outcome);
+  // The answer to a read of the log, or of the newest records, is longer than
+  // the host accepts. The other way of reading may still work.
+  void OnTooLarge(const HttpOutcome& outcome, bool of_log);
+  // Notes the failure and logs the first one in a row.
+  void RecordFailedRead(const HttpOutcome& outcome, ReadFailure failure);
   void StartCall(HttpCall request,
                  Duration wait,
                  std::function<void(const HttpOutcome& outcome)> on_done);
@@ -119,8 +130,14 @@
   TimePoint snapshot_read_at;
   StoreContact contact;
   int consecutive_failures = 0;
+  // Whether the first value replaced by a summary, and the first unusable
+  // records that were dropped, have been logged.
+  bool logged_replaced = false;
+  bool logged_dropped = false;
   // Reads of the log since the last answer that had the position.
   int consecutive_gone = 0;
+  // Answers that were too large since the log was last read.
+  int consecutive_too_large = 0;
   TimePoint last_answer_at;
   TimePoint sent_at;
   HttpCallId call = 0;
