Bound what the quarantine keeps of requests that were given up

Seen: 100 clients at an entry host with memory_mb = 64, whose requests name 62 prompt parts of 230 bytes and have a deadline of 30 ms, at servers that read nothing. The process took 71,480 and 81,421 KB, of 65,536, on (largest sum of VmHWM and bytes that the kernel holds unread, two runs of the new case "a crowd with long prompt parts whose requests are given up").

Cause: each attempt at a server had a copy of all names of its request. The attempt of a request that is given up stays in the AttemptTable for a second, without a bound on their number or bytes. PromptQuarantine kept 1,024 names of parts at crashed servers, of any length.

Names are for the log and for records in the store, whose form has them, so they cannot be replaced by hashes everywhere; they are bounded in bytes instead. - A request shares its names with its attempts. - Names of given-up requests have 1 MB. The oldest are forgotten first, those of tests last, as the record of a quarantine needs them. A part whose name is forgotten is logged by its hash. - The parts of given-up requests are reduced to those that can be candidates of a crash: each part once for an account, the newest 512 of a server, and all that were tested. Isolated ones are always kept. - Where there are more than 512 candidates, those of open requests and of the requests given up last are kept; it were those of the oldest requests, so that given-up ones could displace a deadly part at the server. - Names of parts at crashed servers have 1 MB, beside the number of 1,024. Those of tests are taken first. A part beyond the newest 512 that is lost again has only the accounts of its later attempts: its quarantine may then bind one account, and the requests of others are tested.

--- a/packages/quarantine/attempt_table.h
+++ b/packages/quarantine/attempt_table.h
@@ -7,10 +7,12 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "base/name.h"
 #include "base/time.h"
 #include "quarantine/crash_record.h"
 #include "quarantine/prompt_part.h"
@@ -24,21 +26,26 @@
 // caused.
 inline constexpr Duration kBeginMargin = Milliseconds(100);
 
+// Names of parts that are kept of lost attempts, with their bookkeeping.
+inline constexpr std::size_t kMaxLostNameBytes = std::size_t{1024} * 1024;
+
 using AttemptNumber = std::uint64_t;
 
+// The ids of a request's parts as its caller wrote them. Requests and their
+// attempts share them.
+using PartNames = std::shared_ptr<const std::vector<std::string>>;
+
 // One attempt to have a server run a request.
 struct PromptAttempt {
   ServiceName service;
-  // The ids of the parts as the caller wrote them, and as by IdentifyParts.
-  std::vector<std::string> names;
-  std::vector<PartId> parts;
+  PartNames names;            // null if there are none
+  std::vector<PartId> parts;  // as by IdentifyParts
   AccountHash account = kSeveralAccounts;
   // The suspect parts that an isolated request tests, ordered.
   std::vector<PartId> isolated;
   // The crashes that were known when the request was sent.
   std::uint64_t last_crash_number = 0;
   std::optional<TimePoint> began_at;  // the answer
-  std::optional<TimePoint> lost_at;   // ended without an answer
 
   bool operator==(const PromptAttempt&) const = default;
 };
@@ -48,8 +55,46 @@
   kLost,     // broken off by the server or by this host
 };
 
+// An attempt that ended without an answer, and may still cause a crash.
+struct LostAttempt {
+  std::vector<PartId> parts;     // ordered
+  std::vector<PartId> isolated;  // as in PromptAttempt
+  AccountHash account = kSeveralAccounts;
+  TimePoint lost_at;
+
+  bool operator==(const LostAttempt&) const = default;
+};
+
+// The lost attempts of one server, the oldest first.
+struct LostAttempts {
+  std::deque<LostAttempt> attempts;
+  std::size_t part_count = 0;
+  // The attempts are reduced to what FindCandidates uses beyond this number of
+  // parts.
+  std::size_t max_part_count = 2 * kMaxCandidates;
+
+  bool operator==(const LostAttempts&) const = default;
+};
+
+// The names of a lost attempt's parts.
+struct LostNames {
+  ServerIncarnation server;
+  ServiceName service;
+  PartNames names;
+  bool isolated = false;
+  TimePoint lost_at;
+  std::size_t bytes = 0;
+
+  bool operator==(const LostNames&) const = default;
+};
+
 struct AttemptTable {
   std::map<ServerIncarnation, std::map<AttemptNumber, PromptAttempt>> servers;
+  std::map<ServerIncarnation, LostAttempts> lost;
+  // The oldest first. Beyond kMaxLostNameBytes the oldest are forgotten, those
+  // of isolated attempts last.
+  std::deque<LostNames> lost_names;
+  std::size_t lost_name_bytes = 0;
 
   bool operator==(const AttemptTable&) const = default;
 };
@@ -65,7 +110,8 @@
                AttemptNumber number,
                TimePoint now);
 
-// Lost attempts stay for kLostAttemptRetention.
+// The parts of lost attempts stay for kLostAttemptRetention, those that are
+// among the newest kMaxCandidates of their server.
 void EndAttempt(AttemptTable& table,
                 const ServerIncarnation& server,
                 AttemptNumber number,
@@ -73,7 +119,9 @@
                 TimePoint now);
 
 // The parts that may have caused a crash of the server at the time `now` or
-// shortly before. `service` is the hash of its service's name.
+// shortly before. `service` is the hash of its service's name. Beyond
+// kMaxCandidates, those of open attempts and of the attempts that were lost
+// last are kept.
 CrashRecord FindCandidates(const AttemptTable& table,
                            const ServerIncarnation& server,
                            std::uint32_t service,
--- a/packages/quarantine/quarantine_test.cc
+++ b/packages/quarantine/quarantine_test.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <limits>
+#include <memory>
 #include <random>
 #include <string>
 #include <vector>
@@ -377,6 +379,110 @@
   CHECK(CandidateParts(table, Seconds(3)).empty());
   ForgetLostAttempts(table, At(Seconds(3)));
   CHECK(table.servers.empty());
+  CHECK(table.lost.empty());
+}
+
+PromptAttempt LongAttempt(int first, bool isolated) {
+  constexpr int kParts = 60;
+  constexpr std::size_t kNameBytes = 250;
+  std::vector<std::string> names;
+  for (int i = 0; i < kParts; ++i) {
+    std::string name = std::to_string(first + i);
+    name.resize(kNameBytes, 'n');
+    names.push_back(name);
+  }
+  PromptAttempt attempt = Attempt(names);
+  attempt.names =
+      std::make_shared<const std::vector<std::string>>(std::move(names));
+  if (isolated) {
+    attempt.isolated = attempt.parts;
+  }
+  return attempt;
+}
+
+// Guards against callers that give up requests with long or many parts.
+TEST_CASE("the lost attempts of a server are bounded") {
+  constexpr int kAttempts = 1000;
+  const ServerIncarnation server{1, 1};
+  AttemptTable table;
+  const std::vector<PartId> isolated = LongAttempt(0, true).parts;
+  std::vector<PartId> last;
+  for (int i = 0; i < kAttempts; ++i) {
+    // Every other attempt has the same parts.
+    PromptAttempt attempt = LongAttempt(i % 2 == 0 ? 100 * i : 100, i == 0);
+    last = attempt.parts;
+    AddAttempt(table, server, i, std::move(attempt));
+    EndAttempt(table, server, i, AttemptResult::kLost, At(Milliseconds(i)));
+  }
+  const LostAttempts& lost = table.lost.at(server);
+  std::size_t part_count = 0;
+  for (const LostAttempt& attempt : lost.attempts) {
+    part_count += attempt.parts.size();
+  }
+  CHECK(part_count == lost.part_count);
+  CHECK(part_count < 2 * kMaxCandidates + 2 * kMaxPartsPerRequest);
+  CHECK(table.lost_name_bytes <= kMaxLostNameBytes);
+  CHECK(table.lost_names.size() > 50);
+  // The names of the test are still known.
+  CHECK(table.lost_names.front().isolated);
+
+  const CrashRecord record =
+      FindCandidates(table, server, 7, At(Milliseconds(kAttempts)));
+  CHECK(FindIsolated(record) == isolated);
+  for (const PartId part : last) {
+    CHECK(std::ranges::count(record.candidates, part, &CrashCandidate::part) ==
+          1);
+  }
+  ForgetLostAttempts(table, At(Seconds(3)));
+  CHECK(table == AttemptTable{});
+}
+
+// Guards against a part that is no candidate of a crash, as given-up requests
+// with other parts take all places.
+TEST_CASE("open attempts are candidates before lost ones") {
+  const ServerIncarnation server{1, 1};
+  AttemptTable table;
+  for (int i = 0; i < 20; ++i) {
+    AddAttempt(table, server, i, LongAttempt(100 * i, false));
+    EndAttempt(table, server, i, AttemptResult::kLost, At(Milliseconds(i)));
+  }
+  AddAttempt(table, server, 20, Attempt({"deadly"}));
+  const CrashRecord record =
+      FindCandidates(table, server, 7, At(Milliseconds(20)));
+  CHECK(record.candidates.size() == kMaxCandidates);
+  CHECK(std::ranges::count(record.candidates, Part("deadly"),
+                           &CrashCandidate::part) == 1);
+}
+
+// Guards against lost attempts that are reduced to other candidates than all
+// of them have.
+TEST_CASE("reduced lost attempts have the same candidates") {
+  const ServerIncarnation server{1, 1};
+  const bool tests = GENERATE(false, true);
+  AttemptTable reduced;
+  AttemptTable whole;
+  whole.lost[server].max_part_count = std::numeric_limits<std::size_t>::max();
+  const auto find = [&](const AttemptTable& table, int ms) {
+    CrashRecord record = FindCandidates(table, server, 7, At(Milliseconds(ms)));
+    // That of an attempt whose parts are removed may not count any more.
+    for (CrashCandidate& candidate : record.candidates) {
+      candidate.account = kSeveralAccounts;
+    }
+    return record;
+  };
+  int ms = 0;
+  for (int i = 0; i < 600; ++i, ms += 2) {
+    PromptAttempt attempt = LongAttempt(i * 37 % 500, tests && i % 97 == 0);
+    attempt.account = i / 7 % 2 == 0 ? alice : bob;
+    for (AttemptTable* table : {&reduced, &whole}) {
+      AddAttempt(*table, server, i, attempt);
+      EndAttempt(*table, server, i, AttemptResult::kLost, At(Milliseconds(ms)));
+    }
+    REQUIRE(find(reduced, ms) == find(whole, ms));
+  }
+  for (; ms <= 2300; ms += 10) {
+    REQUIRE(find(reduced, ms) == find(whole, ms));
+  }
 }
 
 TEST_CASE("the candidates of a crash tell what was isolated and by whom") {
--- a/packages/relay/prompt_quarantine.cc
+++ b/packages/relay/prompt_quarantine.cc
@@ -21,6 +21,7 @@
 // A host that knows something else is told everything at most this often.
 constexpr Duration kRepairPeriod = Seconds(1);
 constexpr std::size_t kMaxNames = 1024;
+constexpr std::size_t kMaxNameBytes = std::size_t{1024} * 1024;
 
 }  // namespace
 
@@ -199,6 +200,9 @@
   if (report.record.candidates.empty()) {
     return;
   }
+  if (!FindIsolated(report.record).empty()) {
+    this->own_tests.insert(server);
+  }
   this->RememberNames(server);
   if (!MergeReport(this->quarantine, report, now)) {
     return;
@@ -209,24 +213,40 @@
 }
 
 void PromptQuarantine::RememberNames(const ServerIncarnation& server) {
-  const auto attempts = this->attempts.servers.find(server);
-  if (attempts == this->attempts.servers.end()) {
-    return;
-  }
-  for (const auto& [number, attempt] : attempts->second) {
-    if (!attempt.isolated.empty()) {
-      this->own_tests.insert(server);
+  const auto remember = [this](const ServiceName& service,
+                               const PartNames& names) {
+    if (names != nullptr) {
+      for (const std::string& name : *names) {
+        this->RememberName(service, name);
+      }
     }
-    for (const std::string& name : attempt.names) {
-      this->RememberName(attempt.service, name);
+  };
+  const std::deque<LostNames>& lost = this->attempts.lost_names;
+  const auto open = this->attempts.servers.find(server);
+  // Those of tests come first, as the record of a quarantine needs them.
+  for (const bool isolated : {true, false}) {
+    for (auto entry = lost.rbegin(); entry != lost.rend(); ++entry) {
+      if (entry->server == server && entry->isolated == isolated) {
+        remember(entry->service, entry->names);
+      }
+    }
+    if (open != this->attempts.servers.end()) {
+      for (const auto& [number, attempt] : open->second) {
+        if (attempt.isolated.empty() != isolated) {
+          remember(attempt.service, attempt.names);
+        }
+      }
     }
   }
 }
 
 void PromptQuarantine::RememberName(const ServiceName& service,
                                     const std::string& name) {
-  if (this->names.size() < kMaxNames) {
-    this->names.emplace(IdentifyPart(service, name), name);
+  if (this->names.size() < kMaxNames &&
+      this->name_bytes + name.size() <= kMaxNameBytes) {
+    const bool is_new =
+        this->names.emplace(IdentifyPart(service, name), name).second;
+    this->name_bytes += is_new ? name.size() : 0;
     this->services.emplace(static_cast<std::uint32_t>(HashText(service.value)),
                            service);
   }
--- a/packages/relay/prompt_quarantine.h
+++ b/packages/relay/prompt_quarantine.h
@@ -3,6 +3,7 @@
 #ifndef RELAY_PROMPT_QUARANTINE_H_
 #define RELAY_PROMPT_QUARANTINE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -144,6 +145,7 @@
   std::map<ServerIncarnation, Check> checks;
   // Ids of parts that were at servers which crashed, as callers wrote them.
   std::map<PartId, std::string> names;
+  std::size_t name_bytes = 0;
   // Services with such parts, by the hash that records of crashes hold.
   std::map<std::uint32_t, ServiceName> services;
   // Crashes during tests of this host.
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -95,11 +95,14 @@
     return;
   }
   this->metadata = read.value();
-  std::vector<std::string>& parts = this->metadata.shared_prompt_parts;
+  std::vector<std::string> parts =
+      std::move(this->metadata.shared_prompt_parts);
   if (parts.size() > kMaxPartsPerRequest) {
     parts.resize(kMaxPartsPerRequest);
     parts.shrink_to_fit();
   }
+  this->prompt_part_names =
+      std::make_shared<const std::vector<std::string>>(std::move(parts));
   this->traffic = this->context.view.traffic;
   const CallerCheck check = CheckCaller(
       this->traffic.get(), IsTrafficConfigFresh(this->context.view, now),
@@ -122,8 +125,7 @@
   }
   this->service =
       ChooseService(*this->route, HashText(this->metadata.request_id));
-  this->prompt_parts =
-      IdentifyParts(this->service, this->metadata.shared_prompt_parts);
+  this->prompt_parts = IdentifyParts(this->service, *this->prompt_part_names);
   Duration time_left = this->route->timeout;
   if (this->metadata.deadline) {
     time_left = std::min(time_left, *this->metadata.deadline);
@@ -267,7 +269,7 @@
   if (!this->prompt_parts.empty()) {
     PromptAttempt prompt;
     prompt.service = this->service;
-    prompt.names = this->metadata.shared_prompt_parts;
+    prompt.names = this->prompt_part_names;
     prompt.parts = this->prompt_parts;
     if (this->account != nullptr) {
       prompt.account = HashAccount(this->account->name.value);
@@ -632,7 +634,7 @@
   LogAttemptFailed({this->metadata.request_id, server->server().id,
                     this->sent_attempts, end, this->response.status,
                     this->response_not_run, this->answer_began, detail,
-                    this->metadata.shared_prompt_parts});
+                    *this->prompt_part_names});
   const bool not_run =
       !WasSent(end) || known_not_run || (complete && this->response_not_run);
   if (complete || known_not_run || end == AttemptEnd::kWithheld) {
@@ -849,8 +851,7 @@
   this->EndIsolation();
   this->context.metrics.Count("requests_total", "outcome=\"cancelled\"");
   LogCancelled({this->metadata.request_id, server, this->answer_began, reason,
-                this->metadata.shared_prompt_parts,
-                EventLoop::Now() - this->arrived_at});
+                *this->prompt_part_names, EventLoop::Now() - this->arrived_at});
 }
 
 }  // namespace toucanhollow
--- a/standins/platform/client_crowd_test.cc
+++ b/standins/platform/client_crowd_test.cc
@@ -5,7 +5,9 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <cstdlib>
+#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <memory>
@@ -16,6 +18,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "http_stream/tcp_connection.h"
 #include "standins/platform/client_crowd.h"
 #include "standins/platform/large_body.h"
 #include "standins/platform/relay_process.h"
@@ -511,5 +514,67 @@
   site.Check();
 }
 
+// Lists the servers of the site at these ports.
+void ListServers(CrowdSite& site,
+                 std::uint16_t first,
+                 std::uint16_t second,
+                 const std::string& born) {
+  for (const auto& [id, port] :
+       {std::pair{"i-1", first}, std::pair{"i-2", second}}) {
+    site.store.Put("keyed.servers", id,
+                   R"({"service":"ledger","address":"127.0.0.1:)" +
+                       std::to_string(port) +
+                       R"(","zone":"west","slots":2000,"state":"ready",)" +
+                       R"("born":)" + born + "}");
+  }
+}
+
+// Guards against names of prompt parts that are kept without a bound after
+// their requests have been given up.
+TEST_CASE("a crowd with long prompt parts whose requests are given up") {
+  constexpr int kClients = 100;
+  constexpr int kParts = 62;
+  constexpr std::size_t kNameBytes = 230;
+  constexpr std::size_t kOpenAtServer = 300;
+  CrowdSite site;
+  // A server that reads nothing.
+  std::deque<int> open;
+  auto listening = TcpListener::Listen(site.loop, {"127.0.0.1", 0},
+                                       [&open](const int accepted) {
+                                         open.push_back(accepted);
+                                         if (open.size() > kOpenAtServer) {
+                                           close(open.front());
+                                           open.pop_front();
+                                         }
+                                       });
+  REQUIRE(listening);
+  const std::uint16_t port = listening.value()->Port();
+  ListServers(site, port, port, "1700000000001");
+  site.RunFor(Seconds(2));
+  std::string parts;
+  for (int i = 0; i < kParts; ++i) {
+    std::string name = "p" + std::to_string(i);
+    name.resize(kNameBytes, 'q');
+    parts += name + ":10,";
+  }
+  std::string request =
+      Request("GET", "/s/x", "parts",
+              "X-Toucanhollow-Prompt-Prefix: " + parts + "\r\n");
+  request.replace(request.find("1500"), 4, "30");
+  const auto block = Shared(std::move(request));
+  for (int i = 0; i < kClients; ++i) {
+    site.crowd.Add(site.settings.callers, {"", block, 100'000, ""});
+  }
+  site.Play(Seconds(6));
+  site.crowd.Leave();
+  listening.value().reset();
+  for (const int accepted : open) {
+    close(accepted);
+  }
+  ListServers(site, site.first.Port(), site.second.Port(), "1700000000002");
+  site.RunFor(Seconds(4));
+  site.Check();
+}
+
 }  // namespace
 }  // namespace toucanhollow
