Bound the connections that wait at the ports beside that for callers

Seen: 950 clients at each of the ports for readiness, control and metrics of an entry host with memory_mb = 64, with heads that do not end.

Cause: HttpServer let libmicrohttpd open the listening socket, with a backlog of up to 4,096 connections, each of which the kernel gives a receive buffer of 131,072 bytes and more before it is accepted.

Change: the socket is opened by OpenListeningSocket, which TcpListener uses too. The ports for readiness, control and metrics, and the HTTP port of an endpoint agent, have receive buffers of 8 KB. The backlog of an HttpServer is the number of connections that it serves, at least 128: the ports serve 32 or 64, and the hosts of a site may connect at the same moment. A connection beyond it is tried again by the kernel of its caller a second later. Servers that take large bodies leave the receive buffer to the kernel, as before.

What peers and probes get while a crowd fills the backlog was not measured.

--- a/packages/agent/endpoint_agent.cc
+++ b/packages/agent/endpoint_agent.cc
@@ -245,6 +245,7 @@
   HttpServerOptions options;
   options.address = settings.http.ip;
   options.port = settings.http.port;
+  options.receive_bytes = kSmallReceiveBytes;
   Result<std::unique_ptr<HttpServer>> server = HttpServer::Listen(
       this->context.loop, options,
       [this](const HttpRequest& request,
--- a/packages/http_server/http_server.cc
+++ b/packages/http_server/http_server.cc
@@ -20,6 +20,7 @@
 #include "base/check.h"
 #include "http_message/body_framing.h"
 #include "http_server/http_exchange.h"
+#include "http_stream/tcp_connection.h"
 
 namespace toucanhollow {
 namespace {
@@ -196,6 +197,12 @@
            MSG_DONTWAIT | MSG_NOSIGNAL);
 }
 
+int ChooseBacklog(const HttpServerOptions& options) {
+  return static_cast<int>(
+      std::min(std::max(options.max_connections, kMinBacklog),
+               static_cast<unsigned int>(std::numeric_limits<int>::max())));
+}
+
 }  // namespace
 
 struct HttpServer::Core {
@@ -640,14 +647,19 @@
     EventLoop& loop,
     HttpServerOptions options,
     HttpHandler handler) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(options.port);
-  if (inet_pton(AF_INET, options.address.c_str(), &address.sin_addr) != 1) {
+  in_addr address{};
+  if (inet_pton(AF_INET, options.address.c_str(), &address) != 1) {
     return MakeFailure(ResultCode::kSettingsInvalid,
                        "listen address '" + options.address +
                            "' is not an IPv4 address; write it as in 10.0.0.1");
   }
+  const Result<int> listening =
+      OpenListeningSocket({options.address, options.port},
+                          ChooseBacklog(options), options.receive_bytes);
+  if (!listening) {
+    return MakeFailure(ResultCode::kSettingsInvalid,
+                       listening.error().detail + "; choose a free port");
+  }
   auto core =
       std::make_unique<Core>(loop, std::move(options), std::move(handler));
   const auto idle_timeout_s = static_cast<unsigned int>(
@@ -669,8 +681,8 @@
         });
         return result;
       },
-      core.get(), MHD_OPTION_SOCK_ADDR,
-      reinterpret_cast<const sockaddr*>(&address), MHD_OPTION_URI_LOG_CALLBACK,
+      core.get(), MHD_OPTION_LISTEN_SOCKET, listening.value(),
+      MHD_OPTION_URI_LOG_CALLBACK,
       +[](void* context, const char* uri, MHD_Connection* mhd) -> void* {
         Core* core = Core::FromContext(context);
         // A request without state is refused when its header is complete.
@@ -710,7 +722,7 @@
     return MakeFailure(ResultCode::kSettingsInvalid,
                        "listen address " + core->options.address + ":" +
                            std::to_string(core->options.port) +
-                           " cannot be bound; choose a free port");
+                           " cannot be served by libmicrohttpd");
   }
   core->port =
       MHD_get_daemon_info(core->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
--- a/packages/http_server/http_server.h
+++ b/packages/http_server/http_server.h
@@ -17,6 +17,12 @@
 
 namespace toucanhollow {
 
+// Callers that connect at the same moment, as the hosts of a site do after a
+// pause of this process.
+inline constexpr unsigned int kMinBacklog = 128;
+// For servers that take no bodies.
+inline constexpr std::size_t kSmallReceiveBytes = std::size_t{8} * 1024;
+
 struct HttpServerOptions {
   // IPv4 address in dotted form.
   std::string address = "127.0.0.1";
@@ -35,8 +41,13 @@
   // Returns the JSON body of the error responses 408, 413 and 431 that the
   // server itself sends. If it is not set, they have a plain-text body.
   std::function<std::string(int status)> error_body;
-  // Further connections wait in the backlog of the listening socket.
+  // As many further connections, and at least kMinBacklog, wait in the backlog
+  // of the listening socket. Others find no place and try again.
   unsigned int max_connections = 4096;
+  // Bytes of each connection that the kernel receives before they are read, and
+  // as much again for its bookkeeping, which unread bytes may fill too. 0
+  // leaves them to the kernel, for servers that take large bodies.
+  std::size_t receive_bytes = 0;
   // Closes the connection that has waited longest for a complete request when
   // the last place is taken, so that callers which connect and send nothing
   // keep nobody out.
--- a/packages/http_server/http_server_test.cc
+++ b/packages/http_server/http_server_test.cc
@@ -1,12 +1,16 @@
 #include "http_server/http_server.h"
 
 #include <arpa/inet.h>
+#include <poll.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <cerrno>
 #include <ctime>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -581,5 +585,39 @@
   close(other);
 }
 
+// Guards against connections without number that wait to be accepted, each
+// with its receive buffer.
+TEST_CASE("the backlog holds no more connections than its bound") {
+  constexpr unsigned int kConnections = 3 * kMinBacklog;
+  Fixture fixture;
+  HttpServerOptions options;
+  options.max_connections = 2;
+  fixture.Listen(
+      [](const HttpRequest&, const std::shared_ptr<HttpResponseWriter>&) {},
+      options);
+  std::vector<pollfd> polled;
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(fixture.server->Port());
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  for (unsigned int i = 0; i < kConnections; ++i) {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    REQUIRE(fd >= 0);
+    const int connected =
+        connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    REQUIRE((connected == 0 || errno == EINPROGRESS));
+    polled.push_back({fd, POLLOUT, 0});
+  }
+  // Connections on loopback are established at once or not before a second.
+  poll(polled.data(), polled.size(), 0);
+  const auto established =
+      std::ranges::count(polled, POLLOUT, &pollfd::revents);
+  // The kernel queues one more than the number passed to listen.
+  CHECK(established == kMinBacklog + 1);
+  for (const pollfd& entry : polled) {
+    close(entry.fd);
+  }
+}
+
 }  // namespace
 }  // namespace toucanhollow
--- a/packages/http_stream/tcp_connection.cc
+++ b/packages/http_stream/tcp_connection.cc
@@ -397,29 +397,44 @@
       std::clamp(bytes, std::size_t{1}, kMaxReadBytes);
 }
 
-Result<std::unique_ptr<TcpListener>> TcpListener::Listen(
-    EventLoop& loop,
-    const Address& address,
-    std::function<void(int socket)> on_accept,
-    std::size_t receive_bytes) {
-  std::unique_ptr<TcpListener> listener(new TcpListener(loop));
-  listener->socket =
-      ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+Result<int> OpenListeningSocket(const Address& address,
+                                int backlog,
+                                std::size_t receive_bytes) {
+  const int listening =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (receive_bytes > 0) {
-    SetReceiveBuffer(listener->socket, receive_bytes);
+    SetReceiveBuffer(listening, receive_bytes);
   }
   const int on = 1;
-  setsockopt(listener->socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  setsockopt(listening, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   const sockaddr_in socket_address = ToSocketAddress(address);
-  if (listener->socket < 0 ||
-      bind(listener->socket, reinterpret_cast<const sockaddr*>(&socket_address),
+  if (listening < 0 ||
+      bind(listening, reinterpret_cast<const sockaddr*>(&socket_address),
            sizeof(socket_address)) != 0 ||
-      listen(listener->socket, kListenBacklog) != 0) {
+      listen(listening, backlog) != 0) {
+    const std::string why = std::strerror(errno);
+    if (listening >= 0) {
+      close(listening);
+    }
     return MakeFailure(ResultCode::kSettingsInvalid,
                        "cannot listen on " + address.ip + ":" +
-                           std::to_string(address.port) + ": " +
-                           std::strerror(errno));
+                           std::to_string(address.port) + ": " + why);
+  }
+  return listening;
+}
+
+Result<std::unique_ptr<TcpListener>> TcpListener::Listen(
+    EventLoop& loop,
+    const Address& address,
+    std::function<void(int socket)> on_accept,
+    std::size_t receive_bytes) {
+  const Result<int> listening =
+      OpenListeningSocket(address, kListenBacklog, receive_bytes);
+  if (!listening) {
+    return listening.error();
   }
+  std::unique_ptr<TcpListener> listener(new TcpListener(loop));
+  listener->socket = listening.value();
   listener->on_accept = std::move(on_accept);
   listener->watcher = std::make_unique<IoWatcher>(
       loop, listener->socket, IoWatcher::kRead,
--- a/packages/http_stream/tcp_connection.h
+++ b/packages/http_stream/tcp_connection.h
@@ -101,6 +101,15 @@
   std::shared_ptr<State> state;
 };
 
+// Opens a listening socket, which the caller closes. `receive_bytes`, if it is
+// not 0, is as for TcpConnection's LimitReceiveBuffer and holds for each
+// connection from its first byte on. At most `backlog` connections, and one
+// more, wait to be accepted. Fails with kSettingsInvalid if the address cannot
+// be bound.
+Result<int> OpenListeningSocket(const Address& address,
+                                int backlog,
+                                std::size_t receive_bytes);
+
 class TcpListener {
  public:
   // Fails with kSettingsInvalid if the address cannot be bound.
--- a/packages/metrics_server/metrics_server.cc
+++ b/packages/metrics_server/metrics_server.cc
@@ -25,6 +25,7 @@
   options.port = this->address.port;
   options.max_connections = kMaxConnections;
   options.max_body_bytes = 0;
+  options.receive_bytes = kSmallReceiveBytes;
   options.closes_idle_when_full = true;
   auto opened = HttpServer::Listen(
       this->loop, options,
--- a/packages/relay/peer_task.cc
+++ b/packages/relay/peer_task.cc
@@ -130,6 +130,7 @@
   options.port = this->settings.control.port;
   options.max_connections = 64;
   options.max_body_bytes = 0;
+  options.receive_bytes = kSmallReceiveBytes;
   options.closes_idle_when_full = true;
   auto listening = HttpServer::Listen(
       this->loop, options,
--- a/packages/relay/relay_host.cc
+++ b/packages/relay/relay_host.cc
@@ -129,6 +129,7 @@
   options.port = this->settings.readiness.port;
   options.max_connections = 32;
   options.max_body_bytes = 0;
+  options.receive_bytes = kSmallReceiveBytes;
   options.closes_idle_when_full = true;
   auto opened = HttpServer::Listen(
       this->loop, std::move(options),
--- a/standins/platform/client_crowd_test.cc
+++ b/standins/platform/client_crowd_test.cc
@@ -576,5 +576,30 @@
   site.Check();
 }
 
+// Guards against the receive buffers of connections that wait to be accepted.
+TEST_CASE("a crowd in the backlogs of the ports beside that for callers") {
+  constexpr int kFirstClients = 100;
+  constexpr int kLaterClients = 850;
+  CrowdSite site;
+  const Address ports[] = {
+      site.settings.readiness, site.settings.control,
+      Address{site.settings.control.ip, site.settings.metrics_port}};
+  const std::string start = "GET / HTTP/1.1\r\nHost: h\r\nX: ";
+  const auto bytes = Shared(std::string(64 * kKibibyte, '0'));
+  for (int i = 0; i < kFirstClients; ++i) {
+    for (const Address& port : ports) {
+      site.crowd.Add(port, {start, nullptr, 0, ""});
+    }
+  }
+  site.Play(Seconds(1));
+  for (int i = 0; i < kLaterClients; ++i) {
+    for (const Address& port : ports) {
+      site.crowd.Add(port, {start, bytes, 64, ""});
+    }
+  }
+  site.Play(Seconds(5));
+  site.Check();
+}
+
 }  // namespace
 }  // namespace toucanhollow
