--- a/standins/platform/hostile_record_test.cc
+++ b/standins/platform/hostile_record_test.cc
@@ -103,7 +103,7 @@
   constexpr std::size_t kBytes = 250'000;
   constexpr std::size_t kMostMb = 16;
   // A started host reads 133 MB that the stand-in encodes.
-  constexpr Duration kReadLimit = Seconds(30);
+  static constexpr Duration kReadLimit = Seconds(30);
   constexpr const char* kBegin = R"({"service":"ledger","zone":)";
   const std::string spaces(kBytes, ' ');
   RelayProcess site(Seconds(4));
